--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/cli/Logging.java
@@ -0,0 +1,33 @@
+package org.curranthaven.internal.cli;
+
+import org.tinylog.configuration.Configuration;
+
+/** Sets up log lines. */
+final class Logging {
+  private Logging() {}
+
+  /** Writes lines as text or as JSON, to standard error; to be called before the first line. */
+  static void configure(boolean json) {
+    if (json) {
+      Configuration.set("writer", "json");
+      Configuration.set("writer.stream", "err");
+      Configuration.set("writer.format", "LDJSON");
+      Configuration.set("writer.field.time", "date: yyyy-MM-dd'T'HH:mm:ss.SSSXXX");
+      Configuration.set("writer.field.level", "level");
+      Configuration.set("writer.field.message", "message");
+    } else {
+      Configuration.set("writer", "console");
+      Configuration.set("writer.stream", "err");
+      Configuration.set("writer.format", "{date: HH:mm:ss.SSS} {level} {message}");
+    }
+    Configuration.set("level", "info");
+  }
+
+  /** Writes warnings and errors only. */
+  static void quiet() {
+    Configuration.set("writer", "console");
+    Configuration.set("writer.stream", "err");
+    Configuration.set("writer.format", "{date: HH:mm:ss.SSS} {level} {message}");
+    Configuration.set("level", "error");
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/cli/Main.java
@@ -0,0 +1,87 @@
+package org.curranthaven.internal.cli;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.util.List;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.helper.HelpScreenException;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.curranthaven.api.Failure;
+import org.curranthaven.api.ResultCode;
+
+/** Entry point of the executable. */
+public final class Main {
+  /** Version of the program. */
+  public static final String VERSION = "0.1.0";
+
+  /** Attribute under which a parser stores its command. */
+  static final String COMMAND = "command";
+
+  private static final int EXIT_OK = 0;
+
+  private Main() {}
+
+  /** Runs a command and exits with its code. */
+  public static void main(String[] arguments) {
+    System.setProperty("jdk.httpclient.keepalive.timeout", "1");
+    System.setProperty("sun.net.httpserver.nodelay", "true");
+    System.setProperty("sun.net.httpserver.maxReqTime", "30");
+    System.exit(run(arguments));
+  }
+
+  /** Runs a command and returns its exit code. */
+  static int run(String[] arguments) {
+    ArgumentParser parser = parser();
+    try {
+      Namespace parsed = parser.parseArgs(arguments);
+      Command command = parsed.get(COMMAND);
+      return command.run(parsed);
+    } catch (HelpScreenException e) {
+      return EXIT_OK;
+    } catch (ArgumentParserException e) {
+      parser.handleError(e);
+      return ResultCode.USAGE.exitCode();
+    } catch (ConnectException e) {
+      return fail(Failure.of(ResultCode.HOST_UNREACHABLE, "the host does not answer"));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return ResultCode.INTERNAL.exitCode();
+    } catch (IOException e) {
+      return fail(Failure.of(ResultCode.HOST_UNREACHABLE, "the call failed: " + e.getMessage()));
+    } catch (Exception e) {
+      return fail(Failure.of(ResultCode.INTERNAL, "the command failed: " + e));
+    }
+  }
+
+  /** Prints a failure and returns its exit code. */
+  static int fail(Failure failure) {
+    System.err.println("curranthaven: " + failure.sentence());
+    return failure.code().exitCode();
+  }
+
+  private static ArgumentParser parser() {
+    ArgumentParser parser =
+        ArgumentParsers.newFor("curranthaven")
+            .build()
+            .defaultHelp(true)
+            .description("Serves generations of unknown length on crowded engines.")
+            .version("curranthaven " + VERSION);
+    parser
+        .addArgument("--version")
+        .action(net.sourceforge.argparse4j.impl.Arguments.version())
+        .help("print the version");
+    Subparsers commands = parser.addSubparsers().title("commands").metavar("COMMAND");
+    for (Command command : commands()) {
+      command.register(commands);
+    }
+    return parser;
+  }
+
+  private static List<Command> commands() {
+    return List.of(
+        new ServeCommand(), new SettingsCommand(), new StandinCommand(), new DemoCommand());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/cli/SettingsCommand.java
@@ -0,0 +1,73 @@
+package org.curranthaven.internal.cli;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.stream.Collectors;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.curranthaven.api.Failure;
+import org.curranthaven.api.Outcome;
+import org.curranthaven.api.ResultCode;
+import org.curranthaven.internal.settings.HostSettings;
+import org.curranthaven.internal.settings.SettingsReader;
+
+/** {@code settings check} and {@code settings example}. */
+final class SettingsCommand implements Command {
+  private static final String EXAMPLE = "/org/curranthaven/example.jsonc";
+
+  @Override
+  public void register(Subparsers parsers) {
+    Subparser parser = parsers.addParser("settings").help("check settings, or print an example");
+    Subparsers actions = parser.addSubparsers().metavar("ACTION");
+    Subparser check = actions.addParser("check").help("check a settings file");
+    check.addArgument("file").help("settings file");
+    check.setDefault(Main.COMMAND, this).setDefault("action", "check");
+    actions
+        .addParser("example")
+        .help("print a commented file that passes the check")
+        .setDefault(Main.COMMAND, this)
+        .setDefault("action", "example");
+  }
+
+  @Override
+  public int run(Namespace arguments) throws IOException {
+    if (arguments.getString("action").equals("example")) {
+      System.out.print(example());
+      return 0;
+    }
+    return switch (check(Path.of(arguments.getString("file")))) {
+      case Outcome.Failed<HostSettings> failed -> Main.fail(failed.failure());
+      case Outcome.Success<HostSettings> success -> {
+        System.out.println("the settings of " + success.value().name() + " are sound");
+        yield 0;
+      }
+    };
+  }
+
+  static String example() throws IOException {
+    try (InputStream in = SettingsCommand.class.getResourceAsStream(EXAMPLE)) {
+      if (in == null) {
+        throw new IOException(EXAMPLE + " is not part of the program");
+      }
+      return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+    }
+  }
+
+  static Outcome<HostSettings> check(Path file) {
+    SettingsReader reader = SettingsReader.read(file);
+    if (reader.faults().isEmpty()) {
+      return Outcome.success(reader.settings());
+    }
+    String faults =
+        reader.faults().stream()
+            .map(fault -> "  " + fault.sentence(file.toString()))
+            .collect(Collectors.joining("\n"));
+    return Outcome.failed(
+        Failure.of(
+            ResultCode.SETTINGS_INVALID,
+            reader.faults().size() + " faults in the settings:\n" + faults + "\n"));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/cli/package-info.java
@@ -0,0 +1,5 @@
+/** Command line. */
+@NullMarked
+package org.curranthaven.internal.cli;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/configuration/ConfigurationState.java
@@ -0,0 +1,103 @@
+package org.curranthaven.internal.configuration;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.curranthaven.api.Configuration;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Replicated configuration. A change applies only to the revision that it was made from; a change
+ * that was seen before gets its first answer. Not thread-safe.
+ */
+public final class ConfigurationState {
+  /** Number of past answers kept for changes that are sent again. */
+  static final int ANSWERS_KEPT = 8_192;
+
+  /** Number of revisions kept in the history. */
+  static final int HISTORY_KEPT = 1_000;
+
+  private Configuration current = Configuration.empty();
+  private final Map<String, ChangeResult> answers = new LinkedHashMap<>();
+  private final List<HistoryEntry> history = new ArrayList<>();
+
+  /**
+   * State as it stands in snapshots.
+   *
+   * @param current the configuration in force
+   * @param answers past answers by change id, oldest first
+   * @param history revisions, oldest first
+   */
+  public record Snapshot(
+      Configuration current, Map<String, ChangeResult> answers, List<HistoryEntry> history) {}
+
+  /** Returns the latest configuration. */
+  public Configuration current() {
+    return current;
+  }
+
+  /** Returns the revisions kept, oldest first. */
+  public List<HistoryEntry> history() {
+    return List.copyOf(history);
+  }
+
+  /** Applies a change, or returns the answer it got before. */
+  public ChangeResult apply(ConfigurationChange change) {
+    ChangeResult before = answers.get(change.changeId());
+    if (before != null) {
+      return before;
+    }
+    ChangeResult result = decide(change);
+    answers.put(change.changeId(), result);
+    if (answers.size() > ANSWERS_KEPT) {
+      answers.remove(answers.keySet().iterator().next());
+    }
+    return result;
+  }
+
+  private ChangeResult decide(ConfigurationChange change) {
+    if (change.baseRevision() != current.revision()) {
+      HistoryEntry winner = revisionAfter(change.baseRevision());
+      return new ChangeResult.Conflict(
+          current.revision(),
+          winner == null ? "" : winner.changeId(),
+          winner == null ? "" : winner.operator());
+    }
+    ConfigurationEditor editor = new ConfigurationEditor(current);
+    change.edits().forEach(editor::edit);
+    List<String> faults = editor.faults();
+    if (!faults.isEmpty()) {
+      return new ChangeResult.Invalid(faults);
+    }
+    current = editor.build(current.revision() + 1);
+    history.add(
+        new HistoryEntry(
+            current.revision(), change.changeId(), change.operator(), change.edits().size()));
+    if (history.size() > HISTORY_KEPT) {
+      history.removeFirst();
+    }
+    return new ChangeResult.Committed(current.revision(), editor.warnings());
+  }
+
+  private @Nullable HistoryEntry revisionAfter(long revision) {
+    return history.stream()
+        .filter(entry -> entry.revision() == revision + 1)
+        .findFirst()
+        .orElse(null);
+  }
+
+  /** Returns the whole state. */
+  public Snapshot snapshot() {
+    return new Snapshot(current, new LinkedHashMap<>(answers), List.copyOf(history));
+  }
+
+  /** Replaces the whole state. */
+  public void restore(Snapshot snapshot) {
+    current = snapshot.current();
+    answers.clear();
+    answers.putAll(snapshot.answers());
+    history.clear();
+    history.addAll(snapshot.history());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/configuration/FleetCoordinator.java
@@ -0,0 +1,268 @@
+package org.curranthaven.internal.configuration;
+
+import com.google.protobuf.ByteString;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import org.curranthaven.internal.consensus.ConsensusLoop;
+import org.curranthaven.internal.consensus.GroupObserver;
+import org.curranthaven.internal.consensus.RaftCore;
+import org.curranthaven.internal.consensus.RaftDecision;
+import org.curranthaven.internal.consensus.RaftRole;
+import org.curranthaven.internal.consensus.VoterSets;
+import org.curranthaven.internal.settings.Json;
+import org.curranthaven.internal.supervision.Clock;
+import org.curranthaven.internal.transport.PeerNetwork;
+import org.curranthaven.internal.transport.wire.CommandReply;
+import org.curranthaven.internal.transport.wire.CommandStatus;
+import org.curranthaven.internal.transport.wire.Envelope;
+import org.curranthaven.internal.transport.wire.FreshnessGrant;
+import org.curranthaven.internal.transport.wire.FreshnessRequest;
+import org.curranthaven.internal.transport.wire.HostRecord;
+import org.curranthaven.internal.transport.wire.PeerLease;
+import org.curranthaven.internal.transport.wire.RevisionAnswer;
+
+/**
+ * On a control host: gives hosts their freshness leases and the configuration, and tells operators
+ * when a change is in force everywhere. Runs on the consensus thread, except where said.
+ */
+public final class FleetCoordinator implements GroupObserver {
+  /** Number of the group that holds the configuration. */
+  public static final int GROUP = 0;
+
+  /** Silence after which a host is no longer listed, in milliseconds. */
+  static final long HOST_GONE_MILLIS = 10_000;
+
+  private final ConsensusLoop consensus;
+  private final PeerNetwork network;
+  private final Clock clock;
+  private final AcceptanceCore acceptance = new AcceptanceCore();
+  private final Map<String, SeenHost> hosts = new HashMap<>();
+  private final Map<Long, Waiter> waiters = new HashMap<>();
+  private final Map<String, Long> leasesGiven = new ConcurrentHashMap<>();
+  private long nextWaiter = 1;
+  private long announcedRevision;
+  private ByteString configurationJson = ByteString.EMPTY;
+  private long configurationJsonRevision;
+
+  private record SeenHost(HostRecord host, long revision, long seenAtMillis) {}
+
+  private record Waiter(ChangeResult result, CompletableFuture<ChangeOutcome> future) {}
+
+  /** What became of a change. */
+  public sealed interface ChangeOutcome {
+    /** The change was answered; a committed one is in force on every host that may serve. */
+    record Answered(ChangeResult result) implements ChangeOutcome {}
+
+    /** This host does not lead; {@code leaderHost} may, or is empty. */
+    record NotLeader(String leaderHost) implements ChangeOutcome {}
+
+    /** The change may or may not come into force; a resend with its id will tell. */
+    record Unknown() implements ChangeOutcome {}
+  }
+
+  /** Creates the coordinator of a control host. */
+  public FleetCoordinator(ConsensusLoop consensus, PeerNetwork network, Clock clock) {
+    this.consensus = consensus;
+    this.network = network;
+    this.clock = clock;
+  }
+
+  /** Returns the leases that this host gave as a voter and that may still run. Thread-safe. */
+  public List<PeerLease> leasesGiven(long nowMillis) {
+    leasesGiven.values().removeIf(end -> end <= nowMillis);
+    return leasesGiven.entrySet().stream()
+        .map(
+            entry ->
+                PeerLease.newBuilder()
+                    .setHost(entry.getKey())
+                    .setRemainingMillis(entry.getValue() - nowMillis)
+                    .build())
+        .toList();
+  }
+
+  /** Answers a host's request. Thread-safe. */
+  public void receive(HostRecord from, FreshnessRequest request) {
+    consensus.execute(() -> answer(from, request, clock.nowMillis()));
+  }
+
+  /** Makes a change; the future completes on the consensus thread. Thread-safe. */
+  public CompletableFuture<ChangeOutcome> change(ConfigurationChange change) {
+    CompletableFuture<ChangeOutcome> future = new CompletableFuture<>();
+    ByteString command = Json.write(new FleetCommand.Change(change));
+    consensus.propose(GROUP, command, reply -> changeReplied(reply, future));
+    return future;
+  }
+
+  /** Reads the state of group 0 on the consensus thread. Thread-safe. */
+  public void withState(Consumer<FleetState> reader) {
+    consensus.execute(
+        () -> {
+          if (consensus.machine(GROUP) instanceof FleetState state) {
+            reader.accept(state);
+          }
+        });
+  }
+
+  @Override
+  public void applied(int groupId, long index, long nowMillis) {
+    if (groupId != GROUP || !(consensus.machine(GROUP) instanceof FleetState state)) {
+      return;
+    }
+    if (state.current().revision() > announcedRevision) {
+      announcedRevision = state.current().revision();
+      if (leads(nowMillis)) {
+        pushConfiguration(state);
+      }
+    }
+  }
+
+  @Override
+  public void roleChanged(int groupId, RaftDecision.RoleChanged change, long nowMillis) {
+    if (groupId != GROUP) {
+      return;
+    }
+    if (change.role() == RaftRole.LEADER) {
+      acceptance.leadershipStarted(nowMillis);
+      return;
+    }
+    for (long waiter : acceptance.leadershipEnded()) {
+      Waiter ended = waiters.remove(waiter);
+      if (ended != null) {
+        ended.future().complete(new ChangeOutcome.Unknown());
+      }
+    }
+  }
+
+  @Override
+  public void tick(long nowMillis) {
+    RaftCore core = consensus.core(GROUP);
+    if (core == null || !core.hasLease(nowMillis)) {
+      return;
+    }
+    if (core.votersCommitted()) {
+      acceptance.setVoters(VoterSets.voterIds(core.voters()), nowMillis);
+    }
+    hosts.values().removeIf(host -> nowMillis - host.seenAtMillis() > HOST_GONE_MILLIS);
+    completeAccepted(nowMillis);
+  }
+
+  /** Returns the hosts seen lately, with the revision each has in force. */
+  public Map<String, Long> hostRevisions() {
+    Map<String, Long> result = new java.util.TreeMap<>();
+    hosts.forEach((name, seen) -> result.put(name, seen.revision()));
+    return result;
+  }
+
+  private boolean leads(long nowMillis) {
+    RaftCore core = consensus.core(GROUP);
+    return core != null && core.hasLease(nowMillis);
+  }
+
+  private void answer(HostRecord from, FreshnessRequest request, long nowMillis) {
+    RaftCore core = consensus.core(GROUP);
+    if (core == null || !(consensus.machine(GROUP) instanceof FleetState state)) {
+      return;
+    }
+    if (core.hasLease(nowMillis)) {
+      answerAsLeader(from, request, state, nowMillis);
+    } else {
+      answerAsVoter(from, request, core, state, nowMillis);
+    }
+  }
+
+  private void answerAsLeader(
+      HostRecord from, FreshnessRequest request, FleetState state, long nowMillis) {
+    long revision = state.current().revision();
+    hosts.put(from.getName(), new SeenHost(request.getHost(), request.getRevision(), nowMillis));
+    for (PeerLease lease : request.getPeerLeasesList()) {
+      acceptance.leaseGivenElsewhere(
+          lease.getHost(), request.getRevision() - 1, lease.getRemainingMillis(), nowMillis);
+    }
+    if (!from.getIdentity().isEmpty()) {
+      acceptance.voterReported(from.getIdentity(), request.getRevision());
+    }
+    boolean granted =
+        acceptance.request(from.getName(), request.getRevision(), revision, nowMillis);
+    FreshnessGrant.Builder grant =
+        FreshnessGrant.newBuilder()
+            .setRevision(revision)
+            .setEchoedSentAtMillis(request.getSentAtMillis())
+            .setGranted(granted);
+    if (request.getRevision() < revision) {
+      grant.setConfiguration(json(state));
+    }
+    hosts.values().forEach(host -> grant.addHosts(host.host()));
+    network.send(from.getName(), Envelope.newBuilder().setFreshnessGrant(grant));
+    completeAccepted(nowMillis);
+  }
+
+  private void answerAsVoter(
+      HostRecord from, FreshnessRequest request, RaftCore core, FleetState state, long nowMillis) {
+    long revision = state.current().revision();
+    boolean votes = VoterSets.isVoter(core.voters(), consensus.identity());
+    boolean granted =
+        votes && consensus.appliedAll(GROUP) && request.getRevision() == revision && revision > 0;
+    if (granted) {
+      leasesGiven.merge(from.getName(), nowMillis + FreshnessCore.LEASE_MILLIS, Math::max);
+    }
+    RevisionAnswer answer =
+        RevisionAnswer.newBuilder()
+            .setRevision(revision)
+            .setEchoedSentAtMillis(request.getSentAtMillis())
+            .setGranted(granted)
+            .setWitnessSetVersion(core.votersIndex())
+            .setWitnessSetSize(core.voters().getVotersCount())
+            .build();
+    network.send(from.getName(), Envelope.newBuilder().setRevisionAnswer(answer));
+  }
+
+  private ByteString json(FleetState state) {
+    if (configurationJsonRevision != state.current().revision()) {
+      configurationJson = Json.write(state.current());
+      configurationJsonRevision = state.current().revision();
+    }
+    return configurationJson;
+  }
+
+  private void pushConfiguration(FleetState state) {
+    FreshnessGrant push =
+        FreshnessGrant.newBuilder()
+            .setRevision(state.current().revision())
+            .setConfiguration(json(state))
+            .build();
+    for (HostRecord host : network.connected()) {
+      network.send(host.getName(), Envelope.newBuilder().setFreshnessGrant(push));
+    }
+    network.send(network.selfName(), Envelope.newBuilder().setFreshnessGrant(push));
+  }
+
+  private void changeReplied(CommandReply reply, CompletableFuture<ChangeOutcome> future) {
+    if (reply.getStatus() == CommandStatus.COMMAND_STATUS_APPLIED) {
+      ChangeResult result = Json.read(reply.getResult(), ChangeResult.class);
+      if (result instanceof ChangeResult.Committed committed) {
+        long waiter = nextWaiter++;
+        waiters.put(waiter, new Waiter(result, future));
+        acceptance.await(committed.revision(), waiter);
+      } else {
+        future.complete(new ChangeOutcome.Answered(result));
+      }
+    } else if (reply.getStatus() == CommandStatus.COMMAND_STATUS_UNKNOWN) {
+      future.complete(new ChangeOutcome.Unknown());
+    } else {
+      future.complete(new ChangeOutcome.NotLeader(reply.getLeaderHost()));
+    }
+  }
+
+  private void completeAccepted(long nowMillis) {
+    for (long waiter : acceptance.takeAccepted(nowMillis)) {
+      Waiter accepted = waiters.remove(waiter);
+      if (accepted != null) {
+        accepted.future().complete(new ChangeOutcome.Answered(accepted.result()));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/configuration/FleetState.java
@@ -0,0 +1,53 @@
+package org.curranthaven.internal.configuration;
+
+import com.google.protobuf.ByteString;
+import org.curranthaven.api.Configuration;
+import org.curranthaven.internal.consensus.StateMachine;
+import org.curranthaven.internal.placement.PlacementState;
+import org.curranthaven.internal.settings.Json;
+
+/** State of group 0: the configuration and the placement lease. Not thread-safe. */
+public final class FleetState implements StateMachine {
+  private final ConfigurationState configuration = new ConfigurationState();
+  private final PlacementState placement = new PlacementState();
+
+  private record Snapshot(
+      ConfigurationState.Snapshot configuration, PlacementState.Snapshot placement) {}
+
+  /** Returns the latest committed configuration. */
+  public Configuration current() {
+    return configuration.current();
+  }
+
+  /** Returns the configuration with its history. */
+  public ConfigurationState configuration() {
+    return configuration;
+  }
+
+  /** Returns the placement lease. */
+  public PlacementState placement() {
+    return placement;
+  }
+
+  @Override
+  public ByteString apply(long index, ByteString entry) {
+    Object result =
+        switch (Json.read(entry, FleetCommand.class)) {
+          case FleetCommand.Change change -> configuration.apply(change.change());
+          case FleetCommand.Placement command -> placement.apply(command.placement());
+        };
+    return Json.write(result);
+  }
+
+  @Override
+  public ByteString snapshot() {
+    return Json.write(new Snapshot(configuration.snapshot(), placement.snapshot()));
+  }
+
+  @Override
+  public void restore(ByteString state) {
+    Snapshot snapshot = Json.read(state, Snapshot.class);
+    configuration.restore(snapshot.configuration());
+    placement.restore(snapshot.placement());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/consensus/DataFolder.java
@@ -0,0 +1,112 @@
+package org.curranthaven.internal.consensus;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import java.util.UUID;
+import java.util.stream.Stream;
+import org.curranthaven.api.Outcome;
+import org.curranthaven.api.ResultCode;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The data folder of a host, locked against a second process.
+ *
+ * <p>Its identity is made once, on the empty folder. A folder that was wiped gets another identity,
+ * so that it never votes in place of the one that was lost.
+ */
+public final class DataFolder implements Closeable {
+  private static final String LOCK_NAME = "lock";
+  private static final String IDENTITY_NAME = "identity";
+  private static final String GROUP_PREFIX = "group-";
+
+  private final Path path;
+  private final String identity;
+  private final FileChannel lockChannel;
+
+  private DataFolder(Path path, String identity, FileChannel lockChannel) {
+    this.path = path;
+    this.identity = identity;
+    this.lockChannel = lockChannel;
+  }
+
+  /** Opens and locks the folder; gives it an identity if it has none. */
+  public static Outcome<DataFolder> open(Path path) {
+    try {
+      Files.createDirectories(path);
+      FileChannel channel =
+          FileChannel.open(
+              path.resolve(LOCK_NAME), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+      if (tryLock(channel) == null) {
+        channel.close();
+        return Outcome.failed(
+            ResultCode.DATA_FOLDER_LOCKED, "data folder " + path + " is used by another process");
+      }
+      return Outcome.success(new DataFolder(path, readOrMakeIdentity(path), channel));
+    } catch (IOException e) {
+      return Outcome.failed(
+          ResultCode.STORAGE_FAILED, "data folder " + path + " cannot be used: " + e.getMessage());
+    }
+  }
+
+  private static @Nullable FileLock tryLock(FileChannel channel) throws IOException {
+    try {
+      return channel.tryLock();
+    } catch (OverlappingFileLockException e) {
+      return null;
+    }
+  }
+
+  private static String readOrMakeIdentity(Path path) throws IOException {
+    Path file = path.resolve(IDENTITY_NAME);
+    if (Files.exists(file)) {
+      return Files.readString(file).strip();
+    }
+    String identity = UUID.randomUUID().toString();
+    Path temporary = path.resolve(IDENTITY_NAME + ".tmp");
+    try (FileChannel channel =
+        FileChannel.open(temporary, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
+      channel.write(ByteBuffer.wrap(identity.getBytes(StandardCharsets.UTF_8)));
+      channel.force(true);
+    }
+    Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE);
+    RecordFiles.syncFolder(path);
+    return identity;
+  }
+
+  /** Returns the identity of the folder. */
+  public String identity() {
+    return identity;
+  }
+
+  /** Returns the folder of a group. */
+  public Path groupFolder(int groupId) {
+    return path.resolve(GROUP_PREFIX + groupId);
+  }
+
+  /** Returns the numbers of the groups that have a folder here. */
+  public List<Integer> groupIds() throws IOException {
+    try (Stream<Path> files = Files.list(path)) {
+      return files
+          .map(file -> file.getFileName().toString())
+          .filter(name -> name.startsWith(GROUP_PREFIX))
+          .map(name -> Integer.valueOf(name.substring(GROUP_PREFIX.length())))
+          .sorted()
+          .toList();
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    lockChannel.close();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/consensus/GroupStorage.java
@@ -0,0 +1,260 @@
+package org.curranthaven.internal.consensus;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import org.curranthaven.internal.transport.wire.HardState;
+import org.curranthaven.internal.transport.wire.LogEntry;
+import org.curranthaven.internal.transport.wire.LogRecord;
+import org.curranthaven.internal.transport.wire.SnapshotFile;
+
+/**
+ * Files of one replica: a snapshot and log segments in one folder.
+ *
+ * <p>Writes go to the last segment and last once {@link #sync} returns. A record that a crash cut
+ * short at the end of the last segment is removed on opening; a damaged record before sound ones is
+ * refused with file and offset, since what it held may have been acknowledged.
+ */
+public final class GroupStorage implements Closeable {
+  /** Size after which a new segment is started, in bytes. */
+  static final long SEGMENT_BYTES = 4L * 1024 * 1024;
+
+  private static final String SNAPSHOT_NAME = "snapshot";
+  private static final String SEGMENT_PREFIX = "log-";
+
+  private final Path folder;
+  private FileChannel segment;
+  private long segmentNumber;
+  private long term;
+  private String votedFor;
+  private StoredState loaded;
+
+  private GroupStorage(Path folder, StoredState loaded, long segmentNumber, FileChannel segment) {
+    this.folder = folder;
+    this.loaded = loaded;
+    this.term = loaded.term();
+    this.votedFor = loaded.votedFor();
+    this.segmentNumber = segmentNumber;
+    this.segment = segment;
+  }
+
+  /**
+   * Opens the folder, which is made if missing.
+   *
+   * @throws DamagedDataException if a record that was synced cannot be read
+   * @throws IOException if the folder cannot be read or written
+   */
+  public static GroupStorage open(Path folder) throws IOException {
+    Files.createDirectories(folder);
+    SnapshotFile snapshot = readSnapshot(folder.resolve(SNAPSHOT_NAME));
+    List<Path> segments = segments(folder);
+    LogReplay replay = new LogReplay(snapshot);
+    for (int i = 0; i < segments.size(); i++) {
+      boolean last = i == segments.size() - 1;
+      RecordFiles.readSegment(segments.get(i), last, replay::add);
+    }
+    long number = segments.isEmpty() ? 1 : numberOf(segments.getLast());
+    FileChannel channel = openSegment(folder, number);
+    return new GroupStorage(folder, replay.state(folder), number, channel);
+  }
+
+  /** Returns what the folder held when it was opened. */
+  public StoredState loaded() {
+    return loaded;
+  }
+
+  /** Forgets the state read on opening, so that its memory can be used. */
+  void releaseLoaded() {
+    loaded = StoredState.empty();
+  }
+
+  /** Carries out a decision; it lasts once {@link #sync} has returned. */
+  public void persist(RaftDecision.Persist decision) throws IOException {
+    switch (decision) {
+      case RaftDecision.SaveHardState save -> saveHardState(save.term(), save.votedFor());
+      case RaftDecision.AppendEntries append -> {
+        for (LogEntry entry : append.entries()) {
+          write(LogRecord.newBuilder().setEntry(entry).build());
+        }
+      }
+      case RaftDecision.TruncateFrom truncate ->
+          write(LogRecord.newBuilder().setTruncateFrom(truncate.index()).build());
+      case RaftDecision.SaveSnapshot save -> saveSnapshot(save.snapshot(), save.replacesLog());
+    }
+  }
+
+  /** Makes everything persisted so far last. */
+  public void sync() throws IOException {
+    segment.force(false);
+    if (segment.size() >= SEGMENT_BYTES) {
+      startSegment();
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    segment.close();
+  }
+
+  private void saveHardState(long newTerm, String vote) throws IOException {
+    term = newTerm;
+    votedFor = vote;
+    write(hardState());
+  }
+
+  private LogRecord hardState() {
+    return LogRecord.newBuilder()
+        .setHardState(HardState.newBuilder().setTerm(term).setVotedFor(votedFor))
+        .build();
+  }
+
+  private void write(LogRecord record) throws IOException {
+    RecordFiles.write(segment, record.toByteArray());
+  }
+
+  private void saveSnapshot(SnapshotFile snapshot, boolean replacesLog) throws IOException {
+    // The log that the snapshot rests on must last before the snapshot can stand for it.
+    segment.force(false);
+    Path target = folder.resolve(SNAPSHOT_NAME);
+    Path temporary = folder.resolve(SNAPSHOT_NAME + ".tmp");
+    try (FileChannel channel =
+        FileChannel.open(
+            temporary,
+            StandardOpenOption.CREATE,
+            StandardOpenOption.WRITE,
+            StandardOpenOption.TRUNCATE_EXISTING)) {
+      RecordFiles.write(channel, snapshot.toByteArray());
+      channel.force(true);
+    }
+    Files.move(
+        temporary, target, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    RecordFiles.syncFolder(folder);
+    startSegment();
+    if (replacesLog) {
+      write(LogRecord.newBuilder().setTruncateFrom(0).build());
+      segment.force(false);
+    }
+    deleteCoveredSegments(snapshot.getLastIndex());
+  }
+
+  private void startSegment() throws IOException {
+    FileChannel next = openSegment(folder, segmentNumber + 1);
+    segment.close();
+    segment = next;
+    segmentNumber++;
+    write(hardState());
+    segment.force(true);
+    RecordFiles.syncFolder(folder);
+  }
+
+  private void deleteCoveredSegments(long snapshotIndex) throws IOException {
+    for (Path path : segments(folder)) {
+      if (numberOf(path) == segmentNumber || lastIndexIn(path) > snapshotIndex) {
+        return;
+      }
+      Files.delete(path);
+    }
+  }
+
+  private static long lastIndexIn(Path path) throws IOException {
+    long[] last = new long[1];
+    RecordFiles.readSegment(
+        path,
+        false,
+        record -> {
+          if (record.hasEntry()) {
+            last[0] = record.getEntry().getIndex();
+          }
+        });
+    return last[0];
+  }
+
+  private static SnapshotFile readSnapshot(Path path) throws IOException {
+    if (!Files.exists(path)) {
+      return SnapshotFile.getDefaultInstance();
+    }
+    ByteBuffer file = ByteBuffer.wrap(Files.readAllBytes(path));
+    byte[] payload = RecordFiles.readRecord(file);
+    if (payload == null) {
+      throw new DamagedDataException(path, 0);
+    }
+    try {
+      return SnapshotFile.parseFrom(payload);
+    } catch (InvalidProtocolBufferException e) {
+      throw new DamagedDataException(path, 0);
+    }
+  }
+
+  private static FileChannel openSegment(Path folder, long number) throws IOException {
+    return FileChannel.open(
+        folder.resolve("%s%012d".formatted(SEGMENT_PREFIX, number)),
+        StandardOpenOption.CREATE,
+        StandardOpenOption.WRITE,
+        StandardOpenOption.APPEND);
+  }
+
+  private static long numberOf(Path segment) {
+    return Long.parseLong(segment.getFileName().toString().substring(SEGMENT_PREFIX.length()));
+  }
+
+  private static List<Path> segments(Path folder) throws IOException {
+    try (Stream<Path> files = Files.list(folder)) {
+      return files
+          .filter(path -> path.getFileName().toString().startsWith(SEGMENT_PREFIX))
+          .sorted()
+          .toList();
+    }
+  }
+
+  /** Builds the state of a replica from its records in order. */
+  private static final class LogReplay {
+    private final SnapshotFile snapshot;
+    private final List<LogEntry> entries = new ArrayList<>();
+    private long term;
+    private String votedFor = "";
+
+    LogReplay(SnapshotFile snapshot) {
+      this.snapshot = snapshot;
+    }
+
+    void add(LogRecord record) {
+      switch (record.getBodyCase()) {
+        case ENTRY -> {
+          truncateFrom(record.getEntry().getIndex());
+          if (record.getEntry().getIndex() > snapshot.getLastIndex()) {
+            entries.add(record.getEntry());
+          }
+        }
+        case HARD_STATE -> {
+          term = record.getHardState().getTerm();
+          votedFor = record.getHardState().getVotedFor();
+        }
+        case TRUNCATE_FROM -> truncateFrom(record.getTruncateFrom());
+        case BODY_NOT_SET -> {}
+      }
+    }
+
+    private void truncateFrom(long index) {
+      while (!entries.isEmpty() && entries.getLast().getIndex() >= index) {
+        entries.removeLast();
+      }
+    }
+
+    StoredState state(Path folder) throws DamagedDataException {
+      long first = entries.isEmpty() ? 0 : entries.getFirst().getIndex();
+      if (first > snapshot.getLastIndex() + 1) {
+        throw new DamagedDataException(folder.resolve(SNAPSHOT_NAME), 0);
+      }
+      return new StoredState(term, votedFor, snapshot, entries);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/consensus/RaftCore.java
@@ -0,0 +1,783 @@
+package org.curranthaven.internal.consensus;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+import org.curranthaven.internal.transport.wire.AppendReply;
+import org.curranthaven.internal.transport.wire.AppendRequest;
+import org.curranthaven.internal.transport.wire.EntryKind;
+import org.curranthaven.internal.transport.wire.GroupMessage;
+import org.curranthaven.internal.transport.wire.LogEntry;
+import org.curranthaven.internal.transport.wire.SnapshotFile;
+import org.curranthaven.internal.transport.wire.SnapshotPiece;
+import org.curranthaven.internal.transport.wire.SnapshotReply;
+import org.curranthaven.internal.transport.wire.TimeoutNow;
+import org.curranthaven.internal.transport.wire.VoteReply;
+import org.curranthaven.internal.transport.wire.VoteRequest;
+import org.curranthaven.internal.transport.wire.VoterSet;
+
+/**
+ * One replica of a replicated log: the Raft algorithm with pre-vote, check-quorum, a leader lease
+ * on the leader's own clock, learners, voter changes one at a time, snapshots in pieces and
+ * leadership transfer. It owns no clock, thread, socket or file.
+ *
+ * <pre>{@code
+ * List<RaftDecision> decisions = new ArrayList<>(core.handle(new Propose(7, command), now));
+ * decisions.addAll(core.handle(new BatchEnded(), now));
+ * storage.persist(decisions); // and sync, before anything is sent or applied
+ * }</pre>
+ *
+ * <p>Not thread-safe.
+ */
+public final class RaftCore {
+  /** Most entries in one append message. */
+  static final int MAX_APPEND_ENTRIES = 512;
+
+  /** Most bytes of entries in one append message, unless a single entry is larger. */
+  static final int MAX_APPEND_BYTES = 512 * 1024;
+
+  /** Most entries sent to a replica ahead of its answers. */
+  static final int MAX_ENTRIES_IN_FLIGHT = 8_192;
+
+  /** A pre-vote is repeated after one to this many heartbeat times. */
+  static final int PRE_VOTE_RETRY = 3;
+
+  /** Most entries that a learner may lack when it becomes a voter. */
+  static final long MAX_PROMOTION_LAG_ENTRIES = 1_000;
+
+  /** Size of one piece of a snapshot, in bytes. */
+  static final int SNAPSHOT_PIECE_BYTES = 256 * 1024;
+
+  private final int groupId;
+  private final String self;
+  private final RaftTiming timing;
+  private final RandomGenerator random;
+  private final RaftLog log;
+  private final Map<String, FollowerProgress> followers = new HashMap<>();
+  private final Set<String> votesGranted = new HashSet<>();
+  private final TreeMap<Long, Long> requestIdByIndex = new TreeMap<>();
+  private List<RaftDecision> decisions = new ArrayList<>();
+
+  private RaftRole role = RaftRole.FOLLOWER;
+  private long term;
+  private String votedFor;
+  private String leader = "";
+  private long commitIndex;
+  private long appliedIndex;
+  private long electionDeadlineMillis;
+  private long lastLeaderContactMillis;
+  private long nextHeartbeatMillis;
+  private long termStartIndex;
+  private boolean transferring;
+  private long transferDeadlineMillis;
+  private ByteString incomingSnapshot = ByteString.EMPTY;
+  private long incomingSnapshotIndex;
+
+  /**
+   * Creates a replica from what its data folder holds.
+   *
+   * @param groupId number of the group
+   * @param self identity of this replica's data folder
+   * @param stored what the data folder holds
+   * @param random source of election timeouts
+   * @param nowMillis present time on this replica's monotonic clock
+   */
+  public RaftCore(
+      int groupId,
+      String self,
+      RaftTiming timing,
+      StoredState stored,
+      RandomGenerator random,
+      long nowMillis) {
+    this.groupId = groupId;
+    this.self = self;
+    this.timing = timing;
+    this.random = random;
+    this.log = new RaftLog(stored.snapshot(), stored.entries());
+    this.term = stored.term();
+    this.votedFor = stored.votedFor();
+    this.commitIndex = log.snapshotIndex();
+    this.appliedIndex = log.snapshotIndex();
+    // A vote given before a restart may support a lease that is still running.
+    this.lastLeaderContactMillis = nowMillis;
+    resetElectionDeadline(nowMillis);
+  }
+
+  /** Handles one event and returns what to do, in order. */
+  public List<RaftDecision> handle(RaftEvent event, long nowMillis) {
+    decisions = new ArrayList<>();
+    switch (event) {
+      case RaftEvent.Tick ignored -> tick(nowMillis);
+      case RaftEvent.BatchEnded ignored -> sendReadyEntries(nowMillis);
+      case RaftEvent.Received received ->
+          receive(received.fromIdentity(), received.message(), nowMillis);
+      case RaftEvent.Propose proposal -> propose(proposal.requestId(), proposal.command());
+      case RaftEvent.ProposeVoters proposal -> proposeVoters(proposal.voters(), nowMillis);
+      case RaftEvent.TransferLeadership ignored -> transferLeadership(nowMillis);
+      case RaftEvent.SnapshotTaken taken -> compact(taken.index(), taken.state());
+    }
+    return decisions;
+  }
+
+  /** Returns the role of this replica. */
+  public RaftRole role() {
+    return role;
+  }
+
+  /** Returns the current term. */
+  public long term() {
+    return term;
+  }
+
+  /** Returns the identity of the leader, empty when none is known. */
+  public String leader() {
+    return leader;
+  }
+
+  /** Returns the index up to which entries are committed. */
+  public long commitIndex() {
+    return commitIndex;
+  }
+
+  /** Returns the index of the last entry. */
+  public long lastIndex() {
+    return log.lastIndex();
+  }
+
+  /** Returns the index of the latest snapshot. */
+  public long snapshotIndex() {
+    return log.snapshotIndex();
+  }
+
+  /** Returns the latest voter set, committed or not. */
+  public VoterSet voters() {
+    return log.voters();
+  }
+
+  /** Returns the index of the entry that holds the latest voter set. */
+  public long votersIndex() {
+    return log.votersIndex();
+  }
+
+  /** Returns whether the latest voter set is committed. */
+  public boolean votersCommitted() {
+    return log.votersIndex() <= commitIndex;
+  }
+
+  /** Returns the index up to which the replica is known to hold the log; 0 when unknown. */
+  public long matchIndex(String identity) {
+    FollowerProgress progress = followers.get(identity);
+    return progress == null ? 0 : progress.matchIndex;
+  }
+
+  /** Returns when the replica last answered, on this leader's clock; 0 when unknown. */
+  public long lastAnsweredMillis(String identity) {
+    FollowerProgress progress = followers.get(identity);
+    return progress == null ? 0 : progress.lastAnsweredSentAtMillis;
+  }
+
+  /** Returns whether this replica leads and no other can have been elected yet. */
+  public boolean hasLease(long nowMillis) {
+    return role == RaftRole.LEADER
+        && !transferring
+        && commitIndex >= termStartIndex
+        && nowMillis < quorumAnsweredMillis(nowMillis) + timing.leaseMillis();
+  }
+
+  // ---- time -------------------------------------------------------------------------------------
+
+  private void tick(long nowMillis) {
+    if (role == RaftRole.LEADER) {
+      tickLeader(nowMillis);
+    } else if (nowMillis >= electionDeadlineMillis && VoterSets.isVoter(log.voters(), self)) {
+      startElection(RaftRole.PRE_CANDIDATE, false, nowMillis);
+    }
+  }
+
+  private void tickLeader(long nowMillis) {
+    boolean quorumSilent =
+        nowMillis - quorumAnsweredMillis(nowMillis) > timing.electionTimeoutMinMillis();
+    boolean transferFailed = transferring && nowMillis >= transferDeadlineMillis;
+    if (quorumSilent || transferFailed) {
+      becomeFollower(term, "", nowMillis);
+      return;
+    }
+    if (nowMillis >= nextHeartbeatMillis) {
+      nextHeartbeatMillis = nowMillis + timing.heartbeatMillis();
+      followers.keySet().forEach(id -> sendAppend(id, nowMillis));
+    }
+  }
+
+  /** Returns the latest time at which a quorum of voters, this one included, is known to listen. */
+  private long quorumAnsweredMillis(long nowMillis) {
+    long[] times =
+        VoterSets.voterIds(log.voters()).stream()
+            .mapToLong(id -> id.equals(self) ? nowMillis : lastAnsweredMillis(id))
+            .sorted()
+            .toArray();
+    return times.length == 0 ? 0 : times[(times.length - 1) / 2];
+  }
+
+  private void resetElectionDeadline(long nowMillis) {
+    electionDeadlineMillis =
+        nowMillis
+            + random.nextLong(
+                timing.electionTimeoutMinMillis(), timing.electionTimeoutMaxMillis() + 1);
+  }
+
+  // ---- elections --------------------------------------------------------------------------------
+
+  private void startElection(RaftRole candidacy, boolean transfer, long nowMillis) {
+    resetElectionDeadline(nowMillis);
+    votesGranted.clear();
+    votesGranted.add(self);
+    boolean preVote = candidacy == RaftRole.PRE_CANDIDATE;
+    if (preVote) {
+      // Voters that heard from the leader a little later refuse now and agree soon after.
+      electionDeadlineMillis =
+          nowMillis
+              + random.nextLong(
+                  timing.heartbeatMillis(), PRE_VOTE_RETRY * timing.heartbeatMillis());
+    } else {
+      term++;
+      votedFor = self;
+      decisions.add(new RaftDecision.SaveHardState(term, votedFor));
+    }
+    changeRole(candidacy, "");
+    if (electIfQuorum(nowMillis)) {
+      return;
+    }
+    VoteRequest request =
+        VoteRequest.newBuilder()
+            .setPreVote(preVote)
+            .setLastIndex(log.lastIndex())
+            .setLastTerm(log.lastTerm())
+            .setLeadershipTransfer(transfer)
+            .build();
+    for (String voter : VoterSets.voterIds(log.voters())) {
+      if (!voter.equals(self)) {
+        send(voter, message(preVote ? term + 1 : term).setVoteRequest(request));
+      }
+    }
+  }
+
+  private boolean electIfQuorum(long nowMillis) {
+    if (!VoterSets.isQuorum(log.voters(), votesGranted)) {
+      return false;
+    }
+    if (role == RaftRole.PRE_CANDIDATE) {
+      startElection(RaftRole.CANDIDATE, false, nowMillis);
+    } else {
+      becomeLeader(nowMillis);
+    }
+    return true;
+  }
+
+  private void becomeLeader(long nowMillis) {
+    followers.clear();
+    transferring = false;
+    nextHeartbeatMillis = nowMillis + timing.heartbeatMillis();
+    changeRole(RaftRole.LEADER, self);
+    refreshFollowers();
+    followers.values().forEach(progress -> progress.answered(nowMillis));
+    termStartIndex = log.lastIndex() + 1;
+    appendHere(EntryKind.ENTRY_KIND_NOOP, ByteString.EMPTY);
+    advanceCommit();
+  }
+
+  private void refreshFollowers() {
+    List<String> members = VoterSets.memberIds(log.voters());
+    followers.keySet().retainAll(members);
+    for (String member : members) {
+      if (!member.equals(self)) {
+        followers.computeIfAbsent(member, id -> new FollowerProgress(log.lastIndex() + 1));
+      }
+    }
+  }
+
+  private void becomeFollower(long newTerm, String newLeader, long nowMillis) {
+    if (newTerm > term) {
+      term = newTerm;
+      votedFor = "";
+      decisions.add(new RaftDecision.SaveHardState(term, votedFor));
+    }
+    if (role == RaftRole.LEADER) {
+      resetElectionDeadline(nowMillis);
+      followers.clear();
+      requestIdByIndex.values().forEach(id -> decisions.add(new RaftDecision.UnknownProposal(id)));
+      requestIdByIndex.clear();
+    }
+    changeRole(RaftRole.FOLLOWER, newLeader);
+  }
+
+  private void changeRole(RaftRole newRole, String newLeader) {
+    boolean changed = role != newRole || !leader.equals(newLeader);
+    role = newRole;
+    leader = newLeader;
+    if (changed) {
+      decisions.add(new RaftDecision.RoleChanged(role, term, leader));
+    }
+  }
+
+  private boolean heardFromLeaderRecently(long nowMillis) {
+    return role == RaftRole.LEADER
+        || nowMillis - lastLeaderContactMillis < timing.electionTimeoutMinMillis();
+  }
+
+  private void receiveVoteRequest(
+      String from, long requestTerm, VoteRequest request, long nowMillis) {
+    boolean upToDate =
+        request.getLastTerm() > log.lastTerm()
+            || (request.getLastTerm() == log.lastTerm()
+                && request.getLastIndex() >= log.lastIndex());
+    if (request.getPreVote()) {
+      boolean granted = requestTerm > term && upToDate && !heardFromLeaderRecently(nowMillis);
+      VoteReply reply = VoteReply.newBuilder().setPreVote(true).setGranted(granted).build();
+      send(from, message(granted ? requestTerm : term).setVoteReply(reply));
+      return;
+    }
+    boolean free = votedFor.isEmpty() || votedFor.equals(from);
+    boolean granted = requestTerm == term && free && upToDate;
+    if (granted && votedFor.isEmpty()) {
+      votedFor = from;
+      decisions.add(new RaftDecision.SaveHardState(term, votedFor));
+    }
+    if (granted) {
+      resetElectionDeadline(nowMillis);
+    }
+    send(from, message(term).setVoteReply(VoteReply.newBuilder().setGranted(granted)));
+  }
+
+  private void receiveVoteReply(String from, long replyTerm, VoteReply reply, long nowMillis) {
+    boolean forThisCandidacy =
+        reply.getPreVote()
+            ? role == RaftRole.PRE_CANDIDATE && replyTerm == term + 1
+            : role == RaftRole.CANDIDATE && replyTerm == term;
+    if (forThisCandidacy && reply.getGranted()) {
+      votesGranted.add(from);
+      electIfQuorum(nowMillis);
+    }
+  }
+
+  // ---- messages ---------------------------------------------------------------------------------
+
+  private void receive(String from, GroupMessage message, long nowMillis) {
+    if (message.getTerm() > term && !adoptTerm(message, nowMillis)) {
+      return;
+    }
+    switch (message.getBodyCase()) {
+      case VOTE_REQUEST ->
+          receiveVoteRequest(from, message.getTerm(), message.getVoteRequest(), nowMillis);
+      case VOTE_REPLY ->
+          receiveVoteReply(from, message.getTerm(), message.getVoteReply(), nowMillis);
+      case APPEND_REQUEST ->
+          receiveAppend(from, message.getTerm(), message.getAppendRequest(), nowMillis);
+      case APPEND_REPLY ->
+          receiveAppendReply(from, message.getTerm(), message.getAppendReply(), nowMillis);
+      case SNAPSHOT_PIECE ->
+          receiveSnapshotPiece(from, message.getTerm(), message.getSnapshotPiece(), nowMillis);
+      case SNAPSHOT_REPLY ->
+          receiveSnapshotReply(from, message.getTerm(), message.getSnapshotReply(), nowMillis);
+      case TIMEOUT_NOW -> receiveTimeoutNow(from, message.getTerm(), nowMillis);
+      case BODY_NOT_SET -> {}
+    }
+  }
+
+  /** Moves to the message's higher term where it may; returns whether to go on with the message. */
+  private boolean adoptTerm(GroupMessage message, long nowMillis) {
+    if (message.hasVoteRequest()) {
+      VoteRequest request = message.getVoteRequest();
+      if (request.getPreVote()) {
+        return true;
+      }
+      if (heardFromLeaderRecently(nowMillis) && !request.getLeadershipTransfer()) {
+        return false;
+      }
+    }
+    boolean grantedPreVote =
+        message.hasVoteReply()
+            && message.getVoteReply().getPreVote()
+            && message.getVoteReply().getGranted();
+    if (!grantedPreVote) {
+      becomeFollower(message.getTerm(), "", nowMillis);
+    }
+    return true;
+  }
+
+  private void followLeader(String from, long nowMillis) {
+    lastLeaderContactMillis = nowMillis;
+    resetElectionDeadline(nowMillis);
+    becomeFollower(term, from, nowMillis);
+  }
+
+  private void receiveAppend(String from, long leaderTerm, AppendRequest request, long nowMillis) {
+    if (leaderTerm < term) {
+      replyToAppend(from, request, false, 0);
+      return;
+    }
+    followLeader(from, nowMillis);
+    long previous = request.getPreviousIndex();
+    boolean known = previous < log.snapshotIndex();
+    if (!known && log.termAt(previous) != request.getPreviousTerm()) {
+      replyToAppend(from, request, false, 0);
+      return;
+    }
+    long matched = appendReceived(request.getEntriesList(), previous);
+    if (request.getCommitIndex() > commitIndex) {
+      commitIndex = Math.max(commitIndex, Math.min(request.getCommitIndex(), matched));
+      applyCommitted();
+    }
+    replyToAppend(from, request, true, matched);
+  }
+
+  /** Appends what is new, removing entries that conflict; returns the last matching index. */
+  private long appendReceived(List<LogEntry> received, long previousIndex) {
+    List<LogEntry> added = new ArrayList<>();
+    for (LogEntry entry : received) {
+      boolean present = entry.getIndex() <= log.snapshotIndex();
+      if (!present && added.isEmpty() && log.holds(entry.getIndex())) {
+        present = log.termAt(entry.getIndex()) == entry.getTerm();
+        if (!present) {
+          truncateFrom(entry.getIndex());
+        }
+      }
+      if (!present) {
+        added.add(entry);
+      }
+    }
+    if (!added.isEmpty()) {
+      log.append(added);
+      decisions.add(new RaftDecision.AppendEntries(List.copyOf(added)));
+    }
+    return received.isEmpty() ? previousIndex : received.getLast().getIndex();
+  }
+
+  private void truncateFrom(long index) {
+    if (index <= commitIndex) {
+      throw new IllegalStateException(
+          "group %d: entry %d is committed and cannot be removed".formatted(groupId, index));
+    }
+    log.truncateFrom(index);
+    decisions.add(new RaftDecision.TruncateFrom(index));
+  }
+
+  private void replyToAppend(String to, AppendRequest request, boolean accepted, long matched) {
+    AppendReply reply =
+        AppendReply.newBuilder()
+            .setAccepted(accepted)
+            .setMatchIndex(matched)
+            .setLastIndex(log.holds(request.getPreviousIndex()) ? commitIndex : log.lastIndex())
+            .setEchoedSentAtMillis(request.getSentAtMillis())
+            .build();
+    send(to, message(term).setAppendReply(reply));
+  }
+
+  private void receiveAppendReply(String from, long replyTerm, AppendReply reply, long nowMillis) {
+    FollowerProgress progress = followers.get(from);
+    if (role != RaftRole.LEADER || replyTerm != term || progress == null) {
+      return;
+    }
+    progress.answered(reply.getEchoedSentAtMillis());
+    if (reply.getAccepted()) {
+      progress.matchIndex = Math.max(progress.matchIndex, reply.getMatchIndex());
+      progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
+      advanceCommit();
+      sendTimeoutNowIfCaughtUp(from);
+      stepDownIfRemoved(nowMillis);
+      return;
+    }
+    long retreat = Math.max(progress.matchIndex, reply.getLastIndex()) + 1;
+    if (retreat < progress.nextIndex) {
+      progress.nextIndex = retreat;
+      sendAppend(from, nowMillis);
+    }
+  }
+
+  // ---- replication ------------------------------------------------------------------------------
+
+  private void propose(long requestId, ByteString command) {
+    if (role != RaftRole.LEADER || transferring) {
+      decisions.add(new RaftDecision.RejectedProposal(requestId));
+      return;
+    }
+    long index = appendHere(EntryKind.ENTRY_KIND_COMMAND, command);
+    requestIdByIndex.put(index, requestId);
+  }
+
+  private void proposeVoters(VoterSet proposed, long nowMillis) {
+    boolean allowed =
+        role == RaftRole.LEADER
+            && !transferring
+            && commitIndex >= termStartIndex
+            && votersCommitted()
+            && proposed.getVotersCount() > 0
+            && VoterSets.differByAtMostOneVoter(log.voters(), proposed)
+            && newVotersCaughtUp(proposed, nowMillis);
+    if (allowed) {
+      appendHere(EntryKind.ENTRY_KIND_VOTERS, proposed.toByteString());
+      refreshFollowers();
+    }
+  }
+
+  private boolean newVotersCaughtUp(VoterSet proposed, long nowMillis) {
+    return VoterSets.voterIds(proposed).stream()
+        .filter(id -> !VoterSets.isVoter(log.voters(), id))
+        .allMatch(id -> isCaughtUp(id, nowMillis));
+  }
+
+  /** Returns whether a replica holds nearly the whole log and has answered a moment ago. */
+  public boolean isCaughtUp(String identity, long nowMillis) {
+    return matchIndex(identity) > 0
+        && matchIndex(identity) + MAX_PROMOTION_LAG_ENTRIES >= log.lastIndex()
+        && nowMillis - lastAnsweredMillis(identity) < timing.electionTimeoutMinMillis();
+  }
+
+  private long appendHere(EntryKind kind, ByteString data) {
+    LogEntry entry =
+        LogEntry.newBuilder()
+            .setIndex(log.lastIndex() + 1)
+            .setTerm(term)
+            .setKind(kind)
+            .setData(data)
+            .build();
+    log.append(List.of(entry));
+    decisions.add(new RaftDecision.AppendEntries(List.of(entry)));
+    return entry.getIndex();
+  }
+
+  private void sendReadyEntries(long nowMillis) {
+    if (role != RaftRole.LEADER) {
+      return;
+    }
+    followers.forEach(
+        (id, progress) -> {
+          long limit = progress.matchIndex + MAX_ENTRIES_IN_FLIGHT;
+          while (progress.nextIndex <= Math.min(log.lastIndex(), limit)
+              && progress.nextIndex > log.snapshotIndex()) {
+            sendAppend(id, nowMillis);
+          }
+        });
+    advanceCommit();
+  }
+
+  private void sendAppend(String to, long nowMillis) {
+    FollowerProgress progress = followers.get(to);
+    if (progress == null) {
+      return;
+    }
+    if (progress.nextIndex <= log.snapshotIndex()) {
+      sendSnapshotPiece(to, progress, nowMillis);
+      return;
+    }
+    progress.snapshotOffset = -1;
+    long previous = progress.nextIndex - 1;
+    List<LogEntry> entries =
+        progress.nextIndex - progress.matchIndex > MAX_ENTRIES_IN_FLIGHT
+            ? List.of()
+            : log.slice(progress.nextIndex, MAX_APPEND_ENTRIES, MAX_APPEND_BYTES);
+    AppendRequest request =
+        AppendRequest.newBuilder()
+            .setPreviousIndex(previous)
+            .setPreviousTerm(log.termAt(previous))
+            .addAllEntries(entries)
+            .setCommitIndex(commitIndex)
+            .setSentAtMillis(nowMillis)
+            .build();
+    progress.nextIndex += entries.size();
+    send(to, message(term).setAppendRequest(request));
+  }
+
+  private void advanceCommit() {
+    if (role != RaftRole.LEADER) {
+      return;
+    }
+    long[] matches =
+        VoterSets.voterIds(log.voters()).stream()
+            .mapToLong(id -> id.equals(self) ? log.lastIndex() : matchIndex(id))
+            .sorted()
+            .toArray();
+    if (matches.length == 0) {
+      return;
+    }
+    long candidate = matches[(matches.length - 1) / 2];
+    if (candidate > commitIndex && log.termAt(candidate) == term) {
+      commitIndex = candidate;
+      applyCommitted();
+    }
+  }
+
+  private void applyCommitted() {
+    while (appliedIndex < commitIndex) {
+      appliedIndex++;
+      Long requestId = requestIdByIndex.remove(appliedIndex);
+      decisions.add(
+          new RaftDecision.Apply(log.entry(appliedIndex), requestId == null ? 0 : requestId));
+    }
+  }
+
+  private void stepDownIfRemoved(long nowMillis) {
+    if (role == RaftRole.LEADER && votersCommitted() && !VoterSets.isVoter(log.voters(), self)) {
+      becomeFollower(term, "", nowMillis);
+    }
+  }
+
+  // ---- snapshots --------------------------------------------------------------------------------
+
+  private void compact(long index, ByteString state) {
+    if (!log.holds(index) || index > appliedIndex) {
+      return;
+    }
+    SnapshotFile taken =
+        SnapshotFile.newBuilder()
+            .setLastIndex(index)
+            .setLastTerm(log.termAt(index))
+            .setVoters(log.votersAt(index))
+            .setState(state)
+            .build();
+    log.compact(taken);
+    decisions.add(new RaftDecision.SaveSnapshot(taken, false));
+  }
+
+  private void sendSnapshotPiece(String to, FollowerProgress progress, long nowMillis) {
+    SnapshotFile snapshot = log.snapshot();
+    if (progress.snapshotOffset < 0 || progress.snapshotIndex != snapshot.getLastIndex()) {
+      progress.snapshotOffset = 0;
+      progress.snapshotIndex = snapshot.getLastIndex();
+    }
+    int start = (int) progress.snapshotOffset;
+    int end = Math.min(start + SNAPSHOT_PIECE_BYTES, snapshot.getState().size());
+    SnapshotPiece piece =
+        SnapshotPiece.newBuilder()
+            .setLastIndex(snapshot.getLastIndex())
+            .setLastTerm(snapshot.getLastTerm())
+            .setVoters(snapshot.getVoters().toByteString())
+            .setOffset(start)
+            .setData(snapshot.getState().substring(start, end))
+            .setLast(end == snapshot.getState().size())
+            .setSentAtMillis(nowMillis)
+            .build();
+    send(to, message(term).setSnapshotPiece(piece));
+  }
+
+  private void receiveSnapshotPiece(
+      String from, long leaderTerm, SnapshotPiece piece, long nowMillis) {
+    if (leaderTerm < term) {
+      replyToSnapshot(from, piece, 0, false);
+      return;
+    }
+    followLeader(from, nowMillis);
+    if (piece.getLastIndex() <= commitIndex) {
+      replyToSnapshot(from, piece, 0, true);
+      return;
+    }
+    if (piece.getOffset() == 0 || piece.getLastIndex() != incomingSnapshotIndex) {
+      incomingSnapshot = ByteString.EMPTY;
+      incomingSnapshotIndex = piece.getLastIndex();
+    }
+    if (piece.getOffset() != incomingSnapshot.size()) {
+      replyToSnapshot(from, piece, incomingSnapshot.size(), false);
+      return;
+    }
+    incomingSnapshot = incomingSnapshot.concat(piece.getData());
+    if (piece.getLast()) {
+      installSnapshot(piece);
+    }
+    replyToSnapshot(from, piece, incomingSnapshot.size(), piece.getLast());
+  }
+
+  private void installSnapshot(SnapshotPiece piece) {
+    SnapshotFile installed =
+        SnapshotFile.newBuilder()
+            .setLastIndex(piece.getLastIndex())
+            .setLastTerm(piece.getLastTerm())
+            .setVoters(VoterSets.parse(piece.getVoters()))
+            .setState(incomingSnapshot)
+            .build();
+    incomingSnapshot = ByteString.EMPTY;
+    log.reset(installed);
+    commitIndex = installed.getLastIndex();
+    appliedIndex = installed.getLastIndex();
+    decisions.add(new RaftDecision.SaveSnapshot(installed, true));
+    decisions.add(new RaftDecision.RestoreState(installed));
+  }
+
+  private void replyToSnapshot(String to, SnapshotPiece piece, long offset, boolean installed) {
+    SnapshotReply reply =
+        SnapshotReply.newBuilder()
+            .setNextOffset(offset)
+            .setInstalled(installed)
+            .setLastIndex(piece.getLastIndex())
+            .setEchoedSentAtMillis(piece.getSentAtMillis())
+            .build();
+    send(to, message(term).setSnapshotReply(reply));
+  }
+
+  private void receiveSnapshotReply(
+      String from, long replyTerm, SnapshotReply reply, long nowMillis) {
+    FollowerProgress progress = followers.get(from);
+    if (role != RaftRole.LEADER || replyTerm != term || progress == null) {
+      return;
+    }
+    progress.answered(reply.getEchoedSentAtMillis());
+    if (progress.snapshotOffset < 0 || reply.getLastIndex() != progress.snapshotIndex) {
+      return;
+    }
+    if (reply.getInstalled()) {
+      progress.snapshotOffset = -1;
+      progress.matchIndex = Math.max(progress.matchIndex, reply.getLastIndex());
+      progress.nextIndex = progress.matchIndex + 1;
+      advanceCommit();
+      sendAppend(from, nowMillis);
+    } else if (reply.getNextOffset() != progress.snapshotOffset) {
+      progress.snapshotOffset = reply.getNextOffset();
+      sendSnapshotPiece(from, progress, nowMillis);
+    }
+  }
+
+  // ---- leadership transfer ----------------------------------------------------------------------
+
+  private void transferLeadership(long nowMillis) {
+    if (role != RaftRole.LEADER || transferring || VoterSets.voterIds(log.voters()).size() < 2) {
+      return;
+    }
+    // The lease is given up for the rest of the term: a late TimeoutNow may still start an
+    // election.
+    transferring = true;
+    transferDeadlineMillis = nowMillis + timing.electionTimeoutMaxMillis();
+    VoterSets.voterIds(log.voters()).forEach(this::sendTimeoutNowIfCaughtUp);
+  }
+
+  private void sendTimeoutNowIfCaughtUp(String to) {
+    boolean voter = VoterSets.isVoter(log.voters(), to);
+    if (role == RaftRole.LEADER
+        && transferring
+        && voter
+        && !to.equals(self)
+        && matchIndex(to) == log.lastIndex()) {
+      send(to, message(term).setTimeoutNow(TimeoutNow.getDefaultInstance()));
+    }
+  }
+
+  private void receiveTimeoutNow(String from, long leaderTerm, long nowMillis) {
+    boolean fromLeader = leaderTerm == term && from.equals(leader);
+    if (fromLeader && VoterSets.isVoter(log.voters(), self)) {
+      startElection(RaftRole.CANDIDATE, true, nowMillis);
+    }
+  }
+
+  // ---- sending ----------------------------------------------------------------------------------
+
+  private GroupMessage.Builder message(long messageTerm) {
+    return GroupMessage.newBuilder().setGroupId(groupId).setTerm(messageTerm);
+  }
+
+  private void send(String to, GroupMessage.Builder message) {
+    decisions.add(new RaftDecision.Send(to, message.setToIdentity(to).build()));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/consensus/VoterPolicy.java
@@ -0,0 +1,107 @@
+package org.curranthaven.internal.consensus;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
+import org.curranthaven.internal.transport.wire.Voter;
+import org.curranthaven.internal.transport.wire.VoterSet;
+
+/**
+ * Decides the next change of a group's voters: one at a time, a replacement before a removal, and
+ * never a removal that leaves fewer voters alive than a majority of the rest.
+ */
+final class VoterPolicy {
+  /** Silence after which a voter counts as lost, in milliseconds. */
+  static final long LOST_AFTER_MILLIS = 10_000;
+
+  private final int votersWanted;
+
+  VoterPolicy(int votersWanted) {
+    this.votersWanted = votersWanted;
+  }
+
+  /**
+   * What the leader knows when it decides.
+   *
+   * @param current voter set in force
+   * @param self identity of the leader
+   * @param connected control hosts that are connected now, the leader's included
+   * @param caughtUp whether a learner may become a voter
+   * @param lastAnsweredMillis when a replica last answered
+   */
+  record Situation(
+      VoterSet current,
+      String self,
+      Collection<Voter> connected,
+      Predicate<String> caughtUp,
+      ToLongFunction<String> lastAnsweredMillis,
+      long nowMillis) {
+
+    boolean isLost(Voter voter) {
+      if (voter.getIdentity().equals(self)) {
+        return false;
+      }
+      boolean silent =
+          nowMillis - lastAnsweredMillis.applyAsLong(voter.getIdentity()) > LOST_AFTER_MILLIS;
+      return silent || isReplacedOnItsHost(voter);
+    }
+
+    /** Returns whether the voter's host is back with another data folder. */
+    private boolean isReplacedOnItsHost(Voter voter) {
+      return connected.stream()
+          .anyMatch(
+              other ->
+                  other.getHost().equals(voter.getHost())
+                      && !other.getIdentity().equals(voter.getIdentity()));
+    }
+
+    boolean isConnected(Voter voter) {
+      return connected.stream().anyMatch(c -> c.getIdentity().equals(voter.getIdentity()));
+    }
+  }
+
+  /** Returns the voter set to propose next, if a change is due. */
+  Optional<VoterSet> next(Situation situation) {
+    VoterSet current = situation.current();
+    Optional<Voter> lost = current.getVotersList().stream().filter(situation::isLost).findFirst();
+    if (lost.isPresent() && mayRemove(current, lost.get(), situation)) {
+      return Optional.of(VoterSets.without(current, lost.get().getIdentity()));
+    }
+    Optional<Voter> deadLearner =
+        current.getLearnersList().stream().filter(l -> !situation.isConnected(l)).findFirst();
+    if (deadLearner.isPresent()) {
+      return Optional.of(VoterSets.without(current, deadLearner.get().getIdentity()));
+    }
+    boolean voterNeeded = current.getVotersCount() < votersWanted || lost.isPresent();
+    if (!voterNeeded) {
+      return Optional.empty();
+    }
+    Optional<Voter> ready =
+        current.getLearnersList().stream()
+            .filter(learner -> situation.caughtUp().test(learner.getIdentity()))
+            .findFirst();
+    if (ready.isPresent()) {
+      return Optional.of(VoterSets.withVoter(current, ready.get()));
+    }
+    if (current.getLearnersCount() > 0) {
+      return Optional.empty();
+    }
+    return spare(current, situation).map(host -> VoterSets.withLearner(current, host));
+  }
+
+  private boolean mayRemove(VoterSet current, Voter lost, Situation situation) {
+    VoterSet rest = VoterSets.without(current, lost.getIdentity());
+    long alive = rest.getVotersList().stream().filter(voter -> !situation.isLost(voter)).count();
+    return rest.getVotersCount() >= votersWanted && alive * 2 > rest.getVotersCount();
+  }
+
+  private static Optional<Voter> spare(VoterSet current, Situation situation) {
+    List<String> members = VoterSets.memberIds(current);
+    return situation.connected().stream()
+        .filter(host -> !members.contains(host.getIdentity()))
+        .min(Comparator.comparing(Voter::getHost));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/gateway/CallerApi.java
@@ -0,0 +1,430 @@
+package org.curranthaven.internal.gateway;
+
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.random.RandomGenerator;
+import org.curranthaven.api.Configuration;
+import org.curranthaven.api.Failure;
+import org.curranthaven.api.Model;
+import org.curranthaven.api.Outcome;
+import org.curranthaven.api.PlainService;
+import org.curranthaven.api.ResultCode;
+import org.curranthaven.api.ServiceClass;
+import org.curranthaven.api.Workspace;
+import org.curranthaven.internal.ledger.Ledger;
+import org.curranthaven.internal.routing.RequestFacts;
+import org.curranthaven.internal.settings.Json;
+import org.curranthaven.internal.supervision.Clock;
+import org.curranthaven.internal.transport.wire.StoredAnswer;
+
+/** Callers' requests: completions in the usual form, and plain services. Thread-safe. */
+public final class CallerApi {
+  /** Header that names the class of work. */
+  public static final String CLASS_HEADER = "Curranthaven-Class";
+
+  private static final String KEY_HEADER = "Idempotency-Key";
+  private static final String ISSUED_AT_HEADER = "Curranthaven-Issued-At";
+  private static final String SERVICES_PREFIX = "/services/";
+  private static final int STATUS_OK = 200;
+  private static final int MILLIS_PER_SECOND = 1_000;
+  private static final Set<String> REPEATED_BY_CLIENTS = Set.of("GET", "HEAD");
+
+  private final CallContext context;
+  private final Ledger ledger;
+  private final ServiceClient services = new ServiceClient();
+  private final int maxBodyBytes;
+  private final BooleanSupplier draining;
+  private final RandomGenerator random;
+  private final WorkspaceKeys keys = new WorkspaceKeys();
+
+  /** Creates the callers' part of a host. */
+  public CallerApi(
+      Router router,
+      Ledger ledger,
+      Clock clock,
+      Metrics metrics,
+      int maxBodyBytes,
+      BooleanSupplier draining,
+      RandomGenerator random) {
+    this.context = new CallContext(router, new EngineClient(), clock, metrics);
+    this.ledger = ledger;
+    this.maxBodyBytes = maxBodyBytes;
+    this.draining = draining;
+    this.random = random;
+  }
+
+  /** A request whose caller, class and key are known. */
+  private record Admitted(
+      Workspace workspace, ServiceClass serviceClass, RequestKey key, long arrivedAtMillis) {}
+
+  /** Answers one request. */
+  void handle(Exchange exchange) throws IOException, InterruptedException {
+    long arrivedAtMillis = context.clock().nowMillis();
+    String path = exchange.path();
+    if (path.equals("/v1/chat/completions")) {
+      completion(exchange, true, arrivedAtMillis);
+    } else if (path.equals("/v1/completions")) {
+      completion(exchange, false, arrivedAtMillis);
+    } else if (path.equals("/v1/models")) {
+      models(exchange);
+    } else if (path.startsWith(SERVICES_PREFIX)) {
+      service(exchange, arrivedAtMillis);
+    } else {
+      exchange.failure(
+          Failure.of(ResultCode.UNKNOWN_PATH, "path '" + path + "' is not served here"));
+    }
+  }
+
+  // ---- completions ------------------------------------------------------------------------------
+
+  private void completion(Exchange exchange, boolean chat, long arrivedAtMillis)
+      throws IOException, InterruptedException {
+    if (!exchange.method().equals("POST")) {
+      exchange.failure(
+          Failure.of(ResultCode.METHOD_NOT_ALLOWED, "completions are asked for with POST"));
+      return;
+    }
+    Outcome<byte[]> body = exchange.body(maxBodyBytes);
+    if (body instanceof Outcome.Failed<byte[]> failed) {
+      exchange.failure(failed.failure());
+      return;
+    }
+    byte[] bytes = ((Outcome.Success<byte[]>) body).value();
+    Configuration configuration = context.router().configuration();
+    Outcome<Admitted> admission = admit(exchange, configuration, "", arrivedAtMillis);
+    if (admission instanceof Outcome.Failed<Admitted> failed) {
+      refuse(exchange, failed.failure());
+      return;
+    }
+    Outcome<CompletionRequest> parsed = CompletionRequest.parse(chat, bytes);
+    if (parsed instanceof Outcome.Failed<CompletionRequest> failed) {
+      exchange.failure(failed.failure());
+      return;
+    }
+    CompletionRequest request = ((Outcome.Success<CompletionRequest>) parsed).value();
+    Model model = configuration.models().get(request.model());
+    if (model == null) {
+      exchange.failure(
+          Failure.of(
+              ResultCode.UNKNOWN_MODEL, "model '" + request.model() + "' is not configured"));
+      return;
+    }
+    Admitted admitted = ((Outcome.Success<Admitted>) admission).value();
+    context.metrics().requested(admitted.serviceClass().name());
+    RequestFacts facts = facts(admitted, request, model);
+    exchange.setHeader("X-Request-Id", admitted.key().key());
+    if (admitted.serviceClass().repeatable()) {
+      runCompletion(exchange, admitted, request, facts);
+    } else {
+      runKeyedCompletion(exchange, admitted, request, facts, bytes);
+    }
+  }
+
+  private static RequestFacts facts(Admitted admitted, CompletionRequest request, Model model) {
+    int limit =
+        request.maxTokens() == 0
+            ? model.maxOutputTokens()
+            : Math.min(request.maxTokens(), model.maxOutputTokens());
+    return new RequestFacts(
+        0,
+        admitted.workspace().name(),
+        admitted.serviceClass().name(),
+        admitted.serviceClass().targets(),
+        model.name(),
+        request.promptTokens(),
+        limit,
+        request.prefixHash(),
+        admitted.arrivedAtMillis(),
+        Set.of());
+  }
+
+  private CompletionForm form(CompletionRequest request) {
+    return new CompletionForm(request, context.clock().epochMillis() / MILLIS_PER_SECOND);
+  }
+
+  private void runCompletion(
+      Exchange exchange, Admitted admitted, CompletionRequest request, RequestFacts facts)
+      throws IOException, InterruptedException {
+    CompletionForm form = form(request);
+    if (!request.stream()) {
+      Outcome<Completion> outcome = generate(admitted, request, facts, new CollectingSink());
+      switch (outcome) {
+        case Outcome.Success<Completion> success ->
+            exchange.json(STATUS_OK, form.whole(success.value()));
+        case Outcome.Failed<Completion> failed -> fail(exchange, admitted, failed.failure());
+      }
+      return;
+    }
+    StreamingSink sink = new StreamingSink(exchange, form);
+    try {
+      streamed(exchange, admitted, request, sink, run(admitted, request, facts, sink));
+    } catch (TokenSink.CallerGoneException e) {
+      // The generation was cancelled; there is nobody to tell.
+    }
+  }
+
+  private void streamed(
+      Exchange exchange,
+      Admitted admitted,
+      CompletionRequest request,
+      StreamingSink sink,
+      Outcome<Completion> outcome)
+      throws IOException, TokenSink.CallerGoneException {
+    switch (outcome) {
+      case Outcome.Success<Completion> success ->
+          sink.finish(success.value(), request.includeUsage());
+      case Outcome.Failed<Completion> failed -> {
+        if (exchange.answered()) {
+          context.metrics().failed(admitted.serviceClass().name(), failed.failure().code());
+          sink.fail(failed.failure());
+        } else {
+          fail(exchange, admitted, failed.failure());
+        }
+      }
+    }
+  }
+
+  private Outcome<Completion> run(
+      Admitted admitted, CompletionRequest request, RequestFacts facts, TokenSink sink)
+      throws InterruptedException, TokenSink.CallerGoneException {
+    return new GenerationCall(
+            context, admitted.key().key(), request, facts, admitted.serviceClass(), sink)
+        .run();
+  }
+
+  private Outcome<Completion> generate(
+      Admitted admitted, CompletionRequest request, RequestFacts facts, CollectingSink sink)
+      throws InterruptedException {
+    try {
+      return run(admitted, request, facts, sink);
+    } catch (TokenSink.CallerGoneException e) {
+      throw new IllegalStateException("a collecting sink has no caller to lose", e);
+    }
+  }
+
+  /**
+   * Runs a completion that may not be repeated. Its answer is held whole and kept; a caller that
+   * asked for a stream gets it as one.
+   */
+  private void runKeyedCompletion(
+      Exchange exchange,
+      Admitted admitted,
+      CompletionRequest request,
+      RequestFacts facts,
+      byte[] body)
+      throws IOException, InterruptedException {
+    CompletionForm form = form(request);
+    ByteString hash = Hashes.sha256(utf8(exchange.path()), body);
+    Outcome<StoredAnswer> outcome =
+        keyed(
+            admitted,
+            hash,
+            () ->
+                switch (generate(admitted, request, facts, new CollectingSink())) {
+                  case Outcome.Success<Completion> success ->
+                      Outcome.success(storedJson(form.whole(success.value())));
+                  case Outcome.Failed<Completion> failed -> Outcome.failed(failed.failure());
+                });
+    switch (outcome) {
+      case Outcome.Success<StoredAnswer> success -> {
+        if (request.stream() && success.value().getStatus() == STATUS_OK) {
+          sendAsStream(exchange, form, request, success.value());
+        } else {
+          exchange.answer(success.value());
+        }
+      }
+      case Outcome.Failed<StoredAnswer> failed -> fail(exchange, admitted, failed.failure());
+    }
+  }
+
+  private static void sendAsStream(
+      Exchange exchange, CompletionForm form, CompletionRequest request, StoredAnswer answer)
+      throws IOException {
+    Completion completion = KeptCompletion.parse(answer.getBody());
+    StreamingSink sink = new StreamingSink(exchange, form);
+    try {
+      sink.token(
+          new EngineToken(
+              completion.generation(), 0, completion.text(), completion.finishReason(), 0));
+      sink.finish(completion, request.includeUsage());
+    } catch (TokenSink.CallerGoneException e) {
+      // The answer is kept; the caller can ask for it again.
+    }
+  }
+
+  private static StoredAnswer storedJson(Object value) {
+    return StoredAnswer.newBuilder()
+        .setStatus(STATUS_OK)
+        .setContentType(ErrorBodies.JSON)
+        .setBody(Json.write(value))
+        .build();
+  }
+
+  private void models(Exchange exchange) throws IOException {
+    exchange.json(
+        STATUS_OK,
+        Map.of(
+            "object",
+            "list",
+            "data",
+            context.router().configuration().models().keySet().stream()
+                .map(name -> Map.of("id", name, "object", "model", "owned_by", "curranthaven"))
+                .toList()));
+  }
+
+  // ---- plain services ---------------------------------------------------------------------------
+
+  private void service(Exchange exchange, long arrivedAtMillis)
+      throws IOException, InterruptedException {
+    String[] parts = exchange.path().substring(SERVICES_PREFIX.length()).split("/", 2);
+    Configuration configuration = context.router().configuration();
+    PlainService service = configuration.services().get(parts[0]);
+    if (service == null) {
+      exchange.failure(
+          Failure.of(ResultCode.UNKNOWN_SERVICE, "service '" + parts[0] + "' is not configured"));
+      return;
+    }
+    Outcome<byte[]> body = exchange.body(maxBodyBytes);
+    if (body instanceof Outcome.Failed<byte[]> failed) {
+      exchange.failure(failed.failure());
+      return;
+    }
+    Outcome<Admitted> admission =
+        admit(exchange, configuration, service.defaultClass(), arrivedAtMillis);
+    if (admission instanceof Outcome.Failed<Admitted> failed) {
+      refuse(exchange, failed.failure());
+      return;
+    }
+    Admitted admitted = ((Outcome.Success<Admitted>) admission).value();
+    byte[] bytes = ((Outcome.Success<byte[]>) body).value();
+    context.metrics().requested(admitted.serviceClass().name());
+    runService(exchange, admitted, service, bytes);
+  }
+
+  private void runService(Exchange exchange, Admitted admitted, PlainService service, byte[] body)
+      throws IOException, InterruptedException {
+    String path = exchange.rawPath().substring(SERVICES_PREFIX.length() + service.name().length());
+    String contentType = exchange.header("Content-Type");
+    boolean repeatable = admitted.serviceClass().repeatable();
+    ServiceClient.ServiceRequest request =
+        new ServiceClient.ServiceRequest(
+            exchange.method(),
+            path.startsWith("/") ? path : "/" + path,
+            contentType == null ? "" : contentType,
+            ByteString.copyFrom(body),
+            repeatable ? "" : admitted.key().key());
+    RequestFacts facts = serviceFacts(admitted, service);
+    ServiceCall call = new ServiceCall(context, services, admitted.serviceClass());
+    exchange.setHeader("X-Request-Id", admitted.key().key());
+    if (!repeatable && REPEATED_BY_CLIENTS.contains(exchange.method())) {
+      exchange.failure(
+          Failure.of(
+              ResultCode.METHOD_NOT_ALLOWED,
+              exchange.method() + " may be repeated on the way, which the class does not allow"));
+      return;
+    }
+    Outcome<StoredAnswer> outcome =
+        repeatable
+            ? call.run(admitted.key().key(), facts, request)
+            : keyed(
+                admitted,
+                Hashes.sha256(utf8(exchange.method()), utf8(exchange.rawPath()), body),
+                () -> call.run(admitted.key().key(), facts, request));
+    switch (outcome) {
+      case Outcome.Success<StoredAnswer> success -> {
+        long millis = context.clock().nowMillis() - admitted.arrivedAtMillis();
+        context.metrics().firstReply(admitted.serviceClass().name(), millis);
+        exchange.answer(success.value());
+      }
+      case Outcome.Failed<StoredAnswer> failed -> fail(exchange, admitted, failed.failure());
+    }
+  }
+
+  private static RequestFacts serviceFacts(Admitted admitted, PlainService service) {
+    return new RequestFacts(
+        0,
+        admitted.workspace().name(),
+        admitted.serviceClass().name(),
+        admitted.serviceClass().targets(),
+        "service:" + service.name(),
+        0,
+        1,
+        0,
+        admitted.arrivedAtMillis(),
+        Set.of());
+  }
+
+  // ---- shared -----------------------------------------------------------------------------------
+
+  private Outcome<StoredAnswer> keyed(
+      Admitted admitted, ByteString hash, KeyedCall.Execution execution)
+      throws InterruptedException {
+    RequestKey key = admitted.key();
+    Ledger.ClaimRequest claim =
+        new Ledger.ClaimRequest(
+            admitted.workspace().name(),
+            key.key(),
+            key.issuedAtMillis(),
+            hash,
+            RequestKey.uuidWithTime(key.issuedAtMillis(), random).toString());
+    return new KeyedCall(ledger, context.router(), context.clock())
+        .run(claim, admitted.serviceClass().targets().answerMillis(), execution);
+  }
+
+  private Outcome<Admitted> admit(
+      Exchange exchange, Configuration configuration, String defaultClass, long arrivedAtMillis) {
+    if (draining.getAsBoolean()) {
+      return Outcome.failed(
+          Failure.retryLater(ResultCode.HOST_DRAINING, "this host is stopping", 1));
+    }
+    if (!context.router().mayServe()) {
+      return Outcome.failed(
+          Failure.retryLater(
+              ResultCode.HOST_NOT_FRESH,
+              "this host does not know whether its configuration is the one in force",
+              1));
+    }
+    Workspace workspace = keys.workspace(configuration, exchange.header("Authorization"));
+    if (workspace == null) {
+      return Outcome.failed(ResultCode.BAD_KEY, "the bearer key belongs to no workspace");
+    }
+    String asked = exchange.header(CLASS_HEADER);
+    String byDefault = defaultClass.isEmpty() ? workspace.defaultClass() : defaultClass;
+    String className = asked == null ? byDefault : asked;
+    ServiceClass serviceClass = configuration.classes().get(className);
+    if (serviceClass == null) {
+      return Outcome.failed(
+          ResultCode.UNKNOWN_CLASS, "class '" + className + "' is not configured");
+    }
+    Outcome<RequestKey> key =
+        RequestKey.of(
+            serviceClass.repeatable() ? null : exchange.header(KEY_HEADER),
+            exchange.header(ISSUED_AT_HEADER),
+            context.clock().epochMillis(),
+            random);
+    return switch (key) {
+      case Outcome.Success<RequestKey> success ->
+          Outcome.success(new Admitted(workspace, serviceClass, success.value(), arrivedAtMillis));
+      case Outcome.Failed<RequestKey> failed -> Outcome.failed(failed.failure());
+    };
+  }
+
+  /** Refuses a request that was not admitted; a resent one may have run before. */
+  private void refuse(Exchange exchange, Failure failure) throws IOException {
+    boolean resent = exchange.header(KEY_HEADER) != null;
+    exchange.failure(resent ? KeyedErrors.earlierAttemptMayHaveRun(failure) : failure);
+  }
+
+  private void fail(Exchange exchange, Admitted admitted, Failure failure) throws IOException {
+    context.metrics().failed(admitted.serviceClass().name(), failure.code());
+    exchange.failure(failure);
+  }
+
+  private static byte[] utf8(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/gateway/CompletionForm.java
@@ -0,0 +1,79 @@
+package org.curranthaven.internal.gateway;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.curranthaven.internal.settings.Json;
+import org.jspecify.annotations.Nullable;
+
+/** Writes answers in the usual completions form. */
+final class CompletionForm {
+  private final CompletionRequest request;
+  private final long createdSeconds;
+
+  CompletionForm(CompletionRequest request, long createdSeconds) {
+    this.request = request;
+    this.createdSeconds = createdSeconds;
+  }
+
+  /** Returns one token as a chunk of a stream; the generation is its id. */
+  String chunk(EngineToken token) {
+    ObjectNode chunk = head(token.generation(), true);
+    chunk.put("token_index", token.index());
+    ObjectNode choice = choice(chunk, token.finishReason());
+    if (request.chat()) {
+      ObjectNode delta = choice.putObject("delta");
+      if (token.index() == 0) {
+        delta.put("role", "assistant");
+      }
+      delta.put("content", token.text());
+    } else {
+      choice.put("text", token.text());
+    }
+    return Json.text(chunk);
+  }
+
+  /** Returns the chunk that ends a stream whose caller asked for usage figures. */
+  String usageChunk(Completion completion) {
+    ObjectNode chunk = head(completion.generation(), true);
+    chunk.putArray("choices");
+    usage(chunk, completion);
+    return Json.text(chunk);
+  }
+
+  /** Returns a whole answer. */
+  ObjectNode whole(Completion completion) {
+    ObjectNode answer = head(completion.generation(), false);
+    ObjectNode choice = choice(answer, completion.finishReason());
+    if (request.chat()) {
+      choice.putObject("message").put("role", "assistant").put("content", completion.text());
+    } else {
+      choice.put("text", completion.text());
+    }
+    usage(answer, completion);
+    return answer;
+  }
+
+  private ObjectNode head(String id, boolean chunk) {
+    String chatObject = chunk ? "chat.completion.chunk" : "chat.completion";
+    ObjectNode node = Json.MAPPER.createObjectNode();
+    node.put("id", id);
+    node.put("object", request.chat() ? chatObject : "text_completion");
+    node.put("created", createdSeconds);
+    node.put("model", request.model());
+    return node;
+  }
+
+  private static ObjectNode choice(ObjectNode parent, @Nullable String finishReason) {
+    ObjectNode choice = parent.putArray("choices").addObject();
+    choice.put("index", 0);
+    choice.put("finish_reason", finishReason);
+    return choice;
+  }
+
+  private static void usage(ObjectNode parent, Completion completion) {
+    parent
+        .putObject("usage")
+        .put("prompt_tokens", completion.promptTokens())
+        .put("completion_tokens", completion.completionTokens())
+        .put("total_tokens", completion.promptTokens() + completion.completionTokens());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/gateway/ErrorBodies.java
@@ -0,0 +1,45 @@
+package org.curranthaven.internal.gateway;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.protobuf.ByteString;
+import org.curranthaven.api.Failure;
+import org.curranthaven.internal.settings.Json;
+import org.curranthaven.internal.transport.wire.StoredAnswer;
+
+/** Words errors for callers: the usual JSON shape with the result code and whether it ran. */
+public final class ErrorBodies {
+  /** Content type of error bodies. */
+  public static final String JSON = "application/json";
+
+  private static final int FIRST_SERVER_ERROR = 500;
+
+  private ErrorBodies() {}
+
+  /** Returns the error as a JSON object. */
+  public static ObjectNode json(Failure failure) {
+    ObjectNode body = Json.MAPPER.createObjectNode();
+    ObjectNode error = body.putObject("error");
+    error.put("message", failure.sentence());
+    error.put("type", type(failure));
+    error.put("code", failure.code().number());
+    error.put("ran", failure.ran().wireName());
+    body.put("code", failure.code().number());
+    body.put("ran", failure.ran().wireName());
+    return body;
+  }
+
+  private static String type(Failure failure) {
+    return failure.code().httpStatus() < FIRST_SERVER_ERROR
+        ? "invalid_request_error"
+        : "server_error";
+  }
+
+  /** Returns the error as the kept answer of a call. */
+  static StoredAnswer stored(Failure failure) {
+    return StoredAnswer.newBuilder()
+        .setStatus(failure.code().httpStatus())
+        .setContentType(JSON)
+        .setBody(ByteString.copyFrom(Json.write(json(failure)).toByteArray()))
+        .build();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/gateway/Exchange.java
@@ -0,0 +1,122 @@
+package org.curranthaven.internal.gateway;
+
+import com.sun.net.httpserver.HttpExchange;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import org.curranthaven.api.Failure;
+import org.curranthaven.api.Outcome;
+import org.curranthaven.api.ResultCode;
+import org.curranthaven.internal.settings.Json;
+import org.curranthaven.internal.transport.wire.StoredAnswer;
+import org.jspecify.annotations.Nullable;
+
+/** One HTTP request and its answer. */
+public final class Exchange implements AutoCloseable {
+  private static final int STATUS_OK = 200;
+  private static final int STATUS_NO_CONTENT = 204;
+  private static final long MILLIS_PER_SECOND = 1_000;
+
+  private final HttpExchange http;
+  private boolean answered;
+
+  /** Wraps the server's exchange. */
+  public Exchange(HttpExchange http) {
+    this.http = http;
+  }
+
+  /** Returns the method. */
+  public String method() {
+    return http.getRequestMethod();
+  }
+
+  /** Returns the decoded path. */
+  public String path() {
+    return http.getRequestURI().getPath();
+  }
+
+  /** Returns path and query as they were sent. */
+  public String rawPath() {
+    String query = http.getRequestURI().getRawQuery();
+    return http.getRequestURI().getRawPath() + (query == null ? "" : "?" + query);
+  }
+
+  /** Returns a header, or null. */
+  public @Nullable String header(String name) {
+    return http.getRequestHeaders().getFirst(name);
+  }
+
+  /** Returns whether an answer was begun. */
+  public boolean answered() {
+    return answered;
+  }
+
+  /** Reads the whole body, unless it is larger than {@code maxBytes}. */
+  public Outcome<byte[]> body(int maxBytes) {
+    try {
+      InputStream in = http.getRequestBody();
+      byte[] body = in.readNBytes(maxBytes + 1);
+      if (body.length > maxBytes) {
+        return Outcome.failed(
+            ResultCode.BODY_TOO_LARGE, "the body is larger than " + maxBytes + " bytes");
+      }
+      return Outcome.success(body);
+    } catch (IOException e) {
+      return Outcome.failed(ResultCode.BODY_TOO_SLOW, "the body did not arrive: " + e.getMessage());
+    }
+  }
+
+  /** Answers with a JSON value. */
+  public void json(int status, Object value) throws IOException {
+    bytes(status, ErrorBodies.JSON, Json.write(value).toByteArray());
+  }
+
+  /** Answers with text. */
+  public void text(int status, String contentType, String text) throws IOException {
+    bytes(status, contentType, text.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+  }
+
+  /** Answers with a failure. */
+  public void failure(Failure failure) throws IOException {
+    if (failure.retryAfterMillis() > 0) {
+      long seconds = (failure.retryAfterMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+      http.getResponseHeaders().set("Retry-After", String.valueOf(seconds));
+    }
+    json(failure.code().httpStatus(), ErrorBodies.json(failure));
+  }
+
+  /** Answers with a kept answer. */
+  public void answer(StoredAnswer answer) throws IOException {
+    bytes(answer.getStatus(), answer.getContentType(), answer.getBody().toByteArray());
+  }
+
+  /** Sets a header of the answer. */
+  public void setHeader(String name, String value) {
+    http.getResponseHeaders().set(name, value);
+  }
+
+  /** Begins an answer of unknown length. */
+  public OutputStream begin(String contentType) throws IOException {
+    answered = true;
+    http.getResponseHeaders().set("Content-Type", contentType);
+    http.sendResponseHeaders(STATUS_OK, 0);
+    return http.getResponseBody();
+  }
+
+  private void bytes(int status, String contentType, byte[] body) throws IOException {
+    answered = true;
+    if (!contentType.isEmpty()) {
+      http.getResponseHeaders().set("Content-Type", contentType);
+    }
+    boolean empty = body.length == 0 || status == STATUS_NO_CONTENT;
+    http.sendResponseHeaders(status, empty ? -1 : body.length);
+    if (!empty) {
+      http.getResponseBody().write(body);
+    }
+  }
+
+  @Override
+  public void close() {
+    http.close();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/gateway/RequestKey.java
@@ -0,0 +1,74 @@
+package org.curranthaven.internal.gateway;
+
+import java.util.UUID;
+import java.util.random.RandomGenerator;
+import org.curranthaven.api.Outcome;
+import org.curranthaven.api.ResultCode;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Idempotency key of a call that may not be repeated.
+ *
+ * @param key the key
+ * @param issuedAtMillis when it was issued, in epoch milliseconds
+ * @param fromCaller whether the caller sent it
+ */
+record RequestKey(String key, long issuedAtMillis, boolean fromCaller) {
+  private static final int MAX_KEY_CHARS = 128;
+  private static final int UUID_VERSION_WITH_TIME = 7;
+
+  /**
+   * Reads the key from a call's headers, or makes one for a call that has none.
+   *
+   * @param header value of Idempotency-Key
+   * @param issuedAtHeader value of Curranthaven-Issued-At, in epoch milliseconds
+   */
+  static Outcome<RequestKey> of(
+      @Nullable String header,
+      @Nullable String issuedAtHeader,
+      long epochMillis,
+      RandomGenerator random) {
+    if (header == null || header.isBlank()) {
+      return Outcome.success(
+          new RequestKey(uuidWithTime(epochMillis, random).toString(), epochMillis, false));
+    }
+    if (header.length() > MAX_KEY_CHARS) {
+      return Outcome.failed(
+          ResultCode.INVALID_PARAMETER,
+          "the Idempotency-Key is longer than " + MAX_KEY_CHARS + " characters");
+    }
+    if (issuedAtHeader != null) {
+      return withIssueTime(header, issuedAtHeader);
+    }
+    return withTimeInside(header);
+  }
+
+  private static Outcome<RequestKey> withIssueTime(String header, String issuedAtHeader) {
+    try {
+      return Outcome.success(new RequestKey(header, Long.parseLong(issuedAtHeader.strip()), true));
+    } catch (NumberFormatException e) {
+      return Outcome.failed(
+          ResultCode.INVALID_PARAMETER, "Curranthaven-Issued-At is not a number of milliseconds");
+    }
+  }
+
+  private static Outcome<RequestKey> withTimeInside(String header) {
+    try {
+      UUID uuid = UUID.fromString(header);
+      if (uuid.version() == UUID_VERSION_WITH_TIME) {
+        return Outcome.success(new RequestKey(header, uuid.getMostSignificantBits() >>> 16, true));
+      }
+    } catch (IllegalArgumentException e) {
+      // Answered below, as a UUID of another version is.
+    }
+    return Outcome.failed(
+        ResultCode.KEY_WITHOUT_TIME, "the Idempotency-Key does not tell when it was issued");
+  }
+
+  /** Returns a UUID of version 7. */
+  static UUID uuidWithTime(long epochMillis, RandomGenerator random) {
+    long high = (epochMillis << 16) | 0x7000L | random.nextLong(0x1000);
+    long low = 0x8000_0000_0000_0000L | (random.nextLong() >>> 2);
+    return new UUID(high, low);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/gateway/ServiceCall.java
@@ -0,0 +1,123 @@
+package org.curranthaven.internal.gateway;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.curranthaven.api.Failure;
+import org.curranthaven.api.Outcome;
+import org.curranthaven.api.Ran;
+import org.curranthaven.api.ResultCode;
+import org.curranthaven.api.ServiceClass;
+import org.curranthaven.internal.routing.RequestFacts;
+import org.curranthaven.internal.routing.RoutingEvent.Ending;
+import org.curranthaven.internal.supervision.Clock;
+import org.curranthaven.internal.transport.wire.StoredAnswer;
+
+/** One call of a plain service, with retries where the class and the attempts allow them. */
+final class ServiceCall {
+  /** Shortest time that an attempt of a repeatable call gets, in milliseconds. */
+  private static final long MIN_ATTEMPT_MILLIS = 250;
+
+  private static final int MAX_ATTEMPTS = 4;
+
+  private final CallContext context;
+  private final ServiceClient client;
+  private final ServiceClass serviceClass;
+
+  ServiceCall(CallContext context, ServiceClient client, ServiceClass serviceClass) {
+    this.context = context;
+    this.client = client;
+    this.serviceClass = serviceClass;
+  }
+
+  /** Runs the call to its end. */
+  Outcome<StoredAnswer> run(
+      String requestName, RequestFacts first, ServiceClient.ServiceRequest request)
+      throws InterruptedException {
+    Router router = context.router();
+    Set<String> excluded = new HashSet<>();
+    boolean mayHaveRun = false;
+    router.requested(serviceClass.name());
+    for (int attempts = 1; ; attempts++) {
+      Outcome<Assignment> routed = router.route(facts(first, excluded), requestName);
+      if (routed instanceof Outcome.Failed<Assignment> failed) {
+        return Outcome.failed(truth(failed.failure(), mayHaveRun));
+      }
+      Assignment assignment = ((Outcome.Success<Assignment>) routed).value();
+      ServiceClient.Attempt attempt = attempt(assignment, first, request, attempts > 1);
+      String reason;
+      switch (attempt) {
+        case ServiceClient.Attempt.Answered answered -> {
+          return Outcome.success(answered.answer());
+        }
+        case ServiceClient.Attempt.Refused refused -> reason = refused.reason();
+        case ServiceClient.Attempt.Unknown unknown -> {
+          mayHaveRun = true;
+          reason = unknown.reason();
+          if (!serviceClass.repeatable()) {
+            return Outcome.failed(ResultCode.OUTCOME_UNKNOWN, "the service's outcome: " + reason);
+          }
+        }
+      }
+      excluded.add(assignment.server().name());
+      long wait = attempts < MAX_ATTEMPTS ? router.tryRetry(serviceClass.name(), attempts) : -1;
+      if (wait < 0) {
+        Failure spent =
+            Failure.retryLater(
+                ResultCode.RETRY_BUDGET_SPENT,
+                "attempt " + attempts + " failed (" + reason + ") and no retry is left",
+                1_000);
+        return Outcome.failed(truth(spent, mayHaveRun));
+      }
+      context.metrics().retried(serviceClass.name());
+      Thread.sleep(wait);
+    }
+  }
+
+  private static Failure truth(Failure failure, boolean mayHaveRun) {
+    return mayHaveRun && failure.ran() == Ran.NO
+        ? new Failure(failure.code(), Ran.UNKNOWN, failure.message(), failure.retryAfterMillis())
+        : failure;
+  }
+
+  private ServiceClient.Attempt attempt(
+      Assignment assignment,
+      RequestFacts first,
+      ServiceClient.ServiceRequest request,
+      boolean fresh)
+      throws InterruptedException {
+    Clock clock = context.clock();
+    long left = Math.max(MIN_ATTEMPT_MILLIS, first.answerDueMillis() - clock.nowMillis());
+    long timeout =
+        serviceClass.repeatable()
+            ? Math.min(left, Math.max(MIN_ATTEMPT_MILLIS, first.targets().firstReplyMillis()))
+            : left;
+    Ending ending = Ending.FAILED;
+    try {
+      ServiceClient.Attempt attempt =
+          client.call(assignment.server().address(), request, timeout, fresh);
+      ending =
+          switch (attempt) {
+            case ServiceClient.Attempt.Answered answered -> Ending.COMPLETED;
+            case ServiceClient.Attempt.Refused refused -> Ending.REFUSED;
+            case ServiceClient.Attempt.Unknown unknown -> Ending.FAILED;
+          };
+      return attempt;
+    } finally {
+      context.router().finished(assignment.requestId(), 1, ending);
+    }
+  }
+
+  private RequestFacts facts(RequestFacts first, Set<String> excluded) {
+    return new RequestFacts(
+        context.router().nextRequestId(),
+        first.workspace(),
+        first.className(),
+        first.targets(),
+        first.model(),
+        first.promptTokens(),
+        first.maxOutputTokens(),
+        first.prefixHash(),
+        first.arrivedAtMillis(),
+        excluded);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/gateway/StreamingSink.java
@@ -0,0 +1,73 @@
+package org.curranthaven.internal.gateway;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import org.curranthaven.api.Failure;
+import org.curranthaven.internal.settings.Json;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Sends tokens to the caller as server-sent events. The answer begins with the first token, so that
+ * an error before it has a status of its own.
+ */
+final class StreamingSink implements TokenSink {
+  private final Exchange exchange;
+  private final CompletionForm form;
+  private @Nullable OutputStream out;
+
+  StreamingSink(Exchange exchange, CompletionForm form) {
+    this.exchange = exchange;
+    this.form = form;
+  }
+
+  @Override
+  public boolean streamed() {
+    return true;
+  }
+
+  @Override
+  public void token(EngineToken token) throws CallerGoneException {
+    send("data: " + form.chunk(token) + "\n\n");
+  }
+
+  @Override
+  public void probe() throws CallerGoneException {
+    if (out != null) {
+      send(": waiting\n\n");
+    }
+  }
+
+  @Override
+  public void restart() {
+    if (out != null) {
+      throw new IllegalStateException("a stream that has begun cannot start again");
+    }
+  }
+
+  /** Ends a whole stream. */
+  void finish(Completion completion, boolean includeUsage) throws CallerGoneException {
+    if (includeUsage) {
+      send("data: " + form.usageChunk(completion) + "\n\n");
+    }
+    send("data: [DONE]\n\n");
+  }
+
+  /** Ends a stream that broke off; the caller sees an error and no {@code [DONE]}. */
+  void fail(Failure failure) throws CallerGoneException {
+    send("data: " + Json.text(ErrorBodies.json(failure)) + "\n\n");
+  }
+
+  private void send(String event) throws CallerGoneException {
+    try {
+      if (out == null) {
+        exchange.setHeader("Cache-Control", "no-cache");
+        out = exchange.begin("text/event-stream");
+      }
+      out.write(event.getBytes(StandardCharsets.UTF_8));
+      out.flush();
+    } catch (IOException e) {
+      throw new CallerGoneException(e);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/host/AdminService.java
@@ -0,0 +1,48 @@
+package org.curranthaven.internal.host;
+
+import com.google.protobuf.ByteString;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.curranthaven.internal.configuration.ConfigurationChange;
+import org.curranthaven.internal.configuration.FleetCoordinator;
+import org.curranthaven.internal.settings.Json;
+import org.curranthaven.internal.transport.wire.AdminReply;
+import org.curranthaven.internal.transport.wire.AdminRequest;
+
+/** Answers other hosts' requests on behalf of operators, on a control host. */
+final class AdminService {
+  private AdminService() {}
+
+  static void answer(
+      FleetCoordinator coordinator, AdminRequest request, Consumer<AdminReply> answer) {
+    if (request.getPath().equals(ChangeClient.CHANGE_PATH)) {
+      ConfigurationChange change = Json.read(request.getJson(), ConfigurationChange.class);
+      coordinator
+          .change(change)
+          .thenAccept(outcome -> answer.accept(changeReply(request.getRequestId(), outcome)));
+    } else if (request.getPath().equals(ChangeClient.HISTORY_PATH)) {
+      coordinator.withState(
+          state ->
+              answer.accept(
+                  reply(
+                      request.getRequestId(),
+                      ChangeClient.STATUS_OK,
+                      Json.write(Map.of("history", state.configuration().history())))));
+    }
+  }
+
+  private static AdminReply changeReply(long requestId, FleetCoordinator.ChangeOutcome outcome) {
+    return switch (outcome) {
+      case FleetCoordinator.ChangeOutcome.Answered answered ->
+          reply(requestId, ChangeClient.STATUS_OK, Json.write(answered.result()));
+      case FleetCoordinator.ChangeOutcome.NotLeader notLeader ->
+          reply(requestId, ChangeClient.STATUS_NOT_LEADER, ByteString.EMPTY);
+      case FleetCoordinator.ChangeOutcome.Unknown unknown ->
+          reply(requestId, ChangeClient.STATUS_UNKNOWN, ByteString.EMPTY);
+    };
+  }
+
+  private static AdminReply reply(long requestId, int status, ByteString json) {
+    return AdminReply.newBuilder().setRequestId(requestId).setStatus(status).setJson(json).build();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/host/ChangeClient.java
@@ -0,0 +1,114 @@
+package org.curranthaven.internal.host;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.protobuf.ByteString;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLong;
+import org.curranthaven.api.Outcome;
+import org.curranthaven.api.ResultCode;
+import org.curranthaven.internal.configuration.ChangeResult;
+import org.curranthaven.internal.configuration.ConfigurationChange;
+import org.curranthaven.internal.settings.Json;
+import org.curranthaven.internal.supervision.Clock;
+import org.curranthaven.internal.transport.ControlClient;
+import org.curranthaven.internal.transport.PeerNetwork;
+import org.curranthaven.internal.transport.wire.AdminReply;
+import org.curranthaven.internal.transport.wire.AdminRequest;
+import org.curranthaven.internal.transport.wire.Envelope;
+
+/**
+ * Brings operators' changes to the leader of group 0, from any host, until they are in force. A
+ * change is sent again with its id when an answer is lost. Thread-safe; callers block.
+ */
+final class ChangeClient {
+  static final String CHANGE_PATH = "change";
+  static final String HISTORY_PATH = "history";
+  static final int STATUS_OK = 200;
+  static final int STATUS_NOT_LEADER = 421;
+  static final int STATUS_UNKNOWN = 503;
+
+  private static final long TOTAL_MILLIS = 15_000;
+  private static final long TRY_MILLIS = 5_000;
+  private static final long PAUSE_MILLIS = 50;
+
+  private final PeerNetwork network;
+  private final ControlClient control;
+  private final Clock clock;
+  private final Map<Long, CompletableFuture<AdminReply>> open = new ConcurrentHashMap<>();
+  private final AtomicLong nextRequestId = new AtomicLong(1);
+
+  ChangeClient(PeerNetwork network, ControlClient control, Clock clock) {
+    this.network = network;
+    this.control = control;
+    this.clock = clock;
+  }
+
+  void received(AdminReply reply) {
+    CompletableFuture<AdminReply> future = open.remove(reply.getRequestId());
+    if (future != null) {
+      future.complete(reply);
+    }
+  }
+
+  Outcome<ChangeResult> change(ConfigurationChange change) throws InterruptedException {
+    Outcome<ByteString> answer = ask(CHANGE_PATH, Json.write(change));
+    return switch (answer) {
+      case Outcome.Success<ByteString> success ->
+          Outcome.success(Json.read(success.value(), ChangeResult.class));
+      case Outcome.Failed<ByteString> failed -> Outcome.failed(failed.failure());
+    };
+  }
+
+  Outcome<ObjectNode> history() throws InterruptedException {
+    Outcome<ByteString> answer = ask(HISTORY_PATH, ByteString.EMPTY);
+    return switch (answer) {
+      case Outcome.Success<ByteString> success ->
+          Outcome.success(Json.read(success.value(), ObjectNode.class));
+      case Outcome.Failed<ByteString> failed -> Outcome.failed(failed.failure());
+    };
+  }
+
+  private Outcome<ByteString> ask(String path, ByteString json) throws InterruptedException {
+    long deadline = clock.nowMillis() + TOTAL_MILLIS;
+    int turn = 0;
+    while (clock.nowMillis() < deadline) {
+      List<String> hosts = control.controlHosts();
+      if (!hosts.isEmpty()) {
+        AdminReply reply = tryOnce(hosts.get(turn++ % hosts.size()), path, json);
+        if (reply.getStatus() == STATUS_OK) {
+          return Outcome.success(reply.getJson());
+        }
+      }
+      Thread.sleep(PAUSE_MILLIS);
+    }
+    return Outcome.failed(
+        ResultCode.CHANGE_UNKNOWN,
+        "no leader told within " + TOTAL_MILLIS + " ms that the change is in force everywhere");
+  }
+
+  private AdminReply tryOnce(String host, String path, ByteString json)
+      throws InterruptedException {
+    long requestId = nextRequestId.getAndIncrement();
+    CompletableFuture<AdminReply> future = new CompletableFuture<>();
+    open.put(requestId, future);
+    AdminRequest request =
+        AdminRequest.newBuilder().setRequestId(requestId).setPath(path).setJson(json).build();
+    AdminReply unknown = AdminReply.newBuilder().setStatus(STATUS_UNKNOWN).build();
+    try {
+      if (!network.send(host, Envelope.newBuilder().setAdminRequest(request))) {
+        return unknown;
+      }
+      return future.get(TRY_MILLIS, TimeUnit.MILLISECONDS);
+    } catch (TimeoutException | ExecutionException e) {
+      return unknown;
+    } finally {
+      open.remove(requestId);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/host/DecisionLoop.java
@@ -0,0 +1,430 @@
+package org.curranthaven.internal.host;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+import org.curranthaven.api.Configuration;
+import org.curranthaven.api.Failure;
+import org.curranthaven.api.Outcome;
+import org.curranthaven.api.ResultCode;
+import org.curranthaven.internal.configuration.FreshnessCore;
+import org.curranthaven.internal.gateway.Assignment;
+import org.curranthaven.internal.gateway.RequestNumbers;
+import org.curranthaven.internal.gateway.RetryBudget;
+import org.curranthaven.internal.gateway.Router;
+import org.curranthaven.internal.membership.BackendAnnouncement;
+import org.curranthaven.internal.membership.BackendView;
+import org.curranthaven.internal.observe.ExplainLog;
+import org.curranthaven.internal.routing.HostShare;
+import org.curranthaven.internal.routing.RequestFacts;
+import org.curranthaven.internal.routing.RoutingCore;
+import org.curranthaven.internal.routing.RoutingDecision;
+import org.curranthaven.internal.routing.RoutingEvent;
+import org.curranthaven.internal.supervision.Child;
+import org.curranthaven.internal.supervision.Clock;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The thread that owns a host's decisions: freshness, the view of backend servers and routing. All
+ * public methods are thread-safe.
+ */
+public final class DecisionLoop implements Child, Router {
+  private static final long TICK_MILLIS = 20;
+  private static final int MAX_BATCH = 4_096;
+  private static final long FORGET_MILLIS = 60_000;
+
+  private final Clock clock;
+  private final RandomGenerator random;
+  private final Function<RandomGenerator, RoutingCore> routingFactory;
+  private final ExplainLog explainLog;
+  private final LivePeers livePeers;
+  private final LinkedBlockingQueue<Runnable> tasks = new LinkedBlockingQueue<>();
+  private final Map<Long, Pending> pending = new HashMap<>();
+  private final Set<String> routable = new HashSet<>();
+  private final Set<String> heardDirectly = new HashSet<>();
+  private final FreshnessCore freshness = new FreshnessCore();
+  private final BackendView backends = new BackendView();
+  private final RetryBudget retryBudget;
+  private final RequestNumbers numbers = new RequestNumbers();
+  private final Map<String, BackendAnnouncement> aliveBackends = new ConcurrentHashMap<>();
+  private RoutingCore routing;
+  private volatile Configuration configuration = Configuration.empty();
+  private volatile long servesUntilMillis = Long.MIN_VALUE;
+  private long nextTickMillis;
+  private long nextForgetMillis;
+
+  private record Pending(
+      RequestFacts request, String name, CompletableFuture<Outcome<Assignment>> future) {}
+
+  /** Tells which hosts' processes are alive. */
+  public interface LivePeers {
+    /** Returns whether the host is alive in the given incarnation. */
+    boolean isAlive(String host, long incarnation);
+  }
+
+  /** Creates the loop; {@code routingFactory} makes its routing core, also after a failure. */
+  public DecisionLoop(
+      Clock clock,
+      RandomGenerator random,
+      Function<RandomGenerator, RoutingCore> routingFactory,
+      ExplainLog explainLog,
+      LivePeers livePeers) {
+    this.clock = clock;
+    this.random = random;
+    this.routingFactory = routingFactory;
+    this.explainLog = explainLog;
+    this.livePeers = livePeers;
+    this.retryBudget = new RetryBudget(random);
+    this.routing = routingFactory.apply(random);
+  }
+
+  @Override
+  public void run() throws InterruptedException {
+    startAfresh();
+    while (true) {
+      long wait = Math.max(0, nextTickMillis - clock.nowMillis());
+      Runnable task = tasks.poll(wait, TimeUnit.MILLISECONDS);
+      for (int i = 0; task != null && i < MAX_BATCH; i++) {
+        task.run();
+        task = i + 1 < MAX_BATCH ? tasks.poll() : null;
+      }
+      long nowMillis = clock.nowMillis();
+      if (nowMillis >= nextTickMillis) {
+        nextTickMillis = nowMillis + TICK_MILLIS;
+        tick(nowMillis);
+      }
+    }
+  }
+
+  /** Forgets the routing state; requests that waited in it get an answer. */
+  private void startAfresh() {
+    routing = routingFactory.apply(random);
+    routable.clear();
+    List<Pending> open = List.copyOf(pending.values());
+    pending.clear();
+    Failure failure =
+        Failure.retryLater(ResultCode.NO_BACKEND, "the host's routing was started again", 1);
+    open.forEach(request -> request.future().complete(Outcome.failed(failure)));
+  }
+
+  /** Runs an action on the decision thread. */
+  public void execute(Runnable action) {
+    tasks.add(action);
+  }
+
+  // ---- configuration ----------------------------------------------------------------------------
+
+  /** Puts a configuration into force, unless a newer one is. */
+  public void install(Configuration newer) {
+    execute(
+        () -> {
+          if (freshness.install(newer.revision())) {
+            configuration = newer;
+            publishFreshness();
+          }
+        });
+  }
+
+  /** Notes a lease granted by the leader of group 0. */
+  public void grantedByLeader(long revision, long sentAtMillis) {
+    execute(
+        () -> {
+          freshness.grantedByLeader(revision, sentAtMillis);
+          publishFreshness();
+        });
+  }
+
+  /** Notes a voter's answer: a lease if {@code granted}. */
+  public void answeredByVoter(
+      String identity, long revision, boolean granted, long setVersion, int setSize, long sentAt) {
+    execute(
+        () -> {
+          if (granted) {
+            freshness.grantedByVoter(identity, revision, setVersion, setSize, sentAt);
+          } else {
+            freshness.refusedByVoter(identity);
+          }
+          publishFreshness();
+        });
+  }
+
+  private void publishFreshness() {
+    servesUntilMillis = freshness.servesUntilMillis(clock.nowMillis());
+  }
+
+  @Override
+  public Configuration configuration() {
+    return configuration;
+  }
+
+  @Override
+  public boolean mayServe() {
+    return clock.nowMillis() < servesUntilMillis;
+  }
+
+  // ---- backend servers --------------------------------------------------------------------------
+
+  /**
+   * Takes in an announcement.
+   *
+   * @param ageMillis time since the backend server sent it
+   * @param direct whether it came from the backend server itself
+   */
+  public void announced(BackendAnnouncement announcement, long ageMillis, boolean direct) {
+    execute(
+        () -> {
+          long nowMillis = clock.nowMillis();
+          if (!backends.announced(announcement, ageMillis, nowMillis)) {
+            return;
+          }
+          if (direct) {
+            heardDirectly.add(announcement.name());
+          }
+          aliveBackends.put(announcement.name(), announcement);
+          report(announcement.name(), nowMillis);
+        });
+  }
+
+  /** Takes in a cache event of an engine. */
+  public void prefixCached(String server, long prefixHash, boolean present) {
+    execute(() -> handle(new RoutingEvent.PrefixCached(server, prefixHash, present)));
+  }
+
+  /** Takes in what another host has open. */
+  public void sharesReported(String host, List<HostShare> shares) {
+    execute(() -> handle(new RoutingEvent.SharesReported(host, shares)));
+  }
+
+  /** Notes that another host has gone. */
+  public void hostGone(String host) {
+    execute(() -> handle(new RoutingEvent.HostGone(host)));
+  }
+
+  /** What this host tells the others. */
+  public record Outgoing(List<BackendView.Aged> announcements, List<HostShare> shares) {}
+
+  /** Takes what was heard directly since the last call, with what is open now. */
+  public CompletableFuture<Outgoing> takeOutgoing() {
+    return call(
+        () -> {
+          List<BackendView.Aged> aged = backends.aged(heardDirectly, clock.nowMillis());
+          heardDirectly.clear();
+          return new Outgoing(aged, routing.ownShares());
+        });
+  }
+
+  private void report(String name, long nowMillis) {
+    BackendAnnouncement usable = backends.usable(name, nowMillis);
+    if (usable == null) {
+      withdraw(name);
+      return;
+    }
+    long sentAt = backends.sentAtMillis(name);
+    boolean fresh = routable.add(name);
+    long readyAt = fresh ? nowMillis : Long.MIN_VALUE;
+    handle(new RoutingEvent.ServerReported(ServerReports.of(usable, sentAt, readyAt)));
+  }
+
+  private void withdraw(String name) {
+    if (routable.remove(name)) {
+      handle(new RoutingEvent.ServerGone(name));
+    }
+  }
+
+  // ---- routing ----------------------------------------------------------------------------------
+
+  @Override
+  public long nextRequestId() {
+    return numbers.next();
+  }
+
+  @Override
+  public Outcome<Assignment> route(RequestFacts request, String requestName)
+      throws InterruptedException {
+    CompletableFuture<Outcome<Assignment>> future = new CompletableFuture<>();
+    execute(
+        () -> {
+          pending.put(request.id(), new Pending(request, requestName, future));
+          handle(new RoutingEvent.Arrived(request));
+        });
+    try {
+      return future.get();
+    } catch (ExecutionException e) {
+      return Outcome.failed(ResultCode.INTERNAL, "routing failed: " + e.getCause());
+    } catch (InterruptedException e) {
+      execute(() -> abandon(request.id()));
+      throw e;
+    }
+  }
+
+  private void abandon(long requestId) {
+    pending.remove(requestId);
+    handle(new RoutingEvent.Abandoned(requestId));
+  }
+
+  @Override
+  public void progressed(long requestId, int tokens) {
+    execute(() -> handle(new RoutingEvent.Progressed(requestId, tokens)));
+  }
+
+  @Override
+  public void finished(long requestId, int tokens, RoutingEvent.Ending ending) {
+    execute(() -> handle(new RoutingEvent.Finished(requestId, tokens, ending)));
+  }
+
+  @Override
+  public @Nullable BackendAnnouncement alive(String server) {
+    return aliveBackends.get(server);
+  }
+
+  @Override
+  public Set<String> serversWithoutTakeover() {
+    Set<String> names = new HashSet<>();
+    aliveBackends.forEach(
+        (name, server) -> {
+          if (server.resume() != BackendAnnouncement.Resume.TAKEOVER) {
+            names.add(name);
+          }
+        });
+    return names;
+  }
+
+  @Override
+  public void requested(String className) {
+    execute(() -> retryBudget.requested(className));
+  }
+
+  @Override
+  public long tryRetry(String className, int failures) {
+    return call(() -> retryBudget.tryRetry(className) ? retryBudget.backoffMillis(failures) : -1L)
+        .join();
+  }
+
+  @Override
+  public boolean isHostAlive(String host, long incarnation) {
+    return livePeers.isAlive(host, incarnation);
+  }
+
+  private void handle(RoutingEvent event) {
+    long nowMillis = clock.nowMillis();
+    for (RoutingDecision decision : routing.handle(event, nowMillis)) {
+      carryOut(decision, nowMillis);
+    }
+  }
+
+  private void carryOut(RoutingDecision decision, long nowMillis) {
+    switch (decision) {
+      case RoutingDecision.Dispatch dispatch -> dispatch(dispatch, nowMillis);
+      case RoutingDecision.Shed shed -> {
+        Pending request = pending.remove(shed.requestId());
+        if (request != null) {
+          explain(request.name(), "given up: " + shed.reason(), shed);
+          request.future().complete(Outcome.failed(Sheds.failure(shed)));
+        }
+      }
+    }
+  }
+
+  private void dispatch(RoutingDecision.Dispatch dispatch, long nowMillis) {
+    Pending request = pending.remove(dispatch.requestId());
+    BackendAnnouncement server = backends.usable(dispatch.server(), nowMillis);
+    if (request == null) {
+      execute(() -> cancelPlacement(dispatch.requestId()));
+    } else if (server == null) {
+      // The lease ended since the last tick: choose again without the server.
+      pending.put(dispatch.requestId(), request);
+      execute(
+          () -> {
+            cancelPlacement(dispatch.requestId());
+            withdraw(dispatch.server());
+            handle(new RoutingEvent.Arrived(request.request()));
+          });
+    } else {
+      explain(request.name(), "sent to " + dispatch.server(), dispatch);
+      request
+          .future()
+          .complete(
+              Outcome.success(new Assignment(dispatch.requestId(), server, dispatch.priority())));
+    }
+  }
+
+  private void cancelPlacement(long requestId) {
+    handle(new RoutingEvent.Finished(requestId, 0, RoutingEvent.Ending.CANCELLED));
+  }
+
+  private void explain(String requestName, String decision, Object figures) {
+    explainLog.add(requestName, new ExplainLog.Entry(clock.epochMillis(), decision, figures));
+  }
+
+  private void tick(long nowMillis) {
+    for (String name : List.copyOf(routable)) {
+      if (backends.usable(name, nowMillis) == null) {
+        withdraw(name);
+      }
+    }
+    aliveBackends.keySet().removeIf(name -> backends.alive(name, nowMillis) == null);
+    if (nowMillis >= nextForgetMillis) {
+      nextForgetMillis = nowMillis + FORGET_MILLIS;
+      backends.forgetOld(nowMillis);
+    }
+    handle(new RoutingEvent.Tick());
+  }
+
+  // ---- dump -------------------------------------------------------------------------------------
+
+  /**
+   * State of the loop for the dump.
+   *
+   * @param revision configuration revision in force
+   * @param servesForMillis how long the host may go on serving without further news
+   * @param queued requests that wait
+   */
+  public record View(
+      long revision,
+      long servesForMillis,
+      int queued,
+      Map<String, RoutingCore.ServerView> servers,
+      Map<String, RoutingCore.ClassView> classes,
+      List<BackendAnnouncement> backends) {}
+
+  /** Returns the state of the loop. */
+  public CompletableFuture<View> view() {
+    return call(
+        () -> {
+          long nowMillis = clock.nowMillis();
+          List<BackendAnnouncement> alive = new ArrayList<>(aliveBackends.values());
+          alive.sort(java.util.Comparator.comparing(BackendAnnouncement::name));
+          return new View(
+              freshness.revision(),
+              Math.max(0, servesUntilMillis - nowMillis),
+              routing.queued(),
+              routing.serverViews(nowMillis),
+              routing.classViews(),
+              alive);
+        });
+  }
+
+  private <T> CompletableFuture<T> call(java.util.function.Supplier<T> supplier) {
+    CompletableFuture<T> future = new CompletableFuture<>();
+    execute(
+        () -> {
+          try {
+            future.complete(supplier.get());
+          } catch (RuntimeException e) {
+            future.completeExceptionally(e);
+            throw e;
+          }
+        });
+    return future;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/host/HostProcess.java
@@ -0,0 +1,501 @@
+package org.curranthaven.internal.host;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.random.RandomGenerator;
+import org.curranthaven.api.Configuration;
+import org.curranthaven.api.Outcome;
+import org.curranthaven.internal.configuration.FleetCoordinator;
+import org.curranthaven.internal.configuration.FleetState;
+import org.curranthaven.internal.consensus.ConsensusLoop;
+import org.curranthaven.internal.consensus.DataFolder;
+import org.curranthaven.internal.gateway.CallerApi;
+import org.curranthaven.internal.gateway.CallerServer;
+import org.curranthaven.internal.gateway.Metrics;
+import org.curranthaven.internal.ledger.LedgerState;
+import org.curranthaven.internal.ledger.ReplicatedLedger;
+import org.curranthaven.internal.membership.BackendAnnouncement;
+import org.curranthaven.internal.membership.BackendView;
+import org.curranthaven.internal.observe.ExplainLog;
+import org.curranthaven.internal.routing.ForecastOptions;
+import org.curranthaven.internal.routing.HostShare;
+import org.curranthaven.internal.routing.MemoryForecast;
+import org.curranthaven.internal.routing.Policy;
+import org.curranthaven.internal.routing.RoutingCore;
+import org.curranthaven.internal.settings.Addresses;
+import org.curranthaven.internal.settings.HostSettings;
+import org.curranthaven.internal.settings.Json;
+import org.curranthaven.internal.supervision.Child;
+import org.curranthaven.internal.supervision.Clock;
+import org.curranthaven.internal.supervision.RestartPolicy;
+import org.curranthaven.internal.supervision.Supervisor;
+import org.curranthaven.internal.transport.ControlClient;
+import org.curranthaven.internal.transport.PeerListener;
+import org.curranthaven.internal.transport.PeerNetwork;
+import org.curranthaven.internal.transport.wire.AdminRequest;
+import org.curranthaven.internal.transport.wire.BackendAnnouncementOrBuilder;
+import org.curranthaven.internal.transport.wire.CommandRequest;
+import org.curranthaven.internal.transport.wire.DispatchShare;
+import org.curranthaven.internal.transport.wire.Envelope;
+import org.curranthaven.internal.transport.wire.FreshnessGrant;
+import org.curranthaven.internal.transport.wire.FreshnessRequest;
+import org.curranthaven.internal.transport.wire.HostRecord;
+import org.curranthaven.internal.transport.wire.RevisionAnswer;
+import org.curranthaven.internal.transport.wire.SoftState;
+import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
+
+/**
+ * One host of the system: its parts, wired and supervised.
+ *
+ * <pre>{@code
+ * HostProcess host = HostProcess.start(settings, Clock.system());
+ * host.drain();
+ * host.stop();
+ * }</pre>
+ */
+public final class HostProcess implements PeerListener {
+  private static final long SHARE_MILLIS = 200;
+  private static final long FRESHNESS_MILLIS = 300;
+  private static final long DUMP_MILLIS = 2_000;
+  private static final long DRAIN_POLL_MILLIS = 20;
+  private static final long HANDOVER_MILLIS = 300;
+
+  private final HostSettings settings;
+  private final Clock clock;
+  private final long incarnation;
+  private final @Nullable DataFolder folder;
+  private final @Nullable ConsensusLoop consensus;
+  private final @Nullable FleetCoordinator coordinator;
+  private final PeerNetwork network;
+  private final ControlClient control;
+  private final ChangeClient changes;
+  private final DecisionLoop decisions;
+  private final CallerServer server;
+  private final Supervisor root;
+  private final Metrics metrics = new Metrics();
+  private volatile boolean draining;
+  private @Nullable Thread thread;
+
+  private HostProcess(HostSettings settings, Clock clock, @Nullable DataFolder folder) {
+    this.settings = settings;
+    this.clock = clock;
+    this.folder = folder;
+    this.incarnation = clock.epochMillis();
+    RandomGenerator random = new SplittableRandom(settings.name().hashCode() ^ incarnation);
+    ExplainLog explainLog = new ExplainLog();
+    this.network =
+        new PeerNetwork(settings.peerAddress(), settings.controlHosts(), this::describe, this);
+    this.control = new ControlClient(network, clock);
+    this.changes = new ChangeClient(network, control, clock);
+    this.consensus = folder == null ? null : newConsensus(folder);
+    this.coordinator = consensus == null ? null : new FleetCoordinator(consensus, network, clock);
+    if (consensus != null && coordinator != null) {
+      consensus.observe(coordinator);
+    }
+    this.decisions =
+        new DecisionLoop(
+            clock,
+            random,
+            r -> new RoutingCore(new Policy.Forecast(ForecastOptions.standard()), r),
+            explainLog,
+            this::isAlive);
+    CallerApi callers =
+        new CallerApi(
+            decisions,
+            new ReplicatedLedger(
+                control, settings.ledgerGroups(), settings.name(), incarnation, clock::epochMillis),
+            clock,
+            metrics,
+            settings.maxBodyBytes(),
+            () -> draining,
+            RandomGenerator.getDefault());
+    AdminApi admin =
+        new AdminApi(decisions, changes, metrics, explainLog, this::dump, () -> draining);
+    this.server = new CallerServer(Addresses.parse(settings.httpAddress()), callers, admin);
+    this.root = new Supervisor(settings.name(), clock);
+    addChildren();
+  }
+
+  /** Starts a host. A failure tells why its data folder cannot be used. */
+  public static Outcome<HostProcess> start(HostSettings settings, Clock clock) {
+    if (settings.dataFolder() == null) {
+      return Outcome.success(new HostProcess(settings, clock, null).launch());
+    }
+    return switch (DataFolder.open(settings.dataFolder())) {
+      case Outcome.Success<DataFolder> success ->
+          Outcome.success(new HostProcess(settings, clock, success.value()).launch());
+      case Outcome.Failed<DataFolder> failed -> Outcome.failed(failed.failure());
+    };
+  }
+
+  private HostProcess launch() {
+    metrics.gauge("curranthaven_open_requests", server::openRequests);
+    metrics.gauge("curranthaven_peer_bytes_sent", network::bytesSent);
+    metrics.gauge("curranthaven_peer_messages_sent", network::messagesSent);
+    thread = Thread.ofPlatform().daemon(true).name(settings.name()).start(this::runRoot);
+    return this;
+  }
+
+  private void runRoot() {
+    try {
+      root.run();
+    } catch (InterruptedException e) {
+      Logger.info("{} stopped", settings.name());
+    } catch (IllegalStateException e) {
+      Logger.error("{} is down: {}", settings.name(), e.getMessage());
+    }
+  }
+
+  private ConsensusLoop newConsensus(DataFolder data) {
+    return new ConsensusLoop(
+        new ConsensusLoop.Wiring(
+            data,
+            settings.ledgerGroups() + 1,
+            settings.controlHosts().size(),
+            settings.votersWanted(),
+            groupId -> groupId == 0 ? new FleetState() : new LedgerState(),
+            this::describe,
+            this::connectedControlHosts,
+            (identity, batch) ->
+                network.sendToIdentity(identity, Envelope.newBuilder().setConsensus(batch)),
+            clock,
+            new SplittableRandom(incarnation)));
+  }
+
+  private void addChildren() {
+    if (consensus != null) {
+      root.add("consensus", RestartPolicy.standard(), consensus);
+    }
+    root.add("decisions", RestartPolicy.standard(), decisions);
+    root.add("network", RestartPolicy.standard(), network);
+    root.add("gossip", RestartPolicy.standard(), periodic(SHARE_MILLIS, this::shareSoftState));
+    root.add("freshness", RestartPolicy.standard(), periodic(FRESHNESS_MILLIS, this::askFreshness));
+    root.add("http", RestartPolicy.standard(), server);
+  }
+
+  private interface Step {
+    void run() throws Exception;
+  }
+
+  private static Child periodic(long periodMillis, Step step) {
+    return () -> {
+      while (true) {
+        step.run();
+        Thread.sleep(periodMillis);
+      }
+    };
+  }
+
+  // ---- operation --------------------------------------------------------------------------------
+
+  /** Returns the host's name. */
+  public String name() {
+    return settings.name();
+  }
+
+  /** Returns the host's settings. */
+  public HostSettings settings() {
+    return settings;
+  }
+
+  /** Returns the host's connections to others. */
+  public PeerNetwork network() {
+    return network;
+  }
+
+  /** Returns whether the host may take new work. */
+  public boolean isReady() {
+    return !draining && decisions.mayServe();
+  }
+
+  /** Returns the configuration in force on this host. */
+  public Configuration configuration() {
+    return decisions.configuration();
+  }
+
+  /** Returns the number of callers' requests that are open. */
+  public int openRequests() {
+    return server.openRequests();
+  }
+
+  /** Returns why the host went down, or null while it runs. */
+  public @Nullable String failureReason() {
+    return root.failureReason();
+  }
+
+  /**
+   * Prepares a planned stop: takes no new work, hands over leadership, and waits until the open
+   * requests have ended.
+   *
+   * @return the number of requests still open when the time allowed was up
+   */
+  public int drain() throws InterruptedException {
+    draining = true;
+    long deadline = clock.nowMillis() + settings.drainMillis();
+    while (server.openRequests() > 0 && clock.nowMillis() < deadline) {
+      Thread.sleep(DRAIN_POLL_MILLIS);
+    }
+    if (consensus != null) {
+      consensus.transferLeadership();
+      Thread.sleep(HANDOVER_MILLIS);
+    }
+    return server.openRequests();
+  }
+
+  /** Stops the host; whatever is open is cut off. */
+  public void stop() {
+    Thread running = thread;
+    if (running != null) {
+      running.interrupt();
+      try {
+        running.join();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+    try {
+      if (folder != null) {
+        folder.close();
+      }
+    } catch (IOException e) {
+      Logger.warn("the data folder's lock could not be released: {}", e.getMessage());
+    }
+  }
+
+  /** Waits until the host goes down by itself. */
+  public void join() throws InterruptedException {
+    Thread running = thread;
+    if (running != null) {
+      running.join();
+    }
+  }
+
+  private HostRecord describe() {
+    HostRecord.Builder record =
+        HostRecord.newBuilder()
+            .setName(settings.name())
+            .setDataCentre(settings.dataCentre())
+            .setPeerAddress(settings.peerAddress())
+            .setHttpAddress(settings.httpAddress())
+            .setIncarnation(incarnation)
+            .setControl(settings.control())
+            .setDraining(draining);
+    if (folder != null) {
+      record.setIdentity(folder.identity());
+    }
+    if (consensus != null) {
+      record.setFormed(consensus.formed());
+    }
+    return record.build();
+  }
+
+  private List<HostRecord> connectedControlHosts() {
+    return network.connected().stream().filter(HostRecord::getControl).toList();
+  }
+
+  private boolean isAlive(String host, long hostIncarnation) {
+    if (host.equals(settings.name())) {
+      return hostIncarnation == incarnation;
+    }
+    return network.connected().stream()
+        .anyMatch(
+            record -> record.getName().equals(host) && record.getIncarnation() == hostIncarnation);
+  }
+
+  // ---- periodic messages ------------------------------------------------------------------------
+
+  private void askFreshness() {
+    long nowMillis = clock.nowMillis();
+    FreshnessRequest.Builder request =
+        FreshnessRequest.newBuilder()
+            .setHost(describe())
+            .setRevision(decisions.configuration().revision())
+            .setSentAtMillis(nowMillis);
+    if (coordinator != null) {
+      // Read after the revision: leases for an older one are all in the list by then.
+      request.addAllPeerLeases(coordinator.leasesGiven(nowMillis));
+    }
+    for (String host : control.controlHosts()) {
+      network.send(host, Envelope.newBuilder().setFreshnessRequest(request));
+    }
+  }
+
+  private void shareSoftState() throws InterruptedException, ExecutionException {
+    DecisionLoop.Outgoing outgoing = decisions.takeOutgoing().get();
+    SoftState.Builder state = SoftState.newBuilder();
+    for (BackendView.Aged aged : outgoing.announcements()) {
+      state.addAnnouncements(
+          org.curranthaven.internal.transport.wire.BackendAnnouncement.newBuilder()
+              .setJson(Json.write(aged.announcement()))
+              .setAgeMillis(aged.ageMillis() + BackendView.HOP_ALLOWANCE_MILLIS));
+    }
+    for (HostShare share : outgoing.shares()) {
+      state.addShares(wire(share));
+    }
+    for (HostRecord host : network.connected()) {
+      network.send(host.getName(), Envelope.newBuilder().setSoftState(state));
+    }
+  }
+
+  private static DispatchShare wire(HostShare share) {
+    DispatchShare.Builder wire =
+        DispatchShare.newBuilder().setBackend(share.server()).setRunning(share.running());
+    for (double mean : share.forecast().means()) {
+      wire.addMeanBlocks(mean);
+    }
+    for (double variance : share.forecast().variances()) {
+      wire.addVarianceBlocks(variance);
+    }
+    return wire.build();
+  }
+
+  // ---- messages ---------------------------------------------------------------------------------
+
+  @Override
+  public void received(HostRecord from, Envelope message) {
+    switch (message.getPayloadCase()) {
+      case CONSENSUS -> {
+        if (consensus != null) {
+          consensus.receive(message.getFromIdentity(), message.getConsensus());
+        }
+      }
+      case COMMAND_REQUEST -> command(from, message.getCommandRequest());
+      case COMMAND_REPLY -> control.received(message.getCommandReply());
+      case FRESHNESS_REQUEST -> {
+        if (coordinator != null) {
+          coordinator.receive(from, message.getFreshnessRequest());
+        }
+      }
+      case FRESHNESS_GRANT -> granted(message.getFreshnessGrant());
+      case REVISION_ANSWER -> answered(message.getFromIdentity(), message.getRevisionAnswer());
+      case SOFT_STATE -> softState(from, message.getSoftState());
+      case ADMIN_REQUEST -> admin(from, message.getAdminRequest());
+      case ADMIN_REPLY -> changes.received(message.getAdminReply());
+      default -> {}
+    }
+  }
+
+  private void command(HostRecord from, CommandRequest request) {
+    if (consensus == null) {
+      return;
+    }
+    consensus.propose(
+        request.getGroupId(),
+        request.getCommand(),
+        reply ->
+            network.send(
+                from.getName(),
+                Envelope.newBuilder()
+                    .setCommandReply(reply.toBuilder().setRequestId(request.getRequestId()))));
+  }
+
+  private void granted(FreshnessGrant grant) {
+    boolean newer = grant.getRevision() > decisions.configuration().revision();
+    if (newer && !grant.getConfiguration().isEmpty()) {
+      decisions.install(Json.read(grant.getConfiguration(), Configuration.class));
+    }
+    if (grant.getGranted()) {
+      decisions.grantedByLeader(grant.getRevision(), grant.getEchoedSentAtMillis());
+    } else if (newer) {
+      // Tells the leader at once that the new revision is in force here.
+      decisions.execute(this::askFreshness);
+    }
+    for (HostRecord host : grant.getHostsList()) {
+      if (!host.getName().equals(settings.name())) {
+        network.learn(host.getPeerAddress());
+      }
+    }
+  }
+
+  private void answered(String identity, RevisionAnswer answer) {
+    decisions.answeredByVoter(
+        identity,
+        answer.getRevision(),
+        answer.getGranted(),
+        answer.getWitnessSetVersion(),
+        answer.getWitnessSetSize(),
+        answer.getEchoedSentAtMillis());
+  }
+
+  private void softState(HostRecord from, SoftState state) {
+    for (BackendAnnouncementOrBuilder aged : state.getAnnouncementsList()) {
+      BackendAnnouncement announcement = Json.read(aged.getJson(), BackendAnnouncement.class);
+      decisions.announced(announcement, aged.getAgeMillis(), false);
+    }
+    List<HostShare> shares = new ArrayList<>();
+    for (DispatchShare share : state.getSharesList()) {
+      shares.add(
+          new HostShare(
+              share.getBackend(),
+              share.getRunning(),
+              MemoryForecast.of(
+                  doubles(share.getMeanBlocksList()), doubles(share.getVarianceBlocksList()))));
+    }
+    decisions.sharesReported(from.getName(), shares);
+  }
+
+  private static double[] doubles(List<Double> values) {
+    return values.stream().mapToDouble(Double::doubleValue).toArray();
+  }
+
+  private void admin(HostRecord from, AdminRequest request) {
+    if (coordinator == null) {
+      return;
+    }
+    AdminService.answer(
+        coordinator,
+        request,
+        reply -> network.send(from.getName(), Envelope.newBuilder().setAdminReply(reply)));
+  }
+
+  @Override
+  public void connected(HostRecord host) {
+    Logger.info("{}: connected to {}", settings.name(), host.getName());
+  }
+
+  @Override
+  public void disconnected(HostRecord host) {
+    Logger.info("{}: connection to {} is gone", settings.name(), host.getName());
+    decisions.hostGone(host.getName());
+  }
+
+  // ---- dump -------------------------------------------------------------------------------------
+
+  /** Returns the whole state of the process. */
+  public Map<String, Object> dump() {
+    Map<String, Object> dump = new LinkedHashMap<>();
+    dump.put("host", settings.name());
+    dump.put("dataCentre", settings.dataCentre());
+    dump.put("incarnation", incarnation);
+    dump.put("draining", draining);
+    dump.put("ready", isReady());
+    dump.put("openRequests", server.openRequests());
+    dump.put("children", root.statuses());
+    dump.put("peers", network.connected().stream().map(HostRecord::getName).sorted().toList());
+    dump.put("decisions", await(decisions.view()));
+    if (consensus != null) {
+      dump.put("storageFailure", consensus.storageFailure());
+      dump.put("groups", await(ConsensusDump.of(consensus, settings.ledgerGroups() + 1)));
+    }
+    return dump;
+  }
+
+  private static Object await(java.util.concurrent.CompletableFuture<?> future) {
+    try {
+      return future.get(DUMP_MILLIS, TimeUnit.MILLISECONDS);
+    } catch (ExecutionException | TimeoutException e) {
+      return "does not answer";
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return "interrupted";
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/host/ServerReports.java
@@ -0,0 +1,34 @@
+package org.curranthaven.internal.host;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.curranthaven.internal.membership.BackendAnnouncement;
+import org.curranthaven.internal.routing.ServerReport;
+
+/** Turns announcements into reports for the routing core. */
+final class ServerReports {
+  private ServerReports() {}
+
+  /**
+   * Returns the report.
+   *
+   * @param readyAtMillis when the server was first seen ready, if that is now
+   */
+  static ServerReport of(BackendAnnouncement server, long sentAtMillis, long readyAtMillis) {
+    Set<String> models = new HashSet<>(server.models());
+    if (!server.service().isEmpty()) {
+      models.add("service:" + server.service());
+    }
+    return new ServerReport(
+        server.name(),
+        server.dataCentre(),
+        models,
+        server.blocksTotal(),
+        server.blocksTotal() - server.blocksFree(),
+        server.running(),
+        server.waiting(),
+        server.maxBatch(),
+        sentAtMillis,
+        readyAtMillis);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/placement/package-info.java
@@ -0,0 +1,5 @@
+/** Fenced orders to engines. */
+@NullMarked
+package org.curranthaven.internal.placement;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/routing/MemoryForecast.java
@@ -0,0 +1,101 @@
+package org.curranthaven.internal.routing;
+
+import java.util.Arrays;
+
+/**
+ * Forecast of the memory blocks that a set of running requests uses, at several numbers of further
+ * tokens: mean and variance at each.
+ *
+ * <p>Requests in a batch advance one token a step together, so that one horizon in tokens fits all.
+ */
+public final class MemoryForecast {
+  /** Horizons of the forecast, in tokens from now. */
+  static final int[] HORIZON_TOKENS = {0, 32, 96, 256, 640, 1_536, 4_096, 12_288};
+
+  /** Tokens in one memory block. */
+  public static final int TOKENS_PER_BLOCK = 16;
+
+  private final double[] meanBlocks = new double[HORIZON_TOKENS.length];
+  private final double[] varianceBlocks = new double[HORIZON_TOKENS.length];
+
+  /** Creates the forecast of no request. */
+  public MemoryForecast() {}
+
+  /** Creates a forecast from what {@link #means} and {@link #variances} returned elsewhere. */
+  public static MemoryForecast of(double[] means, double[] variances) {
+    MemoryForecast result = new MemoryForecast();
+    int count = HORIZON_TOKENS.length;
+    System.arraycopy(means, 0, result.meanBlocks, 0, Math.min(count, means.length));
+    System.arraycopy(variances, 0, result.varianceBlocks, 0, Math.min(count, variances.length));
+    return result;
+  }
+
+  /** Returns mean blocks at each horizon. */
+  public double[] means() {
+    return Arrays.copyOf(meanBlocks, meanBlocks.length);
+  }
+
+  /** Returns the variance at each horizon, in blocks squared. */
+  public double[] variances() {
+    return Arrays.copyOf(varianceBlocks, varianceBlocks.length);
+  }
+
+  /** Sets the forecast to that of no request. */
+  void clear() {
+    Arrays.fill(meanBlocks, 0);
+    Arrays.fill(varianceBlocks, 0);
+  }
+
+  /**
+   * Adds a request that holds {@code tokensNow} tokens, of which it produced {@code produced}, and
+   * whose length follows {@code lengths}.
+   */
+  void add(OutputLengths lengths, int tokensNow, int produced, int maxOutputTokens) {
+    double alive = lengths.survival(produced);
+    for (int i = 0; i < HORIZON_TOKENS.length; i++) {
+      int horizon = HORIZON_TOKENS[i];
+      double p = 0;
+      if (produced + horizon < maxOutputTokens) {
+        p = horizon == 0 ? 1 : lengths.survival(produced + horizon) / alive;
+      } else if (horizon == 0) {
+        p = 1;
+      }
+      double blocks = blocksOf(tokensNow + horizon);
+      meanBlocks[i] += p * blocks;
+      varianceBlocks[i] += p * (1 - p) * blocks * blocks;
+    }
+  }
+
+  /** Adds another forecast. */
+  void add(MemoryForecast other) {
+    for (int i = 0; i < HORIZON_TOKENS.length; i++) {
+      meanBlocks[i] += other.meanBlocks[i];
+      varianceBlocks[i] += other.varianceBlocks[i];
+    }
+  }
+
+  /**
+   * Returns the highest forecast use of this and {@code added} together over all horizons, at
+   * {@code deviations} standard deviations above the mean, with {@code extraBlocks} used
+   * throughout.
+   */
+  double peakBlocks(MemoryForecast added, double deviations, double extraBlocks) {
+    double peak = 0;
+    for (int i = 0; i < HORIZON_TOKENS.length; i++) {
+      double mean = meanBlocks[i] + added.meanBlocks[i];
+      double variance = varianceBlocks[i] + added.varianceBlocks[i];
+      peak = Math.max(peak, mean + deviations * Math.sqrt(variance));
+    }
+    return peak + extraBlocks;
+  }
+
+  /** Returns the blocks used now. */
+  double blocksNow() {
+    return meanBlocks[0];
+  }
+
+  /** Returns the blocks that {@code tokens} tokens take. */
+  public static int blocksOf(int tokens) {
+    return (tokens + TOKENS_PER_BLOCK - 1) / TOKENS_PER_BLOCK;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/routing/RequestFacts.java
@@ -0,0 +1,44 @@
+package org.curranthaven.internal.routing;
+
+import java.util.Set;
+import org.curranthaven.api.Targets;
+
+/**
+ * What is known of a request when it arrives; the length of its output is not.
+ *
+ * @param id number of the request on this host
+ * @param workspace workspace that asks
+ * @param className class of work
+ * @param targets targets of the class
+ * @param model model asked for, or {@code service:NAME} for a plain service
+ * @param promptTokens length of the prompt, in tokens
+ * @param maxOutputTokens largest output allowed, in tokens
+ * @param prefixHash hash of the prompt's beginning, for prefix caches; 0 when there is none
+ * @param arrivedAtMillis when the caller asked
+ * @param excludedServers servers that refused or lost this request before
+ */
+public record RequestFacts(
+    long id,
+    String workspace,
+    String className,
+    Targets targets,
+    String model,
+    int promptTokens,
+    int maxOutputTokens,
+    long prefixHash,
+    long arrivedAtMillis,
+    Set<String> excludedServers) {
+  public RequestFacts {
+    excludedServers = Set.copyOf(excludedServers);
+  }
+
+  /** Returns the time by which the first reply is due. */
+  public long firstReplyDueMillis() {
+    return arrivedAtMillis + targets.firstReplyMillis();
+  }
+
+  /** Returns the time by which the whole answer is due. */
+  public long answerDueMillis() {
+    return arrivedAtMillis + targets.answerMillis();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/routing/ServerChooser.java
@@ -0,0 +1,157 @@
+package org.curranthaven.internal.routing;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+
+/** Chooses a server for a request by a {@link Policy}. Not thread-safe. */
+final class ServerChooser {
+  private final Policy policy;
+  private final RandomGenerator random;
+  private int turn;
+
+  ServerChooser(Policy policy, RandomGenerator random) {
+    this.policy = policy;
+    this.random = random;
+  }
+
+  /**
+   * A request with what the choice needs beside it.
+   *
+   * @param lengths distribution of its output length
+   * @param headroomBlocks memory to leave free on each server for tighter classes
+   */
+  record Candidate(RequestFacts request, OutputLengths lengths, double headroomBlocks) {}
+
+  /**
+   * A chosen server.
+   *
+   * @param admissible number of servers that could have been chosen
+   * @param peakMemoryShare forecast peak of its memory
+   */
+  record Choice(ServerState server, int admissible, double peakMemoryShare) {}
+
+  /** Returns the choice among {@code servers}, or null to hold the request. */
+  @Nullable Choice choose(Candidate candidate, List<ServerState> servers, long nowMillis) {
+    if (servers.isEmpty()) {
+      return null;
+    }
+    return switch (policy) {
+      case Policy.RoundRobin ignored -> of(servers.get(turn++ % servers.size()), servers);
+      case Policy.LeastOutstanding ignored ->
+          of(Collections.min(servers, Comparator.comparingInt(ServerState::ownOpen)), servers);
+      case Policy.LeastLoad ignored -> of(Collections.min(servers, BY_REPORTED_LOAD), servers);
+      case Policy.PowerOfTwo ignored -> of(betterOfTwo(servers), servers);
+      case Policy.Forecast forecast ->
+          chooseByForecast(candidate, servers, forecast.options(), nowMillis);
+    };
+  }
+
+  private static final Comparator<ServerState> BY_REPORTED_LOAD =
+      Comparator.<ServerState>comparingDouble(
+              server ->
+                  (double) server.report().blocksUsed()
+                      / Math.max(1, server.report().blocksTotal()))
+          .thenComparingInt(server -> server.report().running() + server.report().waiting());
+
+  private static Choice of(ServerState server, List<ServerState> servers) {
+    return new Choice(server, servers.size(), 0);
+  }
+
+  private ServerState betterOfTwo(List<ServerState> servers) {
+    ServerState first = servers.get(random.nextInt(servers.size()));
+    ServerState second = servers.get(random.nextInt(servers.size()));
+    return BY_REPORTED_LOAD.compare(first, second) <= 0 ? first : second;
+  }
+
+  private @Nullable Choice chooseByForecast(
+      Candidate candidate, List<ServerState> servers, ForecastOptions options, long nowMillis) {
+    MemoryForecast added = new MemoryForecast();
+    RequestFacts request = candidate.request();
+    added.add(candidate.lengths(), request.promptTokens(), 0, request.maxOutputTokens());
+    List<Scored> admissible = new ArrayList<>();
+    for (ServerState server : servers) {
+      Scored scored = score(candidate, added, server, options, nowMillis);
+      if (scored != null) {
+        admissible.add(scored);
+      }
+    }
+    if (admissible.isEmpty()) {
+      return null;
+    }
+    Scored best = Collections.min(sample(admissible, options), Comparator.comparing(Scored::cost));
+    return new Choice(best.server(), admissible.size(), best.peakShare());
+  }
+
+  private List<Scored> sample(List<Scored> admissible, ForecastOptions options) {
+    int wanted = options.sampledServers();
+    if (wanted <= 0 || admissible.size() <= wanted) {
+      return admissible;
+    }
+    List<Scored> drawn = new ArrayList<>(wanted);
+    for (int i = 0; i < wanted; i++) {
+      int j = random.nextInt(i, admissible.size());
+      Collections.swap(admissible, i, j);
+      drawn.add(admissible.get(i));
+    }
+    return drawn;
+  }
+
+  private record Scored(ServerState server, double cost, double peakShare) {}
+
+  private @Nullable Scored score(
+      Candidate candidate,
+      MemoryForecast added,
+      ServerState server,
+      ForecastOptions options,
+      long nowMillis) {
+    RequestFacts request = candidate.request();
+    ServerReport report = server.report();
+    int running = server.totalRunning();
+    int batchLimit = batchLimit(report, options, nowMillis);
+    if (running >= batchLimit || gapTooLong(request, server, options)) {
+      return null;
+    }
+    double peakShare = 0;
+    if (report.blocksTotal() > 0) {
+      double peak =
+          server.forecast().peakBlocks(added, options.deviations(), server.unexplainedBlocks());
+      double limit = options.memoryShare() * report.blocksTotal() - candidate.headroomBlocks();
+      boolean empty = running == 0;
+      if (peak > limit && !empty) {
+        return null;
+      }
+      peakShare = peak / report.blocksTotal();
+    }
+    double trust =
+        server.prefixTrust(request.prefixHash(), nowMillis, options.prefixHalfLifeMillis());
+    double batch = Math.max(1, report.maxBatch());
+    double jitter = random.nextDouble() * 0.01;
+    double cost =
+        peakShare + running / batch - trust * options.prefixBonusRequests() / batch + jitter;
+    return new Scored(server, cost, peakShare);
+  }
+
+  private static int batchLimit(ServerReport report, ForecastOptions options, long nowMillis) {
+    int limit = report.maxBatch() == 0 ? Integer.MAX_VALUE : report.maxBatch();
+    long age = nowMillis - report.loadedAtMillis();
+    if (options.rampMillis() == 0 || age >= options.rampMillis()) {
+      return limit;
+    }
+    double share = Math.max(0.1, (double) age / options.rampMillis());
+    return (int) Math.max(1, Math.min(limit, 1_000) * share);
+  }
+
+  private static boolean gapTooLong(
+      RequestFacts request, ServerState server, ForecastOptions options) {
+    int own = server.ownOpen();
+    if (!options.gapAware() || own == 0) {
+      return false;
+    }
+    double predicted = server.gapMillis() * (1 + 1.0 / (server.totalRunning() + 8));
+    return predicted > request.targets().gapMillis();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/settings/Json.java
@@ -0,0 +1,53 @@
+package org.curranthaven.internal.settings;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.json.JsonReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+/** The project's JSON reader and writer. */
+public final class Json {
+  /** Strict mapper for the system's own data and for operators' files; allows comments. */
+  public static final JsonMapper MAPPER =
+      JsonMapper.builder()
+          .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
+          .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
+          .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+          .enable(DeserializationFeature.FAIL_ON_READING_DUP_TREE_KEY)
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+          .disable(SerializationFeature.FAIL_ON_EMPTY_BEANS)
+          .build();
+
+  /** Lenient mapper for what callers and backend servers send; unknown members are ignored. */
+  public static final JsonMapper LENIENT =
+      JsonMapper.builder().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).build();
+
+  private Json() {}
+
+  /** Reads data that the system itself wrote. */
+  public static <T> T read(ByteString data, Class<T> type) {
+    try {
+      return MAPPER.readValue(data.newInput(), type);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Writes a value as bytes. */
+  public static ByteString write(Object value) {
+    try {
+      return ByteString.copyFrom(MAPPER.writeValueAsBytes(value));
+    } catch (JsonProcessingException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Writes a value as text. */
+  public static String text(Object value) {
+    return write(value).toStringUtf8();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/transport/ControlClient.java
@@ -0,0 +1,147 @@
+package org.curranthaven.internal.transport;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLong;
+import org.curranthaven.internal.supervision.Clock;
+import org.curranthaven.internal.transport.wire.CommandReply;
+import org.curranthaven.internal.transport.wire.CommandRequest;
+import org.curranthaven.internal.transport.wire.CommandStatus;
+import org.curranthaven.internal.transport.wire.Envelope;
+import org.curranthaven.internal.transport.wire.HostRecord;
+
+/**
+ * Sends commands to the leaders of groups from any host. Commands are idempotent, so that one whose
+ * answer was lost is sent again. Thread-safe; callers block.
+ */
+public final class ControlClient {
+  private static final long TRY_MILLIS = 500;
+  private static final long PAUSE_MILLIS = 40;
+
+  private final PeerNetwork network;
+  private final Clock clock;
+  private final Map<Integer, String> leaderByGroup = new ConcurrentHashMap<>();
+  private final Map<Long, CompletableFuture<CommandReply>> open = new ConcurrentHashMap<>();
+  private final AtomicLong nextRequestId = new AtomicLong(1);
+
+  /** Creates a client over the host's connections. */
+  public ControlClient(PeerNetwork network, Clock clock) {
+    this.network = network;
+    this.clock = clock;
+  }
+
+  /** Takes in the answer to a command. */
+  public void received(CommandReply reply) {
+    CompletableFuture<CommandReply> future = open.remove(reply.getRequestId());
+    if (future != null) {
+      future.complete(reply);
+    }
+  }
+
+  /**
+   * Sends a command until it is applied or the time is up.
+   *
+   * @return the reply of the leader that applied it, or a reply with status {@code UNKNOWN} if it
+   *     may have been taken, {@code UNAVAILABLE} if it cannot have been
+   */
+  public CommandReply call(int groupId, ByteString command, long timeoutMillis)
+      throws InterruptedException {
+    long deadline = clock.nowMillis() + timeoutMillis;
+    boolean mayBeTaken = false;
+    int turn = 0;
+    while (clock.nowMillis() < deadline) {
+      String target = target(groupId, turn++);
+      if (target.isEmpty()) {
+        Thread.sleep(PAUSE_MILLIS);
+        continue;
+      }
+      CommandReply reply = tryOnce(groupId, target, command, deadline);
+      switch (reply.getStatus()) {
+        case COMMAND_STATUS_APPLIED -> {
+          leaderByGroup.put(groupId, target);
+          return reply;
+        }
+        case COMMAND_STATUS_NOT_LEADER, COMMAND_STATUS_UNAVAILABLE ->
+            forget(groupId, target, reply.getLeaderHost());
+        default -> {
+          mayBeTaken = true;
+          forget(groupId, target, "");
+        }
+      }
+      if (reply.getLeaderHost().isEmpty()) {
+        Thread.sleep(PAUSE_MILLIS);
+      }
+    }
+    return reply(
+        mayBeTaken
+            ? CommandStatus.COMMAND_STATUS_UNKNOWN
+            : CommandStatus.COMMAND_STATUS_UNAVAILABLE);
+  }
+
+  private void forget(int groupId, String target, String betterTarget) {
+    if (betterTarget.isEmpty()) {
+      leaderByGroup.remove(groupId, target);
+    } else {
+      leaderByGroup.put(groupId, betterTarget);
+    }
+  }
+
+  private CommandReply tryOnce(int groupId, String target, ByteString command, long deadlineMillis)
+      throws InterruptedException {
+    long requestId = nextRequestId.getAndIncrement();
+    CompletableFuture<CommandReply> future = new CompletableFuture<>();
+    open.put(requestId, future);
+    CommandRequest request =
+        CommandRequest.newBuilder()
+            .setRequestId(requestId)
+            .setGroupId(groupId)
+            .setCommand(command)
+            .build();
+    try {
+      if (!network.send(target, Envelope.newBuilder().setCommandRequest(request))) {
+        return reply(CommandStatus.COMMAND_STATUS_UNAVAILABLE);
+      }
+      long wait = Math.min(TRY_MILLIS, deadlineMillis - clock.nowMillis());
+      return future.get(Math.max(1, wait), TimeUnit.MILLISECONDS);
+    } catch (TimeoutException | ExecutionException e) {
+      return reply(CommandStatus.COMMAND_STATUS_UNKNOWN);
+    } finally {
+      open.remove(requestId);
+    }
+  }
+
+  private String target(int groupId, int turn) {
+    String leader = leaderByGroup.get(groupId);
+    if (leader != null) {
+      return leader;
+    }
+    List<String> control = controlHosts();
+    return control.isEmpty() ? "" : control.get(turn % control.size());
+  }
+
+  /** Returns the names of the control hosts that can be reached, this one included. */
+  public List<String> controlHosts() {
+    List<String> names = new ArrayList<>();
+    for (HostRecord host : network.connected()) {
+      if (host.getControl()) {
+        names.add(host.getName());
+      }
+    }
+    if (network.self().getControl()) {
+      names.add(network.selfName());
+    }
+    names.sort(null);
+    return names;
+  }
+
+  private static CommandReply reply(CommandStatus status) {
+    return CommandReply.newBuilder().setStatus(status).build();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/transport/PeerNetwork.java
@@ -0,0 +1,263 @@
+package org.curranthaven.internal.transport;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
+import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.net.InetSocketAddress;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Supplier;
+import org.curranthaven.internal.settings.Addresses;
+import org.curranthaven.internal.supervision.Child;
+import org.curranthaven.internal.transport.wire.Envelope;
+import org.curranthaven.internal.transport.wire.HostRecord;
+
+/**
+ * Connections of one host to the others. Each pair of hosts keeps one; a connection on which
+ * nothing arrived for {@link #SILENCE_MILLIS} is dropped and dialled again.
+ *
+ * <p>A message that cannot be sent at once, because there is no connection or its buffer is full,
+ * is dropped: every sender repeats what matters. Thread-safe.
+ */
+public final class PeerNetwork implements Child {
+  /** Silence after which a connection is dropped, in milliseconds. */
+  public static final long SILENCE_MILLIS = 1_500;
+
+  /** Time between two pings on a connection, in milliseconds. */
+  static final long PING_MILLIS = 500;
+
+  private static final long DIAL_MILLIS = 200;
+  private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+
+  private final String listenAddress;
+  private final Supplier<HostRecord> self;
+  private final PeerListener listener;
+  private final Set<String> contacts = ConcurrentHashMap.newKeySet();
+  private final Map<String, PeerConnection> byHost = new ConcurrentHashMap<>();
+  private final Set<String> dialling = ConcurrentHashMap.newKeySet();
+  private final Map<String, String> hostByAddress = new ConcurrentHashMap<>();
+  private final Set<String> blocked = ConcurrentHashMap.newKeySet();
+  private final LongAdder bytesSent = new LongAdder();
+  private final LongAdder messagesSent = new LongAdder();
+
+  /**
+   * Creates the network of a host.
+   *
+   * @param listenAddress address to listen on, as IP:PORT
+   * @param contacts addresses of hosts to dial first
+   * @param self describes this host at the time of the call
+   */
+  public PeerNetwork(
+      String listenAddress,
+      Collection<String> contacts,
+      Supplier<HostRecord> self,
+      PeerListener listener) {
+    this.listenAddress = listenAddress;
+    this.self = self;
+    this.listener = listener;
+    this.contacts.addAll(contacts);
+  }
+
+  /** Adds a host that was heard of. */
+  public void learn(String peerAddress) {
+    contacts.add(peerAddress);
+  }
+
+  /** Returns the name of this host. */
+  public String selfName() {
+    return self.get().getName();
+  }
+
+  /** Returns the hosts that are connected now. */
+  public List<HostRecord> connected() {
+    return byHost.values().stream().map(PeerConnection::remote).toList();
+  }
+
+  /**
+   * Sends a message to the named host; returns false if it was dropped. A message to this host
+   * itself is delivered at once.
+   */
+  public boolean send(String host, Envelope.Builder message) {
+    HostRecord own = self.get();
+    if (host.equals(own.getName())) {
+      listener.received(own, sealed(message, own));
+      return true;
+    }
+    PeerConnection connection = byHost.get(host);
+    if (connection == null || blocked.contains(host) || !connection.isWritable()) {
+      return false;
+    }
+    Envelope envelope = sealed(message, own);
+    messagesSent.increment();
+    bytesSent.add(envelope.getSerializedSize());
+    connection.write(envelope);
+    return true;
+  }
+
+  private static Envelope sealed(Envelope.Builder message, HostRecord own) {
+    return message.setFromHost(own.getName()).setFromIdentity(own.getIdentity()).build();
+  }
+
+  /** Sends a message to the host whose data folder has the identity. */
+  public boolean sendToIdentity(String identity, Envelope.Builder message) {
+    for (PeerConnection connection : byHost.values()) {
+      if (connection.remote().getIdentity().equals(identity)) {
+        return send(connection.remote().getName(), message);
+      }
+    }
+    return false;
+  }
+
+  /** Returns the bytes of all messages sent. */
+  public long bytesSent() {
+    return bytesSent.sum();
+  }
+
+  /** Returns the number of messages sent. */
+  public long messagesSent() {
+    return messagesSent.sum();
+  }
+
+  /**
+   * Cuts this host off from the named hosts in silence, or ends that. Used by failure tests and the
+   * demo to bring about a partition without touching the machine's network.
+   */
+  public void setBlocked(Collection<String> hosts) {
+    blocked.clear();
+    blocked.addAll(hosts);
+  }
+
+  @Override
+  public void run() throws InterruptedException {
+    EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    try {
+      InetSocketAddress address = Addresses.parse(listenAddress);
+      new ServerBootstrap()
+          .group(group)
+          .channel(NioServerSocketChannel.class)
+          .childOption(ChannelOption.TCP_NODELAY, true)
+          .childHandler(initializer(""))
+          .bind(address)
+          .sync();
+      while (true) {
+        dialMissing(group);
+        Thread.sleep(DIAL_MILLIS);
+      }
+    } finally {
+      group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+      byHost.clear();
+    }
+  }
+
+  private void dialMissing(EventLoopGroup group) {
+    for (String address : contacts) {
+      String host = hostByAddress.get(address);
+      boolean connected = host != null && byHost.containsKey(host);
+      boolean own = address.equals(self.get().getPeerAddress());
+      if (!connected && !own && dialling.add(address)) {
+        dial(group, address);
+      }
+    }
+  }
+
+  private void dial(EventLoopGroup group, String address) {
+    new Bootstrap()
+        .group(group)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+        .handler(initializer(address))
+        .connect(Addresses.parse(address))
+        .addListener(
+            future -> {
+              if (!future.isSuccess()) {
+                dialling.remove(address);
+              }
+            });
+  }
+
+  private ChannelInitializer<SocketChannel> initializer(String dialledAddress) {
+    return new ChannelInitializer<>() {
+      @Override
+      protected void initChannel(SocketChannel channel) {
+        channel
+            .pipeline()
+            .addLast(new ReadTimeoutHandler(SILENCE_MILLIS, TimeUnit.MILLISECONDS))
+            .addLast(new ProtobufVarint32FrameDecoder())
+            .addLast(new ProtobufDecoder(Envelope.getDefaultInstance()))
+            .addLast(new ProtobufVarint32LengthFieldPrepender())
+            .addLast(new ProtobufEncoder())
+            .addLast(new PeerConnection(PeerNetwork.this, dialledAddress));
+      }
+    };
+  }
+
+  // ---- called by PeerConnection -----------------------------------------------------------------
+
+  HostRecord self() {
+    return self.get();
+  }
+
+  /** Keeps the connection, unless another one to the host is to be kept; returns whether it is. */
+  synchronized boolean register(PeerConnection connection) {
+    HostRecord remote = connection.remote();
+    if (connection.dialled()) {
+      hostByAddress.put(connection.dialledAddress(), remote.getName());
+    }
+    contacts.add(remote.getPeerAddress());
+    hostByAddress.put(remote.getPeerAddress(), remote.getName());
+    PeerConnection known = byHost.get(remote.getName());
+    if (known != null && isSameProcess(known, remote) && !preferred(connection)) {
+      return false;
+    }
+    byHost.put(remote.getName(), connection);
+    if (known != null) {
+      known.close();
+    }
+    listener.connected(remote);
+    return true;
+  }
+
+  private static boolean isSameProcess(PeerConnection known, HostRecord remote) {
+    return known.isActive() && known.remote().getIncarnation() == remote.getIncarnation();
+  }
+
+  /** Of two connections between a pair, the one dialled by the host with the lower name is kept. */
+  private boolean preferred(PeerConnection connection) {
+    String own = self.get().getName();
+    boolean lower = own.compareTo(connection.remote().getName()) < 0;
+    return connection.dialled() == lower;
+  }
+
+  synchronized void unregister(PeerConnection connection) {
+    dialling.remove(connection.dialledAddress());
+    HostRecord remote = connection.remoteOrNull();
+    if (remote != null && byHost.remove(remote.getName(), connection)) {
+      listener.disconnected(remote);
+    }
+  }
+
+  void received(PeerConnection connection, Envelope message) {
+    HostRecord remote = connection.remoteOrNull();
+    if (remote != null && !blocked.contains(remote.getName())) {
+      listener.received(remote, message);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/curranthaven/internal/configuration/ConfigurationStateTest.java
@@ -0,0 +1,96 @@
+package org.curranthaven.internal.configuration;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.curranthaven.api.ServiceClass;
+import org.curranthaven.api.Targets;
+import org.curranthaven.internal.settings.Json;
+import org.junit.jupiter.api.Test;
+
+class ConfigurationStateTest {
+  private final ConfigurationState state = new ConfigurationState();
+
+  private static ConfigurationChange change(String id, long base, String operator, Edit... edits) {
+    return new ConfigurationChange(id, base, operator, List.of(edits));
+  }
+
+  private static Edit putClass(String name, long gapMillis) {
+    return new Edit.PutClass(new ServiceClass(name, new Targets(400, gapMillis, 5_000), true));
+  }
+
+  @Test
+  void a_class_is_created_with_its_targets() {
+    ChangeResult result = state.apply(change("c1", 0, "ama", putClass("door", 100)));
+
+    assertThat(result).isEqualTo(new ChangeResult.Committed(1, List.of()));
+    assertThat(state.current().classes().values())
+        .extracting(door -> door.targets().firstReplyMillis())
+        .containsExactly(400L);
+  }
+
+  @Test
+  void of_two_operators_with_equal_numbers_one_wins_and_the_loser_is_told_who() {
+    state.apply(change("c1", 0, "ama", putClass("door", 100)));
+
+    ChangeResult result = state.apply(change("c2", 0, "kofi", putClass("door", 50)));
+
+    assertThat(result).isEqualTo(new ChangeResult.Conflict(1, "c1", "ama"));
+    assertThat(state.current().classes().values())
+        .extracting(door -> door.targets().gapMillis())
+        .containsExactly(100L);
+  }
+
+  @Test
+  void a_change_that_is_sent_again_gets_its_first_answer() {
+    ChangeResult first = state.apply(change("c1", 0, "ama", putClass("door", 100)));
+    state.apply(change("c2", 1, "kofi", putClass("note", 100)));
+
+    ChangeResult again = state.apply(change("c1", 0, "ama", putClass("door", 100)));
+
+    assertThat(again).isEqualTo(first);
+    assertThat(state.current().revision()).isEqualTo(2);
+  }
+
+  @Test
+  void an_unsound_change_is_refused_whole_with_every_fault() {
+    ChangeResult result =
+        state.apply(
+            change(
+                "c1",
+                0,
+                "ama",
+                putClass("door", 100),
+                new Edit.Remove(Edit.Kind.MODEL, "story"),
+                new Edit.Remove(Edit.Kind.SERVICE, "desk")));
+
+    assertThat(result).isInstanceOf(ChangeResult.Invalid.class);
+    assertThat(((ChangeResult.Invalid) result).faults()).hasSize(2);
+    assertThat(state.current().classes()).isEmpty();
+  }
+
+  @Test
+  void a_target_that_no_engine_can_meet_is_warned_of() {
+    ChangeResult result = state.apply(change("c1", 0, "ama", putClass("door", 1)));
+
+    assertThat(((ChangeResult.Committed) result).warnings())
+        .singleElement()
+        .asString()
+        .contains("door");
+  }
+
+  @Test
+  void a_snapshot_keeps_answers_and_history() {
+    state.apply(change("c1", 0, "ama", putClass("door", 100)));
+    ConfigurationState.Snapshot written =
+        Json.read(Json.write(state.snapshot()), ConfigurationState.Snapshot.class);
+
+    ConfigurationState restored = new ConfigurationState();
+    restored.restore(written);
+
+    assertThat(restored.current()).isEqualTo(state.current());
+    assertThat(restored.apply(change("c1", 0, "ama", putClass("door", 100))))
+        .isEqualTo(new ChangeResult.Committed(1, List.of()));
+    assertThat(restored.history()).hasSize(1);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/curranthaven/internal/membership/BackendViewTest.java
@@ -0,0 +1,83 @@
+package org.curranthaven.internal.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class BackendViewTest {
+  private final BackendView view = new BackendView();
+
+  static BackendAnnouncement engine(
+      long incarnation, long sequence, BackendAnnouncement.State state) {
+    return new BackendAnnouncement(
+        "story-1",
+        incarnation,
+        sequence,
+        "127.0.0.1:9000",
+        "a",
+        List.of("story"),
+        "",
+        "",
+        100,
+        60,
+        1,
+        0,
+        8,
+        true,
+        BackendAnnouncement.Resume.OWN,
+        true,
+        state);
+  }
+
+  @Test
+  void a_server_is_used_while_its_lease_lasts() {
+    view.announced(engine(1, 1, BackendAnnouncement.State.READY), 0, 1_000);
+
+    assertThat(view.usable("story-1", 3_999)).isNotNull();
+    assertThat(view.usable("story-1", 4_000)).isNull();
+  }
+
+  @Test
+  void the_time_spent_on_the_way_shortens_the_lease() {
+    view.announced(engine(1, 1, BackendAnnouncement.State.READY), 2_500, 1_000);
+
+    assertThat(view.usable("story-1", 1_499)).isNotNull();
+    assertThat(view.usable("story-1", 1_500)).isNull();
+  }
+
+  @Test
+  void a_leaving_server_gets_nothing_new_but_is_alive() {
+    view.announced(engine(1, 1, BackendAnnouncement.State.READY), 0, 0);
+    view.announced(engine(1, 2, BackendAnnouncement.State.LEAVING), 0, 10);
+
+    assertThat(view.usable("story-1", 20)).isNull();
+    assertThat(view.alive("story-1", 20)).isNotNull();
+  }
+
+  @Test
+  void a_late_announcement_does_not_bring_a_leaving_server_back() {
+    view.announced(engine(1, 2, BackendAnnouncement.State.LEAVING), 0, 0);
+
+    assertThat(view.announced(engine(1, 1, BackendAnnouncement.State.READY), 0, 10)).isFalse();
+    assertThat(view.usable("story-1", 20)).isNull();
+  }
+
+  @Test
+  void a_late_announcement_does_not_bring_back_a_server_that_has_gone() {
+    view.announced(engine(2, 5, BackendAnnouncement.State.READY), 0, 0);
+
+    view.announced(engine(1, 9, BackendAnnouncement.State.READY), 0, 10_000);
+
+    assertThat(view.usable("story-1", 10_001)).isNull();
+  }
+
+  @Test
+  void a_restarted_server_is_taken_back() {
+    view.announced(engine(1, 9, BackendAnnouncement.State.LEAVING), 0, 0);
+
+    view.announced(engine(2, 1, BackendAnnouncement.State.READY), 0, 100);
+
+    assertThat(view.usable("story-1", 200)).isNotNull();
+  }
+}
