Check the log over drawn event sequences; compare routing policies

Cause: the replicated log and the routing policy were untested under faults.

Change: a driver that delivers, drops, repeats and reorders the replicas' messages, with crashes, cuts, wiped disks and drifting clocks, five deliberate breakages, and a shortener for failing traces; a routing experiment over ten scenarios of both users against four baselines and an oracle; a finer memory forecast.

--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/cli/ExperimentCommand.java
@@ -0,0 +1,89 @@
+package org.curranthaven.internal.cli;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.curranthaven.internal.experiment.Mechanisms;
+import org.curranthaven.internal.experiment.RoutingExperiment;
+import org.curranthaven.internal.experiment.Scenario;
+import org.curranthaven.internal.routing.Policy;
+import org.curranthaven.internal.settings.Json;
+
+/** {@code experiment routing}: compares routing policies on the same arrivals. */
+final class ExperimentCommand implements Command {
+  @Override
+  public void register(Subparsers parsers) {
+    Subparser parser = parsers.addParser("experiment").help("compare policies");
+    Subparsers kinds = parser.addSubparsers().metavar("KIND");
+    Subparser routing =
+        kinds
+            .addParser("routing")
+            .help("compare routing policies on the same arrivals")
+            .description(
+                "Runs each policy on each scenario and seed, on given time: eight hosts choose among"
+                    + " stand-in engines. A shed request counts as a missed target.");
+    routing.addArgument("--seeds").type(Integer.class).setDefault(5).help("seeds, from 1");
+    routing.addArgument("--scenario").setDefault("").help("only scenarios with this in their name");
+    routing
+        .addArgument("--mechanisms")
+        .action(Arguments.storeTrue())
+        .help("compare the policy in force with each of its mechanisms switched off")
+        .setDefault(false);
+    routing.addArgument("--json").action(Arguments.storeTrue()).help("print one JSON line last");
+    routing.setDefault(Main.COMMAND, this);
+  }
+
+  @Override
+  public int run(Namespace arguments) {
+    String wanted = arguments.getString("scenario");
+    List<Scenario> scenarios =
+        Scenario.all().stream().filter(scenario -> scenario.name().contains(wanted)).toList();
+    Map<String, Policy> policies = new LinkedHashMap<>();
+    if (arguments.getBoolean("mechanisms")) {
+      policies.putAll(Mechanisms.variants());
+    } else {
+      RoutingExperiment.policies().forEach(policy -> policies.put(policy.policyName(), policy));
+    }
+    RoutingExperiment.Report report =
+        RoutingExperiment.run(scenarios, policies, arguments.getInt("seeds"));
+    report.byScenario().forEach(ExperimentCommand::print);
+    if (arguments.getBoolean("json")) {
+      System.out.println(Json.text(Map.of("policies", report.all())));
+    }
+    return 0;
+  }
+
+  private static void print(String scenario, Map<String, RoutingExperiment.Figures> byPolicy) {
+    System.out.printf(
+        "%n%-28s %12s %9s %8s %8s %10s %6s %9s %7s %7s  met by class%n",
+        scenario,
+        "stall ms",
+        "preempt",
+        "gap p99",
+        "p99.9",
+        "door p99",
+        "shed",
+        "tokens/s",
+        "met",
+        "us/evt");
+    byPolicy.forEach(
+        (policy, figures) ->
+            System.out.printf(
+                "  %-26s %12d %9d %8d %8d %10d %6d %9.0f %6.1f%% %7.1f  %s%n",
+                policy,
+                figures.stallMillis(),
+                figures.preemptions(),
+                figures.gapP99Millis(),
+                figures.gapP999Millis(),
+                figures.doorFirstReplyP99Millis(),
+                figures.shed(),
+                figures.tokensPerSecond(),
+                figures.met() * 100,
+                figures.decisionMicros(),
+                figures.metByClass()));
+  }
+}
--- a/src/main/java/org/curranthaven/internal/cli/Main.java
+++ b/src/main/java/org/curranthaven/internal/cli/Main.java
@@ -82,6 +82,11 @@
 
   private static List<Command> commands() {
     return List.of(
-        new ServeCommand(), new SettingsCommand(), new StandinCommand(), new DemoCommand());
+        new ServeCommand(),
+        new SettingsCommand(),
+        new StandinCommand(),
+        new DemoCommand(),
+        new CheckCommand(),
+        new ExperimentCommand());
   }
 }
--- a/src/main/java/org/curranthaven/internal/consensus/ConsensusLoop.java
+++ b/src/main/java/org/curranthaven/internal/consensus/ConsensusLoop.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -42,7 +43,7 @@
   private final DataFolder folder;
   private final int groupCount;
   private final int contactCount;
-  private final VoterPolicy voterPolicy;
+  private final int votersWanted;
   private final IntFunction<StateMachine> machines;
   private final Supplier<HostRecord> self;
   private final Supplier<Collection<HostRecord>> connected;
@@ -90,7 +91,7 @@
     this.folder = wiring.folder();
     this.groupCount = wiring.groupCount();
     this.contactCount = wiring.contactCount();
-    this.voterPolicy = new VoterPolicy(wiring.votersWanted());
+    this.votersWanted = wiring.votersWanted();
     this.machines = wiring.machines();
     this.self = wiring.self();
     this.connected = wiring.connected();
@@ -400,22 +401,13 @@
     }
     List<Voter> candidates = new ArrayList<>();
     candidates.add(voter(self.get()));
-    Set<String> seen = new java.util.HashSet<>(Set.of(folder.identity()));
+    Set<String> seen = new HashSet<>(Set.of(folder.identity()));
     for (HostRecord host : connected.get()) {
       if (seen.add(host.getIdentity())) {
         candidates.add(voter(host));
       }
     }
-    VoterPolicy.Situation situation =
-        new VoterPolicy.Situation(
-            core.voters(),
-            folder.identity(),
-            candidates,
-            identity -> core.isCaughtUp(identity, nowMillis),
-            core::lastAnsweredMillis,
-            nowMillis);
-    voterPolicy
-        .next(situation)
+    VoterChange.next(core, votersWanted, folder.identity(), candidates, nowMillis)
         .ifPresent(set -> replica.handle(new RaftEvent.ProposeVoters(set), nowMillis));
   }
 
--- a/src/main/java/org/curranthaven/internal/consensus/RaftCore.java
+++ b/src/main/java/org/curranthaven/internal/consensus/RaftCore.java
@@ -687,11 +687,18 @@
     incomingSnapshot = incomingSnapshot.concat(piece.getData());
     if (piece.getLast()) {
       installSnapshot(piece);
+      incomingSnapshot = ByteString.EMPTY;
     }
     replyToSnapshot(from, piece, incomingSnapshot.size(), piece.getLast());
   }
 
   private void installSnapshot(SnapshotPiece piece) {
+    if (log.termAt(piece.getLastIndex()) == piece.getLastTerm()) {
+      // A late snapshot: entries after it were acknowledged and must not be dropped.
+      commitIndex = piece.getLastIndex();
+      applyCommitted();
+      return;
+    }
     SnapshotFile installed =
         SnapshotFile.newBuilder()
             .setLastIndex(piece.getLastIndex())
@@ -699,7 +706,6 @@
             .setVoters(VoterSets.parse(piece.getVoters()))
             .setState(incomingSnapshot)
             .build();
-    incomingSnapshot = ByteString.EMPTY;
     log.reset(installed);
     commitIndex = installed.getLastIndex();
     appliedIndex = installed.getLastIndex();
--- a/src/main/java/org/curranthaven/internal/host/HostProcess.java
+++ b/src/main/java/org/curranthaven/internal/host/HostProcess.java
@@ -62,7 +62,7 @@
  * }</pre>
  */
 public final class HostProcess implements PeerListener {
-  private static final long SHARE_MILLIS = 200;
+  private static final long SHARE_MILLIS = 50;
   private static final long FRESHNESS_MILLIS = 300;
   private static final long DUMP_MILLIS = 2_000;
   private static final long DRAIN_POLL_MILLIS = 20;
--- a/src/main/java/org/curranthaven/internal/routing/ForecastOptions.java
+++ b/src/main/java/org/curranthaven/internal/routing/ForecastOptions.java
@@ -36,4 +36,109 @@
   public static ForecastOptions oracleOptions() {
     return new ForecastOptions(0, 0.97, 500, 0, 2, 20_000, true, 2_000, true, true);
   }
+
+  /** Returns the options with another {@code deviations}. */
+  public ForecastOptions withDeviations(double value) {
+    return new ForecastOptions(
+        value,
+        memoryShare,
+        headroomMillis,
+        sampledServers,
+        prefixBonusRequests,
+        prefixHalfLifeMillis,
+        gapAware,
+        rampMillis,
+        shedding,
+        oracle);
+  }
+
+  /** Returns the options with another {@code memoryShare}. */
+  public ForecastOptions withMemoryShare(double value) {
+    return new ForecastOptions(
+        deviations,
+        value,
+        headroomMillis,
+        sampledServers,
+        prefixBonusRequests,
+        prefixHalfLifeMillis,
+        gapAware,
+        rampMillis,
+        shedding,
+        oracle);
+  }
+
+  /** Returns the options with another {@code headroomMillis}. */
+  public ForecastOptions withHeadroomMillis(long value) {
+    return new ForecastOptions(
+        deviations,
+        memoryShare,
+        value,
+        sampledServers,
+        prefixBonusRequests,
+        prefixHalfLifeMillis,
+        gapAware,
+        rampMillis,
+        shedding,
+        oracle);
+  }
+
+  /** Returns the options with another {@code sampledServers}. */
+  public ForecastOptions withSampledServers(int value) {
+    return new ForecastOptions(
+        deviations,
+        memoryShare,
+        headroomMillis,
+        value,
+        prefixBonusRequests,
+        prefixHalfLifeMillis,
+        gapAware,
+        rampMillis,
+        shedding,
+        oracle);
+  }
+
+  /** Returns the options with another {@code prefixBonusRequests}. */
+  public ForecastOptions withPrefixBonus(double value) {
+    return new ForecastOptions(
+        deviations,
+        memoryShare,
+        headroomMillis,
+        sampledServers,
+        value,
+        prefixHalfLifeMillis,
+        gapAware,
+        rampMillis,
+        shedding,
+        oracle);
+  }
+
+  /** Returns the options with another {@code gapAware}. */
+  public ForecastOptions withGapAware(boolean value) {
+    return new ForecastOptions(
+        deviations,
+        memoryShare,
+        headroomMillis,
+        sampledServers,
+        prefixBonusRequests,
+        prefixHalfLifeMillis,
+        value,
+        rampMillis,
+        shedding,
+        oracle);
+  }
+
+  /** Returns the options with another {@code shedding}. */
+  public ForecastOptions withShedding(boolean value) {
+    return new ForecastOptions(
+        deviations,
+        memoryShare,
+        headroomMillis,
+        sampledServers,
+        prefixBonusRequests,
+        prefixHalfLifeMillis,
+        gapAware,
+        rampMillis,
+        value,
+        oracle);
+  }
 }
--- a/src/main/java/org/curranthaven/internal/routing/MemoryForecast.java
+++ b/src/main/java/org/curranthaven/internal/routing/MemoryForecast.java
@@ -10,7 +10,9 @@
  */
 public final class MemoryForecast {
   /** Horizons of the forecast, in tokens from now. */
-  static final int[] HORIZON_TOKENS = {0, 32, 96, 256, 640, 1_536, 4_096, 12_288};
+  static final int[] HORIZON_TOKENS = {
+    0, 16, 32, 64, 96, 128, 192, 256, 384, 512, 768, 1_024, 1_536, 2_048, 3_072, 4_096, 6_144, 8_192
+  };
 
   /** Tokens in one memory block. */
   public static final int TOKENS_PER_BLOCK = 16;
@@ -52,20 +54,21 @@
    */
   void add(OutputLengths lengths, int tokensNow, int produced, int maxOutputTokens) {
     double alive = lengths.survival(produced);
-    for (int i = 0; i < HORIZON_TOKENS.length; i++) {
-      int horizon = HORIZON_TOKENS[i];
-      double p = 0;
-      if (produced + horizon < maxOutputTokens) {
-        p = horizon == 0 ? 1 : lengths.survival(produced + horizon) / alive;
-      } else if (horizon == 0) {
-        p = 1;
-      }
-      double blocks = blocksOf(tokensNow + horizon);
+    int left = Math.max(1, maxOutputTokens - produced);
+    for (int i = 0; i < HORIZON_TOKENS.length && HORIZON_TOKENS[i] < left; i++) {
+      double p = i == 0 ? 1 : lengths.survival(produced + HORIZON_TOKENS[i]) / alive;
+      double blocks = blocksOf(tokensNow + Math.min(left, middleOf(i)));
       meanBlocks[i] += p * blocks;
       varianceBlocks[i] += p * (1 - p) * blocks * blocks;
     }
   }
 
+  /** Returns the middle of the stretch that begins at a horizon: memory grows within it. */
+  private static int middleOf(int i) {
+    int next = i + 1 < HORIZON_TOKENS.length ? HORIZON_TOKENS[i + 1] : HORIZON_TOKENS[i];
+    return (HORIZON_TOKENS[i] + next) / 2;
+  }
+
   /** Adds another forecast. */
   void add(MemoryForecast other) {
     for (int i = 0; i < HORIZON_TOKENS.length; i++) {
--- a/src/main/java/org/curranthaven/internal/standin/EngineModel.java
+++ b/src/main/java/org/curranthaven/internal/standin/EngineModel.java
@@ -38,6 +38,7 @@
     int produced;
     int blocks;
     int prefillLeft;
+    boolean inBatch;
 
     Sequence(EngineRequest request, long order) {
       this.generation = request.generation();
@@ -96,8 +97,10 @@
   public void cancel(String generation) {
     Sequence sequence = sequences.remove(generation);
     if (sequence != null) {
-      waiting.remove(sequence);
-      if (running.remove(sequence)) {
+      if (!sequence.inBatch) {
+        waiting.remove(sequence);
+      } else if (running.remove(sequence)) {
+        sequence.inBatch = false;
         blocksUsed -= sequence.blocks;
       }
     }
@@ -179,6 +182,7 @@
       sequence.blocks = needed;
       blocksUsed += needed;
       sequence.prefillLeft = prefillTokens(sequence);
+      sequence.inBatch = true;
       running.add(sequence);
     }
   }
@@ -206,7 +210,7 @@
     List<Sequence> ready = running.stream().filter(s -> s.prefillLeft == 0).toList();
     int decoded = 0;
     for (Sequence sequence : ready) {
-      if (!running.contains(sequence) || !growIfNeeded(sequence, events)) {
+      if (!sequence.inBatch || !growIfNeeded(sequence, events)) {
         continue;
       }
       decoded++;
@@ -251,6 +255,7 @@
 
   private void preempt(Sequence victim, List<EngineEvent> events) {
     running.remove(victim);
+    victim.inBatch = false;
     blocksUsed -= victim.blocks;
     victim.blocks = 0;
     waiting.addFirst(victim);
