--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/bench/SlopesBench.java
@@ -0,0 +1,356 @@
+package org.curranthaven.internal.bench;
+
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.curranthaven.api.Configuration;
+import org.curranthaven.api.Targets;
+import org.curranthaven.api.Workspace;
+import org.curranthaven.internal.gateway.Hashes;
+import org.curranthaven.internal.ledger.LedgerState;
+import org.curranthaven.internal.membership.BackendAnnouncement;
+import org.curranthaven.internal.membership.BackendView;
+import org.curranthaven.internal.routing.ForecastOptions;
+import org.curranthaven.internal.routing.Policy;
+import org.curranthaven.internal.routing.RequestFacts;
+import org.curranthaven.internal.routing.RoutingCore;
+import org.curranthaven.internal.routing.RoutingEvent;
+import org.curranthaven.internal.routing.ServerReport;
+import org.curranthaven.internal.settings.Json;
+import org.curranthaven.internal.standin.LocalFleet;
+import org.curranthaven.internal.transport.PeerListener;
+import org.curranthaven.internal.transport.PeerNetwork;
+import org.curranthaven.internal.transport.wire.ClaimCommand;
+import org.curranthaven.internal.transport.wire.Envelope;
+import org.curranthaven.internal.transport.wire.FreshnessGrant;
+import org.curranthaven.internal.transport.wire.FreshnessRequest;
+import org.curranthaven.internal.transport.wire.HostRecord;
+import org.curranthaven.internal.transport.wire.LedgerCommand;
+
+/** Measures what each role's work costs at several sizes, and fits lines through it. */
+public final class SlopesBench {
+  private static final int[] SERVERS = {13, 45, 90, 270, 810};
+  private static final int[] WORKSPACES = {10, 100, 1_000, 4_000};
+  private static final int[] RECEIVERS = {3, 8, 40, 370};
+  private static final int[] RECORDS = {1_000, 10_000, 40_000};
+  private static final int DECISIONS = 4_000;
+  private static final int REPEATS = 5;
+  private static final long PATIENCE_SECONDS = 60;
+  private static final double NANOS_PER_MICRO = 1e3;
+
+  private final Consumer<String> out;
+
+  /** Creates the benchmark; each line of its report goes to {@code out}. */
+  public SlopesBench(Consumer<String> out) {
+    this.out = out;
+  }
+
+  /** Runs everything. */
+  public void run() throws IOException, InterruptedException {
+    decisions();
+    announcements();
+    configuration();
+    ledger();
+    push();
+  }
+
+  private void row(String name, String unit, List<LineFit.Point> points) {
+    LineFit fit = LineFit.of(points);
+    StringBuilder values = new StringBuilder();
+    points.forEach(point -> values.append(" %.0f:%.2f".formatted(point.size(), point.value())));
+    out.accept(
+        "%-34s %-10s%s | base %.3f slope %.5f error %.0f%%"
+            .formatted(name, unit, values, fit.base(), fit.slope(), 100 * fit.largestErrorShare()));
+  }
+
+  // ---- routing ----------------------------------------------------------------------------------
+
+  private void decisions() {
+    List<LineFit.Point> idle = new ArrayList<>();
+    List<LineFit.Point> crowded = new ArrayList<>();
+    for (int servers : SERVERS) {
+      idle.add(new LineFit.Point(servers, decisionP99Micros(servers, 0)));
+      crowded.add(new LineFit.Point(servers, decisionP99Micros(servers, 500)));
+    }
+    row("decision p99, by servers", "us", idle);
+    row("decision p99, 500 queued", "us", crowded);
+    List<LineFit.Point> byQueue = new ArrayList<>();
+    for (int queued : new int[] {0, 500, 2_000, 10_000}) {
+      byQueue.add(new LineFit.Point(queued, decisionP99Micros(90, queued)));
+    }
+    row("decision p99 at 90, by queue", "us", byQueue);
+  }
+
+  /** Returns the time to handle an arrival; with a queue, every server's memory is full. */
+  private static double decisionP99Micros(int servers, int queued) {
+    RoutingCore core =
+        new RoutingCore(
+            "host-1", new Policy.Forecast(ForecastOptions.standard()), new SplittableRandom(1));
+    int used = queued > 0 ? 2_000 : 200;
+    for (int i = 0; i < servers; i++) {
+      core.handle(new RoutingEvent.ServerReported(report("engine-" + i, used)), 0);
+    }
+    long id = 1;
+    for (int i = 0; i < queued; i++) {
+      core.handle(new RoutingEvent.Arrived(request(id++)), 1);
+    }
+    long[] nanos = new long[DECISIONS];
+    for (int i = 0; i < 2 * DECISIONS; i++) {
+      RoutingEvent arrival = new RoutingEvent.Arrived(request(id));
+      long start = System.nanoTime();
+      core.handle(arrival, 2);
+      nanos[i % DECISIONS] = System.nanoTime() - start;
+      core.handle(new RoutingEvent.Abandoned(id), 2);
+      core.handle(new RoutingEvent.Finished(id++, 20, RoutingEvent.Ending.CANCELLED), 2);
+    }
+    Arrays.sort(nanos);
+    return nanos[(int) (DECISIONS * 0.99)] / NANOS_PER_MICRO;
+  }
+
+  private static ServerReport report(String name, int used) {
+    return new ServerReport(
+        name, "a", Set.of("story"), 2_000, used, used / 50, 0, 64, 0, Long.MIN_VALUE / 2);
+  }
+
+  private static RequestFacts request(long id) {
+    return new RequestFacts(
+        id,
+        "w",
+        "draft",
+        new Targets(4_000, 120, 600_000),
+        "story",
+        200,
+        8_192,
+        id % 40 + 1,
+        0,
+        Set.of());
+  }
+
+  // ---- soft state -------------------------------------------------------------------------------
+
+  private void announcements() {
+    List<LineFit.Point> micros = new ArrayList<>();
+    List<LineFit.Point> bytes = new ArrayList<>();
+    for (int servers : SERVERS) {
+      long start = System.nanoTime();
+      long size = 0;
+      for (int repeat = 0; repeat < REPEATS * 4; repeat++) {
+        BackendView view = new BackendView();
+        size = 0;
+        for (int i = 0; i < servers; i++) {
+          ByteString json = Json.write(announcement(i, repeat));
+          size += json.size() + 12;
+          view.announced(Json.read(json, BackendAnnouncement.class), 5, 0);
+        }
+      }
+      double perRound = (System.nanoTime() - start) / NANOS_PER_MICRO / (REPEATS * 4);
+      micros.add(new LineFit.Point(servers, perRound));
+      bytes.add(new LineFit.Point(servers, size));
+    }
+    row("announcements written and read", "us", micros);
+    row("announcements on the wire", "bytes", bytes);
+  }
+
+  private static BackendAnnouncement announcement(int place, long sequence) {
+    return new BackendAnnouncement(
+        "engine-" + place,
+        1_764_800_000_000L,
+        sequence,
+        "10.0.0.1:9000",
+        "dc-" + place % 9,
+        List.of("model-" + place % 40),
+        "",
+        "general",
+        2_000,
+        900,
+        30,
+        0,
+        64,
+        true,
+        BackendAnnouncement.Resume.TAKEOVER,
+        true,
+        BackendAnnouncement.State.READY);
+  }
+
+  // ---- configuration ----------------------------------------------------------------------------
+
+  private static Configuration configurationOf(int workspaces) {
+    TreeMap<String, Workspace> map = new TreeMap<>();
+    for (int i = 0; i < workspaces; i++) {
+      String name = "workspace-" + i;
+      map.put(name, new Workspace(name, Hashes.sha256Hex(name), "draft", 10));
+    }
+    return new Configuration(1, new TreeMap<>(), map, new TreeMap<>(), new TreeMap<>());
+  }
+
+  private void configuration() {
+    List<LineFit.Point> bytes = new ArrayList<>();
+    List<LineFit.Point> micros = new ArrayList<>();
+    for (int workspaces : WORKSPACES) {
+      ByteString json = Json.write(configurationOf(workspaces));
+      bytes.add(new LineFit.Point(workspaces, json.size()));
+      double best = Double.MAX_VALUE;
+      for (int repeat = 0; repeat < REPEATS * 4; repeat++) {
+        long start = System.nanoTime();
+        Json.read(json, Configuration.class);
+        best = Math.min(best, (System.nanoTime() - start) / NANOS_PER_MICRO);
+      }
+      micros.add(new LineFit.Point(workspaces, best));
+    }
+    row("configuration, by workspaces", "bytes", bytes);
+    row("configuration read", "us", micros);
+  }
+
+  // ---- ledger -----------------------------------------------------------------------------------
+
+  private void ledger() {
+    List<LineFit.Point> heap = new ArrayList<>();
+    List<LineFit.Point> micros = new ArrayList<>();
+    for (int records : RECORDS) {
+      LedgerState ledger = new LedgerState();
+      long before = usedHeapBytes();
+      long start = System.nanoTime();
+      for (int i = 0; i < records; i++) {
+        ledger.apply(claim(i));
+      }
+      micros.add(new LineFit.Point(records, (System.nanoTime() - start) / NANOS_PER_MICRO));
+      heap.add(new LineFit.Point(records, usedHeapBytes() - before));
+      if (ledger.size() != records) {
+        throw new IllegalStateException("the ledger did not keep every claim");
+      }
+    }
+    row("claims applied, in all", "us", micros);
+    row("claims on the heap, no answers", "bytes", heap);
+  }
+
+  private static LedgerCommand claim(int i) {
+    return LedgerCommand.newBuilder()
+        .setNowMillis(1_000)
+        .setClaim(
+            ClaimCommand.newBuilder()
+                .setWorkspace("workspace-" + i % 100)
+                .setKey("01938f2e-0000-7000-8000-" + (100_000_000_000L + i))
+                .setIssuedAtMillis(1_000)
+                .setBodyHash(ByteString.copyFrom(new byte[32]))
+                .setOwnerHost("accra-1")
+                .setOwnerIncarnation(1_764_800_000_000L)
+                .setToken("01938f2e-0000-7000-9000-" + (100_000_000_000L + i)))
+        .build();
+  }
+
+  private static long usedHeapBytes() {
+    System.gc();
+    return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+  }
+
+  // ---- push -------------------------------------------------------------------------------------
+
+  private void push() throws IOException, InterruptedException {
+    List<LineFit.Point> millis = new ArrayList<>();
+    for (int receivers : RECEIVERS) {
+      millis.add(new LineFit.Point(receivers, pushMillis(receivers)));
+    }
+    row("4,000 workspaces in force", "ms", millis);
+  }
+
+  /** Returns the time until every receiver has read a configuration and said so. */
+  private static double pushMillis(int receivers) throws IOException, InterruptedException {
+    ByteString json = Json.write(configurationOf(4_000));
+    List<String> addresses = LocalFleet.freeAddresses(receivers + 1);
+    CountDownLatch[] acknowledged = {new CountDownLatch(receivers)};
+    List<Thread> threads = new ArrayList<>();
+    PeerNetwork sender =
+        network(
+            "sender",
+            addresses.getFirst(),
+            List.of(),
+            (network, from, message) -> {
+              if (message.hasFreshnessRequest()) {
+                acknowledged[0].countDown();
+              }
+            });
+    threads.add(start(sender));
+    for (int i = 1; i <= receivers; i++) {
+      threads.add(
+          start(
+              network(
+                  "receiver-" + i,
+                  addresses.get(i),
+                  List.of(addresses.getFirst()),
+                  (network, from, message) -> {
+                    Json.read(message.getFreshnessGrant().getConfiguration(), Configuration.class);
+                    network.send(
+                        from.getName(),
+                        Envelope.newBuilder()
+                            .setFreshnessRequest(FreshnessRequest.newBuilder().setRevision(1)));
+                  })));
+    }
+    try {
+      LocalFleet.await(
+          TimeUnit.SECONDS.toMillis(PATIENCE_SECONDS),
+          () -> sender.connected().size() == receivers);
+      double best = Double.MAX_VALUE;
+      for (int repeat = 0; repeat < REPEATS; repeat++) {
+        acknowledged[0] = new CountDownLatch(receivers);
+        long start = System.nanoTime();
+        for (HostRecord host : sender.connected()) {
+          sender.send(
+              host.getName(),
+              Envelope.newBuilder()
+                  .setFreshnessGrant(FreshnessGrant.newBuilder().setConfiguration(json)));
+        }
+        acknowledged[0].await(PATIENCE_SECONDS, TimeUnit.SECONDS);
+        best = Math.min(best, (System.nanoTime() - start) / 1e6);
+      }
+      return best;
+    } finally {
+      threads.forEach(Thread::interrupt);
+    }
+  }
+
+  private interface Receiver {
+    void received(PeerNetwork network, HostRecord from, Envelope message);
+  }
+
+  private static PeerNetwork network(
+      String name, String address, List<String> contacts, Receiver receiver) {
+    PeerNetwork[] network = new PeerNetwork[1];
+    PeerListener listener =
+        new PeerListener() {
+          @Override
+          public void received(HostRecord from, Envelope message) {
+            receiver.received(network[0], from, message);
+          }
+
+          @Override
+          public void connected(HostRecord host) {}
+
+          @Override
+          public void disconnected(HostRecord host) {}
+        };
+    HostRecord self = HostRecord.newBuilder().setName(name).setPeerAddress(address).build();
+    network[0] = new PeerNetwork(address, contacts, () -> self, listener);
+    return network[0];
+  }
+
+  private static Thread start(PeerNetwork network) {
+    return Thread.ofPlatform()
+        .daemon(true)
+        .start(
+            () -> {
+              try {
+                network.run();
+              } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+              }
+            });
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/cli/ItemCommand.java
@@ -0,0 +1,158 @@
+package org.curranthaven.internal.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.UUID;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.curranthaven.api.Configuration;
+import org.curranthaven.api.Failure;
+import org.curranthaven.api.Model;
+import org.curranthaven.api.Outcome;
+import org.curranthaven.api.PlainService;
+import org.curranthaven.api.ResultCode;
+import org.curranthaven.api.ServiceClass;
+import org.curranthaven.api.Targets;
+import org.curranthaven.api.Workspace;
+import org.curranthaven.internal.configuration.Edit;
+import org.curranthaven.internal.gateway.Hashes;
+import org.curranthaven.internal.settings.Json;
+
+/** {@code class}, {@code workspace}, {@code model} and {@code service}: set, remove and list. */
+final class ItemCommand implements Command {
+  private final Edit.Kind kind;
+
+  ItemCommand(Edit.Kind kind) {
+    this.kind = kind;
+  }
+
+  private String word() {
+    return kind.name().toLowerCase(Locale.ROOT);
+  }
+
+  @Override
+  public void register(Subparsers parsers) {
+    Subparser parser = parsers.addParser(word()).help("set, remove or list a " + word());
+    Subparsers actions = parser.addSubparsers().metavar("ACTION");
+    Subparser set = action(actions, "set", "add or change it; in force everywhere on return");
+    set.addArgument("name").help("name");
+    addFields(set);
+    Subparser remove = action(actions, "remove", "remove it");
+    remove.addArgument("name").help("name");
+    action(actions, "list", "list all");
+  }
+
+  private Subparser action(Subparsers actions, String name, String help) {
+    Subparser parser = actions.addParser(name).help(help);
+    HostOption.add(parser);
+    if (!name.equals("list")) {
+      parser
+          .addArgument("--base-revision")
+          .type(Long.class)
+          .help("revision that the change is made from; the one in force if left out");
+      parser.addArgument("--change-id").help("id by which a resent change is recognised");
+    }
+    parser.setDefault(Main.COMMAND, this).setDefault("action", name);
+    return parser;
+  }
+
+  private void addFields(Subparser set) {
+    switch (kind) {
+      case CLASS -> {
+        number(set, "--first-reply-millis", "longest time to the first token");
+        number(set, "--gap-millis", "longest time between two tokens");
+        number(set, "--answer-millis", "longest time to the whole answer");
+        set.addArgument("--not-repeatable")
+            .action(Arguments.storeTrue())
+            .help("its calls may run at most once");
+      }
+      case WORKSPACE -> {
+        set.addArgument("--key").required(true).help("bearer key; only its hash is kept");
+        set.addArgument("--default-class").required(true).help("class of requests that name none");
+        set.addArgument("--requests-per-second")
+            .type(Double.class)
+            .setDefault(0.0)
+            .help("limit over all hosts; 0 for none");
+      }
+      case MODEL -> number(set, "--max-output-tokens", "largest answer that may be asked for");
+      case SERVICE ->
+          set.addArgument("--default-class").required(true).help("class of calls that name none");
+    }
+  }
+
+  private static void number(Subparser parser, String name, String help) {
+    parser.addArgument(name).type(Long.class).required(true).help(help);
+  }
+
+  @Override
+  public int run(Namespace arguments) throws IOException, InterruptedException {
+    AdminClient client = HostOption.client(arguments);
+    if (arguments.getString("action").equals("list")) {
+      items(client.configuration()).values().forEach(item -> System.out.println(Json.text(item)));
+      return 0;
+    }
+    try {
+      return change(arguments, client, edit(arguments));
+    } catch (IllegalArgumentException e) {
+      return Main.fail(
+          Failure.of(ResultCode.CONFIGURATION_INVALID, String.valueOf(e.getMessage())));
+    }
+  }
+
+  private Map<String, ?> items(Configuration configuration) {
+    return switch (kind) {
+      case CLASS -> configuration.classes();
+      case WORKSPACE -> configuration.workspaces();
+      case MODEL -> configuration.models();
+      case SERVICE -> configuration.services();
+    };
+  }
+
+  private Edit edit(Namespace arguments) {
+    String name = arguments.getString("name");
+    if (arguments.getString("action").equals("remove")) {
+      return new Edit.Remove(kind, name);
+    }
+    return switch (kind) {
+      case CLASS ->
+          new Edit.PutClass(
+              new ServiceClass(
+                  name,
+                  new Targets(
+                      arguments.getLong("first_reply_millis"),
+                      arguments.getLong("gap_millis"),
+                      arguments.getLong("answer_millis")),
+                  !arguments.getBoolean("not_repeatable")));
+      case WORKSPACE ->
+          new Edit.PutWorkspace(
+              new Workspace(
+                  name,
+                  Hashes.sha256Hex(arguments.getString("key")),
+                  arguments.getString("default_class"),
+                  arguments.getDouble("requests_per_second")));
+      case MODEL ->
+          new Edit.PutModel(
+              new Model(name, Math.toIntExact(arguments.getLong("max_output_tokens"))));
+      case SERVICE ->
+          new Edit.PutService(new PlainService(name, arguments.getString("default_class")));
+    };
+  }
+
+  private static int change(Namespace arguments, AdminClient client, Edit edit)
+      throws IOException, InterruptedException {
+    Long base = arguments.getLong("base_revision");
+    String id = arguments.getString("change_id");
+    Outcome<JsonNode> outcome =
+        client.change(
+            id == null ? UUID.randomUUID().toString() : id,
+            base == null ? client.configuration().revision() : base,
+            HostOption.operator(),
+            List.of(edit));
+    return Changes.report(outcome, arguments.getBoolean("json"));
+  }
+}
--- a/src/main/java/org/curranthaven/internal/cli/Main.java
+++ b/src/main/java/org/curranthaven/internal/cli/Main.java
@@ -11,6 +11,7 @@
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.curranthaven.api.Failure;
 import org.curranthaven.api.ResultCode;
+import org.curranthaven.internal.configuration.Edit;
 
 /** Entry point of the executable. */
 public final class Main {
@@ -84,9 +85,23 @@
     return List.of(
         new ServeCommand(),
         new SettingsCommand(),
+        new ItemCommand(Edit.Kind.CLASS),
+        new ItemCommand(Edit.Kind.WORKSPACE),
+        new ItemCommand(Edit.Kind.MODEL),
+        new ItemCommand(Edit.Kind.SERVICE),
+        new ApplyCommand(),
+        new PageCommand("get", "print the configuration in force", "/admin/v1/configuration", ""),
+        new PageCommand("history", "print the revisions", "/admin/v1/history", ""),
+        new StatusCommand(),
+        new PageCommand("hosts", "list the hosts", "/admin/v1/hosts", ""),
+        new PageCommand("backends", "list the backend servers", "/admin/v1/backends", ""),
+        new PageCommand("dump", "print a host's whole state", "/admin/v1/dump", ""),
+        new PageCommand(
+            "explain", "print the decisions made for a request", "/admin/v1/explain/", "request"),
         new StandinCommand(),
         new DemoCommand(),
         new CheckCommand(),
-        new ExperimentCommand());
+        new ExperimentCommand(),
+        new BenchCommand());
   }
 }
--- a/src/main/java/org/curranthaven/internal/experiment/Mechanisms.java
+++ b/src/main/java/org/curranthaven/internal/experiment/Mechanisms.java
@@ -18,9 +18,9 @@
     variants.put("mean growth only", new Policy.Forecast(whole.withDeviations(0)));
     variants.put("no headroom", new Policy.Forecast(whole.withHeadroomMillis(0)));
     variants.put("no prefix affinity", new Policy.Forecast(whole.withPrefixBonus(0)));
-    variants.put("no gap limit", new Policy.Forecast(whole.withGapAware(false)));
     variants.put("no early shedding", new Policy.Forecast(whole.withShedding(false)));
-    variants.put("best of 3 at random", new Policy.Forecast(whole.withSampledServers(3)));
+    variants.put("no turns", new Policy.Forecast(whole.withTurnMillis(0)));
+    variants.put("best of all", new Policy.Forecast(whole.withSampledServers(0)));
     return variants;
   }
 }
--- a/src/main/java/org/curranthaven/internal/experiment/PolicyRun.java
+++ b/src/main/java/org/curranthaven/internal/experiment/PolicyRun.java
@@ -46,6 +46,7 @@
   private final boolean freshState;
   private final SplittableRandom random;
   private final List<RoutingCore> cores = new ArrayList<>();
+  private final long[] clockOffsetMillis = new long[HOSTS];
   private final Map<String, Engine> engines = new HashMap<>();
   private final List<Engine> engineList = new ArrayList<>();
   private final Map<Long, Call> calls = new HashMap<>();
@@ -101,7 +102,8 @@
     this.freshState = policy instanceof Policy.Forecast forecast && forecast.options().oracle();
     Workloads.classes().forEach(c -> classes.put(c.name(), c));
     for (int i = 0; i < HOSTS; i++) {
-      cores.add(new RoutingCore(policy, random.split(), this::trueLength));
+      clockOffsetMillis[i] = random.nextInt(1_000_000);
+      cores.add(new RoutingCore("host-" + i, policy, random.split(), this::trueLength));
     }
     for (int i = 0; i < scenario.engineCount(); i++) {
       Engine engine = new Engine("engine-" + i, new EngineModel(scenario.engine(i)));
@@ -362,7 +364,8 @@
 
   private void handle(int host, RoutingEvent event) {
     long start = System.nanoTime();
-    List<RoutingDecision> decisions = cores.get(host).handle(event, nowMillis);
+    List<RoutingDecision> decisions =
+        cores.get(host).handle(onClock(event, host), nowMillis + clockOffsetMillis[host]);
     result.decisionNanos += System.nanoTime() - start;
     result.decisions++;
     for (RoutingDecision decision : decisions) {
@@ -373,6 +376,22 @@
     }
   }
 
+  /** Returns the event with its times on the host's own clock. */
+  private RoutingEvent onClock(RoutingEvent event, int host) {
+    long offset = clockOffsetMillis[host];
+    return switch (event) {
+      case RoutingEvent.Arrived arrived -> {
+        RequestFacts request = arrived.request();
+        yield new RoutingEvent.Arrived(request.arrivedAt(request.arrivedAtMillis() + offset));
+      }
+      case RoutingEvent.ServerReported reported -> {
+        ServerReport report = reported.report();
+        yield new RoutingEvent.ServerReported(report.sentAt(report.sentAtMillis() + offset));
+      }
+      default -> event;
+    };
+  }
+
   private void dispatch(RoutingDecision.Dispatch dispatch) {
     Call call = calls.get(dispatch.requestId());
     Engine engine = engines.get(dispatch.server());
--- a/src/main/java/org/curranthaven/internal/gateway/CallerApi.java
+++ b/src/main/java/org/curranthaven/internal/gateway/CallerApi.java
@@ -337,7 +337,7 @@
     switch (outcome) {
       case Outcome.Success<StoredAnswer> success -> {
         long millis = context.clock().nowMillis() - admitted.arrivedAtMillis();
-        context.metrics().firstReply(admitted.serviceClass().name(), millis);
+        context.metrics().firstReply(admitted.serviceClass(), millis);
         exchange.answer(success.value());
       }
       case Outcome.Failed<StoredAnswer> failed -> fail(exchange, admitted, failed.failure());
--- a/src/main/java/org/curranthaven/internal/gateway/GenerationCall.java
+++ b/src/main/java/org/curranthaven/internal/gateway/GenerationCall.java
@@ -284,9 +284,9 @@
       long nowMillis = clock.nowMillis();
       metrics.delivered(serviceClass.name());
       if (lastTokenAtMillis == 0) {
-        metrics.firstReply(serviceClass.name(), nowMillis - facts.arrivedAtMillis());
+        metrics.firstReply(serviceClass, nowMillis - facts.arrivedAtMillis());
       } else {
-        metrics.gap(serviceClass.name(), nowMillis - lastTokenAtMillis);
+        metrics.gap(serviceClass, nowMillis - lastTokenAtMillis);
       }
       lastTokenAtMillis = nowMillis;
     }
--- a/src/main/java/org/curranthaven/internal/gateway/Metrics.java
+++ b/src/main/java/org/curranthaven/internal/gateway/Metrics.java
@@ -6,14 +6,31 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.time.Duration;
+import java.util.Map;
 import java.util.function.Supplier;
 import org.curranthaven.api.ResultCode;
+import org.curranthaven.api.ServiceClass;
+import org.curranthaven.internal.observe.TargetMonitor;
+import org.curranthaven.internal.supervision.Clock;
 
 /** Metrics of one host. Thread-safe. */
 public final class Metrics {
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 
+  private final TargetMonitor targets = new TargetMonitor();
+  private final Clock clock;
+
+  /** Creates the metrics of a host. */
+  public Metrics(Clock clock) {
+    this.clock = clock;
+  }
+
+  /** Returns each class's figures against its targets. */
+  public Map<String, TargetMonitor.ClassStatus> targetStatuses() {
+    return targets.statuses(clock.nowMillis());
+  }
+
   /** Counts a request of a class. */
   public void requested(String className) {
     counter("curranthaven_requests", "class", className).increment();
@@ -21,6 +38,7 @@
 
   /** Counts a request that ended with an error. */
   public void failed(String className, ResultCode code) {
+    targets.failed(className, clock.nowMillis());
     Counter.builder("curranthaven_failures")
         .tag("class", className)
         .tag("code", String.valueOf(code.number()))
@@ -34,13 +52,16 @@
   }
 
   /** Notes the time from a request's arrival to its first token or plain answer. */
-  public void firstReply(String className, long millis) {
-    timer("curranthaven_first_reply", className).record(Duration.ofMillis(millis));
+  public void firstReply(ServiceClass serviceClass, long millis) {
+    targets.firstReply(
+        serviceClass.name(), millis, serviceClass.targets().firstReplyMillis(), clock.nowMillis());
+    timer("curranthaven_first_reply", serviceClass.name()).record(Duration.ofMillis(millis));
   }
 
   /** Notes the time between two tokens of a stream. */
-  public void gap(String className, long millis) {
-    timer("curranthaven_token_gap", className).record(Duration.ofMillis(millis));
+  public void gap(ServiceClass serviceClass, long millis) {
+    targets.gap(serviceClass.name(), millis, serviceClass.targets().gapMillis(), clock.nowMillis());
+    timer("curranthaven_token_gap", serviceClass.name()).record(Duration.ofMillis(millis));
   }
 
   /** Counts a stream that was resumed over a new connection. */
--- a/src/main/java/org/curranthaven/internal/host/AdminApi.java
+++ b/src/main/java/org/curranthaven/internal/host/AdminApi.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -34,6 +35,7 @@
   private final Metrics metrics;
   private final ExplainLog explainLog;
   private final Supplier<Map<String, Object>> dump;
+  private final Supplier<List<HostProcess.HostView>> hosts;
   private final BooleanSupplier draining;
 
   AdminApi(
@@ -42,12 +44,14 @@
       Metrics metrics,
       ExplainLog explainLog,
       Supplier<Map<String, Object>> dump,
+      Supplier<List<HostProcess.HostView>> hosts,
       BooleanSupplier draining) {
     this.decisions = decisions;
     this.changes = changes;
     this.metrics = metrics;
     this.explainLog = explainLog;
     this.dump = dump;
+    this.hosts = hosts;
     this.draining = draining;
   }
 
@@ -65,6 +69,8 @@
       case "/admin/v1/changes" -> change(exchange);
       case "/admin/v1/dump" -> exchange.json(STATUS_OK, dump.get());
       case "/admin/v1/backends" -> backends(exchange);
+      case "/admin/v1/hosts" -> exchange.json(STATUS_OK, hosts.get());
+      case "/admin/v1/status" -> exchange.json(STATUS_OK, metrics.targetStatuses());
       default -> {
         if (!path.startsWith(EXPLAIN_PREFIX)) {
           return false;
@@ -102,7 +108,7 @@
   }
 
   /** Numbered events of one engine's prefix cache. */
-  record CacheEvents(String name, long firstSequence, java.util.List<CacheEvent> events) {}
+  record CacheEvents(String name, long firstSequence, List<CacheEvent> events) {}
 
   /** A prefix that came into the cache, or left it. */
   record CacheEvent(long prefixHash, boolean present) {}
--- a/src/main/java/org/curranthaven/internal/host/HostProcess.java
+++ b/src/main/java/org/curranthaven/internal/host/HostProcess.java
@@ -19,6 +19,7 @@
 import org.curranthaven.internal.gateway.CallerApi;
 import org.curranthaven.internal.gateway.CallerServer;
 import org.curranthaven.internal.gateway.Metrics;
+import org.curranthaven.internal.ledger.Ledger;
 import org.curranthaven.internal.ledger.LedgerState;
 import org.curranthaven.internal.ledger.ReplicatedLedger;
 import org.curranthaven.internal.membership.BackendAnnouncement;
@@ -77,10 +78,11 @@
   private final PeerNetwork network;
   private final ControlClient control;
   private final ChangeClient changes;
+  private final Ledger ledger;
   private final DecisionLoop decisions;
   private final CallerServer server;
   private final Supervisor root;
-  private final Metrics metrics = new Metrics();
+  private final Metrics metrics;
   private volatile boolean draining;
   private @Nullable Thread thread;
 
@@ -89,6 +91,7 @@
     this.clock = clock;
     this.folder = folder;
     this.incarnation = clock.epochMillis();
+    this.metrics = new Metrics(clock);
     RandomGenerator random = new SplittableRandom(settings.name().hashCode() ^ incarnation);
     ExplainLog explainLog = new ExplainLog();
     this.network =
@@ -104,21 +107,26 @@
         new DecisionLoop(
             clock,
             random,
-            r -> new RoutingCore(new Policy.Forecast(ForecastOptions.standard()), r),
+            r ->
+                new RoutingCore(
+                    settings.name(), new Policy.Forecast(ForecastOptions.standard()), r),
             explainLog,
             this::isAlive);
+    this.ledger =
+        new ReplicatedLedger(
+            control, settings.ledgerGroups(), settings.name(), incarnation, clock::epochMillis);
     CallerApi callers =
         new CallerApi(
             decisions,
-            new ReplicatedLedger(
-                control, settings.ledgerGroups(), settings.name(), incarnation, clock::epochMillis),
+            ledger,
             clock,
             metrics,
             settings.maxBodyBytes(),
             () -> draining,
             RandomGenerator.getDefault());
     AdminApi admin =
-        new AdminApi(decisions, changes, metrics, explainLog, this::dump, () -> draining);
+        new AdminApi(
+            decisions, changes, metrics, explainLog, this::dump, this::listHosts, () -> draining);
     this.server = new CallerServer(Addresses.parse(settings.httpAddress()), callers, admin);
     this.root = new Supervisor(settings.name(), clock);
     addChildren();
@@ -211,6 +219,11 @@
     return network;
   }
 
+  /** Returns the ledger of calls that may not repeat. */
+  public Ledger ledger() {
+    return ledger;
+  }
+
   /** Returns whether the host may take new work. */
   public boolean isReady() {
     return !draining && decisions.mayServe();
@@ -297,6 +310,27 @@
     return record.build();
   }
 
+  /** A host as operators see it. */
+  public record HostView(
+      String name, String dataCentre, String httpAddress, boolean control, long incarnation) {
+    static HostView of(HostRecord host) {
+      return new HostView(
+          host.getName(),
+          host.getDataCentre(),
+          host.getHttpAddress(),
+          host.getControl(),
+          host.getIncarnation());
+    }
+  }
+
+  private List<HostView> listHosts() {
+    List<HostView> hosts = new ArrayList<>();
+    hosts.add(HostView.of(describe()));
+    network.connected().forEach(host -> hosts.add(HostView.of(host)));
+    hosts.sort(java.util.Comparator.comparing(HostView::name));
+    return hosts;
+  }
+
   private List<HostRecord> connectedControlHosts() {
     return network.connected().stream().filter(HostRecord::getControl).toList();
   }
--- a/src/main/java/org/curranthaven/internal/routing/ForecastOptions.java
+++ b/src/main/java/org/curranthaven/internal/routing/ForecastOptions.java
@@ -10,8 +10,9 @@
  *     0 means all
  * @param prefixBonusRequests running requests that a certain prefix hit is worth
  * @param prefixHalfLifeMillis age at which a cache event is trusted half as much
- * @param gapAware whether a server whose gap would exceed the class's target is passed over
  * @param rampMillis time over which a server that has just become ready is filled
+ * @param turnMillis length of the turns in which hosts, one after the other, may use a server that
+ *     has no room for all of them to choose it at once; 0 lets every host choose at any time
  * @param shedding whether requests that cannot meet their target are given up early
  * @param oracle whether the core is told true lengths, for comparison only
  */
@@ -22,19 +23,19 @@
     int sampledServers,
     double prefixBonusRequests,
     double prefixHalfLifeMillis,
-    boolean gapAware,
     long rampMillis,
+    long turnMillis,
     boolean shedding,
     boolean oracle) {
 
   /** Returns the options in force. */
   public static ForecastOptions standard() {
-    return new ForecastOptions(2.0, 0.95, 500, 0, 2, 20_000, true, 2_000, true, false);
+    return new ForecastOptions(2.5, 0.95, 500, 3, 2, 20_000, 2_000, 150, true, false);
   }
 
   /** Returns the options of the oracle: exact lengths need no deviations. */
   public static ForecastOptions oracleOptions() {
-    return new ForecastOptions(0, 0.97, 500, 0, 2, 20_000, true, 2_000, true, true);
+    return new ForecastOptions(0, 0.97, 500, 3, 2, 20_000, 2_000, 150, true, true);
   }
 
   /** Returns the options with another {@code deviations}. */
@@ -46,8 +47,8 @@
         sampledServers,
         prefixBonusRequests,
         prefixHalfLifeMillis,
-        gapAware,
         rampMillis,
+        turnMillis,
         shedding,
         oracle);
   }
@@ -61,8 +62,8 @@
         sampledServers,
         prefixBonusRequests,
         prefixHalfLifeMillis,
-        gapAware,
         rampMillis,
+        turnMillis,
         shedding,
         oracle);
   }
@@ -76,8 +77,8 @@
         sampledServers,
         prefixBonusRequests,
         prefixHalfLifeMillis,
-        gapAware,
         rampMillis,
+        turnMillis,
         shedding,
         oracle);
   }
@@ -91,8 +92,8 @@
         value,
         prefixBonusRequests,
         prefixHalfLifeMillis,
-        gapAware,
         rampMillis,
+        turnMillis,
         shedding,
         oracle);
   }
@@ -106,14 +107,14 @@
         sampledServers,
         value,
         prefixHalfLifeMillis,
-        gapAware,
         rampMillis,
+        turnMillis,
         shedding,
         oracle);
   }
 
-  /** Returns the options with another {@code gapAware}. */
-  public ForecastOptions withGapAware(boolean value) {
+  /** Returns the options with another {@code shedding}. */
+  public ForecastOptions withShedding(boolean value) {
     return new ForecastOptions(
         deviations,
         memoryShare,
@@ -121,14 +122,14 @@
         sampledServers,
         prefixBonusRequests,
         prefixHalfLifeMillis,
-        value,
         rampMillis,
-        shedding,
+        turnMillis,
+        value,
         oracle);
   }
 
-  /** Returns the options with another {@code shedding}. */
-  public ForecastOptions withShedding(boolean value) {
+  /** Returns the options with another {@code turnMillis}. */
+  public ForecastOptions withTurnMillis(long value) {
     return new ForecastOptions(
         deviations,
         memoryShare,
@@ -136,9 +137,9 @@
         sampledServers,
         prefixBonusRequests,
         prefixHalfLifeMillis,
-        gapAware,
         rampMillis,
         value,
+        shedding,
         oracle);
   }
 }
--- a/src/main/java/org/curranthaven/internal/routing/RequestFacts.java
+++ b/src/main/java/org/curranthaven/internal/routing/RequestFacts.java
@@ -32,6 +32,21 @@
     excludedServers = Set.copyOf(excludedServers);
   }
 
+  /** Returns the same request with another time of arrival. */
+  public RequestFacts arrivedAt(long millis) {
+    return new RequestFacts(
+        id,
+        workspace,
+        className,
+        targets,
+        model,
+        promptTokens,
+        maxOutputTokens,
+        prefixHash,
+        millis,
+        excludedServers);
+  }
+
   /** Returns the time by which the first reply is due. */
   public long firstReplyDueMillis() {
     return arrivedAtMillis + targets.firstReplyMillis();
--- a/src/main/java/org/curranthaven/internal/routing/RoutingCore.java
+++ b/src/main/java/org/curranthaven/internal/routing/RoutingCore.java
@@ -3,11 +3,9 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.LongFunction;
 import java.util.random.RandomGenerator;
@@ -18,7 +16,7 @@
  * decisions come out, and the same events with the same random source give the same decisions.
  *
  * <pre>{@code
- * RoutingCore core = new RoutingCore(new Policy.Forecast(ForecastOptions.standard()), random);
+ * RoutingCore core = new RoutingCore("accra-1", new Policy.Forecast(ForecastOptions.standard()), random);
  * core.handle(new ServerReported(report), now);
  * List<RoutingDecision> decisions = core.handle(new Arrived(request), now);
  * }</pre>
@@ -49,21 +47,22 @@
   private final Map<String, ServerState> servers = new LinkedHashMap<>();
   private final Map<Long, ServerState> placements = new HashMap<>();
   private final Map<ClassKey, ClassStats> stats = new HashMap<>();
-  private final Set<String> otherHosts = new HashSet<>();
+  private final HostTurns turns;
   private List<RoutingDecision> decisions = new ArrayList<>();
 
   private record ClassKey(String className, String model) {}
 
-  /** Creates a core that is not told true lengths. */
-  public RoutingCore(Policy policy, RandomGenerator random) {
-    this(policy, random, id -> new OutputLengths.Known(1));
+  /** Creates the core of a host, which is not told true lengths. */
+  public RoutingCore(String host, Policy policy, RandomGenerator random) {
+    this(host, policy, random, id -> new OutputLengths.Known(1));
   }
 
   /** Creates a core whose policy, if it is an oracle, is told true lengths by request number. */
   public RoutingCore(
-      Policy policy, RandomGenerator random, LongFunction<OutputLengths> trueLengths) {
+      String host, Policy policy, RandomGenerator random, LongFunction<OutputLengths> trueLengths) {
     this.policy = policy;
-    this.chooser = new ServerChooser(policy, random);
+    this.turns = new HostTurns(host);
+    this.chooser = new ServerChooser(policy, random, turns);
     this.trueLengths = trueLengths;
   }
 
@@ -234,7 +233,7 @@
   }
 
   private void sharesReported(String host, List<HostShare> shares) {
-    otherHosts.add(host);
+    turns.add(host);
     Map<String, HostShare> byServer = new HashMap<>();
     shares.forEach(share -> byServer.put(share.server(), share));
     for (ServerState server : servers.values()) {
@@ -248,7 +247,7 @@
   }
 
   private void hostGone(String host) {
-    otherHosts.remove(host);
+    turns.remove(host);
     servers.values().forEach(server -> server.removeShare(host));
   }
 
@@ -365,7 +364,7 @@
               && entry.getKey().model().equals(request.model());
       if (tighter) {
         double arrivals = other.arrivalsPerSecond() * options.headroomMillis() / 1_000;
-        blocks += arrivals * (otherHosts.size() + 1) * other.typicalBlocks();
+        blocks += arrivals * turns.count() * other.typicalBlocks();
       }
     }
     return blocks / serverCount;
@@ -375,15 +374,12 @@
     if (!(policy instanceof Policy.Forecast forecast) || !forecast.options().shedding()) {
       return;
     }
-    Map<ClassKey, Integer> ahead = new HashMap<>();
     for (RequestQueue.Waiting waiting : queue.inOrder()) {
       RequestFacts request = waiting.request();
-      ClassKey key = new ClassKey(request.className(), request.model());
-      int position = ahead.merge(key, 1, Integer::sum);
       if (!isServed(request.model()) && waiting.overdue(nowMillis)) {
         queue.remove(request.id());
         shed(request, RoutingDecision.ShedReason.NO_SERVER, nowMillis);
-      } else if (cannotFinish(request, position, nowMillis)) {
+      } else if (cannotFinish(request, nowMillis)) {
         queue.remove(request.id());
         shed(request, RoutingDecision.ShedReason.TARGET_UNREACHABLE, nowMillis);
       }
@@ -394,15 +390,13 @@
     return servers.values().stream().anyMatch(server -> server.serves(model));
   }
 
-  /** Returns whether the answer cannot be whole in time, given its place in its class's queue. */
-  private boolean cannotFinish(RequestFacts request, int position, long nowMillis) {
-    ClassStats classStats = statsOf(request, nowMillis);
-    double rate = Math.max(0.2, classStats.dispatchesPerSecond());
-    double waitMillis = (position - 1) * 1_000 / rate;
-    double gap = Math.min(medianGapMillis(request.model()), (double) request.targets().gapMillis());
+  /** Returns whether an answer of ordinary length cannot be whole in time any more. */
+  private boolean cannotFinish(RequestFacts request, long nowMillis) {
+    double target = request.targets().gapMillis();
+    double gap = Math.min(medianGapMillis(request.model()), target);
     double run = lengthsOf(request, nowMillis).meanRemaining(0) * gap;
     double shortestRun = Math.min(run, 0.5 * request.targets().answerMillis());
-    return nowMillis + waitMillis + shortestRun > request.answerDueMillis();
+    return nowMillis + shortestRun > request.answerDueMillis();
   }
 
   private double medianGapMillis(String model) {
--- a/src/main/java/org/curranthaven/internal/routing/ServerChooser.java
+++ b/src/main/java/org/curranthaven/internal/routing/ServerChooser.java
@@ -9,12 +9,16 @@
 
 /** Chooses a server for a request by a {@link Policy}. Not thread-safe. */
 final class ServerChooser {
+  private static final MemoryForecast NOTHING = new MemoryForecast();
+
   private final Policy policy;
   private final RandomGenerator random;
-  private int turn;
+  private final HostTurns turns;
+  private int next;
 
-  ServerChooser(Policy policy, RandomGenerator random) {
+  ServerChooser(Policy policy, RandomGenerator random, HostTurns turns) {
     this.policy = policy;
+    this.turns = turns;
     this.random = random;
   }
 
@@ -40,7 +44,7 @@
       return null;
     }
     return switch (policy) {
-      case Policy.RoundRobin ignored -> of(servers.get(turn++ % servers.size()), servers);
+      case Policy.RoundRobin ignored -> of(servers.get(next++ % servers.size()), servers);
       case Policy.LeastOutstanding ignored ->
           of(Collections.min(servers, Comparator.comparingInt(ServerState::ownOpen)), servers);
       case Policy.LeastLoad ignored -> of(Collections.min(servers, BY_REPORTED_LOAD), servers);
@@ -112,9 +116,11 @@
     ServerReport report = server.report();
     int running = server.totalRunning();
     int batchLimit = batchLimit(report, options, nowMillis);
-    if (running >= batchLimit || gapTooLong(request, server, options)) {
+    if (running >= batchLimit) {
       return null;
     }
+    int others = turns.count() - 1;
+    boolean roomForAll = running + others < batchLimit;
     double peakShare = 0;
     if (report.blocksTotal() > 0) {
       double peak =
@@ -124,8 +130,12 @@
       if (peak > limit && !empty) {
         return null;
       }
+      roomForAll &= peak + others * added.peakBlocks(NOTHING, 0, 0) <= limit;
       peakShare = peak / report.blocksTotal();
     }
+    if (!roomForAll && !turns.hasTurn(report.name(), nowMillis, options.turnMillis())) {
+      return null;
+    }
     double trust =
         server.prefixTrust(request.prefixHash(), nowMillis, options.prefixHalfLifeMillis());
     double batch = Math.max(1, report.maxBatch());
@@ -144,14 +154,4 @@
     double share = Math.max(0.1, (double) age / options.rampMillis());
     return (int) Math.max(1, Math.min(limit, 1_000) * share);
   }
-
-  private static boolean gapTooLong(
-      RequestFacts request, ServerState server, ForecastOptions options) {
-    int own = server.ownOpen();
-    if (!options.gapAware() || own == 0) {
-      return false;
-    }
-    double predicted = server.gapMillis() * (1 + 1.0 / (server.totalRunning() + 8));
-    return predicted > request.targets().gapMillis();
-  }
 }
--- a/src/main/java/org/curranthaven/internal/routing/ServerReport.java
+++ b/src/main/java/org/curranthaven/internal/routing/ServerReport.java
@@ -30,4 +30,19 @@
   public ServerReport {
     models = Set.copyOf(models);
   }
+
+  /** Returns the same report with another time of sending. */
+  public ServerReport sentAt(long millis) {
+    return new ServerReport(
+        name,
+        dataCentre,
+        models,
+        blocksTotal,
+        blocksUsed,
+        running,
+        waiting,
+        maxBatch,
+        millis,
+        loadedAtMillis);
+  }
 }
--- a/src/main/java/org/curranthaven/internal/standin/EngineOptions.java
+++ b/src/main/java/org/curranthaven/internal/standin/EngineOptions.java
@@ -31,7 +31,7 @@
 
   /** Returns an engine whose steps take about 15 ms and whose memory holds 32,000 tokens. */
   public static EngineOptions standard() {
-    return new EngineOptions(2_000, 64, 8_000, 150, 60, 512, 64, 64, true);
+    return new EngineOptions(2_000, 64, 8_000, 150, 60, 512, 64, 128, true);
   }
 
   /** Returns the same engine with other memory. */
--- /dev/null
+++ b/src/test/java/org/curranthaven/internal/consensus/GroupStorageTest.java
@@ -0,0 +1,188 @@
+package org.curranthaven.internal.consensus;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import java.util.stream.Stream;
+import org.curranthaven.api.Outcome;
+import org.curranthaven.api.ResultCode;
+import org.curranthaven.internal.transport.wire.EntryKind;
+import org.curranthaven.internal.transport.wire.LogEntry;
+import org.curranthaven.internal.transport.wire.SnapshotFile;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class GroupStorageTest {
+  @TempDir Path folder;
+
+  static LogEntry entry(long index, String text) {
+    return LogEntry.newBuilder()
+        .setIndex(index)
+        .setTerm(1)
+        .setKind(EntryKind.ENTRY_KIND_COMMAND)
+        .setData(ByteString.copyFromUtf8(text))
+        .build();
+  }
+
+  private void write(int from, int to) throws IOException {
+    try (GroupStorage storage = GroupStorage.open(folder)) {
+      for (int i = from; i <= to; i++) {
+        storage.persist(new RaftDecision.AppendEntries(List.of(entry(i, "command " + i))));
+      }
+      storage.persist(new RaftDecision.SaveHardState(7, "b"));
+      storage.sync();
+    }
+  }
+
+  private StoredState read() throws IOException {
+    try (GroupStorage storage = GroupStorage.open(folder)) {
+      return storage.loaded();
+    }
+  }
+
+  private Path lastSegment() throws IOException {
+    try (Stream<Path> files = Files.list(folder)) {
+      return files
+          .filter(file -> file.getFileName().toString().startsWith("log-"))
+          .max(Path::compareTo)
+          .orElseThrow();
+    }
+  }
+
+  @Test
+  void what_was_synced_is_there_after_a_restart() throws IOException {
+    write(1, 20);
+
+    StoredState state = read();
+
+    assertThat(state.entries()).hasSize(20);
+    assertThat(state.term()).isEqualTo(7);
+    assertThat(state.votedFor()).isEqualTo("b");
+  }
+
+  @Test
+  void a_record_cut_short_at_the_end_is_removed() throws IOException {
+    write(1, 20);
+    write(21, 21);
+    Path segment = lastSegment();
+    byte[] bytes = Files.readAllBytes(segment);
+    Files.write(segment, java.util.Arrays.copyOf(bytes, bytes.length - 3));
+
+    assertThat(read().entries()).hasSizeBetween(20, 21);
+    write(22, 22);
+    assertThat(read().entries().getLast().getIndex()).isEqualTo(22);
+  }
+
+  @Test
+  void damage_before_sound_records_is_refused_with_file_and_offset() throws IOException {
+    write(1, 20);
+    Path segment = lastSegment();
+    byte[] bytes = Files.readAllBytes(segment);
+    bytes[40] ^= 0x55;
+    Files.write(segment, bytes);
+
+    assertThatThrownBy(this::read)
+        .isInstanceOf(DamagedDataException.class)
+        .hasMessageContaining(segment.toString())
+        .hasMessageContaining("offset");
+  }
+
+  @Test
+  void a_removed_snapshot_is_refused() throws IOException {
+    write(1, 20);
+    try (GroupStorage storage = GroupStorage.open(folder)) {
+      SnapshotFile snapshot = SnapshotFile.newBuilder().setLastIndex(15).setLastTerm(1).build();
+      storage.persist(new RaftDecision.SaveSnapshot(snapshot, false));
+      for (int i = 21; i <= 25; i++) {
+        storage.persist(new RaftDecision.AppendEntries(List.of(entry(i, "later"))));
+      }
+      SnapshotFile next = SnapshotFile.newBuilder().setLastIndex(24).setLastTerm(1).build();
+      storage.persist(new RaftDecision.SaveSnapshot(next, false));
+      storage.persist(new RaftDecision.AppendEntries(List.of(entry(26, "last"))));
+      storage.sync();
+    }
+    Files.delete(folder.resolve("snapshot"));
+
+    assertThatThrownBy(this::read).isInstanceOf(DamagedDataException.class);
+  }
+
+  @Test
+  void a_snapshot_replaces_the_entries_it_covers() throws IOException {
+    write(1, 20);
+    try (GroupStorage storage = GroupStorage.open(folder)) {
+      SnapshotFile snapshot = SnapshotFile.newBuilder().setLastIndex(15).setLastTerm(1).build();
+      storage.persist(new RaftDecision.SaveSnapshot(snapshot, false));
+      storage.sync();
+    }
+
+    StoredState state = read();
+
+    assertThat(state.snapshot().getLastIndex()).isEqualTo(15);
+    assertThat(state.entries()).hasSize(5);
+    assertThat(state.term()).isEqualTo(7);
+  }
+
+  @Test
+  void removed_entries_stay_removed() throws IOException {
+    write(1, 20);
+    try (GroupStorage storage = GroupStorage.open(folder)) {
+      storage.persist(new RaftDecision.TruncateFrom(11));
+      storage.persist(new RaftDecision.AppendEntries(List.of(entry(11, "new"))));
+      storage.sync();
+    }
+
+    assertThat(read().entries()).hasSize(11);
+    assertThat(read().entries().getLast().getData().toStringUtf8()).isEqualTo("new");
+  }
+
+  @Test
+  void a_wiped_folder_gets_another_identity() throws IOException {
+    Path data = Files.createDirectory(folder.resolve("data"));
+    String before = identityOf(data);
+    assertThat(identityOf(data)).isEqualTo(before);
+
+    Files.delete(data.resolve("identity"));
+
+    assertThat(identityOf(data)).isNotEqualTo(before);
+  }
+
+  private static String identityOf(Path path) throws IOException {
+    if (DataFolder.open(path) instanceof Outcome.Success<DataFolder> success) {
+      try (DataFolder data = success.value()) {
+        return data.identity();
+      }
+    }
+    throw new IOException("the folder could not be opened");
+  }
+
+  @Test
+  void a_second_process_is_refused() throws IOException {
+    Path data = Files.createDirectory(folder.resolve("data"));
+    if (DataFolder.open(data) instanceof Outcome.Success<DataFolder> first) {
+      Outcome<DataFolder> second = DataFolder.open(data);
+      first.value().close();
+
+      assertThat(second)
+          .isInstanceOfSatisfying(
+              Outcome.Failed.class,
+              failed ->
+                  assertThat(failed.failure().code()).isEqualTo(ResultCode.DATA_FOLDER_LOCKED));
+    }
+  }
+
+  @Test
+  void a_folder_that_cannot_be_used_is_an_error_that_says_so() throws IOException {
+    Path file = Files.writeString(folder.resolve("file"), "x", StandardOpenOption.CREATE);
+
+    assertThat(DataFolder.open(file))
+        .isInstanceOfSatisfying(
+            Outcome.Failed.class,
+            failed -> assertThat(failed.failure().code()).isEqualTo(ResultCode.STORAGE_FAILED));
+  }
+}
--- /dev/null
+++ b/src/test/java/org/curranthaven/internal/consensus/RaftCoreTest.java
@@ -0,0 +1,220 @@
+package org.curranthaven.internal.consensus;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.SplittableRandom;
+import org.curranthaven.internal.transport.wire.AppendRequest;
+import org.curranthaven.internal.transport.wire.GroupMessage;
+import org.curranthaven.internal.transport.wire.SnapshotFile;
+import org.curranthaven.internal.transport.wire.VoteRequest;
+import org.curranthaven.internal.transport.wire.Voter;
+import org.curranthaven.internal.transport.wire.VoterSet;
+import org.junit.jupiter.api.Test;
+
+class RaftCoreTest {
+  private final Map<String, RaftCore> cores = new LinkedHashMap<>();
+  private final Map<String, List<String>> applied = new LinkedHashMap<>();
+  private final Deque<RaftDecision.Send> underWay = new ArrayDeque<>();
+  private final Deque<String> senders = new ArrayDeque<>();
+  private long nowMillis = 1_000;
+
+  private static Voter voter(String id) {
+    return Voter.newBuilder().setIdentity(id).setHost("host-" + id).build();
+  }
+
+  private static StoredState founded(String... ids) {
+    VoterSet.Builder voters = VoterSet.newBuilder();
+    for (String id : ids) {
+      voters.addVoters(voter(id));
+    }
+    return new StoredState(
+        1,
+        "",
+        SnapshotFile.getDefaultInstance(),
+        List.of(StoredState.foundingEntry(voters.build())));
+  }
+
+  private RaftCore add(String id, StoredState state) {
+    RaftCore core =
+        new RaftCore(
+            0, id, RaftTiming.standard(), state, new SplittableRandom(id.hashCode()), nowMillis);
+    cores.put(id, core);
+    applied.put(id, new ArrayList<>());
+    return core;
+  }
+
+  private void handle(String id, RaftEvent event) {
+    RaftCore core = cores.get(id);
+    if (core == null) {
+      return;
+    }
+    List<RaftDecision> decisions = new ArrayList<>(core.handle(event, nowMillis));
+    decisions.addAll(core.handle(new RaftEvent.BatchEnded(), nowMillis));
+    for (RaftDecision decision : decisions) {
+      if (decision instanceof RaftDecision.Send send) {
+        underWay.add(send);
+        senders.add(id);
+      } else if (decision instanceof RaftDecision.Apply apply) {
+        appliedBy(id).add(apply.entry().getData().toStringUtf8());
+      }
+    }
+  }
+
+  private RaftCore core(String id) {
+    return Objects.requireNonNull(cores.get(id));
+  }
+
+  private List<String> appliedBy(String id) {
+    return Objects.requireNonNull(applied.get(id));
+  }
+
+  private void run(long millis) {
+    for (long end = nowMillis + millis; nowMillis < end; nowMillis += 10) {
+      List.copyOf(cores.keySet()).forEach(id -> handle(id, new RaftEvent.Tick()));
+      for (int i = underWay.size(); i > 0; i--) {
+        RaftDecision.Send send = underWay.remove();
+        handle(send.toIdentity(), new RaftEvent.Received(senders.remove(), send.message()));
+      }
+    }
+  }
+
+  private String leader() {
+    return cores.entrySet().stream()
+        .filter(entry -> entry.getValue().hasLease(nowMillis))
+        .map(Map.Entry::getKey)
+        .findFirst()
+        .orElse("");
+  }
+
+  private void startThree() {
+    for (String id : List.of("a", "b", "c")) {
+      add(id, founded("a", "b", "c"));
+    }
+    run(3_000);
+    assertThat(leader()).isNotEmpty();
+  }
+
+  @Test
+  void another_leader_is_elected_within_1500_ms_after_a_loss() {
+    startThree();
+    cores.remove(leader());
+
+    run(1_500);
+
+    assertThat(leader()).isNotEmpty();
+  }
+
+  @Test
+  void a_cut_off_host_that_returns_disturbs_nobody() {
+    startThree();
+    String leader = leader();
+    String cutOff = leader.equals("c") ? "b" : "c";
+    RaftCore core = core(cutOff);
+    cores.remove(cutOff);
+    run(1_000);
+    long term = core(leader).term();
+    for (long time = nowMillis; time < nowMillis + 5_000; time += 10) {
+      core.handle(new RaftEvent.Tick(), time);
+    }
+    cores.put(cutOff, core);
+
+    run(3_000);
+
+    assertThat(leader()).isEqualTo(leader);
+    assertThat(core(leader).term()).isEqualTo(term);
+  }
+
+  @Test
+  void a_leader_that_hears_from_no_quorum_steps_down_and_its_lease_ends_first() {
+    startThree();
+    String leader = leader();
+    RaftCore core = core(leader);
+    cores.clear();
+    cores.put(leader, core);
+
+    run(RaftTiming.standard().leaseMillis() + 20);
+    assertThat(core.hasLease(nowMillis)).isFalse();
+    run(200);
+    assertThat(core.role()).isNotEqualTo(RaftRole.LEADER);
+  }
+
+  @Test
+  void a_voter_that_hears_its_leader_grants_no_vote() {
+    RaftCore core = add("a", founded("a", "b", "c"));
+    GroupMessage heartbeat =
+        GroupMessage.newBuilder()
+            .setTerm(2)
+            .setAppendRequest(AppendRequest.newBuilder().setPreviousIndex(1).setPreviousTerm(1))
+            .build();
+    core.handle(new RaftEvent.Received("b", heartbeat), nowMillis);
+
+    GroupMessage request =
+        GroupMessage.newBuilder()
+            .setTerm(9)
+            .setVoteRequest(VoteRequest.newBuilder().setLastIndex(50).setLastTerm(9))
+            .build();
+    List<RaftDecision> decisions =
+        core.handle(new RaftEvent.Received("c", request), nowMillis + 100);
+
+    assertThat(decisions).isEmpty();
+    assertThat(core.term()).isEqualTo(2);
+  }
+
+  @Test
+  void a_learner_counts_only_after_it_has_caught_up() {
+    startThree();
+    String leader = leader();
+    VoterSet voters = core(leader).voters();
+    handle(leader, new RaftEvent.ProposeVoters(VoterSets.withVoter(voters, voter("d"))));
+    assertThat(VoterSets.isVoter(core(leader).voters(), "d")).isFalse();
+
+    add("d", StoredState.empty());
+    handle(leader, new RaftEvent.ProposeVoters(VoterSets.withLearner(voters, voter("d"))));
+    run(500);
+    handle(
+        leader,
+        new RaftEvent.ProposeVoters(VoterSets.withVoter(core(leader).voters(), voter("d"))));
+    run(500);
+
+    assertThat(VoterSets.isVoter(core(leader).voters(), "d")).isTrue();
+    assertThat(applied.get("d")).isEqualTo(applied.get(leader));
+  }
+
+  @Test
+  void a_snapshot_larger_than_a_piece_is_sent_in_pieces() {
+    startThree();
+    String leader = leader();
+    handle(leader, new RaftEvent.Propose(1, ByteString.copyFromUtf8("x")));
+    run(500);
+    ByteString state = ByteString.copyFrom(new byte[3 * RaftCore.SNAPSHOT_PIECE_BYTES + 17]);
+    long index = core(leader).commitIndex();
+    handle(leader, new RaftEvent.SnapshotTaken(index, state));
+    RaftCore late = add("d", StoredState.empty());
+    VoterSet voters = core(leader).voters();
+    handle(leader, new RaftEvent.ProposeVoters(VoterSets.withLearner(voters, voter("d"))));
+
+    run(2_000);
+
+    assertThat(late.snapshotIndex()).isEqualTo(index);
+    assertThat(late.commitIndex()).isEqualTo(core(leader).commitIndex());
+  }
+
+  @Test
+  void leadership_is_handed_over_without_waiting_for_a_timeout() {
+    startThree();
+    String before = leader();
+
+    handle(before, new RaftEvent.TransferLeadership());
+    run(200);
+
+    assertThat(leader()).isNotEmpty().isNotEqualTo(before);
+  }
+}
--- a/src/test/java/org/curranthaven/internal/routing/RoutingCoreTest.java
+++ b/src/test/java/org/curranthaven/internal/routing/RoutingCoreTest.java
@@ -13,7 +13,8 @@
   private static final Targets DRAFT = new Targets(4_000, 200, 600_000);
 
   private final RoutingCore core =
-      new RoutingCore(new Policy.Forecast(ForecastOptions.standard()), new SplittableRandom(1));
+      new RoutingCore(
+          "host-1", new Policy.Forecast(ForecastOptions.standard()), new SplittableRandom(1));
 
   static ServerReport server(String name, int blocks, int used, long nowMillis) {
     return server(name, blocks, used, 0, nowMillis);
@@ -153,7 +154,7 @@
   private static String decisionsOfSeed(long seed) {
     RoutingCore core =
         new RoutingCore(
-            new Policy.Forecast(ForecastOptions.standard()), new SplittableRandom(seed));
+            "host-1", new Policy.Forecast(ForecastOptions.standard()), new SplittableRandom(seed));
     StringBuilder all = new StringBuilder();
     for (int i = 0; i < 10; i++) {
       core.handle(new RoutingEvent.ServerReported(server("s" + i, 500, i, 0)), 0);
