Try a waiting request only on servers on which something has changed

Cause: every arrival, end and report tried up to 16 waiting requests on every server: 4.7 ms at the 99th percentile with 810 servers and 500 queued.

Change: an arrival is tried alone, an end or report tries the queue on that server, a tick tries everything; a server without room now is passed over before its growth is worked out. The number of servers of a model is kept.

--- a/src/main/java/org/curranthaven/internal/routing/RoutingCore.java
+++ b/src/main/java/org/curranthaven/internal/routing/RoutingCore.java
@@ -48,6 +48,7 @@
   private final Map<Long, ServerState> placements = new HashMap<>();
   private final Map<ClassKey, ClassStats> stats = new HashMap<>();
   private final HostTurns turns;
+  private final Map<String, Integer> serverCountByModel = new HashMap<>();
   private List<RoutingDecision> decisions = new ArrayList<>();
 
   private record ClassKey(String className, String model) {}
@@ -168,7 +169,8 @@
     double pressure = MAX_PRESSURE * classStats.missShare();
     long target = (long) (request.targets().firstReplyMillis() * (1 - pressure));
     queue.add(request, request.arrivedAtMillis() + Math.max(1, target));
-    dispatchQueue(nowMillis);
+    // What waits already found no server, and nothing else has changed since.
+    tryDispatch(request, servers.values(), nowMillis);
   }
 
   private void progressed(long id, int tokens, long nowMillis) {
@@ -196,7 +198,7 @@
       case FAILED, REFUSED -> ejector.failed(server.name(), peersOf(server, open), nowMillis);
       case CANCELLED -> {}
     }
-    dispatchQueue(nowMillis);
+    dispatchQueue(List.of(server), nowMillis);
   }
 
   private Collection<String> peersOf(ServerState server, ServerState.@Nullable OpenRequest open) {
@@ -212,12 +214,17 @@
 
   private void reported(ServerReport report, long nowMillis) {
     ServerState server = servers.get(report.name());
+    boolean known =
+        server != null && server.usable() && server.report().models().equals(report.models());
     if (server == null) {
       server = new ServerState(report);
       servers.put(report.name(), server);
     }
     server.reported(report);
-    dispatchQueue(nowMillis);
+    if (!known) {
+      countServers();
+    }
+    dispatchQueue(List.of(server), nowMillis);
   }
 
   private void serverGone(String name) {
@@ -226,6 +233,7 @@
       return;
     }
     server.setUsable(false);
+    countServers();
     if (server.ownOpen() == 0) {
       servers.remove(name);
       ejector.forget(name);
@@ -264,39 +272,36 @@
     servers.values().removeIf(server -> !server.usable() && server.ownOpen() == 0);
     queue.renewOverdue(nowMillis);
     shedHopeless(nowMillis);
-    dispatchQueue(nowMillis);
+    dispatchQueue(servers.values(), nowMillis);
   }
 
   // ---- decisions --------------------------------------------------------------------------------
 
-  private void dispatchQueue(long nowMillis) {
-    if (queue.size() == 0) {
-      return;
-    }
+  /** Tries the waiting requests in order on servers on which something has changed. */
+  private void dispatchQueue(Collection<ServerState> changed, long nowMillis) {
     Map<String, Integer> failedTries = new HashMap<>();
-    Map<String, Long> reservedForTargetMillis = new HashMap<>();
+    Map<String, Long> reserved = new HashMap<>();
     for (RequestQueue.Waiting waiting : queue.inOrder()) {
       RequestFacts request = waiting.request();
       int tries = failedTries.getOrDefault(request.model(), 0);
-      long reserved = reservedForTargetMillis.getOrDefault(request.model(), Long.MAX_VALUE);
-      if (tries >= TRIES_PER_MODEL || request.targets().firstReplyMillis() >= reserved) {
+      long limit = reserved.getOrDefault(request.model(), Long.MAX_VALUE);
+      if (tries >= TRIES_PER_MODEL || request.targets().firstReplyMillis() >= limit) {
         continue;
       }
-      if (!tryDispatch(request, nowMillis)) {
+      if (!tryDispatch(request, changed, nowMillis)) {
         failedTries.merge(request.model(), 1, Integer::sum);
         if (waiting.overdue(nowMillis)) {
-          reservedForTargetMillis.merge(
-              request.model(), request.targets().firstReplyMillis(), Math::min);
+          reserved.merge(request.model(), request.targets().firstReplyMillis(), Math::min);
         }
       }
     }
   }
 
-  private boolean tryDispatch(RequestFacts request, long nowMillis) {
-    List<ServerState> able = ableServers(request, nowMillis);
+  private boolean tryDispatch(RequestFacts request, Collection<ServerState> among, long nowMillis) {
+    List<ServerState> able = ableServers(request, among, nowMillis);
     OutputLengths lengths = lengthsOf(request, nowMillis);
     ServerChooser.Candidate candidate =
-        new ServerChooser.Candidate(request, lengths, headroomBlocks(request, able.size()));
+        new ServerChooser.Candidate(request, lengths, headroomBlocks(request));
     ServerChooser.Choice choice = chooser.choose(candidate, able, nowMillis);
     if (choice == null) {
       return false;
@@ -323,10 +328,11 @@
     return true;
   }
 
-  private List<ServerState> ableServers(RequestFacts request, long nowMillis) {
+  private List<ServerState> ableServers(
+      RequestFacts request, Collection<ServerState> among, long nowMillis) {
     List<ServerState> able = new ArrayList<>();
     List<ServerState> excluded = new ArrayList<>();
-    for (ServerState server : servers.values()) {
+    for (ServerState server : among) {
       if (!server.serves(request.model()) || ejector.isEjected(server.name(), nowMillis)) {
         continue;
       }
@@ -351,7 +357,8 @@
   }
 
   /** Returns the memory to leave free on each server for the next arrivals of tighter classes. */
-  private double headroomBlocks(RequestFacts request, int serverCount) {
+  private double headroomBlocks(RequestFacts request) {
+    int serverCount = serverCountByModel.getOrDefault(request.model(), 0);
     if (!(policy instanceof Policy.Forecast forecast) || serverCount == 0) {
       return 0;
     }
@@ -386,8 +393,17 @@
     }
   }
 
+  private void countServers() {
+    serverCountByModel.clear();
+    for (ServerState server : servers.values()) {
+      if (server.usable()) {
+        server.report().models().forEach(m -> serverCountByModel.merge(m, 1, Integer::sum));
+      }
+    }
+  }
+
   private boolean isServed(String model) {
-    return servers.values().stream().anyMatch(server -> server.serves(model));
+    return serverCountByModel.containsKey(model);
   }
 
   /** Returns whether an answer of ordinary length cannot be whole in time any more. */
--- a/src/main/java/org/curranthaven/internal/routing/ServerChooser.java
+++ b/src/main/java/org/curranthaven/internal/routing/ServerChooser.java
@@ -123,11 +123,13 @@
     boolean roomForAll = running + others < batchLimit;
     double peakShare = 0;
     if (report.blocksTotal() > 0) {
+      double limit = options.memoryShare() * report.blocksTotal() - candidate.headroomBlocks();
+      if (running > 0 && server.blocksNow() + added.blocksNow() > limit) {
+        return null;
+      }
       double peak =
           server.forecast().peakBlocks(added, options.deviations(), server.unexplainedBlocks());
-      double limit = options.memoryShare() * report.blocksTotal() - candidate.headroomBlocks();
-      boolean empty = running == 0;
-      if (peak > limit && !empty) {
+      if (running > 0 && peak > limit) {
         return null;
       }
       roomForAll &= peak + others * added.peakBlocks(NOTHING, 0, 0) <= limit;
--- a/src/main/java/org/curranthaven/internal/routing/ServerState.java
+++ b/src/main/java/org/curranthaven/internal/routing/ServerState.java
@@ -167,6 +167,11 @@
     return own;
   }
 
+  /** Returns the memory counted as used now, in blocks. */
+  double blocksNow() {
+    return forecast.blocksNow() + unexplainedBlocks;
+  }
+
   double unexplainedBlocks() {
     return unexplainedBlocks;
   }
