Push a change to hosts as a delta, not as the whole configuration

Change: the leader keeps the last 512 changes and sends the edits; a host that does not hold the revision before asks, and gets deltas or the whole.

--- a/src/main/java/org/curranthaven/internal/bench/SlopesBench.java
+++ b/src/main/java/org/curranthaven/internal/bench/SlopesBench.java
@@ -14,6 +14,8 @@
 import org.curranthaven.api.Configuration;
 import org.curranthaven.api.Targets;
 import org.curranthaven.api.Workspace;
+import org.curranthaven.internal.configuration.Deltas;
+import org.curranthaven.internal.configuration.Edit;
 import org.curranthaven.internal.gateway.Hashes;
 import org.curranthaven.internal.ledger.LedgerState;
 import org.curranthaven.internal.membership.BackendAnnouncement;
@@ -29,6 +31,7 @@
 import org.curranthaven.internal.transport.PeerListener;
 import org.curranthaven.internal.transport.PeerNetwork;
 import org.curranthaven.internal.transport.wire.ClaimCommand;
+import org.curranthaven.internal.transport.wire.ConfigurationDelta;
 import org.curranthaven.internal.transport.wire.Envelope;
 import org.curranthaven.internal.transport.wire.FreshnessGrant;
 import org.curranthaven.internal.transport.wire.FreshnessRequest;
@@ -275,12 +278,25 @@
     for (int receivers : RECEIVERS) {
       millis.add(new LineFit.Point(receivers, pushMillis(receivers)));
     }
-    row("4,000 workspaces in force", "ms", millis);
+    row("one change read by all", "ms", millis);
   }
 
-  /** Returns the time until every receiver has read a configuration and said so. */
+  private record Change(List<Edit> edits) {}
+
+  private static Change changeOf(int workspaces) {
+    List<Edit> edits = new ArrayList<>();
+    configurationOf(workspaces)
+        .workspaces()
+        .values()
+        .forEach(w -> edits.add(new Edit.PutWorkspace(w)));
+    return new Change(edits);
+  }
+
+  /** Returns the time until every receiver has applied a change to 4,000 workspaces and said so. */
   private static double pushMillis(int receivers) throws IOException, InterruptedException {
-    ByteString json = Json.write(configurationOf(4_000));
+    ConfigurationDelta delta =
+        ConfigurationDelta.newBuilder().setRevision(2).setEdits(Json.write(changeOf(1))).build();
+    Configuration base = configurationOf(4_000);
     List<String> addresses = LocalFleet.freeAddresses(receivers + 1);
     CountDownLatch[] acknowledged = {new CountDownLatch(receivers)};
     List<Thread> threads = new ArrayList<>();
@@ -303,7 +319,7 @@
                   addresses.get(i),
                   List.of(addresses.getFirst()),
                   (network, from, message) -> {
-                    Json.read(message.getFreshnessGrant().getConfiguration(), Configuration.class);
+                    Deltas.apply(base, message.getFreshnessGrant().getDeltasList());
                     network.send(
                         from.getName(),
                         Envelope.newBuilder()
@@ -322,9 +338,11 @@
           sender.send(
               host.getName(),
               Envelope.newBuilder()
-                  .setFreshnessGrant(FreshnessGrant.newBuilder().setConfiguration(json)));
+                  .setFreshnessGrant(FreshnessGrant.newBuilder().addDeltas(delta)));
+        }
+        if (!acknowledged[0].await(PATIENCE_SECONDS, TimeUnit.SECONDS)) {
+          throw new IOException("not every receiver has answered");
         }
-        acknowledged[0].await(PATIENCE_SECONDS, TimeUnit.SECONDS);
         best = Math.min(best, (System.nanoTime() - start) / 1e6);
       }
       return best;
--- a/src/main/java/org/curranthaven/internal/configuration/ConfigurationState.java
+++ b/src/main/java/org/curranthaven/internal/configuration/ConfigurationState.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import org.curranthaven.api.Configuration;
+import org.curranthaven.internal.transport.wire.ConfigurationDelta;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -21,6 +22,7 @@
   private Configuration current = Configuration.empty();
   private final Map<String, ChangeResult> answers = new LinkedHashMap<>();
   private final List<HistoryEntry> history = new ArrayList<>();
+  private final RecentChanges recent = new RecentChanges();
 
   /**
    * State as it stands in snapshots.
@@ -37,6 +39,11 @@
     return current;
   }
 
+  /** Returns the deltas after {@code revision}; an empty list if not all of them are kept. */
+  public List<ConfigurationDelta> deltasAfter(long revision) {
+    return recent.after(revision);
+  }
+
   /** Returns the revisions kept, oldest first. */
   public List<HistoryEntry> history() {
     return List.copyOf(history);
@@ -71,6 +78,7 @@
       return new ChangeResult.Invalid(faults);
     }
     current = editor.build(current.revision() + 1);
+    recent.add(current.revision(), change.edits());
     history.add(
         new HistoryEntry(
             current.revision(), change.changeId(), change.operator(), change.edits().size()));
@@ -95,6 +103,7 @@
   /** Replaces the whole state. */
   public void restore(Snapshot snapshot) {
     current = snapshot.current();
+    recent.clear();
     answers.clear();
     answers.putAll(snapshot.answers());
     history.clear();
--- a/src/main/java/org/curranthaven/internal/configuration/FleetCoordinator.java
+++ b/src/main/java/org/curranthaven/internal/configuration/FleetCoordinator.java
@@ -18,6 +18,7 @@
 import org.curranthaven.internal.transport.PeerNetwork;
 import org.curranthaven.internal.transport.wire.CommandReply;
 import org.curranthaven.internal.transport.wire.CommandStatus;
+import org.curranthaven.internal.transport.wire.ConfigurationDelta;
 import org.curranthaven.internal.transport.wire.Envelope;
 import org.curranthaven.internal.transport.wire.FreshnessGrant;
 import org.curranthaven.internal.transport.wire.FreshnessRequest;
@@ -192,9 +193,7 @@
             .setRevision(revision)
             .setEchoedSentAtMillis(request.getSentAtMillis())
             .setGranted(granted);
-    if (request.getRevision() < revision) {
-      grant.setConfiguration(json(state));
-    }
+    bringUpToDate(grant, state, request.getRevision());
     hosts.values().forEach(host -> grant.addHosts(host.host()));
     network.send(from.getName(), Envelope.newBuilder().setFreshnessGrant(grant));
     completeAccepted(nowMillis);
@@ -228,11 +227,25 @@
     return configurationJson;
   }
 
+  private void bringUpToDate(FreshnessGrant.Builder grant, FleetState state, long hostRevision) {
+    if (hostRevision >= state.current().revision()) {
+      return;
+    }
+    List<ConfigurationDelta> deltas = state.configuration().deltasAfter(hostRevision);
+    if (deltas.isEmpty()) {
+      grant.setConfiguration(json(state));
+    } else {
+      grant.addAllDeltas(deltas);
+    }
+  }
+
+  /** Sends the latest change to every host; one that cannot use it asks for what it lacks. */
   private void pushConfiguration(FleetState state) {
+    long revision = state.current().revision();
     FreshnessGrant push =
         FreshnessGrant.newBuilder()
-            .setRevision(state.current().revision())
-            .setConfiguration(json(state))
+            .setRevision(revision)
+            .addAllDeltas(state.configuration().deltasAfter(revision - 1))
             .build();
     for (HostRecord host : network.connected()) {
       network.send(host.getName(), Envelope.newBuilder().setFreshnessGrant(push));
--- a/src/main/java/org/curranthaven/internal/host/DecisionLoop.java
+++ b/src/main/java/org/curranthaven/internal/host/DecisionLoop.java
@@ -17,6 +17,7 @@
 import org.curranthaven.api.Failure;
 import org.curranthaven.api.Outcome;
 import org.curranthaven.api.ResultCode;
+import org.curranthaven.internal.configuration.Deltas;
 import org.curranthaven.internal.configuration.FreshnessCore;
 import org.curranthaven.internal.gateway.Assignment;
 import org.curranthaven.internal.gateway.RequestNumbers;
@@ -32,6 +33,7 @@
 import org.curranthaven.internal.routing.RoutingEvent;
 import org.curranthaven.internal.supervision.Child;
 import org.curranthaven.internal.supervision.Clock;
+import org.curranthaven.internal.transport.wire.ConfigurationDelta;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -135,6 +137,18 @@
         });
   }
 
+  /** Puts the configuration with the deltas applied into force. */
+  public void installDeltas(List<ConfigurationDelta> deltas) {
+    execute(
+        () -> {
+          Configuration newer = Deltas.apply(configuration, deltas);
+          if (freshness.install(newer.revision())) {
+            configuration = newer;
+            publishFreshness();
+          }
+        });
+  }
+
   /** Notes a lease granted by the leader of group 0. */
   public void grantedByLeader(long revision, long sentAtMillis) {
     execute(
--- a/src/main/java/org/curranthaven/internal/host/HostProcess.java
+++ b/src/main/java/org/curranthaven/internal/host/HostProcess.java
@@ -436,6 +436,9 @@
     if (newer && !grant.getConfiguration().isEmpty()) {
       decisions.install(Json.read(grant.getConfiguration(), Configuration.class));
     }
+    if (newer && grant.getDeltasCount() > 0) {
+      decisions.installDeltas(grant.getDeltasList());
+    }
     if (grant.getGranted()) {
       decisions.grantedByLeader(grant.getRevision(), grant.getEchoedSentAtMillis());
     } else if (newer) {
--- a/src/main/java/org/curranthaven/internal/transport/wire/FreshnessGrant.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/FreshnessGrant.java
@@ -30,6 +30,7 @@
   private FreshnessGrant() {
     configuration_ = com.google.protobuf.ByteString.EMPTY;
     hosts_ = java.util.Collections.emptyList();
+    deltas_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -87,7 +88,7 @@
   private com.google.protobuf.ByteString configuration_ = com.google.protobuf.ByteString.EMPTY;
   /**
    * <pre>
-   * Configuration as JSON, when the requester's revision is lower.
+   * Whole configuration as JSON, for a requester that the deltas do not reach.
    * </pre>
    *
    * <code>bytes configuration = 4;</code>
@@ -181,6 +182,67 @@
     return term_;
   }
 
+  public static final int DELTAS_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private java.util.List<org.curranthaven.internal.transport.wire.ConfigurationDelta> deltas_;
+  /**
+   * <pre>
+   * Changes after the requester's revision, in order.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.ConfigurationDelta deltas = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.curranthaven.internal.transport.wire.ConfigurationDelta> getDeltasList() {
+    return deltas_;
+  }
+  /**
+   * <pre>
+   * Changes after the requester's revision, in order.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.ConfigurationDelta deltas = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.curranthaven.internal.transport.wire.ConfigurationDeltaOrBuilder> 
+      getDeltasOrBuilderList() {
+    return deltas_;
+  }
+  /**
+   * <pre>
+   * Changes after the requester's revision, in order.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.ConfigurationDelta deltas = 8;</code>
+   */
+  @java.lang.Override
+  public int getDeltasCount() {
+    return deltas_.size();
+  }
+  /**
+   * <pre>
+   * Changes after the requester's revision, in order.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.ConfigurationDelta deltas = 8;</code>
+   */
+  @java.lang.Override
+  public org.curranthaven.internal.transport.wire.ConfigurationDelta getDeltas(int index) {
+    return deltas_.get(index);
+  }
+  /**
+   * <pre>
+   * Changes after the requester's revision, in order.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.ConfigurationDelta deltas = 8;</code>
+   */
+  @java.lang.Override
+  public org.curranthaven.internal.transport.wire.ConfigurationDeltaOrBuilder getDeltasOrBuilder(
+      int index) {
+    return deltas_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -216,6 +278,9 @@
     if (term_ != 0L) {
       output.writeUInt64(7, term_);
     }
+    for (int i = 0; i < deltas_.size(); i++) {
+      output.writeMessage(8, deltas_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -253,6 +318,15 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(7, term_);
     }
+
+        {
+          final int count = deltas_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(deltas_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -291,6 +365,8 @@
         != other.getGranted()) return false;
     if (getTerm()
         != other.getTerm()) return false;
+    if (!getDeltasList()
+        .equals(other.getDeltasList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -323,6 +399,10 @@
     hash = (37 * hash) + TERM_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getTerm());
+    if (getDeltasCount() > 0) {
+      hash = (37 * hash) + DELTAS_FIELD_NUMBER;
+      hash = (53 * hash) + getDeltasList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -467,6 +547,13 @@
       bitField0_ = (bitField0_ & ~0x00000010);
       granted_ = false;
       term_ = 0L;
+      if (deltasBuilder_ == null) {
+        deltas_ = java.util.Collections.emptyList();
+      } else {
+        deltas_ = null;
+        deltasBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000080);
       return this;
     }
 
@@ -509,6 +596,15 @@
       } else {
         result.hosts_ = hostsBuilder_.build();
       }
+      if (deltasBuilder_ == null) {
+        if (((bitField0_ & 0x00000080) != 0)) {
+          deltas_ = java.util.Collections.unmodifiableList(deltas_);
+          bitField0_ = (bitField0_ & ~0x00000080);
+        }
+        result.deltas_ = deltas_;
+      } else {
+        result.deltas_ = deltasBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.curranthaven.internal.transport.wire.FreshnessGrant result) {
@@ -589,6 +685,32 @@
       if (other.getTerm() != 0L) {
         setTerm(other.getTerm());
       }
+      if (deltasBuilder_ == null) {
+        if (!other.deltas_.isEmpty()) {
+          if (deltas_.isEmpty()) {
+            deltas_ = other.deltas_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+          } else {
+            ensureDeltasIsMutable();
+            deltas_.addAll(other.deltas_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.deltas_.isEmpty()) {
+          if (deltasBuilder_.isEmpty()) {
+            deltasBuilder_.dispose();
+            deltasBuilder_ = null;
+            deltas_ = other.deltas_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+            deltasBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetDeltasFieldBuilder() : null;
+          } else {
+            deltasBuilder_.addAllMessages(other.deltas_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -656,6 +778,19 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 56
+            case 66: {
+              org.curranthaven.internal.transport.wire.ConfigurationDelta m =
+                  input.readMessage(
+                      org.curranthaven.internal.transport.wire.ConfigurationDelta.parser(),
+                      extensionRegistry);
+              if (deltasBuilder_ == null) {
+                ensureDeltasIsMutable();
+                deltas_.add(m);
+              } else {
+                deltasBuilder_.addMessage(m);
+              }
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -772,7 +907,7 @@
     private com.google.protobuf.ByteString configuration_ = com.google.protobuf.ByteString.EMPTY;
     /**
      * <pre>
-     * Configuration as JSON, when the requester's revision is lower.
+     * Whole configuration as JSON, for a requester that the deltas do not reach.
      * </pre>
      *
      * <code>bytes configuration = 4;</code>
@@ -784,7 +919,7 @@
     }
     /**
      * <pre>
-     * Configuration as JSON, when the requester's revision is lower.
+     * Whole configuration as JSON, for a requester that the deltas do not reach.
      * </pre>
      *
      * <code>bytes configuration = 4;</code>
@@ -800,7 +935,7 @@
     }
     /**
      * <pre>
-     * Configuration as JSON, when the requester's revision is lower.
+     * Whole configuration as JSON, for a requester that the deltas do not reach.
      * </pre>
      *
      * <code>bytes configuration = 4;</code>
@@ -1183,6 +1318,312 @@
       return this;
     }
 
+    private java.util.List<org.curranthaven.internal.transport.wire.ConfigurationDelta> deltas_ =
+      java.util.Collections.emptyList();
+    private void ensureDeltasIsMutable() {
+      if (!((bitField0_ & 0x00000080) != 0)) {
+        deltas_ = new java.util.ArrayList<org.curranthaven.internal.transport.wire.ConfigurationDelta>(deltas_);
+        bitField0_ |= 0x00000080;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.curranthaven.internal.transport.wire.ConfigurationDelta, org.curranthaven.internal.transport.wire.ConfigurationDelta.Builder, org.curranthaven.internal.transport.wire.ConfigurationDeltaOrBuilder> deltasBuilder_;
+
+    /**
+     * <pre>
+     * Changes after the requester's revision, in order.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ConfigurationDelta deltas = 8;</code>
+     */
+    public java.util.List<org.curranthaven.internal.transport.wire.ConfigurationDelta> getDeltasList() {
+      if (deltasBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(deltas_);
+      } else {
+        return deltasBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Changes after the requester's revision, in order.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ConfigurationDelta deltas = 8;</code>
+     */
+    public int getDeltasCount() {
+      if (deltasBuilder_ == null) {
+        return deltas_.size();
+      } else {
+        return deltasBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Changes after the requester's revision, in order.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ConfigurationDelta deltas = 8;</code>
+     */
+    public org.curranthaven.internal.transport.wire.ConfigurationDelta getDeltas(int index) {
+      if (deltasBuilder_ == null) {
+        return deltas_.get(index);
+      } else {
+        return deltasBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Changes after the requester's revision, in order.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ConfigurationDelta deltas = 8;</code>
+     */
+    public Builder setDeltas(
+        int index, org.curranthaven.internal.transport.wire.ConfigurationDelta value) {
+      if (deltasBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureDeltasIsMutable();
+        deltas_.set(index, value);
+        onChanged();
+      } else {
+        deltasBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Changes after the requester's revision, in order.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ConfigurationDelta deltas = 8;</code>
+     */
+    public Builder setDeltas(
+        int index, org.curranthaven.internal.transport.wire.ConfigurationDelta.Builder builderForValue) {
+      if (deltasBuilder_ == null) {
+        ensureDeltasIsMutable();
+        deltas_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        deltasBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Changes after the requester's revision, in order.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ConfigurationDelta deltas = 8;</code>
+     */
+    public Builder addDeltas(org.curranthaven.internal.transport.wire.ConfigurationDelta value) {
+      if (deltasBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureDeltasIsMutable();
+        deltas_.add(value);
+        onChanged();
+      } else {
+        deltasBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Changes after the requester's revision, in order.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ConfigurationDelta deltas = 8;</code>
+     */
+    public Builder addDeltas(
+        int index, org.curranthaven.internal.transport.wire.ConfigurationDelta value) {
+      if (deltasBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureDeltasIsMutable();
+        deltas_.add(index, value);
+        onChanged();
+      } else {
+        deltasBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Changes after the requester's revision, in order.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ConfigurationDelta deltas = 8;</code>
+     */
+    public Builder addDeltas(
+        org.curranthaven.internal.transport.wire.ConfigurationDelta.Builder builderForValue) {
+      if (deltasBuilder_ == null) {
+        ensureDeltasIsMutable();
+        deltas_.add(builderForValue.build());
+        onChanged();
+      } else {
+        deltasBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Changes after the requester's revision, in order.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ConfigurationDelta deltas = 8;</code>
+     */
+    public Builder addDeltas(
+        int index, org.curranthaven.internal.transport.wire.ConfigurationDelta.Builder builderForValue) {
+      if (deltasBuilder_ == null) {
+        ensureDeltasIsMutable();
+        deltas_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        deltasBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Changes after the requester's revision, in order.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ConfigurationDelta deltas = 8;</code>
+     */
+    public Builder addAllDeltas(
+        java.lang.Iterable<? extends org.curranthaven.internal.transport.wire.ConfigurationDelta> values) {
+      if (deltasBuilder_ == null) {
+        ensureDeltasIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, deltas_);
+        onChanged();
+      } else {
+        deltasBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Changes after the requester's revision, in order.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ConfigurationDelta deltas = 8;</code>
+     */
+    public Builder clearDeltas() {
+      if (deltasBuilder_ == null) {
+        deltas_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000080);
+        onChanged();
+      } else {
+        deltasBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Changes after the requester's revision, in order.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ConfigurationDelta deltas = 8;</code>
+     */
+    public Builder removeDeltas(int index) {
+      if (deltasBuilder_ == null) {
+        ensureDeltasIsMutable();
+        deltas_.remove(index);
+        onChanged();
+      } else {
+        deltasBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Changes after the requester's revision, in order.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ConfigurationDelta deltas = 8;</code>
+     */
+    public org.curranthaven.internal.transport.wire.ConfigurationDelta.Builder getDeltasBuilder(
+        int index) {
+      return internalGetDeltasFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Changes after the requester's revision, in order.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ConfigurationDelta deltas = 8;</code>
+     */
+    public org.curranthaven.internal.transport.wire.ConfigurationDeltaOrBuilder getDeltasOrBuilder(
+        int index) {
+      if (deltasBuilder_ == null) {
+        return deltas_.get(index);  } else {
+        return deltasBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Changes after the requester's revision, in order.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ConfigurationDelta deltas = 8;</code>
+     */
+    public java.util.List<? extends org.curranthaven.internal.transport.wire.ConfigurationDeltaOrBuilder> 
+         getDeltasOrBuilderList() {
+      if (deltasBuilder_ != null) {
+        return deltasBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(deltas_);
+      }
+    }
+    /**
+     * <pre>
+     * Changes after the requester's revision, in order.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ConfigurationDelta deltas = 8;</code>
+     */
+    public org.curranthaven.internal.transport.wire.ConfigurationDelta.Builder addDeltasBuilder() {
+      return internalGetDeltasFieldBuilder().addBuilder(
+          org.curranthaven.internal.transport.wire.ConfigurationDelta.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Changes after the requester's revision, in order.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ConfigurationDelta deltas = 8;</code>
+     */
+    public org.curranthaven.internal.transport.wire.ConfigurationDelta.Builder addDeltasBuilder(
+        int index) {
+      return internalGetDeltasFieldBuilder().addBuilder(
+          index, org.curranthaven.internal.transport.wire.ConfigurationDelta.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Changes after the requester's revision, in order.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ConfigurationDelta deltas = 8;</code>
+     */
+    public java.util.List<org.curranthaven.internal.transport.wire.ConfigurationDelta.Builder> 
+         getDeltasBuilderList() {
+      return internalGetDeltasFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.curranthaven.internal.transport.wire.ConfigurationDelta, org.curranthaven.internal.transport.wire.ConfigurationDelta.Builder, org.curranthaven.internal.transport.wire.ConfigurationDeltaOrBuilder> 
+        internalGetDeltasFieldBuilder() {
+      if (deltasBuilder_ == null) {
+        deltasBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.curranthaven.internal.transport.wire.ConfigurationDelta, org.curranthaven.internal.transport.wire.ConfigurationDelta.Builder, org.curranthaven.internal.transport.wire.ConfigurationDeltaOrBuilder>(
+                deltas_,
+                ((bitField0_ & 0x00000080) != 0),
+                getParentForChildren(),
+                isClean());
+        deltas_ = null;
+      }
+      return deltasBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:curranthaven.FreshnessGrant)
   }
 
--- a/src/main/java/org/curranthaven/internal/transport/wire/FreshnessGrantOrBuilder.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/FreshnessGrantOrBuilder.java
@@ -30,7 +30,7 @@
 
   /**
    * <pre>
-   * Configuration as JSON, when the requester's revision is lower.
+   * Whole configuration as JSON, for a requester that the deltas do not reach.
    * </pre>
    *
    * <code>bytes configuration = 4;</code>
@@ -93,4 +93,48 @@
    * @return The term.
    */
   long getTerm();
+
+  /**
+   * <pre>
+   * Changes after the requester's revision, in order.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.ConfigurationDelta deltas = 8;</code>
+   */
+  java.util.List<org.curranthaven.internal.transport.wire.ConfigurationDelta> 
+      getDeltasList();
+  /**
+   * <pre>
+   * Changes after the requester's revision, in order.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.ConfigurationDelta deltas = 8;</code>
+   */
+  org.curranthaven.internal.transport.wire.ConfigurationDelta getDeltas(int index);
+  /**
+   * <pre>
+   * Changes after the requester's revision, in order.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.ConfigurationDelta deltas = 8;</code>
+   */
+  int getDeltasCount();
+  /**
+   * <pre>
+   * Changes after the requester's revision, in order.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.ConfigurationDelta deltas = 8;</code>
+   */
+  java.util.List<? extends org.curranthaven.internal.transport.wire.ConfigurationDeltaOrBuilder> 
+      getDeltasOrBuilderList();
+  /**
+   * <pre>
+   * Changes after the requester's revision, in order.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.ConfigurationDelta deltas = 8;</code>
+   */
+  org.curranthaven.internal.transport.wire.ConfigurationDeltaOrBuilder getDeltasOrBuilder(
+      int index);
 }
--- a/src/test/java/org/curranthaven/internal/configuration/ConfigurationStateTest.java
+++ b/src/test/java/org/curranthaven/internal/configuration/ConfigurationStateTest.java
@@ -93,4 +93,27 @@
         .isEqualTo(new ChangeResult.Committed(1, List.of()));
     assertThat(restored.history()).hasSize(1);
   }
+
+  @Test
+  void deltas_bring_a_host_that_is_behind_to_the_same_configuration() {
+    state.apply(change("c1", 0, "ama", putClass("door", 100)));
+    org.curranthaven.api.Configuration behind = state.current();
+    state.apply(change("c2", 1, "ama", putClass("note", 100)));
+    state.apply(change("c3", 2, "ama", new Edit.Remove(Edit.Kind.CLASS, "door")));
+
+    assertThat(Deltas.apply(behind, state.deltasAfter(1))).isEqualTo(state.current());
+    assertThat(Deltas.apply(behind, state.deltasAfter(2)))
+        .as("a delta that does not follow is left out")
+        .isEqualTo(behind);
+  }
+
+  @Test
+  void a_host_that_is_too_far_behind_is_not_served_by_deltas() {
+    for (int i = 0; i < RecentChanges.KEPT + 2; i++) {
+      state.apply(change("c" + i, i, "ama", putClass("door", 100 + i)));
+    }
+
+    assertThat(state.deltasAfter(0)).isEmpty();
+    assertThat(state.deltasAfter(5)).hasSize(RecentChanges.KEPT + 2 - 5);
+  }
 }
