Record and replay the routing core; tell other hosts only changed shares

Cause: every 50 ms each host told each other host everything it had open: 144 doubles a server, some 546 kB/s at 8 hosts and 13 servers.

Change: shares travel as floats, when their number of requests changes, and whole once a second.

--- a/src/main/java/org/curranthaven/internal/cli/DemoCommand.java
+++ b/src/main/java/org/curranthaven/internal/cli/DemoCommand.java
@@ -68,6 +68,15 @@
   }
 
   private static void print(DemoRun.Report report) {
+    printClasses(report.classes());
+    System.out.printf("%npreemptions on all engines: %d%n", report.preemptions());
+    printPromises(report.promises());
+    if (report.unfinished() > 0) {
+      System.out.println(report.unfinished() + " requests never ended");
+    }
+  }
+
+  static void printClasses(Map<String, ClassTally.Summary> classes) {
     System.out.println();
     System.out.printf(
         "%-9s %6s %6s %8s %18s %18s %9s  %s%n",
@@ -79,12 +88,7 @@
         "gap p99/p99.9/aim",
         "stall ms",
         "ended otherwise (code=count)");
-    report.classes().forEach(DemoCommand::printClass);
-    System.out.printf("%npreemptions on all engines: %d%n", report.preemptions());
-    printPromises(report.promises());
-    if (report.unfinished() > 0) {
-      System.out.println(report.unfinished() + " requests never ended");
-    }
+    classes.forEach(DemoCommand::printClass);
   }
 
   private static void printClass(String name, ClassTally.Summary summary) {
@@ -104,7 +108,7 @@
         summary.failures().isEmpty() ? "" : summary.failures());
   }
 
-  private static void printPromises(PromiseTally.Counts counts) {
+  static void printPromises(PromiseTally.Counts counts) {
     System.out.println("promises broken, counted by callers and backend servers:");
     System.out.printf(
         "  tokens lost %d, repeated %d, out of order %d; generations spliced %d; answers crossed"
--- a/src/main/java/org/curranthaven/internal/cli/Main.java
+++ b/src/main/java/org/curranthaven/internal/cli/Main.java
@@ -99,7 +99,9 @@
         new PageCommand(
             "explain", "print the decisions made for a request", "/admin/v1/explain/", "request"),
         new StandinCommand(),
+        new LoadCommand(),
         new DemoCommand(),
+        new ReplayCommand(),
         new CheckCommand(),
         new ExperimentCommand(),
         new BenchCommand());
--- a/src/main/java/org/curranthaven/internal/cli/ServeCommand.java
+++ b/src/main/java/org/curranthaven/internal/cli/ServeCommand.java
@@ -24,6 +24,7 @@
                 "Runs one host until SIGTERM. The first signal drains it: it takes no new work and"
                     + " waits for what is open. A second one stops it at once.");
     parser.addArgument("--settings").required(true).help("settings file (JSON with comments)");
+    parser.addArgument("--record").help("file to record the routing core's events to");
     parser.setDefault(Main.COMMAND, this);
   }
 
@@ -36,7 +37,9 @@
     }
     HostSettings settings = ((Outcome.Success<HostSettings>) checked).value();
     Logging.configure(settings.logJson());
-    return switch (HostProcess.start(settings, Clock.system())) {
+    String record = arguments.getString("record");
+    Path trace = record == null ? null : Path.of(record);
+    return switch (HostProcess.start(settings, Clock.system(), trace)) {
       case Outcome.Failed<HostProcess> failed -> Main.fail(failed.failure());
       case Outcome.Success<HostProcess> success -> serve(success.value());
     };
--- a/src/main/java/org/curranthaven/internal/experiment/PolicyRun.java
+++ b/src/main/java/org/curranthaven/internal/experiment/PolicyRun.java
@@ -164,7 +164,8 @@
   private void share() {
     for (int from = 0; from < HOSTS; from++) {
       RoutingEvent shares =
-          new RoutingEvent.SharesReported("host-" + from, cores.get(from).ownShares());
+          new RoutingEvent.SharesReported(
+              "host-" + from, cores.get(from).takeShareUpdate(nowMillis + clockOffsetMillis[from]));
       for (int to = 0; to < HOSTS; to++) {
         if (to != from) {
           handle(to, shares);
--- a/src/main/java/org/curranthaven/internal/host/DecisionLoop.java
+++ b/src/main/java/org/curranthaven/internal/host/DecisionLoop.java
@@ -11,7 +11,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.curranthaven.api.Configuration;
 import org.curranthaven.api.Failure;
@@ -26,11 +26,12 @@
 import org.curranthaven.internal.membership.BackendAnnouncement;
 import org.curranthaven.internal.membership.BackendView;
 import org.curranthaven.internal.observe.ExplainLog;
-import org.curranthaven.internal.routing.HostShare;
+import org.curranthaven.internal.observe.RoutingRecorder;
 import org.curranthaven.internal.routing.RequestFacts;
 import org.curranthaven.internal.routing.RoutingCore;
 import org.curranthaven.internal.routing.RoutingDecision;
 import org.curranthaven.internal.routing.RoutingEvent;
+import org.curranthaven.internal.routing.ShareUpdate;
 import org.curranthaven.internal.supervision.Child;
 import org.curranthaven.internal.supervision.Clock;
 import org.curranthaven.internal.transport.wire.ConfigurationDelta;
@@ -46,8 +47,8 @@
   private static final long FORGET_MILLIS = 60_000;
 
   private final Clock clock;
-  private final RandomGenerator random;
-  private final Function<RandomGenerator, RoutingCore> routingFactory;
+  private final Supplier<RoutingCore> routingFactory;
+  private final @Nullable RoutingRecorder recorder;
   private final ExplainLog explainLog;
   private final LivePeers livePeers;
   private final LinkedBlockingQueue<Runnable> tasks = new LinkedBlockingQueue<>();
@@ -74,20 +75,26 @@
     boolean isAlive(String host, long incarnation);
   }
 
-  /** Creates the loop; {@code routingFactory} makes its routing core, also after a failure. */
+  /**
+   * Creates the loop.
+   *
+   * @param routingFactory makes its routing core, also after a failure
+   * @param recorder records the core's events; null for none
+   */
   public DecisionLoop(
       Clock clock,
       RandomGenerator random,
-      Function<RandomGenerator, RoutingCore> routingFactory,
+      Supplier<RoutingCore> routingFactory,
+      @Nullable RoutingRecorder recorder,
       ExplainLog explainLog,
       LivePeers livePeers) {
     this.clock = clock;
-    this.random = random;
     this.routingFactory = routingFactory;
+    this.recorder = recorder;
     this.explainLog = explainLog;
     this.livePeers = livePeers;
     this.retryBudget = new RetryBudget(random);
-    this.routing = routingFactory.apply(random);
+    this.routing = routingFactory.get();
   }
 
   @Override
@@ -110,7 +117,7 @@
 
   /** Forgets the routing state; requests that waited in it get an answer. */
   private void startAfresh() {
-    routing = routingFactory.apply(random);
+    routing = routingFactory.get();
     routable.clear();
     List<Pending> open = List.copyOf(pending.values());
     pending.clear();
@@ -215,8 +222,8 @@
   }
 
   /** Takes in what another host has open. */
-  public void sharesReported(String host, List<HostShare> shares) {
-    execute(() -> handle(new RoutingEvent.SharesReported(host, shares)));
+  public void sharesReported(String host, ShareUpdate update) {
+    execute(() -> handle(new RoutingEvent.SharesReported(host, update)));
   }
 
   /** Notes that another host has gone. */
@@ -225,7 +232,12 @@
   }
 
   /** What this host tells the others. */
-  public record Outgoing(List<BackendView.Aged> announcements, List<HostShare> shares) {}
+  public record Outgoing(List<BackendView.Aged> announcements, ShareUpdate shares) {
+    /** Returns whether there is nothing to tell. */
+    public boolean isEmpty() {
+      return announcements.isEmpty() && shares.shares().isEmpty() && !shares.full();
+    }
+  }
 
   /** Takes what was heard directly since the last call, with what is open now. */
   public CompletableFuture<Outgoing> takeOutgoing() {
@@ -233,7 +245,7 @@
         () -> {
           List<BackendView.Aged> aged = backends.aged(heardDirectly, clock.nowMillis());
           heardDirectly.clear();
-          return new Outgoing(aged, routing.ownShares());
+          return new Outgoing(aged, routing.takeShareUpdate(clock.nowMillis()));
         });
   }
 
@@ -331,6 +343,9 @@
 
   private void handle(RoutingEvent event) {
     long nowMillis = clock.nowMillis();
+    if (recorder != null) {
+      recorder.record(event, nowMillis);
+    }
     for (RoutingDecision decision : routing.handle(event, nowMillis)) {
       carryOut(decision, nowMillis);
     }
@@ -428,7 +443,7 @@
         });
   }
 
-  private <T> CompletableFuture<T> call(java.util.function.Supplier<T> supplier) {
+  private <T> CompletableFuture<T> call(Supplier<T> supplier) {
     CompletableFuture<T> future = new CompletableFuture<>();
     execute(
         () -> {
--- a/src/main/java/org/curranthaven/internal/host/HostProcess.java
+++ b/src/main/java/org/curranthaven/internal/host/HostProcess.java
@@ -1,6 +1,7 @@
 package org.curranthaven.internal.host;
 
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -25,11 +26,13 @@
 import org.curranthaven.internal.membership.BackendAnnouncement;
 import org.curranthaven.internal.membership.BackendView;
 import org.curranthaven.internal.observe.ExplainLog;
+import org.curranthaven.internal.observe.RoutingRecorder;
 import org.curranthaven.internal.routing.ForecastOptions;
 import org.curranthaven.internal.routing.HostShare;
 import org.curranthaven.internal.routing.MemoryForecast;
 import org.curranthaven.internal.routing.Policy;
 import org.curranthaven.internal.routing.RoutingCore;
+import org.curranthaven.internal.routing.ShareUpdate;
 import org.curranthaven.internal.settings.Addresses;
 import org.curranthaven.internal.settings.HostSettings;
 import org.curranthaven.internal.settings.Json;
@@ -86,7 +89,8 @@
   private volatile boolean draining;
   private @Nullable Thread thread;
 
-  private HostProcess(HostSettings settings, Clock clock, @Nullable DataFolder folder) {
+  private HostProcess(
+      HostSettings settings, Clock clock, @Nullable DataFolder folder, @Nullable Path record) {
     this.settings = settings;
     this.clock = clock;
     this.folder = folder;
@@ -107,9 +111,12 @@
         new DecisionLoop(
             clock,
             random,
-            r ->
+            () ->
                 new RoutingCore(
-                    settings.name(), new Policy.Forecast(ForecastOptions.standard()), r),
+                    settings.name(),
+                    new Policy.Forecast(ForecastOptions.standard()),
+                    new SplittableRandom(incarnation)),
+            record == null ? null : RoutingRecorder.start(record, settings.name(), incarnation),
             explainLog,
             this::isAlive);
     this.ledger =
@@ -134,12 +141,18 @@
 
   /** Starts a host. A failure tells why its data folder cannot be used. */
   public static Outcome<HostProcess> start(HostSettings settings, Clock clock) {
+    return start(settings, clock, null);
+  }
+
+  /** Starts a host that records the events of its routing core to a file, unless it is null. */
+  public static Outcome<HostProcess> start(
+      HostSettings settings, Clock clock, @Nullable Path record) {
     if (settings.dataFolder() == null) {
-      return Outcome.success(new HostProcess(settings, clock, null).launch());
+      return Outcome.success(new HostProcess(settings, clock, null, record).launch());
     }
     return switch (DataFolder.open(settings.dataFolder())) {
       case Outcome.Success<DataFolder> success ->
-          Outcome.success(new HostProcess(settings, clock, success.value()).launch());
+          Outcome.success(new HostProcess(settings, clock, success.value(), record).launch());
       case Outcome.Failed<DataFolder> failed -> Outcome.failed(failed.failure());
     };
   }
@@ -364,14 +377,17 @@
 
   private void shareSoftState() throws InterruptedException, ExecutionException {
     DecisionLoop.Outgoing outgoing = decisions.takeOutgoing().get();
-    SoftState.Builder state = SoftState.newBuilder();
+    if (outgoing.isEmpty()) {
+      return;
+    }
+    SoftState.Builder state = SoftState.newBuilder().setFullShares(outgoing.shares().full());
     for (BackendView.Aged aged : outgoing.announcements()) {
       state.addAnnouncements(
           org.curranthaven.internal.transport.wire.BackendAnnouncement.newBuilder()
               .setJson(Json.write(aged.announcement()))
               .setAgeMillis(aged.ageMillis() + BackendView.HOP_ALLOWANCE_MILLIS));
     }
-    for (HostShare share : outgoing.shares()) {
+    for (HostShare share : outgoing.shares().shares()) {
       state.addShares(wire(share));
     }
     for (HostRecord host : network.connected()) {
@@ -383,10 +399,10 @@
     DispatchShare.Builder wire =
         DispatchShare.newBuilder().setBackend(share.server()).setRunning(share.running());
     for (double mean : share.forecast().means()) {
-      wire.addMeanBlocks(mean);
+      wire.addMeanBlocks((float) mean);
     }
     for (double variance : share.forecast().variances()) {
-      wire.addVarianceBlocks(variance);
+      wire.addVarianceBlocks((float) variance);
     }
     return wire.build();
   }
@@ -476,11 +492,11 @@
               MemoryForecast.of(
                   doubles(share.getMeanBlocksList()), doubles(share.getVarianceBlocksList()))));
     }
-    decisions.sharesReported(from.getName(), shares);
+    decisions.sharesReported(from.getName(), new ShareUpdate(state.getFullShares(), shares));
   }
 
-  private static double[] doubles(List<Double> values) {
-    return values.stream().mapToDouble(Double::doubleValue).toArray();
+  private static double[] doubles(List<Float> values) {
+    return values.stream().mapToDouble(Float::doubleValue).toArray();
   }
 
   private void admin(HostRecord from, AdminRequest request) {
--- a/src/main/java/org/curranthaven/internal/routing/MemoryForecast.java
+++ b/src/main/java/org/curranthaven/internal/routing/MemoryForecast.java
@@ -1,5 +1,7 @@
 package org.curranthaven.internal.routing;
 
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonProperty;
 import java.util.Arrays;
 
 /**
@@ -24,7 +26,9 @@
   public MemoryForecast() {}
 
   /** Creates a forecast from what {@link #means} and {@link #variances} returned elsewhere. */
-  public static MemoryForecast of(double[] means, double[] variances) {
+  @JsonCreator
+  public static MemoryForecast of(
+      @JsonProperty("means") double[] means, @JsonProperty("variances") double[] variances) {
     MemoryForecast result = new MemoryForecast();
     int count = HORIZON_TOKENS.length;
     System.arraycopy(means, 0, result.meanBlocks, 0, Math.min(count, means.length));
@@ -33,11 +37,13 @@
   }
 
   /** Returns mean blocks at each horizon. */
+  @JsonProperty
   public double[] means() {
     return Arrays.copyOf(meanBlocks, meanBlocks.length);
   }
 
   /** Returns the variance at each horizon, in blocks squared. */
+  @JsonProperty
   public double[] variances() {
     return Arrays.copyOf(varianceBlocks, varianceBlocks.length);
   }
--- a/src/main/java/org/curranthaven/internal/routing/RoutingCore.java
+++ b/src/main/java/org/curranthaven/internal/routing/RoutingCore.java
@@ -48,6 +48,7 @@
   private final Map<Long, ServerState> placements = new HashMap<>();
   private final Map<ClassKey, ClassStats> stats = new HashMap<>();
   private final HostTurns turns;
+  private final ShareLog shareLog = new ShareLog();
   private final Map<String, Integer> serverCountByModel = new HashMap<>();
   private List<RoutingDecision> decisions = new ArrayList<>();
 
@@ -79,7 +80,7 @@
       case RoutingEvent.ServerReported reported -> reported(reported.report(), nowMillis);
       case RoutingEvent.ServerGone gone -> serverGone(gone.server());
       case RoutingEvent.SharesReported reported ->
-          sharesReported(reported.host(), reported.shares());
+          sharesReported(reported.host(), reported.update());
       case RoutingEvent.HostGone gone -> hostGone(gone.host());
       case RoutingEvent.PrefixCached cached -> prefixCached(cached, nowMillis);
       case RoutingEvent.Tick ignored -> tick(nowMillis);
@@ -92,8 +93,12 @@
     return queue.size();
   }
 
-  /** Returns what this host has open on each server, for the other hosts. */
-  public List<HostShare> ownShares() {
+  /** Returns what to tell the other hosts now of what this host has open on each server. */
+  public ShareUpdate takeShareUpdate(long nowMillis) {
+    return shareLog.take(ownShares(), nowMillis);
+  }
+
+  private List<HostShare> ownShares() {
     return servers.values().stream()
         .filter(server -> server.ownOpen() > 0)
         .map(server -> new HostShare(server.name(), server.ownOpen(), server.ownForecast()))
@@ -240,13 +245,16 @@
     }
   }
 
-  private void sharesReported(String host, List<HostShare> shares) {
+  private void sharesReported(String host, ShareUpdate update) {
     turns.add(host);
     Map<String, HostShare> byServer = new HashMap<>();
-    shares.forEach(share -> byServer.put(share.server(), share));
+    update.shares().forEach(share -> byServer.put(share.server(), share));
     for (ServerState server : servers.values()) {
       HostShare share = byServer.get(server.name());
-      if (share == null) {
+      if (share == null && !update.full()) {
+        continue;
+      }
+      if (share == null || share.running() == 0) {
         server.removeShare(host);
       } else {
         server.setShare(host, share);
--- a/src/main/java/org/curranthaven/internal/routing/RoutingEvent.java
+++ b/src/main/java/org/curranthaven/internal/routing/RoutingEvent.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
-import java.util.List;
 
 /** What a {@link RoutingCore} is told. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "event")
@@ -38,7 +37,7 @@
   record ServerGone(String server) implements RoutingEvent {}
 
   /** Another host told what it has open on servers. */
-  record SharesReported(String host, List<HostShare> shares) implements RoutingEvent {}
+  record SharesReported(String host, ShareUpdate update) implements RoutingEvent {}
 
   /** Another host has gone, and what it had open with it. */
   record HostGone(String host) implements RoutingEvent {}
--- a/src/main/java/org/curranthaven/internal/transport/wire/Curranthaven.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/Curranthaven.java
@@ -323,54 +323,55 @@
       "er\022\020\n\010revision\030\001 \001(\004\022\035\n\025echoed_sent_at_m" +
       "illis\030\002 \001(\003\022\017\n\007granted\030\003 \001(\010\022\033\n\023witness_" +
       "set_version\030\004 \001(\004\022\030\n\020witness_set_size\030\005 " +
-      "\001(\r\"r\n\tSoftState\0228\n\rannouncements\030\001 \003(\0132" +
-      "!.curranthaven.BackendAnnouncement\022+\n\006sh" +
-      "ares\030\002 \003(\0132\033.curranthaven.DispatchShare\"" +
-      "7\n\023BackendAnnouncement\022\014\n\004json\030\001 \001(\014\022\022\n\n" +
-      "age_millis\030\002 \001(\003\"_\n\rDispatchShare\022\017\n\007bac" +
-      "kend\030\001 \001(\t\022\017\n\007running\030\002 \001(\r\022\023\n\013mean_bloc" +
-      "ks\030\003 \003(\001\022\027\n\017variance_blocks\030\004 \003(\001\">\n\014Adm" +
-      "inRequest\022\022\n\nrequest_id\030\001 \001(\004\022\014\n\004path\030\002 " +
-      "\001(\t\022\014\n\004json\030\003 \001(\014\">\n\nAdminReply\022\022\n\nreque" +
-      "st_id\030\001 \001(\004\022\016\n\006status\030\002 \001(\r\022\014\n\004json\030\003 \001(" +
-      "\014\"\274\001\n\rLedgerCommand\022\022\n\nnow_millis\030\001 \001(\003\022" +
-      "+\n\005claim\030\002 \001(\0132\032.curranthaven.ClaimComma" +
-      "ndH\000\0221\n\010complete\030\003 \001(\0132\035.curranthaven.Co" +
-      "mpleteCommandH\000\022/\n\007release\030\004 \001(\0132\034.curra" +
-      "nthaven.ReleaseCommandH\000B\006\n\004body\"\231\001\n\014Cla" +
-      "imCommand\022\021\n\tworkspace\030\001 \001(\t\022\013\n\003key\030\002 \001(" +
-      "\t\022\030\n\020issued_at_millis\030\003 \001(\003\022\021\n\tbody_hash" +
-      "\030\004 \001(\014\022\022\n\nowner_host\030\005 \001(\t\022\031\n\021owner_inca" +
-      "rnation\030\006 \001(\004\022\r\n\005token\030\007 \001(\t\"l\n\017Complete" +
-      "Command\022\021\n\tworkspace\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022" +
-      "\r\n\005token\030\003 \001(\t\022*\n\006answer\030\004 \001(\0132\032.currant" +
-      "haven.StoredAnswer\"?\n\016ReleaseCommand\022\021\n\t" +
-      "workspace\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\r\n\005token\030\003 " +
-      "\001(\t\"B\n\014StoredAnswer\022\016\n\006status\030\001 \001(\r\022\024\n\014c" +
-      "ontent_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"\304\001\n\013Clai" +
-      "mRecord\022\021\n\tworkspace\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022" +
-      "\030\n\020issued_at_millis\030\003 \001(\003\022\021\n\tbody_hash\030\004" +
-      " \001(\014\022\022\n\nowner_host\030\005 \001(\t\022\031\n\021owner_incarn" +
-      "ation\030\006 \001(\004\022\r\n\005token\030\007 \001(\t\022*\n\006answer\030\010 \001" +
-      "(\0132\032.curranthaven.StoredAnswer\"e\n\013ClaimR" +
-      "esult\022+\n\007verdict\030\001 \001(\0162\032.curranthaven.Cl" +
-      "aimVerdict\022)\n\006record\030\002 \001(\0132\031.curranthave" +
-      "n.ClaimRecord\"P\n\016LedgerSnapshot\022\022\n\nnow_m" +
-      "illis\030\001 \001(\003\022*\n\007records\030\002 \003(\0132\031.currantha" +
-      "ven.ClaimRecord*O\n\tEntryKind\022\023\n\017ENTRY_KI" +
-      "ND_NOOP\020\000\022\026\n\022ENTRY_KIND_COMMAND\020\001\022\025\n\021ENT" +
-      "RY_KIND_VOTERS\020\002*\246\001\n\rCommandStatus\022\036\n\032CO" +
-      "MMAND_STATUS_UNSPECIFIED\020\000\022\032\n\026COMMAND_ST" +
-      "ATUS_APPLIED\020\001\022\035\n\031COMMAND_STATUS_NOT_LEA" +
-      "DER\020\002\022\032\n\026COMMAND_STATUS_UNKNOWN\020\003\022\036\n\032COM" +
-      "MAND_STATUS_UNAVAILABLE\020\004*\353\001\n\014ClaimVerdi" +
-      "ct\022\035\n\031CLAIM_VERDICT_UNSPECIFIED\020\000\022\031\n\025CLA" +
-      "IM_VERDICT_GRANTED\020\001\022\031\n\025CLAIM_VERDICT_RU" +
-      "NNING\020\002\022\026\n\022CLAIM_VERDICT_DONE\020\003\022\034\n\030CLAIM" +
-      "_VERDICT_KEY_REUSED\020\004\022\031\n\025CLAIM_VERDICT_T" +
-      "OO_OLD\020\005\022\035\n\031CLAIM_VERDICT_FROM_FUTURE\020\006\022" +
-      "\026\n\022CLAIM_VERDICT_FULL\020\007B,\n(org.currantha" +
-      "ven.internal.transport.wireP\001b\006proto3"
+      "\001(\r\"\207\001\n\tSoftState\0228\n\rannouncements\030\001 \003(\013" +
+      "2!.curranthaven.BackendAnnouncement\022+\n\006s" +
+      "hares\030\002 \003(\0132\033.curranthaven.DispatchShare" +
+      "\022\023\n\013full_shares\030\003 \001(\010\"7\n\023BackendAnnounce" +
+      "ment\022\014\n\004json\030\001 \001(\014\022\022\n\nage_millis\030\002 \001(\003\"_" +
+      "\n\rDispatchShare\022\017\n\007backend\030\001 \001(\t\022\017\n\007runn" +
+      "ing\030\002 \001(\r\022\023\n\013mean_blocks\030\003 \003(\002\022\027\n\017varian" +
+      "ce_blocks\030\004 \003(\002\">\n\014AdminRequest\022\022\n\nreque" +
+      "st_id\030\001 \001(\004\022\014\n\004path\030\002 \001(\t\022\014\n\004json\030\003 \001(\014\"" +
+      ">\n\nAdminReply\022\022\n\nrequest_id\030\001 \001(\004\022\016\n\006sta" +
+      "tus\030\002 \001(\r\022\014\n\004json\030\003 \001(\014\"\274\001\n\rLedgerComman" +
+      "d\022\022\n\nnow_millis\030\001 \001(\003\022+\n\005claim\030\002 \001(\0132\032.c" +
+      "urranthaven.ClaimCommandH\000\0221\n\010complete\030\003" +
+      " \001(\0132\035.curranthaven.CompleteCommandH\000\022/\n" +
+      "\007release\030\004 \001(\0132\034.curranthaven.ReleaseCom" +
+      "mandH\000B\006\n\004body\"\231\001\n\014ClaimCommand\022\021\n\tworks" +
+      "pace\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\030\n\020issued_at_mil" +
+      "lis\030\003 \001(\003\022\021\n\tbody_hash\030\004 \001(\014\022\022\n\nowner_ho" +
+      "st\030\005 \001(\t\022\031\n\021owner_incarnation\030\006 \001(\004\022\r\n\005t" +
+      "oken\030\007 \001(\t\"l\n\017CompleteCommand\022\021\n\tworkspa" +
+      "ce\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\r\n\005token\030\003 \001(\t\022*\n\006" +
+      "answer\030\004 \001(\0132\032.curranthaven.StoredAnswer" +
+      "\"?\n\016ReleaseCommand\022\021\n\tworkspace\030\001 \001(\t\022\013\n" +
+      "\003key\030\002 \001(\t\022\r\n\005token\030\003 \001(\t\"B\n\014StoredAnswe" +
+      "r\022\016\n\006status\030\001 \001(\r\022\024\n\014content_type\030\002 \001(\t\022" +
+      "\014\n\004body\030\003 \001(\014\"\304\001\n\013ClaimRecord\022\021\n\tworkspa" +
+      "ce\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\030\n\020issued_at_milli" +
+      "s\030\003 \001(\003\022\021\n\tbody_hash\030\004 \001(\014\022\022\n\nowner_host" +
+      "\030\005 \001(\t\022\031\n\021owner_incarnation\030\006 \001(\004\022\r\n\005tok" +
+      "en\030\007 \001(\t\022*\n\006answer\030\010 \001(\0132\032.curranthaven." +
+      "StoredAnswer\"e\n\013ClaimResult\022+\n\007verdict\030\001" +
+      " \001(\0162\032.curranthaven.ClaimVerdict\022)\n\006reco" +
+      "rd\030\002 \001(\0132\031.curranthaven.ClaimRecord\"P\n\016L" +
+      "edgerSnapshot\022\022\n\nnow_millis\030\001 \001(\003\022*\n\007rec" +
+      "ords\030\002 \003(\0132\031.curranthaven.ClaimRecord*O\n" +
+      "\tEntryKind\022\023\n\017ENTRY_KIND_NOOP\020\000\022\026\n\022ENTRY" +
+      "_KIND_COMMAND\020\001\022\025\n\021ENTRY_KIND_VOTERS\020\002*\246" +
+      "\001\n\rCommandStatus\022\036\n\032COMMAND_STATUS_UNSPE" +
+      "CIFIED\020\000\022\032\n\026COMMAND_STATUS_APPLIED\020\001\022\035\n\031" +
+      "COMMAND_STATUS_NOT_LEADER\020\002\022\032\n\026COMMAND_S" +
+      "TATUS_UNKNOWN\020\003\022\036\n\032COMMAND_STATUS_UNAVAI" +
+      "LABLE\020\004*\353\001\n\014ClaimVerdict\022\035\n\031CLAIM_VERDIC" +
+      "T_UNSPECIFIED\020\000\022\031\n\025CLAIM_VERDICT_GRANTED" +
+      "\020\001\022\031\n\025CLAIM_VERDICT_RUNNING\020\002\022\026\n\022CLAIM_V" +
+      "ERDICT_DONE\020\003\022\034\n\030CLAIM_VERDICT_KEY_REUSE" +
+      "D\020\004\022\031\n\025CLAIM_VERDICT_TOO_OLD\020\005\022\035\n\031CLAIM_" +
+      "VERDICT_FROM_FUTURE\020\006\022\026\n\022CLAIM_VERDICT_F" +
+      "ULL\020\007B,\n(org.curranthaven.internal.trans" +
+      "port.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -543,7 +544,7 @@
     internal_static_curranthaven_SoftState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_curranthaven_SoftState_descriptor,
-        new java.lang.String[] { "Announcements", "Shares", });
+        new java.lang.String[] { "Announcements", "Shares", "FullShares", });
     internal_static_curranthaven_BackendAnnouncement_descriptor =
       getDescriptor().getMessageType(28);
     internal_static_curranthaven_BackendAnnouncement_fieldAccessorTable = new
--- a/src/main/java/org/curranthaven/internal/transport/wire/DispatchShare.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/DispatchShare.java
@@ -33,8 +33,8 @@
   }
   private DispatchShare() {
     backend_ = "";
-    meanBlocks_ = emptyDoubleList();
-    varianceBlocks_ = emptyDoubleList();
+    meanBlocks_ = emptyFloatList();
+    varianceBlocks_ = emptyFloatList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -107,18 +107,18 @@
 
   public static final int MEAN_BLOCKS_FIELD_NUMBER = 3;
   @SuppressWarnings("serial")
-  private com.google.protobuf.Internal.DoubleList meanBlocks_ =
-      emptyDoubleList();
+  private com.google.protobuf.Internal.FloatList meanBlocks_ =
+      emptyFloatList();
   /**
    * <pre>
    * Forecast of memory at the horizons of the sender's version: blocks, and blocks squared.
    * </pre>
    *
-   * <code>repeated double mean_blocks = 3;</code>
+   * <code>repeated float mean_blocks = 3;</code>
    * @return A list containing the meanBlocks.
    */
   @java.lang.Override
-  public java.util.List<java.lang.Double>
+  public java.util.List<java.lang.Float>
       getMeanBlocksList() {
     return meanBlocks_;
   }
@@ -127,7 +127,7 @@
    * Forecast of memory at the horizons of the sender's version: blocks, and blocks squared.
    * </pre>
    *
-   * <code>repeated double mean_blocks = 3;</code>
+   * <code>repeated float mean_blocks = 3;</code>
    * @return The count of meanBlocks.
    */
   public int getMeanBlocksCount() {
@@ -138,42 +138,42 @@
    * Forecast of memory at the horizons of the sender's version: blocks, and blocks squared.
    * </pre>
    *
-   * <code>repeated double mean_blocks = 3;</code>
+   * <code>repeated float mean_blocks = 3;</code>
    * @param index The index of the element to return.
    * @return The meanBlocks at the given index.
    */
-  public double getMeanBlocks(int index) {
-    return meanBlocks_.getDouble(index);
+  public float getMeanBlocks(int index) {
+    return meanBlocks_.getFloat(index);
   }
   private int meanBlocksMemoizedSerializedSize = -1;
 
   public static final int VARIANCE_BLOCKS_FIELD_NUMBER = 4;
   @SuppressWarnings("serial")
-  private com.google.protobuf.Internal.DoubleList varianceBlocks_ =
-      emptyDoubleList();
+  private com.google.protobuf.Internal.FloatList varianceBlocks_ =
+      emptyFloatList();
   /**
-   * <code>repeated double variance_blocks = 4;</code>
+   * <code>repeated float variance_blocks = 4;</code>
    * @return A list containing the varianceBlocks.
    */
   @java.lang.Override
-  public java.util.List<java.lang.Double>
+  public java.util.List<java.lang.Float>
       getVarianceBlocksList() {
     return varianceBlocks_;
   }
   /**
-   * <code>repeated double variance_blocks = 4;</code>
+   * <code>repeated float variance_blocks = 4;</code>
    * @return The count of varianceBlocks.
    */
   public int getVarianceBlocksCount() {
     return varianceBlocks_.size();
   }
   /**
-   * <code>repeated double variance_blocks = 4;</code>
+   * <code>repeated float variance_blocks = 4;</code>
    * @param index The index of the element to return.
    * @return The varianceBlocks at the given index.
    */
-  public double getVarianceBlocks(int index) {
-    return varianceBlocks_.getDouble(index);
+  public float getVarianceBlocks(int index) {
+    return varianceBlocks_.getFloat(index);
   }
   private int varianceBlocksMemoizedSerializedSize = -1;
 
@@ -203,14 +203,14 @@
       output.writeUInt32NoTag(meanBlocksMemoizedSerializedSize);
     }
     for (int i = 0; i < meanBlocks_.size(); i++) {
-      output.writeDoubleNoTag(meanBlocks_.getDouble(i));
+      output.writeFloatNoTag(meanBlocks_.getFloat(i));
     }
     if (getVarianceBlocksList().size() > 0) {
       output.writeUInt32NoTag(34);
       output.writeUInt32NoTag(varianceBlocksMemoizedSerializedSize);
     }
     for (int i = 0; i < varianceBlocks_.size(); i++) {
-      output.writeDoubleNoTag(varianceBlocks_.getDouble(i));
+      output.writeFloatNoTag(varianceBlocks_.getFloat(i));
     }
     getUnknownFields().writeTo(output);
   }
@@ -225,7 +225,7 @@
     }
     {
       int dataSize = 0;
-      dataSize = 8 * getMeanBlocksList().size();
+      dataSize = 4 * getMeanBlocksList().size();
       size += dataSize;
       if (!getMeanBlocksList().isEmpty()) {
         size += 1;
@@ -236,7 +236,7 @@
     }
     {
       int dataSize = 0;
-      dataSize = 8 * getVarianceBlocksList().size();
+      dataSize = 4 * getVarianceBlocksList().size();
       size += dataSize;
       if (!getVarianceBlocksList().isEmpty()) {
         size += 1;
@@ -437,8 +437,8 @@
       bitField0_ = 0;
       backend_ = "";
       running_ = 0;
-      meanBlocks_ = emptyDoubleList();
-      varianceBlocks_ = emptyDoubleList();
+      meanBlocks_ = emptyFloatList();
+      varianceBlocks_ = emptyFloatList();
       return this;
     }
 
@@ -564,36 +564,36 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
-            case 25: {
-              double v = input.readDouble();
+            case 29: {
+              float v = input.readFloat();
               ensureMeanBlocksIsMutable();
-              meanBlocks_.addDouble(v);
+              meanBlocks_.addFloat(v);
               break;
-            } // case 25
+            } // case 29
             case 26: {
               int length = input.readRawVarint32();
               int limit = input.pushLimit(length);
               int alloc = length > 4096 ? 4096 : length;
-              ensureMeanBlocksIsMutable(alloc / 8);
+              ensureMeanBlocksIsMutable(alloc / 4);
               while (input.getBytesUntilLimit() > 0) {
-                meanBlocks_.addDouble(input.readDouble());
+                meanBlocks_.addFloat(input.readFloat());
               }
               input.popLimit(limit);
               break;
             } // case 26
-            case 33: {
-              double v = input.readDouble();
+            case 37: {
+              float v = input.readFloat();
               ensureVarianceBlocksIsMutable();
-              varianceBlocks_.addDouble(v);
+              varianceBlocks_.addFloat(v);
               break;
-            } // case 33
+            } // case 37
             case 34: {
               int length = input.readRawVarint32();
               int limit = input.pushLimit(length);
               int alloc = length > 4096 ? 4096 : length;
-              ensureVarianceBlocksIsMutable(alloc / 8);
+              ensureVarianceBlocksIsMutable(alloc / 4);
               while (input.getBytesUntilLimit() > 0) {
-                varianceBlocks_.addDouble(input.readDouble());
+                varianceBlocks_.addFloat(input.readFloat());
               }
               input.popLimit(limit);
               break;
@@ -719,7 +719,7 @@
       return this;
     }
 
-    private com.google.protobuf.Internal.DoubleList meanBlocks_ = emptyDoubleList();
+    private com.google.protobuf.Internal.FloatList meanBlocks_ = emptyFloatList();
     private void ensureMeanBlocksIsMutable() {
       if (!meanBlocks_.isModifiable()) {
         meanBlocks_ = makeMutableCopy(meanBlocks_);
@@ -737,10 +737,10 @@
      * Forecast of memory at the horizons of the sender's version: blocks, and blocks squared.
      * </pre>
      *
-     * <code>repeated double mean_blocks = 3;</code>
+     * <code>repeated float mean_blocks = 3;</code>
      * @return A list containing the meanBlocks.
      */
-    public java.util.List<java.lang.Double>
+    public java.util.List<java.lang.Float>
         getMeanBlocksList() {
       meanBlocks_.makeImmutable();
       return meanBlocks_;
@@ -750,7 +750,7 @@
      * Forecast of memory at the horizons of the sender's version: blocks, and blocks squared.
      * </pre>
      *
-     * <code>repeated double mean_blocks = 3;</code>
+     * <code>repeated float mean_blocks = 3;</code>
      * @return The count of meanBlocks.
      */
     public int getMeanBlocksCount() {
@@ -761,28 +761,28 @@
      * Forecast of memory at the horizons of the sender's version: blocks, and blocks squared.
      * </pre>
      *
-     * <code>repeated double mean_blocks = 3;</code>
+     * <code>repeated float mean_blocks = 3;</code>
      * @param index The index of the element to return.
      * @return The meanBlocks at the given index.
      */
-    public double getMeanBlocks(int index) {
-      return meanBlocks_.getDouble(index);
+    public float getMeanBlocks(int index) {
+      return meanBlocks_.getFloat(index);
     }
     /**
      * <pre>
      * Forecast of memory at the horizons of the sender's version: blocks, and blocks squared.
      * </pre>
      *
-     * <code>repeated double mean_blocks = 3;</code>
+     * <code>repeated float mean_blocks = 3;</code>
      * @param index The index to set the value at.
      * @param value The meanBlocks to set.
      * @return This builder for chaining.
      */
     public Builder setMeanBlocks(
-        int index, double value) {
+        int index, float value) {
 
       ensureMeanBlocksIsMutable();
-      meanBlocks_.setDouble(index, value);
+      meanBlocks_.setFloat(index, value);
       bitField0_ |= 0x00000004;
       onChanged();
       return this;
@@ -792,14 +792,14 @@
      * Forecast of memory at the horizons of the sender's version: blocks, and blocks squared.
      * </pre>
      *
-     * <code>repeated double mean_blocks = 3;</code>
+     * <code>repeated float mean_blocks = 3;</code>
      * @param value The meanBlocks to add.
      * @return This builder for chaining.
      */
-    public Builder addMeanBlocks(double value) {
+    public Builder addMeanBlocks(float value) {
 
       ensureMeanBlocksIsMutable();
-      meanBlocks_.addDouble(value);
+      meanBlocks_.addFloat(value);
       bitField0_ |= 0x00000004;
       onChanged();
       return this;
@@ -809,12 +809,12 @@
      * Forecast of memory at the horizons of the sender's version: blocks, and blocks squared.
      * </pre>
      *
-     * <code>repeated double mean_blocks = 3;</code>
+     * <code>repeated float mean_blocks = 3;</code>
      * @param values The meanBlocks to add.
      * @return This builder for chaining.
      */
     public Builder addAllMeanBlocks(
-        java.lang.Iterable<? extends java.lang.Double> values) {
+        java.lang.Iterable<? extends java.lang.Float> values) {
       ensureMeanBlocksIsMutable();
       com.google.protobuf.AbstractMessageLite.Builder.addAll(
           values, meanBlocks_);
@@ -827,17 +827,17 @@
      * Forecast of memory at the horizons of the sender's version: blocks, and blocks squared.
      * </pre>
      *
-     * <code>repeated double mean_blocks = 3;</code>
+     * <code>repeated float mean_blocks = 3;</code>
      * @return This builder for chaining.
      */
     public Builder clearMeanBlocks() {
-      meanBlocks_ = emptyDoubleList();
+      meanBlocks_ = emptyFloatList();
       bitField0_ = (bitField0_ & ~0x00000004);
       onChanged();
       return this;
     }
 
-    private com.google.protobuf.Internal.DoubleList varianceBlocks_ = emptyDoubleList();
+    private com.google.protobuf.Internal.FloatList varianceBlocks_ = emptyFloatList();
     private void ensureVarianceBlocksIsMutable() {
       if (!varianceBlocks_.isModifiable()) {
         varianceBlocks_ = makeMutableCopy(varianceBlocks_);
@@ -851,64 +851,64 @@
       bitField0_ |= 0x00000008;
     }
     /**
-     * <code>repeated double variance_blocks = 4;</code>
+     * <code>repeated float variance_blocks = 4;</code>
      * @return A list containing the varianceBlocks.
      */
-    public java.util.List<java.lang.Double>
+    public java.util.List<java.lang.Float>
         getVarianceBlocksList() {
       varianceBlocks_.makeImmutable();
       return varianceBlocks_;
     }
     /**
-     * <code>repeated double variance_blocks = 4;</code>
+     * <code>repeated float variance_blocks = 4;</code>
      * @return The count of varianceBlocks.
      */
     public int getVarianceBlocksCount() {
       return varianceBlocks_.size();
     }
     /**
-     * <code>repeated double variance_blocks = 4;</code>
+     * <code>repeated float variance_blocks = 4;</code>
      * @param index The index of the element to return.
      * @return The varianceBlocks at the given index.
      */
-    public double getVarianceBlocks(int index) {
-      return varianceBlocks_.getDouble(index);
+    public float getVarianceBlocks(int index) {
+      return varianceBlocks_.getFloat(index);
     }
     /**
-     * <code>repeated double variance_blocks = 4;</code>
+     * <code>repeated float variance_blocks = 4;</code>
      * @param index The index to set the value at.
      * @param value The varianceBlocks to set.
      * @return This builder for chaining.
      */
     public Builder setVarianceBlocks(
-        int index, double value) {
+        int index, float value) {
 
       ensureVarianceBlocksIsMutable();
-      varianceBlocks_.setDouble(index, value);
+      varianceBlocks_.setFloat(index, value);
       bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
     /**
-     * <code>repeated double variance_blocks = 4;</code>
+     * <code>repeated float variance_blocks = 4;</code>
      * @param value The varianceBlocks to add.
      * @return This builder for chaining.
      */
-    public Builder addVarianceBlocks(double value) {
+    public Builder addVarianceBlocks(float value) {
 
       ensureVarianceBlocksIsMutable();
-      varianceBlocks_.addDouble(value);
+      varianceBlocks_.addFloat(value);
       bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
     /**
-     * <code>repeated double variance_blocks = 4;</code>
+     * <code>repeated float variance_blocks = 4;</code>
      * @param values The varianceBlocks to add.
      * @return This builder for chaining.
      */
     public Builder addAllVarianceBlocks(
-        java.lang.Iterable<? extends java.lang.Double> values) {
+        java.lang.Iterable<? extends java.lang.Float> values) {
       ensureVarianceBlocksIsMutable();
       com.google.protobuf.AbstractMessageLite.Builder.addAll(
           values, varianceBlocks_);
@@ -917,11 +917,11 @@
       return this;
     }
     /**
-     * <code>repeated double variance_blocks = 4;</code>
+     * <code>repeated float variance_blocks = 4;</code>
      * @return This builder for chaining.
      */
     public Builder clearVarianceBlocks() {
-      varianceBlocks_ = emptyDoubleList();
+      varianceBlocks_ = emptyFloatList();
       bitField0_ = (bitField0_ & ~0x00000008);
       onChanged();
       return this;
--- a/src/main/java/org/curranthaven/internal/transport/wire/DispatchShareOrBuilder.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/DispatchShareOrBuilder.java
@@ -33,16 +33,16 @@
    * Forecast of memory at the horizons of the sender's version: blocks, and blocks squared.
    * </pre>
    *
-   * <code>repeated double mean_blocks = 3;</code>
+   * <code>repeated float mean_blocks = 3;</code>
    * @return A list containing the meanBlocks.
    */
-  java.util.List<java.lang.Double> getMeanBlocksList();
+  java.util.List<java.lang.Float> getMeanBlocksList();
   /**
    * <pre>
    * Forecast of memory at the horizons of the sender's version: blocks, and blocks squared.
    * </pre>
    *
-   * <code>repeated double mean_blocks = 3;</code>
+   * <code>repeated float mean_blocks = 3;</code>
    * @return The count of meanBlocks.
    */
   int getMeanBlocksCount();
@@ -51,26 +51,26 @@
    * Forecast of memory at the horizons of the sender's version: blocks, and blocks squared.
    * </pre>
    *
-   * <code>repeated double mean_blocks = 3;</code>
+   * <code>repeated float mean_blocks = 3;</code>
    * @param index The index of the element to return.
    * @return The meanBlocks at the given index.
    */
-  double getMeanBlocks(int index);
+  float getMeanBlocks(int index);
 
   /**
-   * <code>repeated double variance_blocks = 4;</code>
+   * <code>repeated float variance_blocks = 4;</code>
    * @return A list containing the varianceBlocks.
    */
-  java.util.List<java.lang.Double> getVarianceBlocksList();
+  java.util.List<java.lang.Float> getVarianceBlocksList();
   /**
-   * <code>repeated double variance_blocks = 4;</code>
+   * <code>repeated float variance_blocks = 4;</code>
    * @return The count of varianceBlocks.
    */
   int getVarianceBlocksCount();
   /**
-   * <code>repeated double variance_blocks = 4;</code>
+   * <code>repeated float variance_blocks = 4;</code>
    * @param index The index of the element to return.
    * @return The varianceBlocks at the given index.
    */
-  double getVarianceBlocks(int index);
+  float getVarianceBlocks(int index);
 }
--- a/src/main/java/org/curranthaven/internal/transport/wire/SoftState.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/SoftState.java
@@ -136,6 +136,21 @@
     return shares_.get(index);
   }
 
+  public static final int FULL_SHARES_FIELD_NUMBER = 3;
+  private boolean fullShares_ = false;
+  /**
+   * <pre>
+   * Whether the sender has nothing open on backend servers that are not named.
+   * </pre>
+   *
+   * <code>bool full_shares = 3;</code>
+   * @return The fullShares.
+   */
+  @java.lang.Override
+  public boolean getFullShares() {
+    return fullShares_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -156,6 +171,9 @@
     for (int i = 0; i < shares_.size(); i++) {
       output.writeMessage(2, shares_.get(i));
     }
+    if (fullShares_ != false) {
+      output.writeBool(3, fullShares_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -178,6 +196,10 @@
           }
           size += 1 * count;
         }
+    if (fullShares_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(3, fullShares_);
+    }
     return size;
   }
   @java.lang.Override
@@ -206,6 +228,8 @@
         .equals(other.getAnnouncementsList())) return false;
     if (!getSharesList()
         .equals(other.getSharesList())) return false;
+    if (getFullShares()
+        != other.getFullShares()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -225,6 +249,9 @@
       hash = (37 * hash) + SHARES_FIELD_NUMBER;
       hash = (53 * hash) + getSharesList().hashCode();
     }
+    hash = (37 * hash) + FULL_SHARES_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getFullShares());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -374,6 +401,7 @@
         sharesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000002);
+      fullShares_ = false;
       return this;
     }
 
@@ -429,6 +457,9 @@
 
     private void buildPartial0(org.curranthaven.internal.transport.wire.SoftState result) {
       int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.fullShares_ = fullShares_;
+      }
     }
 
     @java.lang.Override
@@ -495,6 +526,9 @@
           }
         }
       }
+      if (other.getFullShares() != false) {
+        setFullShares(other.getFullShares());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -545,6 +579,11 @@
               }
               break;
             } // case 18
+            case 24: {
+              fullShares_ = input.readBool();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1030,6 +1069,50 @@
       return sharesBuilder_;
     }
 
+    private boolean fullShares_ ;
+    /**
+     * <pre>
+     * Whether the sender has nothing open on backend servers that are not named.
+     * </pre>
+     *
+     * <code>bool full_shares = 3;</code>
+     * @return The fullShares.
+     */
+    @java.lang.Override
+    public boolean getFullShares() {
+      return fullShares_;
+    }
+    /**
+     * <pre>
+     * Whether the sender has nothing open on backend servers that are not named.
+     * </pre>
+     *
+     * <code>bool full_shares = 3;</code>
+     * @param value The fullShares to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFullShares(boolean value) {
+
+      fullShares_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the sender has nothing open on backend servers that are not named.
+     * </pre>
+     *
+     * <code>bool full_shares = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFullShares() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      fullShares_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:curranthaven.SoftState)
   }
 
--- a/src/main/java/org/curranthaven/internal/transport/wire/SoftStateOrBuilder.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/SoftStateOrBuilder.java
@@ -57,4 +57,14 @@
    */
   org.curranthaven.internal.transport.wire.DispatchShareOrBuilder getSharesOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Whether the sender has nothing open on backend servers that are not named.
+   * </pre>
+   *
+   * <code>bool full_shares = 3;</code>
+   * @return The fullShares.
+   */
+  boolean getFullShares();
 }
--- a/src/test/java/org/curranthaven/internal/routing/RoutingCoreTest.java
+++ b/src/test/java/org/curranthaven/internal/routing/RoutingCoreTest.java
@@ -131,7 +131,8 @@
     double[] means = new double[MemoryForecast.HORIZON_TOKENS.length];
     java.util.Arrays.fill(means, 900);
     HostShare share = new HostShare("s1", 20, MemoryForecast.of(means, new double[means.length]));
-    core.handle(new RoutingEvent.SharesReported("host-2", List.of(share)), 5);
+    core.handle(
+        new RoutingEvent.SharesReported("host-2", new ShareUpdate(true, List.of(share))), 5);
 
     for (int id = 1; id <= 5; id++) {
       assertThat(serverOf(arrive(id, "door", DOOR, 10))).isEqualTo("s2");
