--- a/src/main/java/org/curranthaven/internal/bench/SlopesBench.java
+++ b/src/main/java/org/curranthaven/internal/bench/SlopesBench.java
@@ -45,6 +45,7 @@
   private static final int[] RECEIVERS = {3, 8, 40, 370};
   private static final int[] RECORDS = {1_000, 10_000, 40_000};
   private static final int DECISIONS = 4_000;
+  private static final int TARGET_STREAMS = 115;
   private static final int REPEATS = 5;
   private static final int ENVELOPE_BYTES = 12;
   private static final long PATIENCE_SECONDS = 60;
@@ -97,6 +98,11 @@
       byQueue.add(new LineFit.Point(queued, decisionP99Micros(90, queued)));
     }
     row("decision p99 at 90, by queue", "us", byQueue);
+    List<LineFit.Point> ticks = new ArrayList<>();
+    for (int servers : SERVERS) {
+      ticks.add(new LineFit.Point(servers, tickMicros(servers)));
+    }
+    row("tick, 115 streams and 500 queued", "us", ticks);
   }
 
   /** Returns the time to handle an arrival; with a queue, every server's memory is full. */
@@ -125,6 +131,33 @@
     return nanos[(int) (DECISIONS * 0.99)] / NANOS_PER_MICRO;
   }
 
+  /** Returns the mean time of a tick with the target's open streams on a host and a queue. */
+  private static double tickMicros(int servers) {
+    RoutingCore core =
+        new RoutingCore(
+            "host-1", new Policy.Forecast(ForecastOptions.standard()), new SplittableRandom(1));
+    for (int i = 0; i < servers; i++) {
+      core.handle(new RoutingEvent.ServerReported(report("engine-" + i, 200)), 0);
+    }
+    long id = 1;
+    for (int i = 0; i < TARGET_STREAMS; i++) {
+      core.handle(new RoutingEvent.Arrived(request(id++)), 1);
+    }
+    for (int i = 0; i < servers; i++) {
+      core.handle(new RoutingEvent.ServerReported(report("engine-" + i, 2_000)), 1);
+    }
+    for (int i = 0; i < 500; i++) {
+      core.handle(new RoutingEvent.Arrived(request(id++)), 1);
+    }
+    double best = Double.MAX_VALUE;
+    for (int repeat = 0; repeat < REPEATS * 20; repeat++) {
+      long start = System.nanoTime();
+      core.handle(new RoutingEvent.Tick(), 2);
+      best = Math.min(best, (System.nanoTime() - start) / NANOS_PER_MICRO);
+    }
+    return best;
+  }
+
   private static ServerReport report(String name, int used) {
     return new ServerReport(
         name, "a", Set.of("story"), 2_000, used, used / 50, 0, 64, 0, Long.MIN_VALUE / 2);
--- /dev/null
+++ b/src/test/java/org/curranthaven/internal/experiment/TraceReplayTest.java
@@ -0,0 +1,41 @@
+package org.curranthaven.internal.experiment;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.curranthaven.internal.settings.Json;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Traces recorded from the running system, against their stated outcomes. */
+class TraceReplayTest {
+  private static final Path FOLDER = Path.of("src/test/resources/traces");
+
+  private static List<String> trace(String name) throws IOException {
+    return Files.readAllLines(FOLDER.resolve(name + ".jsonl"));
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"both-users-calm", "both-users-engine-lost"})
+  void a_trace_has_its_stated_outcomes(String name) throws IOException {
+    TraceReplay.Outcomes stated =
+        Json.MAPPER.readValue(
+            Files.readString(FOLDER.resolve(name + ".expect.json")), TraceReplay.Outcomes.class);
+
+    TraceReplay.Outcomes outcomes = TraceReplay.run(trace(name)).outcomes();
+
+    assertThat(outcomes).isEqualTo(stated);
+    assertThat(outcomes.sentToUnusable()).isZero();
+    assertThat(outcomes.sentTwice()).isZero();
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"both-users-calm", "both-users-engine-lost"})
+  void a_replay_is_equal_to_the_byte(String name) throws IOException {
+    assertThat(TraceReplay.run(trace(name)).decisions())
+        .isEqualTo(TraceReplay.run(trace(name)).decisions());
+  }
+}
