Enforce workspace limits; print the experiment's bounds; refuse damaged data

Cause: requestsPerSecond was kept and not enforced; a damaged log file was logged every second while the host went on without its replica; the stated bounds were compared by hand.

--- a/src/main/java/org/curranthaven/internal/cli/ExperimentCommand.java
+++ b/src/main/java/org/curranthaven/internal/cli/ExperimentCommand.java
@@ -7,6 +7,8 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
+import org.curranthaven.api.ResultCode;
+import org.curranthaven.internal.experiment.Bounds;
 import org.curranthaven.internal.experiment.Mechanisms;
 import org.curranthaven.internal.experiment.RoutingExperiment;
 import org.curranthaven.internal.experiment.Scenario;
@@ -51,10 +53,23 @@
     RoutingExperiment.Report report =
         RoutingExperiment.run(scenarios, policies, arguments.getInt("seeds"));
     report.byScenario().forEach(ExperimentCommand::print);
+    List<Bounds.Verdict> verdicts = Bounds.verdicts(report.all());
+    verdicts.forEach(ExperimentCommand::print);
     if (arguments.getBoolean("json")) {
       System.out.println(Json.text(Map.of("policies", report.all())));
     }
-    return 0;
+    boolean allHold = verdicts.stream().allMatch(Bounds.Verdict::holds);
+    return allHold ? 0 : ResultCode.TARGETS_NOT_MET.exitCode();
+  }
+
+  private static void print(Bounds.Verdict verdict) {
+    System.out.printf(
+        "%-34s %8.3f  bound %s %.2f  %s%n",
+        verdict.name(),
+        verdict.measured(),
+        verdict.atMost() ? "at most" : "at least",
+        verdict.limit(),
+        verdict.holds() ? "holds" : "DOES NOT HOLD");
   }
 
   private static void print(String scenario, Map<String, RoutingExperiment.Figures> byPolicy) {
--- a/src/main/java/org/curranthaven/internal/consensus/DataFolder.java
+++ b/src/main/java/org/curranthaven/internal/consensus/DataFolder.java
@@ -39,25 +39,43 @@
     this.lockChannel = lockChannel;
   }
 
-  /** Opens and locks the folder; gives it an identity if it has none. */
+  /**
+   * Opens and locks the folder, gives it an identity if it has none, and reads every group once, so
+   * that damage is refused before the host starts.
+   */
   public static Outcome<DataFolder> open(Path path) {
     try {
       Files.createDirectories(path);
       FileChannel channel =
           FileChannel.open(
               path.resolve(LOCK_NAME), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-      if (tryLock(channel) == null) {
+      Outcome<DataFolder> opened = open(path, channel);
+      if (opened instanceof Outcome.Failed<DataFolder>) {
         channel.close();
-        return Outcome.failed(
-            ResultCode.DATA_FOLDER_LOCKED, "data folder " + path + " is used by another process");
       }
-      return Outcome.success(new DataFolder(path, readOrMakeIdentity(path), channel));
+      return opened;
     } catch (IOException e) {
       return Outcome.failed(
           ResultCode.STORAGE_FAILED, "data folder " + path + " cannot be used: " + e.getMessage());
     }
   }
 
+  private static Outcome<DataFolder> open(Path path, FileChannel channel) throws IOException {
+    if (tryLock(channel) == null) {
+      return Outcome.failed(
+          ResultCode.DATA_FOLDER_LOCKED, "data folder " + path + " is used by another process");
+    }
+    DataFolder folder = new DataFolder(path, readOrMakeIdentity(path), channel);
+    try {
+      for (int groupId : folder.groupIds()) {
+        GroupStorage.open(folder.groupFolder(groupId)).close();
+      }
+      return Outcome.success(folder);
+    } catch (DamagedDataException e) {
+      return Outcome.failed(ResultCode.DATA_DAMAGED, String.valueOf(e.getMessage()));
+    }
+  }
+
   private static @Nullable FileLock tryLock(FileChannel channel) throws IOException {
     try {
       return channel.tryLock();
--- a/src/main/java/org/curranthaven/internal/gateway/CallerApi.java
+++ b/src/main/java/org/curranthaven/internal/gateway/CallerApi.java
@@ -392,6 +392,14 @@
     if (workspace == null) {
       return Outcome.failed(ResultCode.BAD_KEY, "the bearer key belongs to no workspace");
     }
+    long waitMillis = context.router().takeFromLimit(workspace);
+    if (waitMillis > 0) {
+      return Outcome.failed(
+          Failure.retryLater(
+              ResultCode.WORKSPACE_LIMIT,
+              "workspace '" + workspace.name() + "' is over its requests a second",
+              waitMillis));
+    }
     String asked = exchange.header(CLASS_HEADER);
     String byDefault = defaultClass.isEmpty() ? workspace.defaultClass() : defaultClass;
     String className = asked == null ? byDefault : asked;
--- a/src/main/java/org/curranthaven/internal/gateway/Router.java
+++ b/src/main/java/org/curranthaven/internal/gateway/Router.java
@@ -3,6 +3,7 @@
 import java.util.Set;
 import org.curranthaven.api.Configuration;
 import org.curranthaven.api.Outcome;
+import org.curranthaven.api.Workspace;
 import org.curranthaven.internal.membership.BackendAnnouncement;
 import org.curranthaven.internal.routing.RequestFacts;
 import org.curranthaven.internal.routing.RoutingEvent;
@@ -38,6 +39,12 @@
   /** Returns the servers that cannot continue another server's generation. */
   Set<String> serversWithoutTakeover();
 
+  /**
+   * Takes a request of the workspace from its fleet-wide limit; returns 0 if it is allowed, else
+   * when to come back, in milliseconds.
+   */
+  long takeFromLimit(Workspace workspace);
+
   /** Notes a first attempt of a class, which earns a share of a retry. */
   void requested(String className);
 
--- a/src/main/java/org/curranthaven/internal/host/DecisionLoop.java
+++ b/src/main/java/org/curranthaven/internal/host/DecisionLoop.java
@@ -17,6 +17,7 @@
 import org.curranthaven.api.Failure;
 import org.curranthaven.api.Outcome;
 import org.curranthaven.api.ResultCode;
+import org.curranthaven.api.Workspace;
 import org.curranthaven.internal.configuration.Deltas;
 import org.curranthaven.internal.configuration.FreshnessCore;
 import org.curranthaven.internal.gateway.Assignment;
@@ -32,6 +33,7 @@
 import org.curranthaven.internal.routing.RoutingDecision;
 import org.curranthaven.internal.routing.RoutingEvent;
 import org.curranthaven.internal.routing.ShareUpdate;
+import org.curranthaven.internal.routing.WorkspaceLimiter;
 import org.curranthaven.internal.supervision.Child;
 import org.curranthaven.internal.supervision.Clock;
 import org.curranthaven.internal.transport.wire.ConfigurationDelta;
@@ -58,6 +60,7 @@
   private final FreshnessCore freshness = new FreshnessCore();
   private final BackendView backends = new BackendView();
   private final RetryBudget retryBudget;
+  private final WorkspaceLimiter limiter = new WorkspaceLimiter();
   private final RequestNumbers numbers = new RequestNumbers();
   private final Map<String, BackendAnnouncement> aliveBackends = new ConcurrentHashMap<>();
   private RoutingCore routing;
@@ -73,6 +76,9 @@
   public interface LivePeers {
     /** Returns whether the host is alive in the given incarnation. */
     boolean isAlive(String host, long incarnation);
+
+    /** Returns the number of other hosts that are connected. */
+    int count();
   }
 
   /**
@@ -325,6 +331,16 @@
     return names;
   }
 
+  @Override
+  public long takeFromLimit(Workspace workspace) {
+    double limit = workspace.requestsPerSecond();
+    if (limit == 0) {
+      return 0;
+    }
+    int hosts = livePeers.count() + 1;
+    return call(() -> limiter.take(workspace.name(), limit, hosts, clock.nowMillis())).join();
+  }
+
   @Override
   public void requested(String className) {
     execute(() -> retryBudget.requested(className));
--- a/src/main/java/org/curranthaven/internal/host/HostProcess.java
+++ b/src/main/java/org/curranthaven/internal/host/HostProcess.java
@@ -118,7 +118,7 @@
                     new SplittableRandom(incarnation)),
             record == null ? null : RoutingRecorder.start(record, settings.name(), incarnation),
             explainLog,
-            this::isAlive);
+            new Peers());
     this.ledger =
         new ReplicatedLedger(
             control, settings.ledgerGroups(), settings.name(), incarnation, clock::epochMillis);
@@ -150,7 +150,8 @@
     if (settings.dataFolder() == null) {
       return Outcome.success(new HostProcess(settings, clock, null, record).launch());
     }
-    return switch (DataFolder.open(settings.dataFolder())) {
+    Outcome<DataFolder> opened = DataFolder.open(settings.dataFolder());
+    return switch (opened) {
       case Outcome.Success<DataFolder> success ->
           Outcome.success(new HostProcess(settings, clock, success.value(), record).launch());
       case Outcome.Failed<DataFolder> failed -> Outcome.failed(failed.failure());
@@ -348,13 +349,22 @@
     return network.connected().stream().filter(HostRecord::getControl).toList();
   }
 
-  private boolean isAlive(String host, long hostIncarnation) {
-    if (host.equals(settings.name())) {
-      return hostIncarnation == incarnation;
+  /** The other hosts' processes, as the connections tell. */
+  private final class Peers implements DecisionLoop.LivePeers {
+    @Override
+    public boolean isAlive(String host, long hostIncarnation) {
+      if (host.equals(settings.name())) {
+        return hostIncarnation == incarnation;
+      }
+      return network.connected().stream()
+          .filter(record -> record.getName().equals(host))
+          .anyMatch(record -> record.getIncarnation() == hostIncarnation);
+    }
+
+    @Override
+    public int count() {
+      return network.connected().size();
     }
-    return network.connected().stream()
-        .anyMatch(
-            record -> record.getName().equals(host) && record.getIncarnation() == hostIncarnation);
   }
 
   // ---- periodic messages ------------------------------------------------------------------------
--- a/src/test/java/org/curranthaven/internal/consensus/GroupStorageTest.java
+++ b/src/test/java/org/curranthaven/internal/consensus/GroupStorageTest.java
@@ -161,6 +161,26 @@
     throw new IOException("the folder could not be opened");
   }
 
+  @Test
+  void a_data_folder_with_damage_is_refused_with_its_code() throws IOException {
+    Path data = Files.createDirectory(folder.resolve("data"));
+    identityOf(data);
+    Path group = Files.createDirectory(data.resolve("group-0"));
+    try (GroupStorage storage = GroupStorage.open(group)) {
+      storage.persist(new RaftDecision.AppendEntries(List.of(entry(1, "a"), entry(2, "b"))));
+      storage.sync();
+    }
+    Path segment = group.resolve("log-000000000001");
+    byte[] bytes = Files.readAllBytes(segment);
+    bytes[10] ^= 0x55;
+    Files.write(segment, bytes);
+
+    assertThat(DataFolder.open(data))
+        .isInstanceOfSatisfying(
+            Outcome.Failed.class,
+            failed -> assertThat(failed.failure().code()).isEqualTo(ResultCode.DATA_DAMAGED));
+  }
+
   @Test
   void a_second_process_is_refused() throws IOException {
     Path data = Files.createDirectory(folder.resolve("data"));
