Give a server its whole batch once it has long been ready

The age of a server that had been ready "for ever" was computed as a difference that overflowed, so that it was taken for one that had just loaded and got a tenth of its batch.

Change: the start of readiness is kept, and compared without a difference; a test for both ends.

--- a/src/main/java/org/curranthaven/internal/host/DecisionLoop.java
+++ b/src/main/java/org/curranthaven/internal/host/DecisionLoop.java
@@ -56,6 +56,7 @@
   private final LinkedBlockingQueue<Runnable> tasks = new LinkedBlockingQueue<>();
   private final Map<Long, Pending> pending = new HashMap<>();
   private final Set<String> routable = new HashSet<>();
+  private final Map<String, Long> readySinceMillis = new HashMap<>();
   private final Set<String> heardDirectly = new HashSet<>();
   private final FreshnessCore freshness = new FreshnessCore();
   private final BackendView backends = new BackendView();
@@ -125,6 +126,7 @@
   private void startAfresh() {
     routing = routingFactory.get();
     routable.clear();
+    readySinceMillis.clear();
     List<Pending> open = List.copyOf(pending.values());
     pending.clear();
     Failure failure =
@@ -262,12 +264,13 @@
       return;
     }
     long sentAt = backends.sentAtMillis(name);
-    boolean fresh = routable.add(name);
-    long readyAt = fresh ? nowMillis : Long.MIN_VALUE;
+    routable.add(name);
+    long readyAt = readySinceMillis.computeIfAbsent(name, n -> nowMillis);
     handle(new RoutingEvent.ServerReported(ServerReports.of(usable, sentAt, readyAt)));
   }
 
   private void withdraw(String name) {
+    readySinceMillis.remove(name);
     if (routable.remove(name)) {
       handle(new RoutingEvent.ServerGone(name));
     }
--- a/src/main/java/org/curranthaven/internal/host/ServerReports.java
+++ b/src/main/java/org/curranthaven/internal/host/ServerReports.java
@@ -12,7 +12,7 @@
   /**
    * Returns the report.
    *
-   * @param readyAtMillis when the server was first seen ready, if that is now
+   * @param readyAtMillis since when the server has been ready
    */
   static ServerReport of(BackendAnnouncement server, long sentAtMillis, long readyAtMillis) {
     Set<String> models = new HashSet<>(server.models());
--- a/src/main/java/org/curranthaven/internal/routing/ServerChooser.java
+++ b/src/main/java/org/curranthaven/internal/routing/ServerChooser.java
@@ -149,11 +149,12 @@
 
   private static int batchLimit(ServerReport report, ForecastOptions options, long nowMillis) {
     int limit = report.maxBatch() == 0 ? Integer.MAX_VALUE : report.maxBatch();
-    long age = nowMillis - report.loadedAtMillis();
-    if (options.rampMillis() == 0 || age >= options.rampMillis()) {
+    // No difference to a server that has been ready for ever may overflow.
+    if (report.loadedAtMillis() + options.rampMillis() <= nowMillis) {
       return limit;
     }
-    double share = Math.max(0.1, (double) age / options.rampMillis());
+    double age = nowMillis - report.loadedAtMillis();
+    double share = Math.max(0.1, age / options.rampMillis());
     return (int) Math.max(1, Math.min(limit, 1_000) * share);
   }
 }
--- a/src/test/java/org/curranthaven/internal/routing/RoutingCoreTest.java
+++ b/src/test/java/org/curranthaven/internal/routing/RoutingCoreTest.java
@@ -48,6 +48,29 @@
     assertThat(dispatched(arrive(1, "draft", DRAFT, 0))).containsExactly(1L);
   }
 
+  private int takenWhenReadySince(long loadedAtMillis, long nowMillis) {
+    core.handle(
+        new RoutingEvent.ServerReported(
+            new ServerReport(
+                "s1", "a", Set.of("story"), 0, 0, 0, 0, 50, nowMillis, loadedAtMillis)),
+        nowMillis);
+    int taken = 0;
+    for (int id = 1; id <= 80; id++) {
+      taken += dispatched(arrive(id, "door", DOOR, nowMillis)).size();
+    }
+    return taken;
+  }
+
+  @Test
+  void a_server_that_has_long_been_ready_takes_its_whole_batch() {
+    assertThat(takenWhenReadySince(Long.MIN_VALUE, 10_000)).isEqualTo(50);
+  }
+
+  @Test
+  void a_server_that_has_just_become_ready_is_filled_gently() {
+    assertThat(takenWhenReadySince(9_000, 10_000)).isEqualTo(25);
+  }
+
   @Test
   void a_request_is_held_rather_than_fill_the_memory_of_a_server_that_runs_others() {
     core.handle(new RoutingEvent.ServerReported(server("s1", 30, 0, 0)), 0);
