--- a/src/main/java/org/curranthaven/internal/gateway/GenerationCall.java
+++ b/src/main/java/org/curranthaven/internal/gateway/GenerationCall.java
@@ -132,17 +132,7 @@
     if (takeOver) {
       without.addAll(router.serversWithoutTakeover());
     }
-    return new RequestFacts(
-        router.nextRequestId(),
-        facts.workspace(),
-        facts.className(),
-        facts.targets(),
-        facts.model(),
-        facts.promptTokens() + relay.nextIndex(),
-        facts.maxOutputTokens(),
-        facts.prefixHash(),
-        facts.arrivedAtMillis(),
-        without);
+    return facts.attempt(router.nextRequestId(), relay.nextIndex(), without);
   }
 
   private @Nullable Failure spendRetry(int failures) throws InterruptedException {
--- a/src/main/java/org/curranthaven/internal/gateway/ServiceCall.java
+++ b/src/main/java/org/curranthaven/internal/gateway/ServiceCall.java
@@ -38,7 +38,8 @@
     boolean mayHaveRun = false;
     router.requested(serviceClass.name());
     for (int attempts = 1; ; attempts++) {
-      Outcome<Assignment> routed = router.route(facts(first, excluded), requestName);
+      Outcome<Assignment> routed =
+          router.route(first.attempt(router.nextRequestId(), 0, excluded), requestName);
       if (routed instanceof Outcome.Failed<Assignment> failed) {
         return Outcome.failed(truth(failed.failure(), mayHaveRun));
       }
@@ -106,18 +107,4 @@
       context.router().finished(assignment.requestId(), 1, ending);
     }
   }
-
-  private RequestFacts facts(RequestFacts first, Set<String> excluded) {
-    return new RequestFacts(
-        context.router().nextRequestId(),
-        first.workspace(),
-        first.className(),
-        first.targets(),
-        first.model(),
-        first.promptTokens(),
-        first.maxOutputTokens(),
-        first.prefixHash(),
-        first.arrivedAtMillis(),
-        excluded);
-  }
 }
--- a/src/main/java/org/curranthaven/internal/routing/RequestFacts.java
+++ b/src/main/java/org/curranthaven/internal/routing/RequestFacts.java
@@ -32,6 +32,27 @@
     excludedServers = Set.copyOf(excludedServers);
   }
 
+  /**
+   * Returns the request for another attempt.
+   *
+   * @param newId number of the attempt
+   * @param tokensSoFar tokens that the attempt continues from; 0 for a new start
+   * @param excluded servers that the attempt should not go to
+   */
+  public RequestFacts attempt(long newId, int tokensSoFar, Set<String> excluded) {
+    return new RequestFacts(
+        newId,
+        workspace,
+        className,
+        targets,
+        model,
+        promptTokens + tokensSoFar,
+        maxOutputTokens,
+        prefixHash,
+        arrivedAtMillis,
+        excluded);
+  }
+
   /** Returns the same request with another time of arrival. */
   public RequestFacts arrivedAt(long millis) {
     return new RequestFacts(
--- /dev/null
+++ b/src/test/java/org/curranthaven/internal/host/FleetClient.java
@@ -0,0 +1,105 @@
+package org.curranthaven.internal.host;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.UUID;
+import org.curranthaven.internal.configuration.ConfigurationChange;
+import org.curranthaven.internal.configuration.Edit;
+import org.curranthaven.internal.membership.BackendAnnouncement;
+import org.curranthaven.internal.settings.Json;
+import org.curranthaven.internal.standin.EngineOptions;
+import org.curranthaven.internal.standin.LocalFleet;
+import org.curranthaven.internal.standin.StandinOptions;
+import org.curranthaven.internal.standin.Workloads;
+
+/** Calls a fleet on loopback as callers and operators do, and awaits conditions. */
+final class FleetClient {
+  static final long PATIENCE_MILLIS = 120_000;
+
+  private final LocalFleet fleet;
+  private final HttpClient client = HttpClient.newHttpClient();
+
+  FleetClient(LocalFleet fleet) {
+    this.fleet = fleet;
+  }
+
+  interface Condition {
+    boolean holds() throws IOException, InterruptedException;
+  }
+
+  static void await(Condition condition) throws InterruptedException {
+    boolean held = LocalFleet.await(PATIENCE_MILLIS, () -> holds(condition));
+    assertThat(held).isTrue();
+  }
+
+  private static boolean holds(Condition condition) {
+    try {
+      return condition.holds();
+    } catch (IOException e) {
+      return false;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+
+  StandinOptions standin(String name, String model) {
+    return new StandinOptions(
+        name,
+        "a",
+        0,
+        fleet.httpAddresses(),
+        model,
+        EngineOptions.standard(),
+        BackendAnnouncement.Resume.TAKEOVER,
+        true);
+  }
+
+  String url(int host, String path) {
+    return "http://" + fleet.httpAddresses().get(host) + path;
+  }
+
+  JsonNode get(int host, String path) throws IOException, InterruptedException {
+    HttpRequest request = HttpRequest.newBuilder(URI.create(url(host, path))).build();
+    return Json.LENIENT.readTree(client.send(request, HttpResponse.BodyHandlers.ofString()).body());
+  }
+
+  HttpResponse<String> send(HttpRequest.Builder request) throws IOException, InterruptedException {
+    return client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+  }
+
+  HttpResponse<String> change(int host, String id, long base, List<Edit> edits)
+      throws IOException, InterruptedException {
+    String body = Json.text(new ConfigurationChange(id, base, "test", edits));
+    return send(
+        HttpRequest.newBuilder(URI.create(url(host, "/admin/v1/changes")))
+            .POST(HttpRequest.BodyPublishers.ofString(body)));
+  }
+
+  HttpRequest.Builder call(int host, String path, String className, String body) {
+    return HttpRequest.newBuilder(URI.create(url(host, path)))
+        .header("Authorization", "Bearer " + Workloads.KEY)
+        .header("Curranthaven-Class", className)
+        .POST(HttpRequest.BodyPublishers.ofString(body));
+  }
+
+  HttpResponse<String> hold(int host, String key, String nonce)
+      throws IOException, InterruptedException {
+    return send(
+        call(host, "/services/desk/hold", "hold", "{\"nonce\":\"" + nonce + "\"}")
+            .header("Idempotency-Key", key));
+  }
+
+  /** Returns a key that was issued now. */
+  static String key() {
+    long high = (System.currentTimeMillis() << 16) | 0x7001L;
+    return new UUID(high, UUID.randomUUID().getLeastSignificantBits()).toString();
+  }
+}
--- a/src/test/java/org/curranthaven/internal/host/FleetFailureTest.java
+++ b/src/test/java/org/curranthaven/internal/host/FleetFailureTest.java
@@ -4,23 +4,14 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
 import java.util.List;
 import java.util.UUID;
 import org.curranthaven.api.Model;
-import org.curranthaven.internal.configuration.ConfigurationChange;
 import org.curranthaven.internal.configuration.Edit;
-import org.curranthaven.internal.membership.BackendAnnouncement;
-import org.curranthaven.internal.settings.Json;
 import org.curranthaven.internal.standin.Balancer;
-import org.curranthaven.internal.standin.EngineOptions;
 import org.curranthaven.internal.standin.LoadGenerator;
 import org.curranthaven.internal.standin.LocalFleet;
 import org.curranthaven.internal.standin.RunLog;
-import org.curranthaven.internal.standin.StandinOptions;
 import org.curranthaven.internal.standin.StandinService;
 import org.curranthaven.internal.standin.WorkKind;
 import org.curranthaven.internal.standin.Workloads;
@@ -30,31 +21,20 @@
 
 /** Hosts that are lost, wiped and restarted; conditions are awaited, no verdict rests on time. */
 class FleetFailureTest {
-  private static final long PATIENCE_MILLIS = 120_000;
-
   private final RunLog runLog = new RunLog();
-  private final HttpClient client = HttpClient.newHttpClient();
   private LocalFleet fleet;
+  private FleetClient client;
   private StandinService desk;
 
   @BeforeEach
   void startFleet() throws IOException, InterruptedException {
     fleet = LocalFleet.start(4, 3);
-    desk =
-        StandinService.start(
-            new StandinOptions(
-                "desk-1",
-                "a",
-                0,
-                fleet.httpAddresses(),
-                Workloads.DESK,
-                EngineOptions.standard(),
-                BackendAnnouncement.Resume.NONE,
-                true),
-            runLog);
-    await(() -> change(3, "setup", 0, Workloads.configuration()).statusCode() == 200);
-    assertThat(fleet.awaitReady(PATIENCE_MILLIS)).isTrue();
-    await(() -> voters(3) == 3);
+    client = new FleetClient(fleet);
+    desk = StandinService.start(client.standin("desk-1", Workloads.DESK), runLog);
+    FleetClient.await(
+        () -> client.change(3, "setup", 0, Workloads.configuration()).statusCode() == 200);
+    assertThat(fleet.awaitReady(FleetClient.PATIENCE_MILLIS)).isTrue();
+    FleetClient.await(() -> voters(3) == 3);
   }
 
   @AfterEach
@@ -63,52 +43,12 @@
     fleet.close();
   }
 
-  private interface Condition {
-    boolean holds() throws IOException, InterruptedException;
-  }
-
-  private static void await(Condition condition) throws InterruptedException {
-    boolean held =
-        LocalFleet.await(
-            PATIENCE_MILLIS,
-            () -> {
-              try {
-                return condition.holds();
-              } catch (IOException e) {
-                return false;
-              } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-                return false;
-              }
-            });
-    assertThat(held).isTrue();
-  }
-
-  private HttpResponse<String> change(int host, String id, long base, List<Edit> edits)
-      throws IOException, InterruptedException {
-    String body = Json.text(new ConfigurationChange(id, base, "test", edits));
-    return client.send(
-        HttpRequest.newBuilder(
-                URI.create("http://" + fleet.httpAddresses().get(host) + "/admin/v1/changes"))
-            .POST(HttpRequest.BodyPublishers.ofString(body))
-            .build(),
-        HttpResponse.BodyHandlers.ofString());
-  }
-
-  private JsonNode dump(int host) throws IOException, InterruptedException {
-    HttpRequest request =
-        HttpRequest.newBuilder(
-                URI.create("http://" + fleet.httpAddresses().get(host) + "/admin/v1/dump"))
-            .build();
-    return Json.LENIENT.readTree(client.send(request, HttpResponse.BodyHandlers.ofString()).body());
-  }
-
   /**
    * Returns the voters of group 0 when no learner is left, as the control hosts up to {@code n}.
    */
   private int voters(int n) throws IOException, InterruptedException {
     for (int host = 0; host < n; host++) {
-      JsonNode group = dump(host).at("/groups/0");
+      JsonNode group = client.get(host, "/admin/v1/dump").at("/groups/0");
       if (group.path("role").asText().equals("LEADER")) {
         return group.path("learners").asInt() == 0 ? group.path("voters").asInt() : 0;
       }
@@ -119,7 +59,7 @@
   private int leader() throws IOException, InterruptedException {
     for (int host = 0; host < 3; host++) {
       try {
-        if (dump(host).at("/groups/0/role").asText().equals("LEADER")) {
+        if (client.get(host, "/admin/v1/dump").at("/groups/0/role").asText().equals("LEADER")) {
           return host;
         }
       } catch (IOException e) {
@@ -129,40 +69,24 @@
     return -1;
   }
 
-  private HttpResponse<String> hold(int host, String key, String nonce)
-      throws IOException, InterruptedException {
-    return client.send(
-        HttpRequest.newBuilder(
-                URI.create("http://" + fleet.httpAddresses().get(host) + "/services/desk/hold"))
-            .header("Authorization", "Bearer " + Workloads.KEY)
-            .header("Curranthaven-Class", "hold")
-            .header("Idempotency-Key", key)
-            .POST(HttpRequest.BodyPublishers.ofString("{\"nonce\":\"" + nonce + "\"}"))
-            .build(),
-        HttpResponse.BodyHandlers.ofString());
-  }
-
-  private static String key() {
-    long high = (System.currentTimeMillis() << 16) | 0x7001L;
-    return new UUID(high, UUID.randomUUID().getLeastSignificantBits()).toString();
-  }
-
   @Test
   void nothing_accepted_is_lost_with_the_leader_and_no_call_runs_twice()
       throws IOException, InterruptedException {
-    String key = key();
+    String key = FleetClient.key();
     String nonce = UUID.randomUUID().toString();
-    await(() -> hold(3, key, nonce).statusCode() == 200);
+    FleetClient.await(() -> client.hold(3, key, nonce).statusCode() == 200);
     int lost = leader();
 
     fleet.host(lost).stop();
 
-    await(
+    FleetClient.await(
         () ->
-            change(3, "after", 1, List.of(new Edit.PutModel(new Model("new", 100)))).statusCode()
+            client
+                    .change(3, "after", 1, List.of(new Edit.PutModel(new Model("new", 100))))
+                    .statusCode()
                 == 200);
     int other = lost == 0 ? 1 : 0;
-    await(() -> hold(other, key, nonce).statusCode() == 200);
+    FleetClient.await(() -> client.hold(other, key, nonce).statusCode() == 200);
     assertThat(runLog.runs(nonce)).isEqualTo(1);
     assertThat(fleet.host(3).configuration().models()).containsKeys("new", Workloads.STORY);
   }
@@ -170,26 +94,30 @@
   @Test
   void a_wiped_host_returns_as_a_new_voter_and_a_second_loss_right_after_costs_nothing()
       throws IOException, InterruptedException {
-    String key = key();
+    String key = FleetClient.key();
     String nonce = UUID.randomUUID().toString();
-    await(() -> hold(3, key, nonce).statusCode() == 200);
+    FleetClient.await(() -> client.hold(3, key, nonce).statusCode() == 200);
     fleet.host(1).stop();
     fleet.wipe(1);
     fleet.restart(1);
-    await(() -> voters(3) == 3 && dump(1).at("/groups/0/voters").asInt() == 3);
-    await(() -> dump(1).at("/groups/1/voters").asInt() == 3);
-    await(() -> dump(1).at("/groups/2/voters").asInt() == 3);
-    await(() -> dump(1).at("/groups/0/learners").asInt() == 0);
-    await(() -> dump(1).at("/groups/1/learners").asInt() == 0);
-    await(() -> dump(1).at("/groups/2/learners").asInt() == 0);
+    FleetClient.await(
+        () ->
+            voters(3) == 3 && client.get(1, "/admin/v1/dump").at("/groups/0/voters").asInt() == 3);
+    FleetClient.await(() -> client.get(1, "/admin/v1/dump").at("/groups/1/voters").asInt() == 3);
+    FleetClient.await(() -> client.get(1, "/admin/v1/dump").at("/groups/2/voters").asInt() == 3);
+    FleetClient.await(() -> client.get(1, "/admin/v1/dump").at("/groups/0/learners").asInt() == 0);
+    FleetClient.await(() -> client.get(1, "/admin/v1/dump").at("/groups/1/learners").asInt() == 0);
+    FleetClient.await(() -> client.get(1, "/admin/v1/dump").at("/groups/2/learners").asInt() == 0);
 
     fleet.host(0).stop();
 
-    await(
+    FleetClient.await(
         () ->
-            change(3, "after", 1, List.of(new Edit.PutModel(new Model("new", 100)))).statusCode()
+            client
+                    .change(3, "after", 1, List.of(new Edit.PutModel(new Model("new", 100))))
+                    .statusCode()
                 == 200);
-    await(() -> hold(1, key, nonce).statusCode() == 200);
+    FleetClient.await(() -> client.hold(1, key, nonce).statusCode() == 200);
     assertThat(runLog.runs(nonce)).isEqualTo(1);
   }
 
@@ -202,13 +130,13 @@
             new WorkKind("charge", Workloads.DESK, true, false, 0, 0, 0, 1));
     try (Balancer balancer = new Balancer(fleet.httpAddresses());
         LoadGenerator load = new LoadGenerator(kinds, Workloads.classes(), balancer, runLog)) {
-      await(() -> balancer.readyCount() == 4);
+      FleetClient.await(() -> balancer.readyCount() == 4);
       Thread sender =
           Thread.ofPlatform()
               .start(
                   () -> {
                     try {
-                      load.run(PATIENCE_MILLIS, 40, 3);
+                      load.run(FleetClient.PATIENCE_MILLIS, 40, 3);
                     } catch (InterruptedException e) {
                       Thread.currentThread().interrupt();
                     }
@@ -218,11 +146,11 @@
         assertThat(fleet.host(host).drain()).isZero();
         fleet.host(host).stop();
         fleet.restart(host);
-        assertThat(fleet.awaitReady(PATIENCE_MILLIS)).isTrue();
+        assertThat(fleet.awaitReady(FleetClient.PATIENCE_MILLIS)).isTrue();
       }
       sender.interrupt();
       sender.join();
-      assertThat(load.awaitEnd(PATIENCE_MILLIS)).isZero();
+      assertThat(load.awaitEnd(FleetClient.PATIENCE_MILLIS)).isZero();
 
       assertThat(load.promises().allKept()).as(load.promises().toString()).isTrue();
       assertThat(load.classes().values())
