Treat an interrupted write as a stop, not as a failed disk

Cause: a host that was stopped during a sync logged 'group 2 cannot be stored: null' in the tests' output.

Change: a write that a stop interrupts ends the loop; what was not synced was not acknowledged.

--- a/src/main/java/org/curranthaven/internal/consensus/ConsensusLoop.java
+++ b/src/main/java/org/curranthaven/internal/consensus/ConsensusLoop.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import java.io.IOException;
+import java.nio.channels.ClosedByInterruptException;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -237,7 +238,7 @@
     observers.forEach(observer -> observer.tick(nowMillis));
   }
 
-  private void finishBatch(long nowMillis) {
+  private void finishBatch(long nowMillis) throws InterruptedException {
     for (Replica replica : List.copyOf(replicas.values())) {
       replica.handle(new RaftEvent.BatchEnded(), nowMillis);
       try {
@@ -247,6 +248,8 @@
         }
         released.forEach(decision -> carryOut(replica, decision, nowMillis));
         replica.snapshotIfDue(nowMillis);
+      } catch (ClosedByInterruptException e) {
+        throw new InterruptedException("asked to stop while storing");
       } catch (IOException e) {
         giveUp(replica, e, nowMillis);
       }
