--- a/src/main/java/org/curranthaven/internal/standin/LoadGenerator.java
+++ b/src/main/java/org/curranthaven/internal/standin/LoadGenerator.java
@@ -35,6 +35,9 @@
  * lost, and never otherwise. Thread-safe.
  */
 public final class LoadGenerator implements AutoCloseable {
+  /** Longest answer asked for, in tokens, so that a run ends soon after its last request. */
+  private static final int MAX_TOKENS = 1_000;
+
   private static final int MAX_SENDS = 6;
   private static final long RESEND_MILLIS = 200;
   private static final int STATUS_OK = 200;
@@ -192,6 +195,10 @@
     return serviceClass == null || serviceClass.repeatable();
   }
 
+  private static int lengthOf(WorkKind kind, SplittableRandom random) {
+    return Math.min(MAX_TOKENS, kind.drawTokens(random));
+  }
+
   private static String nonce(SplittableRandom random) {
     return new UUID(random.nextLong(), random.nextLong()).toString();
   }
@@ -220,7 +227,7 @@
   }
 
   private void sendStreamed(WorkKind kind, SplittableRandom random) throws InterruptedException {
-    PromptTag tag = new PromptTag(nonce(random), kind.drawTokens(random));
+    PromptTag tag = new PromptTag(nonce(random), lengthOf(kind, random));
     String host = balancer.choose(random);
     HttpRequest request =
         request(host, kind, "/v1/chat/completions", completionBody(kind, tag)).build();
@@ -281,7 +288,7 @@
   }
 
   private void sendWhole(WorkKind kind, SplittableRandom random) throws InterruptedException {
-    PromptTag tag = new PromptTag(nonce(random), kind.drawTokens(random));
+    PromptTag tag = new PromptTag(nonce(random), lengthOf(kind, random));
     String body = completionBody(kind, tag);
     JsonNode answer = sendUntilAnswered(kind, "/v1/chat/completions", body, tag.nonce(), random);
     if (answer != null) {
