Do not bring a request back to a server that lost it on that server's report

Cause: since a report or an end tries the queue on that one server only, the fallback to excluded servers, meant for when no other server is left, looked at that one server alone: a request went back to the server that had lost it, and a takeover to an engine that cannot take over, while other servers were full.

Change: the fallback holds only for a pass over all servers, with a test.

--- a/src/main/java/org/curranthaven/internal/routing/RoutingCore.java
+++ b/src/main/java/org/curranthaven/internal/routing/RoutingCore.java
@@ -350,7 +350,9 @@
         able.add(server);
       }
     }
-    return able.isEmpty() ? excluded : able;
+    // A pass over a part of the servers says nothing of the rest.
+    boolean allTried = among.size() == servers.size();
+    return able.isEmpty() && allTried ? excluded : able;
   }
 
   /** Returns the rank of the class by its first-reply target: the tightest is 0. */
--- a/src/test/java/org/curranthaven/internal/routing/RoutingCoreTest.java
+++ b/src/test/java/org/curranthaven/internal/routing/RoutingCoreTest.java
@@ -125,6 +125,19 @@
             });
   }
 
+  @Test
+  void a_report_of_an_excluded_server_does_not_bring_a_request_back_to_it() {
+    core.handle(new RoutingEvent.ServerReported(server("lost", 5_000, 0, 0)), 0);
+    core.handle(new RoutingEvent.ServerReported(server("full", 5_000, 5_000, 1, 0)), 0);
+    RequestFacts again = request(1, "door", DOOR, 0).attempt(1, 0, Set.of("lost"));
+    core.handle(new RoutingEvent.Arrived(again), 0);
+
+    List<RoutingDecision> decisions =
+        core.handle(new RoutingEvent.ServerReported(server("lost", 5_000, 0, 10)), 10);
+
+    assertThat(dispatched(decisions)).isEmpty();
+  }
+
   @Test
   void a_server_that_has_gone_gets_nothing() {
     core.handle(new RoutingEvent.ServerReported(server("s1", 5_000, 0, 0)), 0);
