--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/catalog/EngineSpec.java
@@ -0,0 +1,11 @@
+package org.curranthaven.internal.catalog;
+
+/**
+ * What the engines of a service can do.
+ *
+ * @param slots requests that an engine batches
+ * @param memoryTokens tokens that an engine's memory holds
+ * @param tokensPerEvent tokens in one event of a stream
+ * @param moves whether a running request can be moved to another engine
+ */
+public record EngineSpec(int slots, int memoryTokens, int tokensPerEvent, boolean moves) {}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/catalog/ServiceShare.java
@@ -0,0 +1,15 @@
+package org.curranthaven.internal.catalog;
+
+/**
+ * Share of a route's calls that go to a service.
+ *
+ * @param service name of the service
+ * @param weight share, relative to the other services of the route
+ */
+public record ServiceShare(String service, double weight) {
+  public ServiceShare {
+    if (weight < 0) {
+      throw new IllegalArgumentException("weight must not be negative");
+    }
+  }
+}
--- a/src/main/java/org/curranthaven/internal/cli/Main.java
+++ b/src/main/java/org/curranthaven/internal/cli/Main.java
@@ -84,6 +84,7 @@
   private static List<Command> commands() {
     return List.of(
         new ServeCommand(),
+        new RoutedCommand(),
         new SettingsCommand(),
         new ItemCommand(Edit.Kind.CLASS),
         new ItemCommand(Edit.Kind.WORKSPACE),
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/cli/RoutedCommand.java
@@ -0,0 +1,95 @@
+package org.curranthaven.internal.cli;
+
+import java.nio.file.Path;
+import java.util.ServiceLoader;
+import java.util.concurrent.CountDownLatch;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.curranthaven.api.Failure;
+import org.curranthaven.api.Outcome;
+import org.curranthaven.api.ResultCode;
+import org.curranthaven.internal.consensus.DataFolder;
+import org.curranthaven.internal.relay.Gateway;
+import org.curranthaven.internal.relay.WireProtocol;
+import org.curranthaven.internal.scheduler.ControlHost;
+import org.curranthaven.internal.settings.RoutedSettings;
+import org.curranthaven.internal.supervision.Clock;
+import org.tinylog.Logger;
+
+/** {@code serve-routed}: runs one host that serves routed calls in the words of a platform. */
+final class RoutedCommand implements Command {
+  @Override
+  public void register(Subparsers parsers) {
+    Subparser parser =
+        parsers
+            .addParser("serve-routed")
+            .help("run one host that serves routed calls in the words of a platform")
+            .description(
+                "Runs one host until SIGTERM, which drains it. SIGHUP changes nothing: settings"
+                    + " are read at the start.");
+    parser.addArgument("--settings").required(true).help("settings file (JSON with comments)");
+    parser.addArgument("--protocol").required(true).help("name of the protocol to speak");
+    parser.setDefault(Main.COMMAND, this);
+  }
+
+  @Override
+  public int run(Namespace arguments) throws InterruptedException {
+    Logging.configure(false);
+    String name = arguments.getString("protocol");
+    WireProtocol protocol =
+        ServiceLoader.load(WireProtocol.class).stream()
+            .map(ServiceLoader.Provider::get)
+            .filter(found -> found.name().equals(name))
+            .findFirst()
+            .orElse(null);
+    if (protocol == null) {
+      return Main.fail(Failure.of(ResultCode.USAGE, "there is no protocol '" + name + "'"));
+    }
+    return switch (RoutedSettings.read(Path.of(arguments.getString("settings")))) {
+      case Outcome.Failed<RoutedSettings> failed -> Main.fail(failed.failure());
+      case Outcome.Success<RoutedSettings> success -> serve(success.value(), protocol);
+    };
+  }
+
+  private static int serve(RoutedSettings settings, WireProtocol protocol)
+      throws InterruptedException {
+    CountDownLatch stop = new CountDownLatch(1);
+    StopSignals.onStop(count -> stop.countDown());
+    StopSignals.onReload(
+        () -> Logger.info("settings are read at the start only; the signal changes nothing"));
+    return settings.isControl()
+        ? serveControl(settings, protocol, stop)
+        : serveGateway(settings, protocol, stop);
+  }
+
+  private static int serveGateway(
+      RoutedSettings settings, WireProtocol protocol, CountDownLatch stop)
+      throws InterruptedException {
+    Gateway gateway = new Gateway(settings, protocol, Clock.system());
+    gateway.start();
+    stop.await();
+    int left = gateway.drain();
+    if (left > 0) {
+      Logger.warn("{} calls were still open and are cut off", left);
+    }
+    return 0;
+  }
+
+  private static int serveControl(
+      RoutedSettings settings, WireProtocol protocol, CountDownLatch stop)
+      throws InterruptedException {
+    switch (DataFolder.open(Path.of(String.valueOf(settings.dataFolder())))) {
+      case Outcome.Failed<DataFolder> failed -> {
+        return Main.fail(failed.failure());
+      }
+      case Outcome.Success<DataFolder> success -> {
+        ControlHost host = new ControlHost(settings, protocol, success.value(), Clock.system());
+        host.start();
+        stop.await();
+        host.drain();
+        return 0;
+      }
+    }
+  }
+}
--- a/src/main/java/org/curranthaven/internal/cli/StopSignals.java
+++ b/src/main/java/org/curranthaven/internal/cli/StopSignals.java
@@ -25,6 +25,15 @@
     }
   }
 
+  /** Registers an action for SIGHUP, which would end the process otherwise. */
+  static void onReload(Runnable action) {
+    try {
+      register("HUP", action);
+    } catch (ReflectiveOperationException e) {
+      Logger.warn("signal HUP cannot be handled: {}", e.getMessage());
+    }
+  }
+
   private static void register(String name, Runnable action)
       throws ClassNotFoundException,
           NoSuchMethodException,
--- a/src/main/java/org/curranthaven/internal/configuration/FleetState.java
+++ b/src/main/java/org/curranthaven/internal/configuration/FleetState.java
@@ -2,17 +2,22 @@
 
 import com.google.protobuf.ByteString;
 import org.curranthaven.api.Configuration;
+import org.curranthaven.internal.catalog.CatalogState;
 import org.curranthaven.internal.consensus.StateMachine;
 import org.curranthaven.internal.placement.PlacementState;
 import org.curranthaven.internal.settings.Json;
+import org.jspecify.annotations.Nullable;
 
-/** State of group 0: the configuration and the placement lease. Not thread-safe. */
+/** State of group 0: the configuration, the placement lease and the catalog. Not thread-safe. */
 public final class FleetState implements StateMachine {
   private final ConfigurationState configuration = new ConfigurationState();
   private final PlacementState placement = new PlacementState();
+  private final CatalogState catalog = new CatalogState();
 
   private record Snapshot(
-      ConfigurationState.Snapshot configuration, PlacementState.Snapshot placement) {}
+      ConfigurationState.Snapshot configuration,
+      PlacementState.Snapshot placement,
+      CatalogState.@Nullable Snapshot catalog) {}
 
   /** Returns the latest committed configuration. */
   public Configuration current() {
@@ -24,6 +29,11 @@
     return configuration;
   }
 
+  /** Returns the catalog document. */
+  public CatalogState catalog() {
+    return catalog;
+  }
+
   /** Returns the placement lease. */
   public PlacementState placement() {
     return placement;
@@ -35,13 +45,17 @@
         switch (Json.read(entry, FleetCommand.class)) {
           case FleetCommand.Change change -> configuration.apply(change.change());
           case FleetCommand.Placement command -> placement.apply(command.placement());
+          case FleetCommand.ReplaceCatalog replace ->
+              catalog.replace(replace.revision(), replace.document());
+          case FleetCommand.ReadCatalog ignored -> catalog.revision();
         };
     return Json.write(result);
   }
 
   @Override
   public ByteString snapshot() {
-    return Json.write(new Snapshot(configuration.snapshot(), placement.snapshot()));
+    return Json.write(
+        new Snapshot(configuration.snapshot(), placement.snapshot(), catalog.snapshot()));
   }
 
   @Override
@@ -49,5 +63,8 @@
     Snapshot snapshot = Json.read(state, Snapshot.class);
     configuration.restore(snapshot.configuration());
     placement.restore(snapshot.placement());
+    if (snapshot.catalog() != null) {
+      catalog.restore(snapshot.catalog());
+    }
   }
 }
--- a/src/main/java/org/curranthaven/internal/consensus/ConsensusLoop.java
+++ b/src/main/java/org/curranthaven/internal/consensus/ConsensusLoop.java
@@ -36,14 +36,14 @@
  * the cores decide, and only then sends, applies and answers. All public methods are thread-safe.
  */
 public final class ConsensusLoop implements Child {
-  private static final long TICK_MILLIS = 20;
+  private static final long TICK_MILLIS = 40;
   private static final long VOTER_POLICY_MILLIS = 250;
   private static final long REOPEN_MILLIS = 1_000;
   private static final int MAX_BATCH = 2_048;
 
   private final DataFolder folder;
   private final int groupCount;
-  private final int contactCount;
+  private final Set<String> foundingContacts;
   private final int votersWanted;
   private final IntFunction<StateMachine> machines;
   private final Supplier<HostRecord> self;
@@ -68,7 +68,8 @@
    *
    * @param folder data folder
    * @param groupCount number of groups, group 0 included
-   * @param contactCount number of control hosts in the settings, this one included
+   * @param foundingContacts peer addresses of the control hosts that must all be empty for the
+   *     groups to be founded; empty if this host may only join
    * @param votersWanted number of voters of each group
    * @param machines makes the state machine of a group
    * @param self describes this host
@@ -78,7 +79,7 @@
   public record Wiring(
       DataFolder folder,
       int groupCount,
-      int contactCount,
+      Set<String> foundingContacts,
       int votersWanted,
       IntFunction<StateMachine> machines,
       Supplier<HostRecord> self,
@@ -91,7 +92,7 @@
   public ConsensusLoop(Wiring wiring) {
     this.folder = wiring.folder();
     this.groupCount = wiring.groupCount();
-    this.contactCount = wiring.contactCount();
+    this.foundingContacts = Set.copyOf(wiring.foundingContacts());
     this.votersWanted = wiring.votersWanted();
     this.machines = wiring.machines();
     this.self = wiring.self();
@@ -378,10 +379,10 @@
   }
 
   private void foundIfAlone(long nowMillis) {
-    if (!Formation.mayFound(self.get(), contactCount, connected.get())) {
+    if (!Formation.mayFound(self.get(), foundingContacts, connected.get())) {
       return;
     }
-    Logger.info("all {} control hosts are empty: founding the groups", contactCount);
+    Logger.info("{} are all empty: founding the groups", foundingContacts);
     VoterSet founders = VoterSet.newBuilder().addVoters(voter(self.get())).build();
     for (int groupId = 0; groupId < groupCount; groupId++) {
       try (GroupStorage storage = GroupStorage.open(folder.groupFolder(groupId))) {
--- a/src/main/java/org/curranthaven/internal/consensus/Formation.java
+++ b/src/main/java/org/curranthaven/internal/consensus/Formation.java
@@ -1,14 +1,16 @@
 package org.curranthaven.internal.consensus;
 
 import java.util.Collection;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.curranthaven.internal.transport.wire.HostRecord;
 
 /**
  * Decides whether a control host with an empty data folder may found the groups.
  *
- * <p>It may only if every control host named in its settings is connected, all of them are empty
- * and it has the lowest name: then nothing can have been accepted anywhere. Otherwise it waits
- * until a leader takes it in.
+ * <p>It may only if it has the lowest address of the control hosts named in the settings, and all
+ * of these are connected and empty: then nothing can have been accepted anywhere. Otherwise it
+ * waits until a leader takes it in.
  */
 final class Formation {
   private Formation() {}
@@ -16,15 +18,19 @@
   /**
    * Returns whether {@code self} may found the groups.
    *
-   * @param contactCount number of control hosts in the settings, this one included
+   * @param contacts peer addresses of the control hosts in the settings, the same on each of them
    * @param connectedControl control hosts that are connected, this one excluded
    */
   static boolean mayFound(
-      HostRecord self, int contactCount, Collection<HostRecord> connectedControl) {
-    boolean allConnected = connectedControl.size() + 1 >= contactCount;
+      HostRecord self, Collection<String> contacts, Collection<HostRecord> connectedControl) {
+    Set<String> present =
+        connectedControl.stream().map(HostRecord::getPeerAddress).collect(Collectors.toSet());
+    present.add(self.getPeerAddress());
     boolean allEmpty = connectedControl.stream().noneMatch(HostRecord::getFormed);
     boolean lowest =
-        connectedControl.stream().allMatch(other -> self.getName().compareTo(other.getName()) < 0);
-    return !self.getFormed() && allConnected && allEmpty && lowest;
+        contacts.stream()
+            .min(String::compareTo)
+            .equals(java.util.Optional.of(self.getPeerAddress()));
+    return !self.getFormed() && lowest && allEmpty && present.containsAll(contacts);
   }
 }
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/dispatch/BackendState.java
@@ -0,0 +1,65 @@
+package org.curranthaven.internal.dispatch;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.curranthaven.internal.transport.wire.BackendRecord;
+
+/** A backend server and the calls that run on it. Not thread-safe. */
+final class BackendState {
+  private BackendRecord registration;
+  private long warmAtMillis;
+  private long fullUntilMillis;
+  final Map<CallKey, OpenCall> calls = new LinkedHashMap<>();
+  final PromptParts parts = new PromptParts();
+
+  BackendState(BackendRecord registration, long nowMillis) {
+    this.registration = registration;
+    registered(registration, nowMillis);
+  }
+
+  final void registered(BackendRecord newer, long nowMillis) {
+    registration = newer;
+    warmAtMillis = nowMillis + newer.getColdLeftMillis();
+  }
+
+  BackendRecord registration() {
+    return registration;
+  }
+
+  String id() {
+    return registration.getId();
+  }
+
+  int slots() {
+    return Math.max(1, registration.getSlots());
+  }
+
+  boolean isCold(long nowMillis) {
+    return nowMillis < warmAtMillis;
+  }
+
+  /** Notes that the backend server turned a call away although room was expected. */
+  void rejected(long untilMillis) {
+    fullUntilMillis = untilMillis;
+  }
+
+  boolean saysFull(long nowMillis) {
+    return nowMillis < fullUntilMillis;
+  }
+
+  double memoryTokens() {
+    double sum = 0;
+    for (OpenCall call : calls.values()) {
+      sum += call.memoryTokens();
+    }
+    return sum;
+  }
+
+  int unreadTokens() {
+    int sum = 0;
+    for (OpenCall call : calls.values()) {
+      sum += call.unreadTokens();
+    }
+    return sum;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchDecision.java
@@ -0,0 +1,25 @@
+package org.curranthaven.internal.dispatch;
+
+/** What the scheduler decided for a call. */
+public sealed interface DispatchDecision {
+  /** Returns the call. */
+  CallKey key();
+
+  /**
+   * The call runs on a backend server.
+   *
+   * @param urgency rank at the backend server; 0 comes first
+   */
+  record Place(CallKey key, String backend, int urgency) implements DispatchDecision {}
+
+  /**
+   * The call is turned away; it did not run.
+   *
+   * @param retryAfterMillis when room is expected
+   */
+  record Refuse(CallKey key, long retryAfterMillis, RefusalReason reason)
+      implements DispatchDecision {}
+
+  /** The running call goes on at another backend server. */
+  record MoveTo(CallKey key, String target) implements DispatchDecision {}
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/dispatch/OpenCall.java
@@ -0,0 +1,57 @@
+package org.curranthaven.internal.dispatch;
+
+import org.curranthaven.internal.transport.wire.DispatchAsk;
+
+/** A call that runs on a backend server, as the scheduler sees it. Not thread-safe. */
+final class OpenCall {
+  /** Part of an output's forecast rest that counts as used: outputs end at different times. */
+  private static final double GROWTH_SHARE = 0.6;
+
+  /** Factor by which an output that outgrew its forecast is expected to grow on. */
+  private static final double OUTGROWN = 1.25;
+
+  private static final int OUTGROWN_TOKENS = 32;
+
+  final CallKey key;
+  final DispatchAsk ask;
+  final long placedAtMillis;
+  private final int forecastTokens;
+  private int outputTokens;
+  boolean moving;
+  int moveAttempts;
+
+  OpenCall(CallKey key, DispatchAsk ask, int forecastTokens, long placedAtMillis) {
+    this.key = key;
+    this.ask = ask;
+    this.forecastTokens = forecastTokens;
+    this.placedAtMillis = placedAtMillis;
+  }
+
+  void progressed(int tokens) {
+    outputTokens = Math.max(outputTokens, tokens);
+  }
+
+  int outputTokens() {
+    return outputTokens;
+  }
+
+  /** Returns the tokens of the prompt that the backend server has still to read. */
+  int unreadTokens() {
+    return outputTokens > 0 ? 0 : ask.getPromptTokens();
+  }
+
+  /** Returns the output tokens still to come, as forecast. */
+  int remainingTokens() {
+    if (outputTokens < forecastTokens) {
+      return forecastTokens - outputTokens;
+    }
+    int grown = (int) (outputTokens * OUTGROWN) + OUTGROWN_TOKENS;
+    int most = ask.getMaxOutputTokens() > 0 ? ask.getMaxOutputTokens() : grown;
+    return Math.max(0, Math.min(grown, most) - outputTokens);
+  }
+
+  /** Returns the memory that the call is counted with, in tokens. */
+  double memoryTokens() {
+    return ask.getPromptTokens() + outputTokens + GROWTH_SHARE * remainingTokens();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/dispatch/PromptParts.java
@@ -0,0 +1,40 @@
+package org.curranthaven.internal.dispatch;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.curranthaven.internal.transport.wire.PromptPart;
+
+/**
+ * Prompt parts that a backend server read lately and so may hold in its cache; the least recently
+ * used are forgotten. Not thread-safe.
+ */
+final class PromptParts {
+  private static final int MAX_PARTS = 512;
+
+  private final Map<String, Integer> tokensById =
+      new LinkedHashMap<>(16, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Integer> eldest) {
+          return size() > MAX_PARTS;
+        }
+      };
+
+  void read(List<PromptPart> parts) {
+    for (PromptPart part : parts) {
+      tokensById.put(part.getId(), part.getTokens());
+    }
+  }
+
+  /** Returns the tokens of the parts that begin the prompt and were read here. */
+  int cachedTokens(List<PromptPart> parts) {
+    int sum = 0;
+    for (PromptPart part : parts) {
+      if (!tokensById.containsKey(part.getId())) {
+        break;
+      }
+      sum += part.getTokens();
+    }
+    return sum;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/dispatch/RetryAllowance.java
@@ -0,0 +1,15 @@
+package org.curranthaven.internal.dispatch;
+
+/**
+ * Bound on the retries of a service, over all callers.
+ *
+ * @param ratio retries allowed for each call
+ * @param slack retries allowed besides, in each window
+ * @param windowMillis length of the window
+ */
+public record RetryAllowance(double ratio, double slack, long windowMillis) {
+  /** Returns the part of the allowance for one of several hosts that decide alone. */
+  public RetryAllowance sharedBy(int hosts) {
+    return new RetryAllowance(ratio, slack / Math.max(1, hosts), windowMillis);
+  }
+}
--- a/src/main/java/org/curranthaven/internal/host/HostProcess.java
+++ b/src/main/java/org/curranthaven/internal/host/HostProcess.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -181,7 +182,7 @@
         new ConsensusLoop.Wiring(
             data,
             settings.ledgerGroups() + 1,
-            settings.controlHosts().size(),
+            Set.copyOf(settings.controlHosts()),
             settings.votersWanted(),
             groupId -> groupId == 0 ? new FleetState() : new LedgerState(),
             this::describe,
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/relay/CallPlacer.java
@@ -0,0 +1,37 @@
+package org.curranthaven.internal.relay;
+
+import org.curranthaven.internal.transport.wire.DispatchAsk;
+import org.curranthaven.internal.transport.wire.DispatchOutcome;
+
+/** Has calls placed on backend servers. Used on the event loop only. */
+public interface CallPlacer {
+  /** Is told where a call runs. */
+  interface Placed {
+    /** The call is to run on a backend server. */
+    void placed(String backend, int urgency);
+
+    /** The call is turned away. */
+    void refused(long retryAfterMillis, String reason);
+
+    /** The running call is to go on at another backend server. */
+    void moveTo(String target);
+
+    /** Returns the call as it was asked for. */
+    DispatchAsk ask();
+
+    /** Returns the output tokens that have come. */
+    int outputTokens();
+
+    /** Returns the backend server that the call runs on; empty while it waits. */
+    String backend();
+  }
+
+  /** Asks for a place; the answer comes on the event loop, possibly at once. */
+  void ask(DispatchAsk ask, Placed placed);
+
+  /** Notes that the first output of a call has come. */
+  void progressed(long id, int outputTokens);
+
+  /** Notes that a call no longer waits, or no longer runs where it was placed. */
+  void ended(long id, DispatchOutcome outcome, int outputTokens);
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/relay/EventSplitter.java
@@ -0,0 +1,85 @@
+package org.curranthaven.internal.relay;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * Cuts a stream into whole events, each ended by an empty line. Bytes of an event that is not whole
+ * yet are kept. Not thread-safe.
+ */
+final class EventSplitter {
+  private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+  private static final int FIRST_BUFFER_BYTES = 1_024;
+
+  private byte[] buffer = new byte[FIRST_BUFFER_BYTES];
+  private int length;
+  private int scanned;
+
+  /**
+   * One event.
+   *
+   * @param id its id; empty when it has none
+   * @param bytes the event with the empty line that ends it
+   */
+  @SuppressWarnings("ArrayRecordComponent")
+  record Event(String id, byte[] bytes) {}
+
+  /** Adds bytes and returns the events that became whole. */
+  List<Event> add(byte[] bytes) {
+    if (length + bytes.length > buffer.length) {
+      buffer = Arrays.copyOf(buffer, Math.max(buffer.length * 2, length + bytes.length));
+    }
+    System.arraycopy(bytes, 0, buffer, length, bytes.length);
+    length += bytes.length;
+    List<Event> events = new ArrayList<>();
+    int start = 0;
+    for (int i = Math.max(scanned, 1); i < length; i++) {
+      if (i > start && buffer[i] == '\n' && endsLineBefore(i, start)) {
+        byte[] event = Arrays.copyOfRange(buffer, start, i + 1);
+        events.add(new Event(idOf(event), event));
+        start = i + 1;
+      }
+    }
+    length -= start;
+    System.arraycopy(buffer, start, buffer, 0, length);
+    scanned = length;
+    return events;
+  }
+
+  /** Returns the bytes of the event that is not whole. */
+  byte[] rest() {
+    return Arrays.copyOf(buffer, length);
+  }
+
+  private boolean endsLineBefore(int newline, int start) {
+    int previous = buffer[newline - 1] == '\r' ? newline - 2 : newline - 1;
+    return previous >= start && buffer[previous] == '\n';
+  }
+
+  private static String idOf(byte[] event) {
+    int lineStart = 0;
+    for (int i = 0; i < event.length; i++) {
+      if (event[i] != '\n') {
+        continue;
+      }
+      if (Arrays.equals(
+          event,
+          lineStart,
+          Math.min(lineStart + ID_FIELD.length, event.length),
+          ID_FIELD,
+          0,
+          ID_FIELD.length)) {
+        return new String(
+                event,
+                lineStart + ID_FIELD.length,
+                i - lineStart - ID_FIELD.length,
+                StandardCharsets.UTF_8)
+            .strip();
+      }
+      lineStart = i + 1;
+    }
+    return "";
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/relay/Exchange.java
@@ -0,0 +1,464 @@
+package org.curranthaven.internal.relay;
+
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.curranthaven.api.Failure;
+import org.curranthaven.api.ResultCode;
+import org.curranthaven.internal.catalog.CallKind;
+import org.curranthaven.internal.catalog.EngineSpec;
+import org.curranthaven.internal.catalog.Route;
+import org.curranthaven.internal.catalog.ServiceSpec;
+import org.curranthaven.internal.transport.wire.BackendRecord;
+import org.curranthaven.internal.transport.wire.DispatchAsk;
+import org.curranthaven.internal.transport.wire.DispatchOutcome;
+import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
+
+/**
+ * One call from its arrival to its final answer: has it placed, sends it, repeats it where its
+ * route allows that, and relays the answer. Used on the event loop only.
+ */
+final class Exchange implements CallPlacer.Placed, Attempt.Owner {
+  /** Time left below which a call is not sent any more. */
+  private static final long MIN_SEND_MILLIS = 5;
+
+  private static final long RETRY_SOON_MILLIS = 500;
+  private static final int DEFAULT_TOKENS_PER_EVENT = 1;
+
+  private final RelayContext context;
+  private final CallerConnection caller;
+  private final InboundCall call;
+  private final Route route;
+  private final ServiceSpec service;
+  private final String workspace;
+  private final int priority;
+  private final long arrivedAtMillis;
+  private final long endsAtMillis;
+  private final ScheduledFuture<?> timeout;
+  private final Set<String> excluded = new LinkedHashSet<>();
+  private long placementId;
+  private @Nullable DispatchAsk ask;
+  private @Nullable Attempt attempt;
+  private @Nullable Handover handover;
+  private AttemptResult.@Nullable Answered lastAnswer;
+  private @Nullable HttpResponse firstHead;
+  private String backend = "";
+  private String lastEventId;
+  private int urgency;
+  private int runs;
+  private int sends;
+  private int events;
+  private boolean started;
+  private boolean placed;
+  private boolean done;
+
+  Exchange(
+      RelayContext context,
+      CallerConnection caller,
+      InboundCall call,
+      Route route,
+      ServiceSpec service,
+      String workspace,
+      int priority) {
+    this.context = context;
+    this.caller = caller;
+    this.call = call;
+    this.route = route;
+    this.service = service;
+    this.workspace = workspace;
+    this.priority = priority;
+    this.lastEventId = call.lastEventId();
+    this.arrivedAtMillis = context.clock().nowMillis();
+    long allowed =
+        call.deadlineMillis() > 0
+            ? Math.min(call.deadlineMillis(), route.timeoutMillis())
+            : route.timeoutMillis();
+    this.endsAtMillis = arrivedAtMillis + allowed;
+    this.timeout = context.loop().schedule(this::timeUp, allowed, TimeUnit.MILLISECONDS);
+  }
+
+  void start() {
+    askForPlace(false);
+  }
+
+  // ---- placing ----------------------------------------------------------------------------------
+
+  private void askForPlace(boolean repeat) {
+    long nowMillis = context.clock().nowMillis();
+    EngineSpec engine = service.engine();
+    placementId = context.nextPlacementId();
+    DispatchAsk.Builder builder =
+        DispatchAsk.newBuilder()
+            .setId(placementId)
+            .setService(service.name())
+            .setRoute(route.name())
+            .setWorkspace(workspace)
+            .setPriority(priority)
+            .setPromptTokens(call.promptTokens() + outputTokens())
+            .setMaxOutputTokens(Math.max(0, call.maxOutputTokens() - outputTokens()))
+            .setHintedOutputTokens(Math.max(0, call.hintedOutputTokens() - outputTokens()))
+            .setTargetLeftMillis(arrivedAtMillis + route.targetMillis() - nowMillis)
+            .setDeadlineLeftMillis(endsAtMillis - nowMillis)
+            .addAllExcluded(excluded)
+            .setRepeat(repeat)
+            .setDataCentre(context.dataCentre())
+            .setEngine(engine != null);
+    if (engine != null) {
+      builder.addAllParts(call.parts());
+    }
+    ask = builder.build();
+    placed = false;
+    backend = "";
+    context.placer().ask(builder.build(), this);
+  }
+
+  @Override
+  public DispatchAsk ask() {
+    return ask == null ? DispatchAsk.getDefaultInstance() : ask;
+  }
+
+  @Override
+  public String backend() {
+    return backend;
+  }
+
+  @Override
+  public int outputTokens() {
+    EngineSpec engine = service.engine();
+    return events * (engine == null ? DEFAULT_TOKENS_PER_EVENT : engine.tokensPerEvent());
+  }
+
+  @Override
+  public void placed(String backendId, int newUrgency) {
+    BackendRecord record = context.backend(backendId);
+    long left = endsAtMillis - context.clock().nowMillis();
+    if (done || left < MIN_SEND_MILLIS) {
+      context.placer().ended(placementId, DispatchOutcome.DISPATCH_OUTCOME_CANCELLED, 0);
+      return;
+    }
+    placed = true;
+    backend = backendId;
+    urgency = newUrgency;
+    if (record == null) {
+      sends++;
+      afterAttempt(new AttemptResult.Unreachable("the backend server is gone"));
+      return;
+    }
+    send(record, "");
+  }
+
+  private void send(BackendRecord record, String takeOverFrom) {
+    sends++;
+    Attempt next = new Attempt(record, this);
+    attempt = next;
+    BackendCall backendCall =
+        new BackendCall(
+            call,
+            record,
+            workspace,
+            Math.max(1, endsAtMillis - context.clock().nowMillis()),
+            service.engine() == null ? -1 : urgency,
+            lastEventId,
+            takeOverFrom);
+    next.start(context.pool(), context.protocol().backendRequest(backendCall), call.id());
+  }
+
+  @Override
+  public void refused(long retryAfterMillis, String reason) {
+    if (done) {
+      return;
+    }
+    if (lastAnswer != null) {
+      // A backend server's own failure says more than the lack of another one.
+      deliver(lastAnswer);
+      return;
+    }
+    if (runs > 0) {
+      fail(ResultCode.BACKEND_FAILED, "it may not be sent again (" + reason + ")", 0);
+      return;
+    }
+    fail(ResultCode.SHED, "the call was turned away: " + reason, retryAfterMillis);
+  }
+
+  // ---- answers ----------------------------------------------------------------------------------
+
+  @Override
+  public void events(Attempt from, HttpResponse response, List<EventSplitter.Event> newEvents) {
+    if (done || from != attempt) {
+      return;
+    }
+    if (!started) {
+      started = true;
+      firstHead = response;
+      caller.startStream(response);
+      context.measured(route, context.clock().nowMillis() - arrivedAtMillis);
+    }
+    boolean first = events == 0;
+    for (EventSplitter.Event event : newEvents) {
+      if (isNew(event)) {
+        caller.writeStream(event.bytes());
+      }
+    }
+    if (first && events > 0) {
+      context.placer().progressed(placementId, outputTokens());
+    }
+    from.setReading(caller.isWritable());
+  }
+
+  private boolean isNew(EventSplitter.Event event) {
+    if (event.id().isEmpty()) {
+      return true;
+    }
+    boolean repeated = !lastEventId.isEmpty() && compareIds(event.id(), lastEventId) <= 0;
+    if (!repeated) {
+      lastEventId = event.id();
+      events++;
+    }
+    return !repeated;
+  }
+
+  private static int compareIds(String a, String b) {
+    return a.length() == b.length() ? a.compareTo(b) : Integer.compare(a.length(), b.length());
+  }
+
+  /** Called when the caller's connection takes more bytes, or none for the moment. */
+  void callerWritable(boolean writable) {
+    if (attempt != null) {
+      attempt.setReading(writable);
+    }
+  }
+
+  @Override
+  public void ended(Attempt from, AttemptResult result) {
+    if (done || from != attempt) {
+      return;
+    }
+    if (handover != null && result instanceof AttemptResult.Broken) {
+      handover.sourceEnded();
+      return;
+    }
+    boolean taking = takeOver != null;
+    String source = takeOver;
+    takeOver = null;
+    boolean refusedThere =
+        result instanceof AttemptResult.NotRun || result instanceof AttemptResult.Unreachable;
+    if (taking && refusedThere && source != null && !source.equals(from.backend().getId())) {
+      BackendRecord stopped = context.backend(source);
+      if (stopped != null) {
+        takeOver = source;
+        send(stopped, takeOverName);
+        return;
+      }
+    }
+    if (taking && refusedThere) {
+      afterAttempt(new AttemptResult.Broken("the moved run could not go on"));
+      return;
+    }
+    afterAttempt(result);
+  }
+
+  private void afterAttempt(AttemptResult result) {
+    if (result instanceof AttemptResult.Answered || result instanceof AttemptResult.Broken) {
+      runs++;
+    }
+    NextStep step = AttemptRules.after(result, route, runs, sends, started);
+    reportEnd(result, step);
+    attempt = null;
+    switch (step) {
+      case NextStep.Deliver ignored -> {
+        if (result instanceof AttemptResult.Answered answer) {
+          deliver(answer);
+        }
+      }
+      case NextStep.SendAgain ignored -> {
+        if (result instanceof AttemptResult.Answered answer) {
+          lastAnswer = answer;
+        }
+        excluded.add(backend);
+        // A backend server that was never reached has not been asked.
+        askForPlace(!(result instanceof AttemptResult.Unreachable) || runs > 0);
+      }
+      case NextStep.Fail failure -> fail(failure.code(), describe(result), RETRY_SOON_MILLIS);
+    }
+  }
+
+  private void reportEnd(AttemptResult result, NextStep step) {
+    if (!placed) {
+      return;
+    }
+    placed = false;
+    DispatchOutcome outcome =
+        switch (result) {
+          case AttemptResult.Unreachable ignored -> DispatchOutcome.DISPATCH_OUTCOME_UNREACHABLE;
+          case AttemptResult.NotRun notRun ->
+              notRun.head().misdirected()
+                  ? DispatchOutcome.DISPATCH_OUTCOME_UNREACHABLE
+                  : DispatchOutcome.DISPATCH_OUTCOME_REJECTED;
+          case AttemptResult.Broken ignored -> DispatchOutcome.DISPATCH_OUTCOME_FAILED;
+          case AttemptResult.Answered answer ->
+              answer.head().status() >= 500
+                  ? DispatchOutcome.DISPATCH_OUTCOME_FAILED
+                  : DispatchOutcome.DISPATCH_OUTCOME_ANSWERED;
+        };
+    context.placer().ended(placementId, outcome, outputTokens());
+    if (!(result instanceof AttemptResult.Answered) || step instanceof NextStep.SendAgain) {
+      Logger.info(
+          "call {} of {} at {}: {}; next: {}",
+          call.id(),
+          route.name(),
+          backend,
+          describe(result),
+          step.getClass().getSimpleName());
+    }
+  }
+
+  private static String describe(AttemptResult result) {
+    return switch (result) {
+      case AttemptResult.Unreachable unreachable -> unreachable.reason();
+      case AttemptResult.Broken broken -> broken.reason();
+      case AttemptResult.NotRun notRun ->
+          "the backend server turned it away with status " + notRun.head().status();
+      case AttemptResult.Answered answer -> "status " + answer.head().status();
+    };
+  }
+
+  private void deliver(AttemptResult.Answered answer) {
+    if (!started) {
+      finish();
+      context.measured(route, context.clock().nowMillis() - arrivedAtMillis);
+      caller.respond(answer.response(), answer.body());
+      return;
+    }
+    if (answer.head().isSuccess()) {
+      finish();
+      if (answer.body().length > 0) {
+        caller.writeStream(answer.body());
+      }
+      caller.endStream();
+    } else {
+      fail(ResultCode.BACKEND_FAILED, "the stream could not go on", 0);
+    }
+  }
+
+  private void fail(ResultCode code, String message, long retryAfterMillis) {
+    finish();
+    context.failed(route, code);
+    Logger.info("call {} of {} failed with {}: {}", call.id(), route.name(), code, message);
+    if (started) {
+      caller.abort();
+    } else {
+      caller.fail(Failure.retryLater(code, message, retryAfterMillis));
+    }
+  }
+
+  private void timeUp() {
+    if (done) {
+      return;
+    }
+    boolean mayHaveRun = runs > 0 || (attempt != null && attempt.wasSent());
+    stop();
+    fail(
+        mayHaveRun ? ResultCode.DEADLINE_PASSED : ResultCode.SHED,
+        "its time was up",
+        mayHaveRun ? 0 : RETRY_SOON_MILLIS);
+  }
+
+  /** Called when the caller has gone. */
+  void callerGone() {
+    if (!done) {
+      stop();
+      finish();
+    }
+  }
+
+  private void stop() {
+    if (attempt != null) {
+      attempt.cancel();
+      attempt = null;
+    }
+    context.placer().ended(placementId, DispatchOutcome.DISPATCH_OUTCOME_CANCELLED, outputTokens());
+    placed = false;
+  }
+
+  private void finish() {
+    if (!done) {
+      done = true;
+      timeout.cancel(false);
+      context.closed(this);
+    }
+  }
+
+  // ---- moving a running request -----------------------------------------------------------------
+
+  private @Nullable String takeOver;
+  private String takeOverName = "";
+
+  @Override
+  public void moveTo(String target) {
+    Attempt running = attempt;
+    BackendRecord record = context.backend(target);
+    if (done || !placed || !started || running == null || record == null || handover != null) {
+      if (!done && placed) {
+        context.placer().ended(placementId, DispatchOutcome.DISPATCH_OUTCOME_MOVE_FAILED, 0);
+      }
+      return;
+    }
+    handover = new Handover(context, call, running.backend(), record, new MoveEnd(running));
+    handover.start();
+  }
+
+  /** Goes on where a handover led to. */
+  private final class MoveEnd implements Handover.Owner {
+    private final Attempt source;
+
+    MoveEnd(Attempt source) {
+      this.source = source;
+    }
+
+    @Override
+    public void notMoved(boolean sourceEnded) {
+      handover = null;
+      if (done) {
+        return;
+      }
+      Logger.info("call {} of {} stays at {}", call.id(), route.name(), backend);
+      if (sourceEnded) {
+        afterAttempt(new AttemptResult.Broken("the run stopped and could not be moved"));
+      } else {
+        context.placer().ended(placementId, DispatchOutcome.DISPATCH_OUTCOME_MOVE_FAILED, 0);
+      }
+    }
+
+    @Override
+    public void moved(BackendRecord to, String copyName) {
+      handover = null;
+      if (done) {
+        return;
+      }
+      source.cancel();
+      takeOver = source.backend().getId();
+      takeOverName = copyName;
+      Logger.info(
+          "call {} of {} moves from {} to {}", call.id(), route.name(), backend, to.getId());
+      if (!to.getId().equals(backend)) {
+        backend = to.getId();
+        context.placer().ended(placementId, DispatchOutcome.DISPATCH_OUTCOME_MOVED, outputTokens());
+      }
+      send(to, copyName);
+    }
+  }
+
+  /** Returns whether the call is a stream that has begun. */
+  boolean isStreaming() {
+    return started && route.kind() == CallKind.STREAM;
+  }
+
+  /** Returns the number by which the scheduler knows the call. */
+  long placementId() {
+    return placementId;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/relay/Gateway.java
@@ -0,0 +1,278 @@
+package org.curranthaven.internal.relay;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import org.curranthaven.api.Outcome;
+import org.curranthaven.api.ResultCode;
+import org.curranthaven.internal.catalog.Catalog;
+import org.curranthaven.internal.catalog.Route;
+import org.curranthaven.internal.dispatch.RetryAllowance;
+import org.curranthaven.internal.settings.Addresses;
+import org.curranthaven.internal.settings.RoutedSettings;
+import org.curranthaven.internal.supervision.Clock;
+import org.curranthaven.internal.transport.PeerListener;
+import org.curranthaven.internal.transport.PeerNetwork;
+import org.curranthaven.internal.transport.wire.BackendRecord;
+import org.curranthaven.internal.transport.wire.Envelope;
+import org.curranthaven.internal.transport.wire.HostRecord;
+import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
+
+/**
+ * A host that takes callers' calls: its parts, wired on one event loop.
+ *
+ * <pre>{@code
+ * Gateway gateway = new Gateway(settings, protocol, Clock.system());
+ * gateway.start();
+ * gateway.drain();
+ * }</pre>
+ */
+public final class Gateway implements PeerListener, RelayContext {
+  /** Time after the start of a planned stop for which new connections may still arrive. */
+  private static final long LATE_CONNECTIONS_MILLIS = 3_500;
+
+  /** Time before the end of a planned stop that is left for the process to end. */
+  private static final long EXIT_MARGIN_MILLIS = 300;
+
+  private static final long DRAIN_POLL_MILLIS = 50;
+
+  private final RoutedSettings settings;
+  private final WireProtocol protocol;
+  private final Clock clock;
+  private final EventLoopGroup group;
+  private final EventLoop loop;
+  private final PeerNetwork network;
+  private final SchedulerLink link;
+  private final BackendPool pool;
+  private final RelayServer server;
+  private final RandomGenerator random;
+  private final HostRecord self;
+  private final Set<Exchange> open = new HashSet<>();
+  private Catalog catalog = Catalog.empty();
+  private volatile boolean draining;
+  private volatile int openCalls;
+  private long placements = 1;
+
+  /** Creates a gateway; it starts with {@link #start}. */
+  public Gateway(RoutedSettings settings, WireProtocol protocol, Clock clock) {
+    this.settings = settings;
+    this.protocol = protocol;
+    this.clock = clock;
+    long incarnation = clock.epochMillis();
+    this.random = new SplittableRandom(settings.name().hashCode() ^ System.nanoTime());
+    this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    this.loop = group.next();
+    this.self =
+        HostRecord.newBuilder()
+            .setName(settings.name())
+            .setDataCentre(settings.dataCentre())
+            .setPeerAddress(settings.peerAddress())
+            .setIncarnation(incarnation)
+            .build();
+    this.network =
+        new PeerNetwork(
+            settings.peerAddress(), settings.contactPeerAddresses(), () -> self, this, group);
+    this.link =
+        new SchedulerLink(
+            settings.name(),
+            loop,
+            clock,
+            random,
+            new RetryAllowance(
+                settings.retryRatio(), settings.retrySlack(), settings.retryWindowMillis()),
+            network::send,
+            new Views());
+    this.pool = new BackendPool(loop, clock, protocol);
+    this.server = new RelayServer(group, this);
+  }
+
+  /** Starts to listen and to look for a scheduler. */
+  public void start() throws InterruptedException {
+    Thread.ofPlatform().daemon(true).name("network").start(this::runNetwork);
+    server.listenForCallers(Addresses.parse(String.valueOf(settings.callerAddress())));
+    String ready = settings.readyAddress();
+    if (ready != null && !ready.isEmpty()) {
+      server.listenForReadinessChecks(Addresses.parse(ready), this::isReady);
+    }
+    Logger.info("{} takes callers at {}", settings.name(), settings.callerAddress());
+  }
+
+  private void runNetwork() {
+    try {
+      network.run();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private boolean isReady() {
+    return !draining && isInformed();
+  }
+
+  /**
+   * Carries out a planned stop: takes no new connections from the balancer, and waits until the
+   * open calls have ended or the time allowed is nearly up.
+   *
+   * @return the number of calls that were cut off
+   */
+  public int drain() throws InterruptedException {
+    draining = true;
+    long startMillis = clock.nowMillis();
+    long endMillis = startMillis + settings.drainMillis() - EXIT_MARGIN_MILLIS;
+    Logger.info("{} drains {} open calls", settings.name(), openCalls);
+    boolean idleClosed = false;
+    while (clock.nowMillis() < endMillis) {
+      boolean late = clock.nowMillis() - startMillis >= LATE_CONNECTIONS_MILLIS;
+      if (late && !idleClosed) {
+        idleClosed = true;
+        loop.execute(server::closeIdleConnections);
+      } else if (late && openCalls == 0) {
+        break;
+      }
+      Thread.sleep(DRAIN_POLL_MILLIS);
+    }
+    return openCalls;
+  }
+
+  /** What a scheduler tells this gateway. */
+  private final class Views implements SchedulerLink.ViewListener {
+    @Override
+    public void catalogReceived(byte[] document) {
+      switch (protocol.catalogs().decode(document)) {
+        case Outcome.Failed<Catalog> failed ->
+            Logger.error("a catalog that was accepted cannot be read: {}", failed.failure());
+        case Outcome.Success<Catalog> success -> install(success.value());
+      }
+    }
+
+    @Override
+    public void backendsChanged(Collection<BackendRecord> backends) {
+      pool.retain(backends.stream().map(BackendRecord::getAddress).collect(Collectors.toSet()));
+    }
+  }
+
+  private void install(Catalog newer) {
+    if (newer.revision() > catalog.revision()) {
+      catalog = newer;
+      link.catalogInForce(newer);
+      Logger.info("catalog {} is in force", newer.revision());
+    }
+  }
+
+  // ---- other hosts ------------------------------------------------------------------------------
+
+  @Override
+  public void received(HostRecord from, Envelope message) {
+    switch (message.getPayloadCase()) {
+      case SCHEDULER_VIEW -> link.received(from.getName(), message.getSchedulerView());
+      case DISPATCH_ORDERS -> link.received(from.getName(), message.getDispatchOrders());
+      case KNOWN_HOSTS -> message.getKnownHosts().getControlAddressesList().forEach(network::learn);
+      default -> {}
+    }
+  }
+
+  @Override
+  public void connected(HostRecord host) {
+    Logger.info("connected to {}", host.getName());
+  }
+
+  @Override
+  public void disconnected(HostRecord host) {
+    Logger.info("the connection to {} is gone", host.getName());
+    loop.execute(() -> link.disconnected(host.getName()));
+  }
+
+  // ---- context of the calls ---------------------------------------------------------------------
+
+  @Override
+  public EventLoop loop() {
+    return loop;
+  }
+
+  @Override
+  public Clock clock() {
+    return clock;
+  }
+
+  @Override
+  public WireProtocol protocol() {
+    return protocol;
+  }
+
+  @Override
+  public BackendPool pool() {
+    return pool;
+  }
+
+  @Override
+  public CallPlacer placer() {
+    return link;
+  }
+
+  @Override
+  public String dataCentre() {
+    return settings.dataCentre();
+  }
+
+  @Override
+  public Catalog catalog() {
+    return catalog;
+  }
+
+  @Override
+  public boolean isInformed() {
+    return link.isViewed() && catalog.revision() > 0;
+  }
+
+  @Override
+  public boolean isDraining() {
+    return draining;
+  }
+
+  @Override
+  public @Nullable BackendRecord backend(String id) {
+    return link.backend(id);
+  }
+
+  @Override
+  public long nextPlacementId() {
+    return placements++;
+  }
+
+  @Override
+  public double draw() {
+    return random.nextDouble();
+  }
+
+  @Override
+  public void opened(Exchange exchange) {
+    open.add(exchange);
+    openCalls = open.size();
+  }
+
+  @Override
+  public void closed(Exchange exchange) {
+    open.remove(exchange);
+    openCalls = open.size();
+  }
+
+  @Override
+  public void measured(Route route, long firstReplyMillis) {}
+
+  @Override
+  public void failed(Route route, ResultCode code) {}
+
+  /** Returns the names of the control hosts that are connected. */
+  public List<String> connectedHosts() {
+    return network.connected().stream().map(HostRecord::getName).sorted().toList();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/relay/RelayContext.java
@@ -0,0 +1,54 @@
+package org.curranthaven.internal.relay;
+
+import io.netty.channel.EventLoop;
+import org.curranthaven.api.ResultCode;
+import org.curranthaven.internal.catalog.Catalog;
+import org.curranthaven.internal.catalog.Route;
+import org.curranthaven.internal.supervision.Clock;
+import org.curranthaven.internal.transport.wire.BackendRecord;
+import org.jspecify.annotations.Nullable;
+
+/** What the calls of a gateway share. Used on the event loop only. */
+interface RelayContext {
+  EventLoop loop();
+
+  Clock clock();
+
+  WireProtocol protocol();
+
+  BackendPool pool();
+
+  CallPlacer placer();
+
+  String dataCentre();
+
+  /** Returns the catalog in force. */
+  Catalog catalog();
+
+  /** Returns whether the gateway knows enough to serve. */
+  boolean isInformed();
+
+  /** Returns whether the gateway is being stopped. */
+  boolean isDraining();
+
+  /** Returns the backend server of the name, or null if it is gone. */
+  @Nullable BackendRecord backend(String id);
+
+  /** Returns a new number for a placement. */
+  long nextPlacementId();
+
+  /** Returns a number from 0 to 1 for a call's choice of service. */
+  double draw();
+
+  /** Notes that a call has begun. */
+  void opened(Exchange exchange);
+
+  /** Notes that a call is over. */
+  void closed(Exchange exchange);
+
+  /** Counts a first reply. */
+  void measured(Route route, long firstReplyMillis);
+
+  /** Counts a failure. */
+  void failed(Route route, ResultCode code);
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/relay/RelayServer.java
@@ -0,0 +1,158 @@
+package org.curranthaven.internal.relay;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+
+/** Listens for callers and for the balancer's readiness checks. */
+final class RelayServer {
+  private static final int MAX_LINE_BYTES = 16_384;
+  private static final int MAX_HEADER_BYTES = 65_536;
+  private static final int BACKLOG = 1_024;
+  private static final int OK = 200;
+  private static final int UNAVAILABLE = 503;
+
+  private final EventLoopGroup group;
+  private final RelayContext context;
+  private final Set<CallerConnection> connections = new HashSet<>();
+
+  RelayServer(EventLoopGroup group, RelayContext context) {
+    this.group = group;
+    this.context = context;
+  }
+
+  void listenForCallers(InetSocketAddress address) throws InterruptedException {
+    listen(
+        address,
+        new ChannelInitializer<Channel>() {
+          @Override
+          protected void initChannel(Channel channel) {
+            addCaller(channel);
+          }
+        });
+  }
+
+  private void addCaller(Channel channel) {
+    CallerConnection connection = new CallerConnection(context);
+    connections.add(connection);
+    channel.closeFuture().addListener(closed -> connections.remove(connection));
+    channel
+        .pipeline()
+        .addLast(new ByteWatch(connection))
+        .addLast(new StrictRequestDecoder(), new HttpResponseEncoder(), connection);
+  }
+
+  void listenForReadinessChecks(InetSocketAddress address, BooleanSupplier ready)
+      throws InterruptedException {
+    listen(
+        address,
+        new ChannelInitializer<Channel>() {
+          @Override
+          protected void initChannel(Channel channel) {
+            channel
+                .pipeline()
+                .addLast(
+                    new StrictRequestDecoder(), new HttpResponseEncoder(), new ReadyAnswer(ready));
+          }
+        });
+  }
+
+  private void listen(InetSocketAddress address, ChannelInitializer<Channel> initializer)
+      throws InterruptedException {
+    new ServerBootstrap()
+        .group(group)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(initializer)
+        .bind(address)
+        .sync();
+  }
+
+  /** Closes the connections on which no request is being answered. */
+  void closeIdleConnections() {
+    List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
+  }
+
+  /** Refuses requests whose framing two readers could understand in two ways. */
+  private static final class StrictRequestDecoder extends HttpRequestDecoder {
+    StrictRequestDecoder() {
+      super(
+          new HttpDecoderConfig()
+              .setMaxInitialLineLength(MAX_LINE_BYTES)
+              .setMaxHeaderSize(MAX_HEADER_BYTES)
+              .setStrictLineParsing(true));
+    }
+
+    @Override
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+      throw new IllegalArgumentException("both a length and chunks are declared");
+    }
+  }
+
+  /** Tells a connection that bytes arrived, before it is known what they are. */
+  private static final class ByteWatch extends ChannelInboundHandlerAdapter {
+    private final CallerConnection connection;
+
+    ByteWatch(CallerConnection connection) {
+      this.connection = connection;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+      connection.bytesArrived();
+      context.fireChannelRead(message);
+    }
+  }
+
+  /** Answers readiness checks. */
+  private final class ReadyAnswer extends ChannelInboundHandlerAdapter {
+    private final BooleanSupplier ready;
+
+    ReadyAnswer(BooleanSupplier ready) {
+      this.ready = ready;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext channel, Object message) {
+      if (message instanceof LastHttpContent) {
+        int status = ready.getAsBoolean() ? OK : UNAVAILABLE;
+        DefaultFullHttpResponse response =
+            new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.EMPTY_BUFFER);
+        response.headers().set("Content-Length", 0);
+        if (context.isDraining()) {
+          response.headers().set("Connection", "close");
+        }
+        channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+      }
+      io.netty.util.ReferenceCountUtil.release(message);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext channel, Throwable cause) {
+      channel.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -0,0 +1,436 @@
+package org.curranthaven.internal.relay;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.random.RandomGenerator;
+import org.curranthaven.internal.catalog.Catalog;
+import org.curranthaven.internal.dispatch.CallKey;
+import org.curranthaven.internal.dispatch.DispatchCore;
+import org.curranthaven.internal.dispatch.DispatchDecision;
+import org.curranthaven.internal.dispatch.RetryAllowance;
+import org.curranthaven.internal.supervision.Clock;
+import org.curranthaven.internal.transport.wire.BackendRecord;
+import org.curranthaven.internal.transport.wire.DispatchAsk;
+import org.curranthaven.internal.transport.wire.DispatchEnd;
+import org.curranthaven.internal.transport.wire.DispatchOrders;
+import org.curranthaven.internal.transport.wire.DispatchOutcome;
+import org.curranthaven.internal.transport.wire.DispatchProgress;
+import org.curranthaven.internal.transport.wire.DispatchRequests;
+import org.curranthaven.internal.transport.wire.Envelope;
+import org.curranthaven.internal.transport.wire.GatewayStatus;
+import org.curranthaven.internal.transport.wire.Move;
+import org.curranthaven.internal.transport.wire.OpenDispatch;
+import org.curranthaven.internal.transport.wire.Placement;
+import org.curranthaven.internal.transport.wire.Refusal;
+import org.curranthaven.internal.transport.wire.SchedulerView;
+import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
+
+/**
+ * A gateway's side of scheduling: follows the scheduler of the highest term, and decides alone, on
+ * the gateway's share of the backend servers, while none is heard. Used on the event loop only.
+ */
+final class SchedulerLink implements CallPlacer {
+  /** Silence after which a scheduler counts as lost. */
+  static final long LOST_AFTER_MILLIS = 700;
+
+  private static final long CHECK_MILLIS = 100;
+  private static final long PROGRESS_MILLIS = 500;
+
+  private final String self;
+  private final EventLoop loop;
+  private final Clock clock;
+  private final RandomGenerator random;
+  private final RetryAllowance retryAllowance;
+  private final BiConsumer<String, Envelope.Builder> sender;
+  private final ViewListener listener;
+  private final Map<Long, Placed> calls = new LinkedHashMap<>();
+  private final Map<String, BackendRecord> backends = new HashMap<>();
+  private final Set<String> gone = new HashSet<>();
+  private final Map<Long, Integer> reported = new HashMap<>();
+  private String scheduler = "";
+  private long term;
+  private long version;
+  private long lastHeardMillis = Long.MIN_VALUE / 2;
+  private int gateways = 1;
+  private Catalog catalog = Catalog.empty();
+  private boolean viewed;
+  private @Nullable DispatchCore alone;
+  private boolean checking;
+
+  /** Is told what a scheduler says. */
+  interface ViewListener {
+    /** A newer catalog document came. */
+    void catalogReceived(byte[] document);
+
+    /** The backend servers changed. */
+    void backendsChanged(Collection<BackendRecord> backends);
+  }
+
+  SchedulerLink(
+      String self,
+      EventLoop loop,
+      Clock clock,
+      RandomGenerator random,
+      RetryAllowance retryAllowance,
+      BiConsumer<String, Envelope.Builder> sender,
+      ViewListener listener) {
+    this.self = self;
+    this.loop = loop;
+    this.clock = clock;
+    this.random = random;
+    this.retryAllowance = retryAllowance;
+    this.sender = sender;
+    this.listener = listener;
+  }
+
+  /** Returns the backend server of the name, or null. */
+  @Nullable BackendRecord backend(String id) {
+    return backends.get(id);
+  }
+
+  /** Returns whether a scheduler has told its view at least once. */
+  boolean isViewed() {
+    return viewed;
+  }
+
+  /** Returns the host that schedules, or an empty text while the gateway decides alone. */
+  String scheduler() {
+    return isConnected() ? scheduler : "";
+  }
+
+  private boolean isConnected() {
+    return !scheduler.isEmpty() && clock.nowMillis() - lastHeardMillis <= LOST_AFTER_MILLIS;
+  }
+
+  // ---- the scheduler's view ---------------------------------------------------------------------
+
+  /** Takes in a scheduler's view. */
+  void received(String host, SchedulerView view) {
+    if (view.getTerm() < term) {
+      return;
+    }
+    if (view.getResigned()) {
+      if (host.equals(scheduler)) {
+        lose("it resigned");
+      }
+      return;
+    }
+    boolean changed = view.getTerm() > term || !host.equals(scheduler);
+    boolean returned = !changed && !isConnected();
+    term = view.getTerm();
+    scheduler = host;
+    lastHeardMillis = clock.nowMillis();
+    gateways = Math.max(1, view.getGateways());
+    if (changed) {
+      version = 0;
+    }
+    if (!view.getCatalog().isEmpty()) {
+      listener.catalogReceived(view.getCatalog().toByteArray());
+    }
+    boolean news = applyBackends(view);
+    if (changed || returned) {
+      follow();
+    } else if (news || !view.getCatalog().isEmpty()) {
+      sendStatus(false);
+    }
+  }
+
+  private boolean applyBackends(SchedulerView view) {
+    if (view.getBaseVersion() == 0 && view.getVersion() > 0 && view.getVersion() > version) {
+      mergeAll(view.getBackendsList());
+    } else if (view.getBaseVersion() > 0 && view.getBaseVersion() == version) {
+      view.getBackendsList().forEach(record -> put(record));
+    } else {
+      return false;
+    }
+    for (String id : view.getGoneList()) {
+      remove(id);
+    }
+    version = view.getVersion();
+    viewed = true;
+    listener.backendsChanged(backends.values());
+    return true;
+  }
+
+  /** A complete list replaces what is held, but never brings back what is gone. */
+  private void mergeAll(List<BackendRecord> records) {
+    Set<String> listed = new HashSet<>();
+    records.forEach(record -> listed.add(record.getId()));
+    List.copyOf(backends.keySet()).stream()
+        .filter(id -> !listed.contains(id))
+        .forEach(backends::remove);
+    records.forEach(this::put);
+  }
+
+  private void put(BackendRecord record) {
+    if (!gone.contains(record.getId())) {
+      backends.put(record.getId(), record);
+    }
+  }
+
+  private void remove(String id) {
+    gone.add(id);
+    backends.remove(id);
+  }
+
+  /** Puts a catalog into force for deciding alone, and tells the scheduler. */
+  void catalogInForce(Catalog newer) {
+    catalog = newer;
+    if (alone != null) {
+      alone.setCatalog(newer);
+    }
+  }
+
+  private void follow() {
+    Logger.info("{} schedules in term {}", scheduler, term);
+    alone = null;
+    sendStatus(true);
+    for (Placed call : List.copyOf(calls.values())) {
+      if (call.backend().isEmpty()) {
+        send(DispatchRequests.newBuilder().addAsks(call.ask()));
+      }
+    }
+  }
+
+  private void sendStatus(boolean full) {
+    GatewayStatus.Builder status =
+        GatewayStatus.newBuilder()
+            .setTerm(term)
+            .setVersion(version)
+            .setCatalogRevision(catalog.revision())
+            .setFull(full);
+    if (full) {
+      status.addAllBackends(backends.values()).addAllGone(gone);
+      for (Placed call : calls.values()) {
+        if (!call.backend().isEmpty()) {
+          status.addOpen(
+              OpenDispatch.newBuilder()
+                  .setAsk(call.ask())
+                  .setBackend(call.backend())
+                  .setOutputTokens(call.outputTokens()));
+        }
+      }
+    }
+    sender.accept(scheduler, Envelope.newBuilder().setGatewayStatus(status));
+  }
+
+  private void send(DispatchRequests.Builder requests) {
+    sender.accept(scheduler, Envelope.newBuilder().setDispatchRequests(requests.setTerm(term)));
+  }
+
+  // ---- calls ------------------------------------------------------------------------------------
+
+  @Override
+  public void ask(DispatchAsk ask, Placed placed) {
+    calls.put(ask.getId(), placed);
+    if (isConnected()) {
+      send(DispatchRequests.newBuilder().addAsks(ask));
+      checkLater();
+    } else {
+      askAlone(ask);
+    }
+  }
+
+  @Override
+  public void progressed(long id, int outputTokens) {
+    reported.put(id, outputTokens);
+    if (isConnected()) {
+      send(DispatchRequests.newBuilder().addProgress(progress(id, outputTokens)));
+    } else if (alone != null) {
+      alone.progressed(key(id), outputTokens, clock.nowMillis());
+      carryOutAlone();
+    }
+  }
+
+  private static DispatchProgress progress(long id, int outputTokens) {
+    return DispatchProgress.newBuilder().setId(id).setOutputTokens(outputTokens).build();
+  }
+
+  @Override
+  public void ended(long id, DispatchOutcome outcome, int outputTokens) {
+    boolean over =
+        outcome != DispatchOutcome.DISPATCH_OUTCOME_MOVED
+            && outcome != DispatchOutcome.DISPATCH_OUTCOME_MOVE_FAILED;
+    if (over) {
+      calls.remove(id);
+      reported.remove(id);
+    }
+    if (isConnected()) {
+      send(
+          DispatchRequests.newBuilder()
+              .addEnds(
+                  DispatchEnd.newBuilder()
+                      .setId(id)
+                      .setOutcome(outcome)
+                      .setOutputTokens(outputTokens)));
+    } else if (alone != null) {
+      alone.ended(key(id), outcome, outputTokens, clock.nowMillis());
+      carryOutAlone();
+    }
+  }
+
+  /** Takes in what the scheduler decided. */
+  void received(String host, DispatchOrders orders) {
+    if (orders.getTerm() != term || !host.equals(scheduler)) {
+      return;
+    }
+    lastHeardMillis = clock.nowMillis();
+    for (Placement placement : orders.getPlacementsList()) {
+      Placed call = calls.get(placement.getId());
+      if (call != null && call.backend().isEmpty()) {
+        call.placed(placement.getBackend(), placement.getUrgency());
+      }
+    }
+    for (Refusal refusal : orders.getRefusalsList()) {
+      Placed call = calls.remove(refusal.getId());
+      if (call != null) {
+        call.refused(refusal.getRetryAfterMillis(), refusal.getReason());
+      }
+    }
+    for (Move move : orders.getMovesList()) {
+      Placed call = calls.get(move.getId());
+      if (call != null) {
+        call.moveTo(move.getTarget());
+      }
+    }
+  }
+
+  // ---- deciding alone ---------------------------------------------------------------------------
+
+  private void checkLater() {
+    if (!checking) {
+      checking = true;
+      loop.schedule(this::check, CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private long lastProgressMillis;
+
+  private void check() {
+    checking = false;
+    if (!scheduler.isEmpty() && !isConnected()) {
+      lose("it is silent");
+    }
+    if (alone != null) {
+      alone.tick(clock.nowMillis());
+      carryOutAlone();
+    }
+    reportProgress();
+    if (!calls.isEmpty()) {
+      checkLater();
+    }
+  }
+
+  private void reportProgress() {
+    long nowMillis = clock.nowMillis();
+    if (nowMillis - lastProgressMillis < PROGRESS_MILLIS || !isConnected()) {
+      return;
+    }
+    lastProgressMillis = nowMillis;
+    DispatchRequests.Builder requests = DispatchRequests.newBuilder();
+    calls.forEach(
+        (id, call) -> {
+          int tokens = call.outputTokens();
+          if (tokens > reported.getOrDefault(id, 0)) {
+            reported.put(id, tokens);
+            requests.addProgress(progress(id, tokens));
+          }
+        });
+    if (requests.getProgressCount() > 0) {
+      send(requests);
+    }
+  }
+
+  private void lose(String reason) {
+    Logger.info("scheduler {} is lost: {}; deciding alone", scheduler, reason);
+    scheduler = "";
+    startAlone();
+  }
+
+  /** Called when the connection to a host is gone. */
+  void disconnected(String host) {
+    if (host.equals(scheduler)) {
+      lose("its connection is gone");
+    }
+  }
+
+  private DispatchCore startAlone() {
+    long nowMillis = clock.nowMillis();
+    DispatchCore core = new DispatchCore(retryAllowance, gateways, random);
+    alone = core;
+    core.setCatalog(catalog);
+    backends.values().forEach(record -> core.backendChanged(record, nowMillis));
+    List<DispatchAsk> waiting = new ArrayList<>();
+    calls.forEach(
+        (id, call) -> {
+          if (call.backend().isEmpty()) {
+            waiting.add(call.ask());
+          } else {
+            core.restore(key(id), call.ask(), call.backend(), call.outputTokens(), nowMillis);
+          }
+        });
+    waiting.forEach(ask -> core.ask(key(ask.getId()), ask, nowMillis));
+    loop.execute(this::carryOutAlone);
+    checkLater();
+    return core;
+  }
+
+  private void askAlone(DispatchAsk ask) {
+    DispatchCore core = alone;
+    if (core == null) {
+      // The new call is among those that wait.
+      startAlone();
+      return;
+    }
+    core.ask(key(ask.getId()), ask, clock.nowMillis());
+    loop.execute(this::carryOutAlone);
+    checkLater();
+  }
+
+  private CallKey key(long id) {
+    return new CallKey(self, id);
+  }
+
+  private void carryOutAlone() {
+    DispatchCore core = alone;
+    if (core == null) {
+      return;
+    }
+    for (DispatchDecision decision : core.takeDecisions()) {
+      Placed call = calls.get(decision.key().id());
+      if (call == null) {
+        continue;
+      }
+      switch (decision) {
+        case DispatchDecision.Place place -> call.placed(place.backend(), place.urgency());
+        case DispatchDecision.Refuse refuse -> {
+          calls.remove(refuse.key().id());
+          call.refused(refuse.retryAfterMillis(), refuse.reason().name());
+        }
+        case DispatchDecision.MoveTo move -> call.moveTo(move.target());
+      }
+    }
+  }
+
+  /** Returns the number of calls that wait or run. */
+  int openCalls() {
+    return calls.size();
+  }
+
+  /** Reports the catalog and backend servers in force. */
+  void reportStatus() {
+    if (!scheduler.isEmpty()) {
+      sendStatus(false);
+    }
+  }
+}
--- a/src/main/java/org/curranthaven/internal/routing/OutlierEjector.java
+++ b/src/main/java/org/curranthaven/internal/routing/OutlierEjector.java
@@ -8,7 +8,7 @@
  * Takes servers out of use that fail differently from their peers, never more than a bounded share
  * of them, each for a time that doubles when it fails again. Not thread-safe.
  */
-final class OutlierEjector {
+public final class OutlierEjector {
   /** Failures without a success between them after which a server is ejected. */
   static final int FAILURES_TO_EJECT = 3;
 
@@ -29,7 +29,7 @@
     long ejectedUntilMillis;
   }
 
-  void succeeded(String server) {
+  public void succeeded(String server) {
     Tally record = records.get(server);
     if (record != null) {
       record.failuresInRow = 0;
@@ -37,7 +37,7 @@
     }
   }
 
-  void failed(String server, Collection<String> peers, long nowMillis) {
+  public void failed(String server, Collection<String> peers, long nowMillis) {
     Tally record = records.computeIfAbsent(server, name -> new Tally());
     record.failuresInRow++;
     long ejected = peers.stream().filter(peer -> isEjected(peer, nowMillis)).count();
@@ -50,18 +50,18 @@
     }
   }
 
-  boolean isEjected(String server, long nowMillis) {
+  public boolean isEjected(String server, long nowMillis) {
     Tally record = records.get(server);
     return record != null && nowMillis < record.ejectedUntilMillis;
   }
 
   /** Returns when the server last came back into use; 0 when it was never out. */
-  long returnedAtMillis(String server) {
+  public long returnedAtMillis(String server) {
     Tally record = records.get(server);
     return record == null ? 0 : record.ejectedUntilMillis;
   }
 
-  void forget(String server) {
+  public void forget(String server) {
     records.remove(server);
   }
 }
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/scheduler/ControlReply.java
@@ -0,0 +1,24 @@
+package org.curranthaven.internal.scheduler;
+
+import org.curranthaven.internal.settings.Json;
+
+/**
+ * Answer to a control call.
+ *
+ * @param status HTTP status
+ * @param body JSON body
+ */
+@SuppressWarnings("ArrayRecordComponent")
+record ControlReply(int status, byte[] body) {
+  private record Message(String error) {}
+
+  /** Returns the answer to a call that was carried out. */
+  static ControlReply ok() {
+    return new ControlReply(200, new byte[] {'{', '}'});
+  }
+
+  /** Returns the answer to a call that was not carried out. */
+  static ControlReply refused(int status, String message) {
+    return new ControlReply(status, Json.write(new Message(message)).toByteArray());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/scheduler/ControlServer.java
@@ -0,0 +1,108 @@
+package org.curranthaven.internal.scheduler;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.net.InetSocketAddress;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.curranthaven.internal.relay.ControlCall;
+import org.curranthaven.internal.relay.WireProtocol;
+
+/** Listens for backend servers and operators. */
+final class ControlServer {
+  private static final int MAX_BODY_BYTES = 8 * 1024 * 1024;
+  private static final int READ_TIMEOUT_SECONDS = 30;
+
+  private final EventLoopGroup group;
+  private final WireProtocol protocol;
+  private final BiConsumer<ControlCall, Consumer<ControlReply>> handler;
+
+  ControlServer(
+      EventLoopGroup group,
+      WireProtocol protocol,
+      BiConsumer<ControlCall, Consumer<ControlReply>> handler) {
+    this.group = group;
+    this.protocol = protocol;
+    this.handler = handler;
+  }
+
+  void listen(InetSocketAddress address) throws InterruptedException {
+    new ServerBootstrap()
+        .group(group)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(
+            new ChannelInitializer<Channel>() {
+              @Override
+              protected void initChannel(Channel channel) {
+                channel
+                    .pipeline()
+                    .addLast(new ReadTimeoutHandler(READ_TIMEOUT_SECONDS))
+                    .addLast(new HttpServerCodec())
+                    .addLast(new HttpObjectAggregator(MAX_BODY_BYTES, true))
+                    .addLast(new Calls());
+              }
+            })
+        .bind(address)
+        .sync();
+  }
+
+  /** Answers the calls of one connection. */
+  private final class Calls extends SimpleChannelInboundHandler<FullHttpRequest> {
+    Calls() {
+      super(FullHttpRequest.class);
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+      boolean keepAlive = HttpUtil.isKeepAlive(request);
+      if (request.decoderResult().isFailure()) {
+        write(context, ControlReply.refused(400, "the request is not HTTP as it should be"), false);
+        return;
+      }
+      handler.accept(protocol.readControlCall(request), reply -> write(context, reply, keepAlive));
+    }
+
+    private static void write(
+        ChannelHandlerContext context, ControlReply reply, boolean keepAlive) {
+      FullHttpResponse response =
+          new DefaultFullHttpResponse(
+              HttpVersion.HTTP_1_1,
+              HttpResponseStatus.valueOf(reply.status()),
+              Unpooled.wrappedBuffer(reply.body()));
+      response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+      HttpUtil.setContentLength(response, reply.body().length);
+      if (keepAlive) {
+        context.writeAndFlush(response);
+      } else {
+        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      context.close();
+    }
+  }
+}
--- a/src/main/java/org/curranthaven/internal/transport/PeerNetwork.java
+++ b/src/main/java/org/curranthaven/internal/transport/PeerNetwork.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -17,6 +18,7 @@
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import java.net.InetSocketAddress;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -26,8 +28,10 @@
 import java.util.function.Supplier;
 import org.curranthaven.internal.settings.Addresses;
 import org.curranthaven.internal.supervision.Child;
+import org.curranthaven.internal.supervision.Clock;
 import org.curranthaven.internal.transport.wire.Envelope;
 import org.curranthaven.internal.transport.wire.HostRecord;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Connections of one host to the others. Each pair of hosts keeps one; a connection on which
@@ -44,12 +48,22 @@
   static final long PING_MILLIS = 500;
 
   private static final long DIAL_MILLIS = 200;
+
+  /** Time after which a host that was heard of once is not dialled any more, in milliseconds. */
+  private static final long FORGET_MILLIS = 20_000;
+
+  /** Bytes kept for a connection that takes none for the moment: a large configuration fits. */
+  private static final WriteBufferWaterMark WRITE_BUFFER =
+      new WriteBufferWaterMark(4 * 1024 * 1024, 16 * 1024 * 1024);
+
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
   private final String listenAddress;
   private final Supplier<HostRecord> self;
   private final PeerListener listener;
-  private final Set<String> contacts = ConcurrentHashMap.newKeySet();
+  private final @Nullable EventLoopGroup sharedGroup;
+  private final Set<String> fixedContacts;
+  private final Map<String, Long> learntAtMillis = new ConcurrentHashMap<>();
   private final Map<String, PeerConnection> byHost = new ConcurrentHashMap<>();
   private final Set<String> dialling = ConcurrentHashMap.newKeySet();
   private final Map<String, String> hostByAddress = new ConcurrentHashMap<>();
@@ -69,15 +83,30 @@
       Collection<String> contacts,
       Supplier<HostRecord> self,
       PeerListener listener) {
+    this(listenAddress, contacts, self, listener, null);
+  }
+
+  /**
+   * Creates the network of a host whose other parts run on the same event loop.
+   *
+   * @param sharedGroup event loop to run on; null for one of its own
+   */
+  public PeerNetwork(
+      String listenAddress,
+      Collection<String> contacts,
+      Supplier<HostRecord> self,
+      PeerListener listener,
+      @Nullable EventLoopGroup sharedGroup) {
     this.listenAddress = listenAddress;
     this.self = self;
     this.listener = listener;
-    this.contacts.addAll(contacts);
+    this.sharedGroup = sharedGroup;
+    this.fixedContacts = Set.copyOf(contacts);
   }
 
-  /** Adds a host that was heard of. */
+  /** Adds a host that was heard of; one not heard of again is forgotten after a while. */
   public void learn(String peerAddress) {
-    contacts.add(peerAddress);
+    learntAtMillis.put(peerAddress, Clock.system().nowMillis());
   }
 
   /** Returns the name of this host. */
@@ -146,13 +175,18 @@
 
   @Override
   public void run() throws InterruptedException {
-    EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    EventLoopGroup group =
+        sharedGroup == null
+            ? new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+            : sharedGroup;
     try {
       InetSocketAddress address = Addresses.parse(listenAddress);
       new ServerBootstrap()
           .group(group)
           .channel(NioServerSocketChannel.class)
+          .option(ChannelOption.SO_REUSEADDR, true)
           .childOption(ChannelOption.TCP_NODELAY, true)
+          .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_BUFFER)
           .childHandler(initializer(""))
           .bind(address)
           .sync();
@@ -161,12 +195,18 @@
         Thread.sleep(DIAL_MILLIS);
       }
     } finally {
-      group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+      if (sharedGroup == null) {
+        group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+      }
       byHost.clear();
     }
   }
 
   private void dialMissing(EventLoopGroup group) {
+    long nowMillis = Clock.system().nowMillis();
+    learntAtMillis.values().removeIf(learnt -> nowMillis - learnt > FORGET_MILLIS);
+    Set<String> contacts = new HashSet<>(fixedContacts);
+    contacts.addAll(learntAtMillis.keySet());
     for (String address : contacts) {
       String host = hostByAddress.get(address);
       boolean connected = host != null && byHost.containsKey(host);
@@ -182,6 +222,7 @@
         .group(group)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_BUFFER)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
         .handler(initializer(address))
         .connect(Addresses.parse(address))
@@ -221,7 +262,7 @@
     if (connection.dialled()) {
       hostByAddress.put(connection.dialledAddress(), remote.getName());
     }
-    contacts.add(remote.getPeerAddress());
+    learn(remote.getPeerAddress());
     hostByAddress.put(remote.getPeerAddress(), remote.getName());
     PeerConnection known = byHost.get(remote.getName());
     if (known != null && isSameProcess(known, remote) && !preferred(connection)) {
--- a/src/main/java/org/curranthaven/internal/transport/wire/Curranthaven.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/Curranthaven.java
@@ -226,6 +226,76 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_curranthaven_LedgerSnapshot_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_curranthaven_KnownHosts_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_curranthaven_KnownHosts_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_curranthaven_SchedulerView_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_curranthaven_SchedulerView_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_curranthaven_BackendRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_curranthaven_BackendRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_curranthaven_GatewayStatus_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_curranthaven_GatewayStatus_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_curranthaven_OpenDispatch_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_curranthaven_OpenDispatch_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_curranthaven_DispatchAsk_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_curranthaven_DispatchAsk_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_curranthaven_PromptPart_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_curranthaven_PromptPart_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_curranthaven_DispatchRequests_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_curranthaven_DispatchRequests_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_curranthaven_DispatchProgress_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_curranthaven_DispatchProgress_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_curranthaven_DispatchEnd_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_curranthaven_DispatchEnd_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_curranthaven_DispatchOrders_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_curranthaven_DispatchOrders_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_curranthaven_Placement_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_curranthaven_Placement_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_curranthaven_Refusal_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_curranthaven_Refusal_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_curranthaven_Move_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_curranthaven_Move_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -235,7 +305,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\022curranthaven.proto\022\014curranthaven\"\222\005\n\010E" +
+      "\n\022curranthaven.proto\022\014curranthaven\"\247\007\n\010E" +
       "nvelope\022\021\n\tfrom_host\030\001 \001(\t\022\025\n\rfrom_ident" +
       "ity\030\002 \001(\t\022$\n\005hello\030\003 \001(\0132\023.curranthaven." +
       "HelloH\000\022\"\n\004ping\030\004 \001(\0132\022.curranthaven.Pin" +
@@ -252,126 +322,183 @@
       "ven.AdminRequestH\000\022/\n\013admin_reply\030\r \001(\0132" +
       "\030.curranthaven.AdminReplyH\000\0227\n\017revision_" +
       "answer\030\016 \001(\0132\034.curranthaven.RevisionAnsw" +
-      "erH\000B\t\n\007payload\"?\n\005Hello\022&\n\004host\030\001 \001(\0132\030" +
-      ".curranthaven.HostRecord\022\016\n\006formed\030\002 \001(\010" +
-      "\"\025\n\004Ping\022\r\n\005nonce\030\001 \001(\004\"\025\n\004Pong\022\r\n\005nonce" +
-      "\030\001 \001(\004\"\265\001\n\nHostRecord\022\014\n\004name\030\001 \001(\t\022\023\n\013d" +
-      "ata_centre\030\002 \001(\t\022\024\n\014peer_address\030\003 \001(\t\022\024" +
-      "\n\014http_address\030\004 \001(\t\022\020\n\010identity\030\005 \001(\t\022\023" +
-      "\n\013incarnation\030\006 \001(\004\022\017\n\007control\030\007 \001(\010\022\020\n\010" +
-      "draining\030\010 \001(\010\022\016\n\006formed\030\t \001(\010\">\n\016Consen" +
-      "susBatch\022,\n\010messages\030\001 \003(\0132\032.curranthave" +
-      "n.GroupMessage\"\266\003\n\014GroupMessage\022\020\n\010group" +
-      "_id\030\001 \001(\r\022\023\n\013to_identity\030\002 \001(\t\022\014\n\004term\030\003" +
-      " \001(\004\0221\n\014vote_request\030\004 \001(\0132\031.curranthave" +
-      "n.VoteRequestH\000\022-\n\nvote_reply\030\005 \001(\0132\027.cu" +
-      "rranthaven.VoteReplyH\000\0225\n\016append_request" +
-      "\030\006 \001(\0132\033.curranthaven.AppendRequestH\000\0221\n" +
-      "\014append_reply\030\007 \001(\0132\031.curranthaven.Appen" +
-      "dReplyH\000\0225\n\016snapshot_piece\030\010 \001(\0132\033.curra" +
-      "nthaven.SnapshotPieceH\000\0225\n\016snapshot_repl" +
-      "y\030\t \001(\0132\033.curranthaven.SnapshotReplyH\000\022/" +
-      "\n\013timeout_now\030\n \001(\0132\030.curranthaven.Timeo" +
-      "utNowH\000B\006\n\004body\"c\n\013VoteRequest\022\020\n\010pre_vo" +
-      "te\030\001 \001(\010\022\022\n\nlast_index\030\002 \001(\004\022\021\n\tlast_ter" +
-      "m\030\003 \001(\004\022\033\n\023leadership_transfer\030\004 \001(\010\".\n\t" +
-      "VoteReply\022\020\n\010pre_vote\030\001 \001(\010\022\017\n\007granted\030\002" +
-      " \001(\010\"\225\001\n\rAppendRequest\022\026\n\016previous_index" +
-      "\030\001 \001(\004\022\025\n\rprevious_term\030\002 \001(\004\022\'\n\007entries" +
-      "\030\003 \003(\0132\026.curranthaven.LogEntry\022\024\n\014commit" +
-      "_index\030\004 \001(\004\022\026\n\016sent_at_millis\030\005 \001(\003\"g\n\013" +
-      "AppendReply\022\020\n\010accepted\030\001 \001(\010\022\023\n\013match_i" +
-      "ndex\030\002 \001(\004\022\022\n\nlast_index\030\003 \001(\004\022\035\n\025echoed" +
-      "_sent_at_millis\030\004 \001(\003\"\212\001\n\rSnapshotPiece\022" +
-      "\022\n\nlast_index\030\001 \001(\004\022\021\n\tlast_term\030\002 \001(\004\022\016" +
-      "\n\006voters\030\003 \001(\014\022\016\n\006offset\030\004 \001(\004\022\014\n\004data\030\005" +
-      " \001(\014\022\014\n\004last\030\006 \001(\010\022\026\n\016sent_at_millis\030\007 \001" +
-      "(\003\"j\n\rSnapshotReply\022\023\n\013next_offset\030\001 \001(\004" +
-      "\022\021\n\tinstalled\030\002 \001(\010\022\022\n\nlast_index\030\003 \001(\004\022" +
-      "\035\n\025echoed_sent_at_millis\030\004 \001(\003\"\014\n\nTimeou" +
-      "tNow\"\\\n\010LogEntry\022\r\n\005index\030\001 \001(\004\022\014\n\004term\030" +
-      "\002 \001(\004\022%\n\004kind\030\003 \001(\0162\027.curranthaven.Entry" +
-      "Kind\022\014\n\004data\030\004 \001(\014\"V\n\010VoterSet\022#\n\006voters" +
-      "\030\001 \003(\0132\023.curranthaven.Voter\022%\n\010learners\030" +
-      "\002 \003(\0132\023.curranthaven.Voter\"=\n\005Voter\022\020\n\010i" +
-      "dentity\030\001 \001(\t\022\014\n\004host\030\002 \001(\t\022\024\n\014peer_addr" +
-      "ess\030\003 \001(\t\",\n\tHardState\022\014\n\004term\030\001 \001(\004\022\021\n\t" +
-      "voted_for\030\002 \001(\t\"\204\001\n\tLogRecord\022\'\n\005entry\030\001" +
-      " \001(\0132\026.curranthaven.LogEntryH\000\022-\n\nhard_s" +
-      "tate\030\002 \001(\0132\027.curranthaven.HardStateH\000\022\027\n" +
-      "\rtruncate_from\030\003 \001(\004H\000B\006\n\004body\"l\n\014Snapsh" +
-      "otFile\022\022\n\nlast_index\030\001 \001(\004\022\021\n\tlast_term\030" +
-      "\002 \001(\004\022&\n\006voters\030\003 \001(\0132\026.curranthaven.Vot" +
-      "erSet\022\r\n\005state\030\004 \001(\014\"G\n\016CommandRequest\022\022" +
-      "\n\nrequest_id\030\001 \001(\004\022\020\n\010group_id\030\002 \001(\r\022\017\n\007" +
-      "command\030\003 \001(\014\"t\n\014CommandReply\022\022\n\nrequest" +
-      "_id\030\001 \001(\004\022+\n\006status\030\002 \001(\0162\033.curranthaven" +
-      ".CommandStatus\022\016\n\006result\030\003 \001(\014\022\023\n\013leader" +
-      "_host\030\004 \001(\t\"\222\001\n\020FreshnessRequest\022&\n\004host" +
-      "\030\001 \001(\0132\030.curranthaven.HostRecord\022\020\n\010revi" +
-      "sion\030\002 \001(\004\022\026\n\016sent_at_millis\030\003 \001(\003\022,\n\013pe" +
-      "er_leases\030\004 \003(\0132\027.curranthaven.PeerLease" +
-      "\"3\n\tPeerLease\022\014\n\004host\030\001 \001(\t\022\030\n\020remaining" +
-      "_millis\030\002 \001(\003\"\350\001\n\016FreshnessGrant\022\020\n\010revi" +
-      "sion\030\001 \001(\004\022\035\n\025echoed_sent_at_millis\030\002 \001(" +
-      "\003\022\024\n\014lease_millis\030\003 \001(\003\022\025\n\rconfiguration" +
-      "\030\004 \001(\014\022\'\n\005hosts\030\005 \003(\0132\030.curranthaven.Hos" +
-      "tRecord\022\017\n\007granted\030\006 \001(\010\022\014\n\004term\030\007 \001(\004\0220" +
-      "\n\006deltas\030\010 \003(\0132 .curranthaven.Configurat" +
-      "ionDelta\"5\n\022ConfigurationDelta\022\020\n\010revisi" +
-      "on\030\001 \001(\004\022\r\n\005edits\030\002 \001(\014\"\211\001\n\016RevisionAnsw" +
-      "er\022\020\n\010revision\030\001 \001(\004\022\035\n\025echoed_sent_at_m" +
-      "illis\030\002 \001(\003\022\017\n\007granted\030\003 \001(\010\022\033\n\023witness_" +
-      "set_version\030\004 \001(\004\022\030\n\020witness_set_size\030\005 " +
-      "\001(\r\"\207\001\n\tSoftState\0228\n\rannouncements\030\001 \003(\013" +
-      "2!.curranthaven.BackendAnnouncement\022+\n\006s" +
-      "hares\030\002 \003(\0132\033.curranthaven.DispatchShare" +
-      "\022\023\n\013full_shares\030\003 \001(\010\"7\n\023BackendAnnounce" +
-      "ment\022\014\n\004json\030\001 \001(\014\022\022\n\nage_millis\030\002 \001(\003\"_" +
-      "\n\rDispatchShare\022\017\n\007backend\030\001 \001(\t\022\017\n\007runn" +
-      "ing\030\002 \001(\r\022\023\n\013mean_blocks\030\003 \003(\002\022\027\n\017varian" +
-      "ce_blocks\030\004 \003(\002\">\n\014AdminRequest\022\022\n\nreque" +
-      "st_id\030\001 \001(\004\022\014\n\004path\030\002 \001(\t\022\014\n\004json\030\003 \001(\014\"" +
-      ">\n\nAdminReply\022\022\n\nrequest_id\030\001 \001(\004\022\016\n\006sta" +
-      "tus\030\002 \001(\r\022\014\n\004json\030\003 \001(\014\"\274\001\n\rLedgerComman" +
-      "d\022\022\n\nnow_millis\030\001 \001(\003\022+\n\005claim\030\002 \001(\0132\032.c" +
-      "urranthaven.ClaimCommandH\000\0221\n\010complete\030\003" +
-      " \001(\0132\035.curranthaven.CompleteCommandH\000\022/\n" +
-      "\007release\030\004 \001(\0132\034.curranthaven.ReleaseCom" +
-      "mandH\000B\006\n\004body\"\231\001\n\014ClaimCommand\022\021\n\tworks" +
-      "pace\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\030\n\020issued_at_mil" +
-      "lis\030\003 \001(\003\022\021\n\tbody_hash\030\004 \001(\014\022\022\n\nowner_ho" +
-      "st\030\005 \001(\t\022\031\n\021owner_incarnation\030\006 \001(\004\022\r\n\005t" +
-      "oken\030\007 \001(\t\"l\n\017CompleteCommand\022\021\n\tworkspa" +
-      "ce\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\r\n\005token\030\003 \001(\t\022*\n\006" +
-      "answer\030\004 \001(\0132\032.curranthaven.StoredAnswer" +
-      "\"?\n\016ReleaseCommand\022\021\n\tworkspace\030\001 \001(\t\022\013\n" +
-      "\003key\030\002 \001(\t\022\r\n\005token\030\003 \001(\t\"B\n\014StoredAnswe" +
-      "r\022\016\n\006status\030\001 \001(\r\022\024\n\014content_type\030\002 \001(\t\022" +
-      "\014\n\004body\030\003 \001(\014\"\304\001\n\013ClaimRecord\022\021\n\tworkspa" +
-      "ce\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\030\n\020issued_at_milli" +
-      "s\030\003 \001(\003\022\021\n\tbody_hash\030\004 \001(\014\022\022\n\nowner_host" +
-      "\030\005 \001(\t\022\031\n\021owner_incarnation\030\006 \001(\004\022\r\n\005tok" +
-      "en\030\007 \001(\t\022*\n\006answer\030\010 \001(\0132\032.curranthaven." +
-      "StoredAnswer\"e\n\013ClaimResult\022+\n\007verdict\030\001" +
-      " \001(\0162\032.curranthaven.ClaimVerdict\022)\n\006reco" +
-      "rd\030\002 \001(\0132\031.curranthaven.ClaimRecord\"P\n\016L" +
-      "edgerSnapshot\022\022\n\nnow_millis\030\001 \001(\003\022*\n\007rec" +
-      "ords\030\002 \003(\0132\031.curranthaven.ClaimRecord*O\n" +
-      "\tEntryKind\022\023\n\017ENTRY_KIND_NOOP\020\000\022\026\n\022ENTRY" +
-      "_KIND_COMMAND\020\001\022\025\n\021ENTRY_KIND_VOTERS\020\002*\246" +
-      "\001\n\rCommandStatus\022\036\n\032COMMAND_STATUS_UNSPE" +
-      "CIFIED\020\000\022\032\n\026COMMAND_STATUS_APPLIED\020\001\022\035\n\031" +
-      "COMMAND_STATUS_NOT_LEADER\020\002\022\032\n\026COMMAND_S" +
-      "TATUS_UNKNOWN\020\003\022\036\n\032COMMAND_STATUS_UNAVAI" +
-      "LABLE\020\004*\353\001\n\014ClaimVerdict\022\035\n\031CLAIM_VERDIC" +
-      "T_UNSPECIFIED\020\000\022\031\n\025CLAIM_VERDICT_GRANTED" +
-      "\020\001\022\031\n\025CLAIM_VERDICT_RUNNING\020\002\022\026\n\022CLAIM_V" +
-      "ERDICT_DONE\020\003\022\034\n\030CLAIM_VERDICT_KEY_REUSE" +
-      "D\020\004\022\031\n\025CLAIM_VERDICT_TOO_OLD\020\005\022\035\n\031CLAIM_" +
-      "VERDICT_FROM_FUTURE\020\006\022\026\n\022CLAIM_VERDICT_F" +
-      "ULL\020\007B,\n(org.curranthaven.internal.trans" +
-      "port.wireP\001b\006proto3"
+      "erH\000\022/\n\013known_hosts\030\017 \001(\0132\030.curranthaven" +
+      ".KnownHostsH\000\0225\n\016scheduler_view\030\020 \001(\0132\033." +
+      "curranthaven.SchedulerViewH\000\0225\n\016gateway_" +
+      "status\030\021 \001(\0132\033.curranthaven.GatewayStatu" +
+      "sH\000\022;\n\021dispatch_requests\030\022 \001(\0132\036.currant" +
+      "haven.DispatchRequestsH\000\0227\n\017dispatch_ord" +
+      "ers\030\023 \001(\0132\034.curranthaven.DispatchOrdersH" +
+      "\000B\t\n\007payload\"?\n\005Hello\022&\n\004host\030\001 \001(\0132\030.cu" +
+      "rranthaven.HostRecord\022\016\n\006formed\030\002 \001(\010\"\025\n" +
+      "\004Ping\022\r\n\005nonce\030\001 \001(\004\"\025\n\004Pong\022\r\n\005nonce\030\001 " +
+      "\001(\004\"\265\001\n\nHostRecord\022\014\n\004name\030\001 \001(\t\022\023\n\013data" +
+      "_centre\030\002 \001(\t\022\024\n\014peer_address\030\003 \001(\t\022\024\n\014h" +
+      "ttp_address\030\004 \001(\t\022\020\n\010identity\030\005 \001(\t\022\023\n\013i" +
+      "ncarnation\030\006 \001(\004\022\017\n\007control\030\007 \001(\010\022\020\n\010dra" +
+      "ining\030\010 \001(\010\022\016\n\006formed\030\t \001(\010\">\n\016Consensus" +
+      "Batch\022,\n\010messages\030\001 \003(\0132\032.curranthaven.G" +
+      "roupMessage\"\266\003\n\014GroupMessage\022\020\n\010group_id" +
+      "\030\001 \001(\r\022\023\n\013to_identity\030\002 \001(\t\022\014\n\004term\030\003 \001(" +
+      "\004\0221\n\014vote_request\030\004 \001(\0132\031.curranthaven.V" +
+      "oteRequestH\000\022-\n\nvote_reply\030\005 \001(\0132\027.curra" +
+      "nthaven.VoteReplyH\000\0225\n\016append_request\030\006 " +
+      "\001(\0132\033.curranthaven.AppendRequestH\000\0221\n\014ap" +
+      "pend_reply\030\007 \001(\0132\031.curranthaven.AppendRe" +
+      "plyH\000\0225\n\016snapshot_piece\030\010 \001(\0132\033.curranth" +
+      "aven.SnapshotPieceH\000\0225\n\016snapshot_reply\030\t" +
+      " \001(\0132\033.curranthaven.SnapshotReplyH\000\022/\n\013t" +
+      "imeout_now\030\n \001(\0132\030.curranthaven.TimeoutN" +
+      "owH\000B\006\n\004body\"c\n\013VoteRequest\022\020\n\010pre_vote\030" +
+      "\001 \001(\010\022\022\n\nlast_index\030\002 \001(\004\022\021\n\tlast_term\030\003" +
+      " \001(\004\022\033\n\023leadership_transfer\030\004 \001(\010\".\n\tVot" +
+      "eReply\022\020\n\010pre_vote\030\001 \001(\010\022\017\n\007granted\030\002 \001(" +
+      "\010\"\225\001\n\rAppendRequest\022\026\n\016previous_index\030\001 " +
+      "\001(\004\022\025\n\rprevious_term\030\002 \001(\004\022\'\n\007entries\030\003 " +
+      "\003(\0132\026.curranthaven.LogEntry\022\024\n\014commit_in" +
+      "dex\030\004 \001(\004\022\026\n\016sent_at_millis\030\005 \001(\003\"g\n\013App" +
+      "endReply\022\020\n\010accepted\030\001 \001(\010\022\023\n\013match_inde" +
+      "x\030\002 \001(\004\022\022\n\nlast_index\030\003 \001(\004\022\035\n\025echoed_se" +
+      "nt_at_millis\030\004 \001(\003\"\212\001\n\rSnapshotPiece\022\022\n\n" +
+      "last_index\030\001 \001(\004\022\021\n\tlast_term\030\002 \001(\004\022\016\n\006v" +
+      "oters\030\003 \001(\014\022\016\n\006offset\030\004 \001(\004\022\014\n\004data\030\005 \001(" +
+      "\014\022\014\n\004last\030\006 \001(\010\022\026\n\016sent_at_millis\030\007 \001(\003\"" +
+      "j\n\rSnapshotReply\022\023\n\013next_offset\030\001 \001(\004\022\021\n" +
+      "\tinstalled\030\002 \001(\010\022\022\n\nlast_index\030\003 \001(\004\022\035\n\025" +
+      "echoed_sent_at_millis\030\004 \001(\003\"\014\n\nTimeoutNo" +
+      "w\"\\\n\010LogEntry\022\r\n\005index\030\001 \001(\004\022\014\n\004term\030\002 \001" +
+      "(\004\022%\n\004kind\030\003 \001(\0162\027.curranthaven.EntryKin" +
+      "d\022\014\n\004data\030\004 \001(\014\"V\n\010VoterSet\022#\n\006voters\030\001 " +
+      "\003(\0132\023.curranthaven.Voter\022%\n\010learners\030\002 \003" +
+      "(\0132\023.curranthaven.Voter\"=\n\005Voter\022\020\n\010iden" +
+      "tity\030\001 \001(\t\022\014\n\004host\030\002 \001(\t\022\024\n\014peer_address" +
+      "\030\003 \001(\t\",\n\tHardState\022\014\n\004term\030\001 \001(\004\022\021\n\tvot" +
+      "ed_for\030\002 \001(\t\"\204\001\n\tLogRecord\022\'\n\005entry\030\001 \001(" +
+      "\0132\026.curranthaven.LogEntryH\000\022-\n\nhard_stat" +
+      "e\030\002 \001(\0132\027.curranthaven.HardStateH\000\022\027\n\rtr" +
+      "uncate_from\030\003 \001(\004H\000B\006\n\004body\"l\n\014SnapshotF" +
+      "ile\022\022\n\nlast_index\030\001 \001(\004\022\021\n\tlast_term\030\002 \001" +
+      "(\004\022&\n\006voters\030\003 \001(\0132\026.curranthaven.VoterS" +
+      "et\022\r\n\005state\030\004 \001(\014\"G\n\016CommandRequest\022\022\n\nr" +
+      "equest_id\030\001 \001(\004\022\020\n\010group_id\030\002 \001(\r\022\017\n\007com" +
+      "mand\030\003 \001(\014\"t\n\014CommandReply\022\022\n\nrequest_id" +
+      "\030\001 \001(\004\022+\n\006status\030\002 \001(\0162\033.curranthaven.Co" +
+      "mmandStatus\022\016\n\006result\030\003 \001(\014\022\023\n\013leader_ho" +
+      "st\030\004 \001(\t\"\222\001\n\020FreshnessRequest\022&\n\004host\030\001 " +
+      "\001(\0132\030.curranthaven.HostRecord\022\020\n\010revisio" +
+      "n\030\002 \001(\004\022\026\n\016sent_at_millis\030\003 \001(\003\022,\n\013peer_" +
+      "leases\030\004 \003(\0132\027.curranthaven.PeerLease\"3\n" +
+      "\tPeerLease\022\014\n\004host\030\001 \001(\t\022\030\n\020remaining_mi" +
+      "llis\030\002 \001(\003\"\350\001\n\016FreshnessGrant\022\020\n\010revisio" +
+      "n\030\001 \001(\004\022\035\n\025echoed_sent_at_millis\030\002 \001(\003\022\024" +
+      "\n\014lease_millis\030\003 \001(\003\022\025\n\rconfiguration\030\004 " +
+      "\001(\014\022\'\n\005hosts\030\005 \003(\0132\030.curranthaven.HostRe" +
+      "cord\022\017\n\007granted\030\006 \001(\010\022\014\n\004term\030\007 \001(\004\0220\n\006d" +
+      "eltas\030\010 \003(\0132 .curranthaven.Configuration" +
+      "Delta\"5\n\022ConfigurationDelta\022\020\n\010revision\030" +
+      "\001 \001(\004\022\r\n\005edits\030\002 \001(\014\"\211\001\n\016RevisionAnswer\022" +
+      "\020\n\010revision\030\001 \001(\004\022\035\n\025echoed_sent_at_mill" +
+      "is\030\002 \001(\003\022\017\n\007granted\030\003 \001(\010\022\033\n\023witness_set" +
+      "_version\030\004 \001(\004\022\030\n\020witness_set_size\030\005 \001(\r" +
+      "\"\207\001\n\tSoftState\0228\n\rannouncements\030\001 \003(\0132!." +
+      "curranthaven.BackendAnnouncement\022+\n\006shar" +
+      "es\030\002 \003(\0132\033.curranthaven.DispatchShare\022\023\n" +
+      "\013full_shares\030\003 \001(\010\"7\n\023BackendAnnouncemen" +
+      "t\022\014\n\004json\030\001 \001(\014\022\022\n\nage_millis\030\002 \001(\003\"_\n\rD" +
+      "ispatchShare\022\017\n\007backend\030\001 \001(\t\022\017\n\007running" +
+      "\030\002 \001(\r\022\023\n\013mean_blocks\030\003 \003(\002\022\027\n\017variance_" +
+      "blocks\030\004 \003(\002\">\n\014AdminRequest\022\022\n\nrequest_" +
+      "id\030\001 \001(\004\022\014\n\004path\030\002 \001(\t\022\014\n\004json\030\003 \001(\014\">\n\n" +
+      "AdminReply\022\022\n\nrequest_id\030\001 \001(\004\022\016\n\006status" +
+      "\030\002 \001(\r\022\014\n\004json\030\003 \001(\014\"\274\001\n\rLedgerCommand\022\022" +
+      "\n\nnow_millis\030\001 \001(\003\022+\n\005claim\030\002 \001(\0132\032.curr" +
+      "anthaven.ClaimCommandH\000\0221\n\010complete\030\003 \001(" +
+      "\0132\035.curranthaven.CompleteCommandH\000\022/\n\007re" +
+      "lease\030\004 \001(\0132\034.curranthaven.ReleaseComman" +
+      "dH\000B\006\n\004body\"\231\001\n\014ClaimCommand\022\021\n\tworkspac" +
+      "e\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\030\n\020issued_at_millis" +
+      "\030\003 \001(\003\022\021\n\tbody_hash\030\004 \001(\014\022\022\n\nowner_host\030" +
+      "\005 \001(\t\022\031\n\021owner_incarnation\030\006 \001(\004\022\r\n\005toke" +
+      "n\030\007 \001(\t\"l\n\017CompleteCommand\022\021\n\tworkspace\030" +
+      "\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\r\n\005token\030\003 \001(\t\022*\n\006ans" +
+      "wer\030\004 \001(\0132\032.curranthaven.StoredAnswer\"?\n" +
+      "\016ReleaseCommand\022\021\n\tworkspace\030\001 \001(\t\022\013\n\003ke" +
+      "y\030\002 \001(\t\022\r\n\005token\030\003 \001(\t\"B\n\014StoredAnswer\022\016" +
+      "\n\006status\030\001 \001(\r\022\024\n\014content_type\030\002 \001(\t\022\014\n\004" +
+      "body\030\003 \001(\014\"\304\001\n\013ClaimRecord\022\021\n\tworkspace\030" +
+      "\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\030\n\020issued_at_millis\030\003" +
+      " \001(\003\022\021\n\tbody_hash\030\004 \001(\014\022\022\n\nowner_host\030\005 " +
+      "\001(\t\022\031\n\021owner_incarnation\030\006 \001(\004\022\r\n\005token\030" +
+      "\007 \001(\t\022*\n\006answer\030\010 \001(\0132\032.curranthaven.Sto" +
+      "redAnswer\"e\n\013ClaimResult\022+\n\007verdict\030\001 \001(" +
+      "\0162\032.curranthaven.ClaimVerdict\022)\n\006record\030" +
+      "\002 \001(\0132\031.curranthaven.ClaimRecord\"P\n\016Ledg" +
+      "erSnapshot\022\022\n\nnow_millis\030\001 \001(\003\022*\n\007record" +
+      "s\030\002 \003(\0132\031.curranthaven.ClaimRecord\"\'\n\nKn" +
+      "ownHosts\022\031\n\021control_addresses\030\001 \003(\t\"\320\001\n\r" +
+      "SchedulerView\022\014\n\004term\030\001 \001(\004\022\017\n\007version\030\002" +
+      " \001(\004\022\024\n\014base_version\030\003 \001(\004\022-\n\010backends\030\004" +
+      " \003(\0132\033.curranthaven.BackendRecord\022\014\n\004gon" +
+      "e\030\005 \003(\t\022\030\n\020catalog_revision\030\006 \001(\004\022\017\n\007cat" +
+      "alog\030\007 \001(\014\022\020\n\010gateways\030\010 \001(\r\022\020\n\010resigned" +
+      "\030\t \001(\010\"\262\001\n\rBackendRecord\022\n\n\002id\030\001 \001(\t\022\017\n\007" +
+      "service\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\023\n\013data_c" +
+      "entre\030\004 \001(\t\022\r\n\005slots\030\005 \001(\r\022\017\n\007leaving\030\006 " +
+      "\001(\010\022\020\n\010sequence\030\007 \001(\004\022\030\n\020cold_left_milli" +
+      "s\030\010 \001(\004\022\022\n\nfirst_seen\030\t \001(\004\"\275\001\n\rGatewayS" +
+      "tatus\022\014\n\004term\030\001 \001(\004\022\017\n\007version\030\002 \001(\004\022\030\n\020" +
+      "catalog_revision\030\003 \001(\004\022\014\n\004full\030\004 \001(\010\022(\n\004" +
+      "open\030\005 \003(\0132\032.curranthaven.OpenDispatch\022-" +
+      "\n\010backends\030\006 \003(\0132\033.curranthaven.BackendR" +
+      "ecord\022\014\n\004gone\030\007 \003(\t\"^\n\014OpenDispatch\022&\n\003a" +
+      "sk\030\001 \001(\0132\031.curranthaven.DispatchAsk\022\017\n\007b" +
+      "ackend\030\002 \001(\t\022\025\n\routput_tokens\030\003 \001(\r\"\330\002\n\013" +
+      "DispatchAsk\022\n\n\002id\030\001 \001(\004\022\017\n\007service\030\002 \001(\t" +
+      "\022\r\n\005route\030\003 \001(\t\022\021\n\tworkspace\030\004 \001(\t\022\020\n\010pr" +
+      "iority\030\005 \001(\r\022\025\n\rprompt_tokens\030\006 \001(\r\022\031\n\021m" +
+      "ax_output_tokens\030\007 \001(\r\022\034\n\024hinted_output_" +
+      "tokens\030\010 \001(\r\022\032\n\022target_left_millis\030\t \001(\003" +
+      "\022\034\n\024deadline_left_millis\030\n \001(\003\022\020\n\010exclud" +
+      "ed\030\013 \003(\t\022\016\n\006repeat\030\014 \001(\010\022\'\n\005parts\030\r \003(\0132" +
+      "\030.curranthaven.PromptPart\022\023\n\013data_centre" +
+      "\030\016 \001(\t\022\016\n\006engine\030\017 \001(\010\"(\n\nPromptPart\022\n\n\002" +
+      "id\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\r\"\244\001\n\020DispatchReq" +
+      "uests\022\014\n\004term\030\001 \001(\004\022\'\n\004asks\030\002 \003(\0132\031.curr" +
+      "anthaven.DispatchAsk\0220\n\010progress\030\003 \003(\0132\036" +
+      ".curranthaven.DispatchProgress\022\'\n\004ends\030\004" +
+      " \003(\0132\031.curranthaven.DispatchEnd\"5\n\020Dispa" +
+      "tchProgress\022\n\n\002id\030\001 \001(\004\022\025\n\routput_tokens" +
+      "\030\002 \001(\r\"`\n\013DispatchEnd\022\n\n\002id\030\001 \001(\004\022.\n\007out" +
+      "come\030\002 \001(\0162\035.curranthaven.DispatchOutcom" +
+      "e\022\025\n\routput_tokens\030\003 \001(\r\"\227\001\n\016DispatchOrd" +
+      "ers\022\014\n\004term\030\001 \001(\004\022+\n\nplacements\030\002 \003(\0132\027." +
+      "curranthaven.Placement\022\'\n\010refusals\030\003 \003(\013" +
+      "2\025.curranthaven.Refusal\022!\n\005moves\030\004 \003(\0132\022" +
+      ".curranthaven.Move\"9\n\tPlacement\022\n\n\002id\030\001 " +
+      "\001(\004\022\017\n\007backend\030\002 \001(\t\022\017\n\007urgency\030\003 \001(\r\"A\n" +
+      "\007Refusal\022\n\n\002id\030\001 \001(\004\022\032\n\022retry_after_mill" +
+      "is\030\002 \001(\004\022\016\n\006reason\030\003 \001(\t\"\"\n\004Move\022\n\n\002id\030\001" +
+      " \001(\004\022\016\n\006target\030\002 \001(\t*O\n\tEntryKind\022\023\n\017ENT" +
+      "RY_KIND_NOOP\020\000\022\026\n\022ENTRY_KIND_COMMAND\020\001\022\025" +
+      "\n\021ENTRY_KIND_VOTERS\020\002*\246\001\n\rCommandStatus\022" +
+      "\036\n\032COMMAND_STATUS_UNSPECIFIED\020\000\022\032\n\026COMMA" +
+      "ND_STATUS_APPLIED\020\001\022\035\n\031COMMAND_STATUS_NO" +
+      "T_LEADER\020\002\022\032\n\026COMMAND_STATUS_UNKNOWN\020\003\022\036" +
+      "\n\032COMMAND_STATUS_UNAVAILABLE\020\004*\353\001\n\014Claim" +
+      "Verdict\022\035\n\031CLAIM_VERDICT_UNSPECIFIED\020\000\022\031" +
+      "\n\025CLAIM_VERDICT_GRANTED\020\001\022\031\n\025CLAIM_VERDI" +
+      "CT_RUNNING\020\002\022\026\n\022CLAIM_VERDICT_DONE\020\003\022\034\n\030" +
+      "CLAIM_VERDICT_KEY_REUSED\020\004\022\031\n\025CLAIM_VERD" +
+      "ICT_TOO_OLD\020\005\022\035\n\031CLAIM_VERDICT_FROM_FUTU" +
+      "RE\020\006\022\026\n\022CLAIM_VERDICT_FULL\020\007*\216\002\n\017Dispatc" +
+      "hOutcome\022 \n\034DISPATCH_OUTCOME_UNSPECIFIED" +
+      "\020\000\022\035\n\031DISPATCH_OUTCOME_ANSWERED\020\001\022\033\n\027DIS" +
+      "PATCH_OUTCOME_FAILED\020\002\022\035\n\031DISPATCH_OUTCO" +
+      "ME_REJECTED\020\003\022 \n\034DISPATCH_OUTCOME_UNREAC" +
+      "HABLE\020\004\022\036\n\032DISPATCH_OUTCOME_CANCELLED\020\005\022" +
+      "\032\n\026DISPATCH_OUTCOME_MOVED\020\006\022 \n\034DISPATCH_" +
+      "OUTCOME_MOVE_FAILED\020\007B,\n(org.curranthave" +
+      "n.internal.transport.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -382,7 +509,7 @@
     internal_static_curranthaven_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_curranthaven_Envelope_descriptor,
-        new java.lang.String[] { "FromHost", "FromIdentity", "Hello", "Ping", "Pong", "Consensus", "CommandRequest", "CommandReply", "FreshnessRequest", "FreshnessGrant", "SoftState", "AdminRequest", "AdminReply", "RevisionAnswer", "Payload", });
+        new java.lang.String[] { "FromHost", "FromIdentity", "Hello", "Ping", "Pong", "Consensus", "CommandRequest", "CommandReply", "FreshnessRequest", "FreshnessGrant", "SoftState", "AdminRequest", "AdminReply", "RevisionAnswer", "KnownHosts", "SchedulerView", "GatewayStatus", "DispatchRequests", "DispatchOrders", "Payload", });
     internal_static_curranthaven_Hello_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_curranthaven_Hello_fieldAccessorTable = new
@@ -617,6 +744,90 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_curranthaven_LedgerSnapshot_descriptor,
         new java.lang.String[] { "NowMillis", "Records", });
+    internal_static_curranthaven_KnownHosts_descriptor =
+      getDescriptor().getMessageType(40);
+    internal_static_curranthaven_KnownHosts_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_curranthaven_KnownHosts_descriptor,
+        new java.lang.String[] { "ControlAddresses", });
+    internal_static_curranthaven_SchedulerView_descriptor =
+      getDescriptor().getMessageType(41);
+    internal_static_curranthaven_SchedulerView_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_curranthaven_SchedulerView_descriptor,
+        new java.lang.String[] { "Term", "Version", "BaseVersion", "Backends", "Gone", "CatalogRevision", "Catalog", "Gateways", "Resigned", });
+    internal_static_curranthaven_BackendRecord_descriptor =
+      getDescriptor().getMessageType(42);
+    internal_static_curranthaven_BackendRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_curranthaven_BackendRecord_descriptor,
+        new java.lang.String[] { "Id", "Service", "Address", "DataCentre", "Slots", "Leaving", "Sequence", "ColdLeftMillis", "FirstSeen", });
+    internal_static_curranthaven_GatewayStatus_descriptor =
+      getDescriptor().getMessageType(43);
+    internal_static_curranthaven_GatewayStatus_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_curranthaven_GatewayStatus_descriptor,
+        new java.lang.String[] { "Term", "Version", "CatalogRevision", "Full", "Open", "Backends", "Gone", });
+    internal_static_curranthaven_OpenDispatch_descriptor =
+      getDescriptor().getMessageType(44);
+    internal_static_curranthaven_OpenDispatch_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_curranthaven_OpenDispatch_descriptor,
+        new java.lang.String[] { "Ask", "Backend", "OutputTokens", });
+    internal_static_curranthaven_DispatchAsk_descriptor =
+      getDescriptor().getMessageType(45);
+    internal_static_curranthaven_DispatchAsk_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_curranthaven_DispatchAsk_descriptor,
+        new java.lang.String[] { "Id", "Service", "Route", "Workspace", "Priority", "PromptTokens", "MaxOutputTokens", "HintedOutputTokens", "TargetLeftMillis", "DeadlineLeftMillis", "Excluded", "Repeat", "Parts", "DataCentre", "Engine", });
+    internal_static_curranthaven_PromptPart_descriptor =
+      getDescriptor().getMessageType(46);
+    internal_static_curranthaven_PromptPart_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_curranthaven_PromptPart_descriptor,
+        new java.lang.String[] { "Id", "Tokens", });
+    internal_static_curranthaven_DispatchRequests_descriptor =
+      getDescriptor().getMessageType(47);
+    internal_static_curranthaven_DispatchRequests_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_curranthaven_DispatchRequests_descriptor,
+        new java.lang.String[] { "Term", "Asks", "Progress", "Ends", });
+    internal_static_curranthaven_DispatchProgress_descriptor =
+      getDescriptor().getMessageType(48);
+    internal_static_curranthaven_DispatchProgress_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_curranthaven_DispatchProgress_descriptor,
+        new java.lang.String[] { "Id", "OutputTokens", });
+    internal_static_curranthaven_DispatchEnd_descriptor =
+      getDescriptor().getMessageType(49);
+    internal_static_curranthaven_DispatchEnd_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_curranthaven_DispatchEnd_descriptor,
+        new java.lang.String[] { "Id", "Outcome", "OutputTokens", });
+    internal_static_curranthaven_DispatchOrders_descriptor =
+      getDescriptor().getMessageType(50);
+    internal_static_curranthaven_DispatchOrders_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_curranthaven_DispatchOrders_descriptor,
+        new java.lang.String[] { "Term", "Placements", "Refusals", "Moves", });
+    internal_static_curranthaven_Placement_descriptor =
+      getDescriptor().getMessageType(51);
+    internal_static_curranthaven_Placement_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_curranthaven_Placement_descriptor,
+        new java.lang.String[] { "Id", "Backend", "Urgency", });
+    internal_static_curranthaven_Refusal_descriptor =
+      getDescriptor().getMessageType(52);
+    internal_static_curranthaven_Refusal_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_curranthaven_Refusal_descriptor,
+        new java.lang.String[] { "Id", "RetryAfterMillis", "Reason", });
+    internal_static_curranthaven_Move_descriptor =
+      getDescriptor().getMessageType(53);
+    internal_static_curranthaven_Move_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_curranthaven_Move_descriptor,
+        new java.lang.String[] { "Id", "Target", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/src/main/java/org/curranthaven/internal/transport/wire/Envelope.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/Envelope.java
@@ -72,6 +72,11 @@
     ADMIN_REQUEST(12),
     ADMIN_REPLY(13),
     REVISION_ANSWER(14),
+    KNOWN_HOSTS(15),
+    SCHEDULER_VIEW(16),
+    GATEWAY_STATUS(17),
+    DISPATCH_REQUESTS(18),
+    DISPATCH_ORDERS(19),
     PAYLOAD_NOT_SET(0);
     private final int value;
     private PayloadCase(int value) {
@@ -101,6 +106,11 @@
         case 12: return ADMIN_REQUEST;
         case 13: return ADMIN_REPLY;
         case 14: return REVISION_ANSWER;
+        case 15: return KNOWN_HOSTS;
+        case 16: return SCHEDULER_VIEW;
+        case 17: return GATEWAY_STATUS;
+        case 18: return DISPATCH_REQUESTS;
+        case 19: return DISPATCH_ORDERS;
         case 0: return PAYLOAD_NOT_SET;
         default: return null;
       }
@@ -574,6 +584,161 @@
     return org.curranthaven.internal.transport.wire.RevisionAnswer.getDefaultInstance();
   }
 
+  public static final int KNOWN_HOSTS_FIELD_NUMBER = 15;
+  /**
+   * <code>.curranthaven.KnownHosts known_hosts = 15;</code>
+   * @return Whether the knownHosts field is set.
+   */
+  @java.lang.Override
+  public boolean hasKnownHosts() {
+    return payloadCase_ == 15;
+  }
+  /**
+   * <code>.curranthaven.KnownHosts known_hosts = 15;</code>
+   * @return The knownHosts.
+   */
+  @java.lang.Override
+  public org.curranthaven.internal.transport.wire.KnownHosts getKnownHosts() {
+    if (payloadCase_ == 15) {
+       return (org.curranthaven.internal.transport.wire.KnownHosts) payload_;
+    }
+    return org.curranthaven.internal.transport.wire.KnownHosts.getDefaultInstance();
+  }
+  /**
+   * <code>.curranthaven.KnownHosts known_hosts = 15;</code>
+   */
+  @java.lang.Override
+  public org.curranthaven.internal.transport.wire.KnownHostsOrBuilder getKnownHostsOrBuilder() {
+    if (payloadCase_ == 15) {
+       return (org.curranthaven.internal.transport.wire.KnownHosts) payload_;
+    }
+    return org.curranthaven.internal.transport.wire.KnownHosts.getDefaultInstance();
+  }
+
+  public static final int SCHEDULER_VIEW_FIELD_NUMBER = 16;
+  /**
+   * <code>.curranthaven.SchedulerView scheduler_view = 16;</code>
+   * @return Whether the schedulerView field is set.
+   */
+  @java.lang.Override
+  public boolean hasSchedulerView() {
+    return payloadCase_ == 16;
+  }
+  /**
+   * <code>.curranthaven.SchedulerView scheduler_view = 16;</code>
+   * @return The schedulerView.
+   */
+  @java.lang.Override
+  public org.curranthaven.internal.transport.wire.SchedulerView getSchedulerView() {
+    if (payloadCase_ == 16) {
+       return (org.curranthaven.internal.transport.wire.SchedulerView) payload_;
+    }
+    return org.curranthaven.internal.transport.wire.SchedulerView.getDefaultInstance();
+  }
+  /**
+   * <code>.curranthaven.SchedulerView scheduler_view = 16;</code>
+   */
+  @java.lang.Override
+  public org.curranthaven.internal.transport.wire.SchedulerViewOrBuilder getSchedulerViewOrBuilder() {
+    if (payloadCase_ == 16) {
+       return (org.curranthaven.internal.transport.wire.SchedulerView) payload_;
+    }
+    return org.curranthaven.internal.transport.wire.SchedulerView.getDefaultInstance();
+  }
+
+  public static final int GATEWAY_STATUS_FIELD_NUMBER = 17;
+  /**
+   * <code>.curranthaven.GatewayStatus gateway_status = 17;</code>
+   * @return Whether the gatewayStatus field is set.
+   */
+  @java.lang.Override
+  public boolean hasGatewayStatus() {
+    return payloadCase_ == 17;
+  }
+  /**
+   * <code>.curranthaven.GatewayStatus gateway_status = 17;</code>
+   * @return The gatewayStatus.
+   */
+  @java.lang.Override
+  public org.curranthaven.internal.transport.wire.GatewayStatus getGatewayStatus() {
+    if (payloadCase_ == 17) {
+       return (org.curranthaven.internal.transport.wire.GatewayStatus) payload_;
+    }
+    return org.curranthaven.internal.transport.wire.GatewayStatus.getDefaultInstance();
+  }
+  /**
+   * <code>.curranthaven.GatewayStatus gateway_status = 17;</code>
+   */
+  @java.lang.Override
+  public org.curranthaven.internal.transport.wire.GatewayStatusOrBuilder getGatewayStatusOrBuilder() {
+    if (payloadCase_ == 17) {
+       return (org.curranthaven.internal.transport.wire.GatewayStatus) payload_;
+    }
+    return org.curranthaven.internal.transport.wire.GatewayStatus.getDefaultInstance();
+  }
+
+  public static final int DISPATCH_REQUESTS_FIELD_NUMBER = 18;
+  /**
+   * <code>.curranthaven.DispatchRequests dispatch_requests = 18;</code>
+   * @return Whether the dispatchRequests field is set.
+   */
+  @java.lang.Override
+  public boolean hasDispatchRequests() {
+    return payloadCase_ == 18;
+  }
+  /**
+   * <code>.curranthaven.DispatchRequests dispatch_requests = 18;</code>
+   * @return The dispatchRequests.
+   */
+  @java.lang.Override
+  public org.curranthaven.internal.transport.wire.DispatchRequests getDispatchRequests() {
+    if (payloadCase_ == 18) {
+       return (org.curranthaven.internal.transport.wire.DispatchRequests) payload_;
+    }
+    return org.curranthaven.internal.transport.wire.DispatchRequests.getDefaultInstance();
+  }
+  /**
+   * <code>.curranthaven.DispatchRequests dispatch_requests = 18;</code>
+   */
+  @java.lang.Override
+  public org.curranthaven.internal.transport.wire.DispatchRequestsOrBuilder getDispatchRequestsOrBuilder() {
+    if (payloadCase_ == 18) {
+       return (org.curranthaven.internal.transport.wire.DispatchRequests) payload_;
+    }
+    return org.curranthaven.internal.transport.wire.DispatchRequests.getDefaultInstance();
+  }
+
+  public static final int DISPATCH_ORDERS_FIELD_NUMBER = 19;
+  /**
+   * <code>.curranthaven.DispatchOrders dispatch_orders = 19;</code>
+   * @return Whether the dispatchOrders field is set.
+   */
+  @java.lang.Override
+  public boolean hasDispatchOrders() {
+    return payloadCase_ == 19;
+  }
+  /**
+   * <code>.curranthaven.DispatchOrders dispatch_orders = 19;</code>
+   * @return The dispatchOrders.
+   */
+  @java.lang.Override
+  public org.curranthaven.internal.transport.wire.DispatchOrders getDispatchOrders() {
+    if (payloadCase_ == 19) {
+       return (org.curranthaven.internal.transport.wire.DispatchOrders) payload_;
+    }
+    return org.curranthaven.internal.transport.wire.DispatchOrders.getDefaultInstance();
+  }
+  /**
+   * <code>.curranthaven.DispatchOrders dispatch_orders = 19;</code>
+   */
+  @java.lang.Override
+  public org.curranthaven.internal.transport.wire.DispatchOrdersOrBuilder getDispatchOrdersOrBuilder() {
+    if (payloadCase_ == 19) {
+       return (org.curranthaven.internal.transport.wire.DispatchOrders) payload_;
+    }
+    return org.curranthaven.internal.transport.wire.DispatchOrders.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -630,6 +795,21 @@
     if (payloadCase_ == 14) {
       output.writeMessage(14, (org.curranthaven.internal.transport.wire.RevisionAnswer) payload_);
     }
+    if (payloadCase_ == 15) {
+      output.writeMessage(15, (org.curranthaven.internal.transport.wire.KnownHosts) payload_);
+    }
+    if (payloadCase_ == 16) {
+      output.writeMessage(16, (org.curranthaven.internal.transport.wire.SchedulerView) payload_);
+    }
+    if (payloadCase_ == 17) {
+      output.writeMessage(17, (org.curranthaven.internal.transport.wire.GatewayStatus) payload_);
+    }
+    if (payloadCase_ == 18) {
+      output.writeMessage(18, (org.curranthaven.internal.transport.wire.DispatchRequests) payload_);
+    }
+    if (payloadCase_ == 19) {
+      output.writeMessage(19, (org.curranthaven.internal.transport.wire.DispatchOrders) payload_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -688,6 +868,26 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(14, (org.curranthaven.internal.transport.wire.RevisionAnswer) payload_);
     }
+    if (payloadCase_ == 15) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(15, (org.curranthaven.internal.transport.wire.KnownHosts) payload_);
+    }
+    if (payloadCase_ == 16) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(16, (org.curranthaven.internal.transport.wire.SchedulerView) payload_);
+    }
+    if (payloadCase_ == 17) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(17, (org.curranthaven.internal.transport.wire.GatewayStatus) payload_);
+    }
+    if (payloadCase_ == 18) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(18, (org.curranthaven.internal.transport.wire.DispatchRequests) payload_);
+    }
+    if (payloadCase_ == 19) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(19, (org.curranthaven.internal.transport.wire.DispatchOrders) payload_);
+    }
     return size;
   }
   @java.lang.Override
@@ -766,6 +966,26 @@
         if (!getRevisionAnswer()
             .equals(other.getRevisionAnswer())) return false;
         break;
+      case 15:
+        if (!getKnownHosts()
+            .equals(other.getKnownHosts())) return false;
+        break;
+      case 16:
+        if (!getSchedulerView()
+            .equals(other.getSchedulerView())) return false;
+        break;
+      case 17:
+        if (!getGatewayStatus()
+            .equals(other.getGatewayStatus())) return false;
+        break;
+      case 18:
+        if (!getDispatchRequests()
+            .equals(other.getDispatchRequests())) return false;
+        break;
+      case 19:
+        if (!getDispatchOrders()
+            .equals(other.getDispatchOrders())) return false;
+        break;
       case 0:
       default:
     }
@@ -833,6 +1053,26 @@
         hash = (37 * hash) + REVISION_ANSWER_FIELD_NUMBER;
         hash = (53 * hash) + getRevisionAnswer().hashCode();
         break;
+      case 15:
+        hash = (37 * hash) + KNOWN_HOSTS_FIELD_NUMBER;
+        hash = (53 * hash) + getKnownHosts().hashCode();
+        break;
+      case 16:
+        hash = (37 * hash) + SCHEDULER_VIEW_FIELD_NUMBER;
+        hash = (53 * hash) + getSchedulerView().hashCode();
+        break;
+      case 17:
+        hash = (37 * hash) + GATEWAY_STATUS_FIELD_NUMBER;
+        hash = (53 * hash) + getGatewayStatus().hashCode();
+        break;
+      case 18:
+        hash = (37 * hash) + DISPATCH_REQUESTS_FIELD_NUMBER;
+        hash = (53 * hash) + getDispatchRequests().hashCode();
+        break;
+      case 19:
+        hash = (37 * hash) + DISPATCH_ORDERS_FIELD_NUMBER;
+        hash = (53 * hash) + getDispatchOrders().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1009,6 +1249,21 @@
       if (revisionAnswerBuilder_ != null) {
         revisionAnswerBuilder_.clear();
       }
+      if (knownHostsBuilder_ != null) {
+        knownHostsBuilder_.clear();
+      }
+      if (schedulerViewBuilder_ != null) {
+        schedulerViewBuilder_.clear();
+      }
+      if (gatewayStatusBuilder_ != null) {
+        gatewayStatusBuilder_.clear();
+      }
+      if (dispatchRequestsBuilder_ != null) {
+        dispatchRequestsBuilder_.clear();
+      }
+      if (dispatchOrdersBuilder_ != null) {
+        dispatchOrdersBuilder_.clear();
+      }
       payloadCase_ = 0;
       payload_ = null;
       return this;
@@ -1104,6 +1359,26 @@
           revisionAnswerBuilder_ != null) {
         result.payload_ = revisionAnswerBuilder_.build();
       }
+      if (payloadCase_ == 15 &&
+          knownHostsBuilder_ != null) {
+        result.payload_ = knownHostsBuilder_.build();
+      }
+      if (payloadCase_ == 16 &&
+          schedulerViewBuilder_ != null) {
+        result.payload_ = schedulerViewBuilder_.build();
+      }
+      if (payloadCase_ == 17 &&
+          gatewayStatusBuilder_ != null) {
+        result.payload_ = gatewayStatusBuilder_.build();
+      }
+      if (payloadCase_ == 18 &&
+          dispatchRequestsBuilder_ != null) {
+        result.payload_ = dispatchRequestsBuilder_.build();
+      }
+      if (payloadCase_ == 19 &&
+          dispatchOrdersBuilder_ != null) {
+        result.payload_ = dispatchOrdersBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1177,6 +1452,26 @@
           mergeRevisionAnswer(other.getRevisionAnswer());
           break;
         }
+        case KNOWN_HOSTS: {
+          mergeKnownHosts(other.getKnownHosts());
+          break;
+        }
+        case SCHEDULER_VIEW: {
+          mergeSchedulerView(other.getSchedulerView());
+          break;
+        }
+        case GATEWAY_STATUS: {
+          mergeGatewayStatus(other.getGatewayStatus());
+          break;
+        }
+        case DISPATCH_REQUESTS: {
+          mergeDispatchRequests(other.getDispatchRequests());
+          break;
+        }
+        case DISPATCH_ORDERS: {
+          mergeDispatchOrders(other.getDispatchOrders());
+          break;
+        }
         case PAYLOAD_NOT_SET: {
           break;
         }
@@ -1299,6 +1594,41 @@
               payloadCase_ = 14;
               break;
             } // case 114
+            case 122: {
+              input.readMessage(
+                  internalGetKnownHostsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              payloadCase_ = 15;
+              break;
+            } // case 122
+            case 130: {
+              input.readMessage(
+                  internalGetSchedulerViewFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              payloadCase_ = 16;
+              break;
+            } // case 130
+            case 138: {
+              input.readMessage(
+                  internalGetGatewayStatusFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              payloadCase_ = 17;
+              break;
+            } // case 138
+            case 146: {
+              input.readMessage(
+                  internalGetDispatchRequestsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              payloadCase_ = 18;
+              break;
+            } // case 146
+            case 154: {
+              input.readMessage(
+                  internalGetDispatchOrdersFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              payloadCase_ = 19;
+              break;
+            } // case 154
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3175,6 +3505,706 @@
       return revisionAnswerBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.curranthaven.internal.transport.wire.KnownHosts, org.curranthaven.internal.transport.wire.KnownHosts.Builder, org.curranthaven.internal.transport.wire.KnownHostsOrBuilder> knownHostsBuilder_;
+    /**
+     * <code>.curranthaven.KnownHosts known_hosts = 15;</code>
+     * @return Whether the knownHosts field is set.
+     */
+    @java.lang.Override
+    public boolean hasKnownHosts() {
+      return payloadCase_ == 15;
+    }
+    /**
+     * <code>.curranthaven.KnownHosts known_hosts = 15;</code>
+     * @return The knownHosts.
+     */
+    @java.lang.Override
+    public org.curranthaven.internal.transport.wire.KnownHosts getKnownHosts() {
+      if (knownHostsBuilder_ == null) {
+        if (payloadCase_ == 15) {
+          return (org.curranthaven.internal.transport.wire.KnownHosts) payload_;
+        }
+        return org.curranthaven.internal.transport.wire.KnownHosts.getDefaultInstance();
+      } else {
+        if (payloadCase_ == 15) {
+          return knownHostsBuilder_.getMessage();
+        }
+        return org.curranthaven.internal.transport.wire.KnownHosts.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.curranthaven.KnownHosts known_hosts = 15;</code>
+     */
+    public Builder setKnownHosts(org.curranthaven.internal.transport.wire.KnownHosts value) {
+      if (knownHostsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        payload_ = value;
+        onChanged();
+      } else {
+        knownHostsBuilder_.setMessage(value);
+      }
+      payloadCase_ = 15;
+      return this;
+    }
+    /**
+     * <code>.curranthaven.KnownHosts known_hosts = 15;</code>
+     */
+    public Builder setKnownHosts(
+        org.curranthaven.internal.transport.wire.KnownHosts.Builder builderForValue) {
+      if (knownHostsBuilder_ == null) {
+        payload_ = builderForValue.build();
+        onChanged();
+      } else {
+        knownHostsBuilder_.setMessage(builderForValue.build());
+      }
+      payloadCase_ = 15;
+      return this;
+    }
+    /**
+     * <code>.curranthaven.KnownHosts known_hosts = 15;</code>
+     */
+    public Builder mergeKnownHosts(org.curranthaven.internal.transport.wire.KnownHosts value) {
+      if (knownHostsBuilder_ == null) {
+        if (payloadCase_ == 15 &&
+            payload_ != org.curranthaven.internal.transport.wire.KnownHosts.getDefaultInstance()) {
+          payload_ = org.curranthaven.internal.transport.wire.KnownHosts.newBuilder((org.curranthaven.internal.transport.wire.KnownHosts) payload_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          payload_ = value;
+        }
+        onChanged();
+      } else {
+        if (payloadCase_ == 15) {
+          knownHostsBuilder_.mergeFrom(value);
+        } else {
+          knownHostsBuilder_.setMessage(value);
+        }
+      }
+      payloadCase_ = 15;
+      return this;
+    }
+    /**
+     * <code>.curranthaven.KnownHosts known_hosts = 15;</code>
+     */
+    public Builder clearKnownHosts() {
+      if (knownHostsBuilder_ == null) {
+        if (payloadCase_ == 15) {
+          payloadCase_ = 0;
+          payload_ = null;
+          onChanged();
+        }
+      } else {
+        if (payloadCase_ == 15) {
+          payloadCase_ = 0;
+          payload_ = null;
+        }
+        knownHostsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.curranthaven.KnownHosts known_hosts = 15;</code>
+     */
+    public org.curranthaven.internal.transport.wire.KnownHosts.Builder getKnownHostsBuilder() {
+      return internalGetKnownHostsFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.curranthaven.KnownHosts known_hosts = 15;</code>
+     */
+    @java.lang.Override
+    public org.curranthaven.internal.transport.wire.KnownHostsOrBuilder getKnownHostsOrBuilder() {
+      if ((payloadCase_ == 15) && (knownHostsBuilder_ != null)) {
+        return knownHostsBuilder_.getMessageOrBuilder();
+      } else {
+        if (payloadCase_ == 15) {
+          return (org.curranthaven.internal.transport.wire.KnownHosts) payload_;
+        }
+        return org.curranthaven.internal.transport.wire.KnownHosts.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.curranthaven.KnownHosts known_hosts = 15;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.curranthaven.internal.transport.wire.KnownHosts, org.curranthaven.internal.transport.wire.KnownHosts.Builder, org.curranthaven.internal.transport.wire.KnownHostsOrBuilder> 
+        internalGetKnownHostsFieldBuilder() {
+      if (knownHostsBuilder_ == null) {
+        if (!(payloadCase_ == 15)) {
+          payload_ = org.curranthaven.internal.transport.wire.KnownHosts.getDefaultInstance();
+        }
+        knownHostsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.curranthaven.internal.transport.wire.KnownHosts, org.curranthaven.internal.transport.wire.KnownHosts.Builder, org.curranthaven.internal.transport.wire.KnownHostsOrBuilder>(
+                (org.curranthaven.internal.transport.wire.KnownHosts) payload_,
+                getParentForChildren(),
+                isClean());
+        payload_ = null;
+      }
+      payloadCase_ = 15;
+      onChanged();
+      return knownHostsBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.curranthaven.internal.transport.wire.SchedulerView, org.curranthaven.internal.transport.wire.SchedulerView.Builder, org.curranthaven.internal.transport.wire.SchedulerViewOrBuilder> schedulerViewBuilder_;
+    /**
+     * <code>.curranthaven.SchedulerView scheduler_view = 16;</code>
+     * @return Whether the schedulerView field is set.
+     */
+    @java.lang.Override
+    public boolean hasSchedulerView() {
+      return payloadCase_ == 16;
+    }
+    /**
+     * <code>.curranthaven.SchedulerView scheduler_view = 16;</code>
+     * @return The schedulerView.
+     */
+    @java.lang.Override
+    public org.curranthaven.internal.transport.wire.SchedulerView getSchedulerView() {
+      if (schedulerViewBuilder_ == null) {
+        if (payloadCase_ == 16) {
+          return (org.curranthaven.internal.transport.wire.SchedulerView) payload_;
+        }
+        return org.curranthaven.internal.transport.wire.SchedulerView.getDefaultInstance();
+      } else {
+        if (payloadCase_ == 16) {
+          return schedulerViewBuilder_.getMessage();
+        }
+        return org.curranthaven.internal.transport.wire.SchedulerView.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.curranthaven.SchedulerView scheduler_view = 16;</code>
+     */
+    public Builder setSchedulerView(org.curranthaven.internal.transport.wire.SchedulerView value) {
+      if (schedulerViewBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        payload_ = value;
+        onChanged();
+      } else {
+        schedulerViewBuilder_.setMessage(value);
+      }
+      payloadCase_ = 16;
+      return this;
+    }
+    /**
+     * <code>.curranthaven.SchedulerView scheduler_view = 16;</code>
+     */
+    public Builder setSchedulerView(
+        org.curranthaven.internal.transport.wire.SchedulerView.Builder builderForValue) {
+      if (schedulerViewBuilder_ == null) {
+        payload_ = builderForValue.build();
+        onChanged();
+      } else {
+        schedulerViewBuilder_.setMessage(builderForValue.build());
+      }
+      payloadCase_ = 16;
+      return this;
+    }
+    /**
+     * <code>.curranthaven.SchedulerView scheduler_view = 16;</code>
+     */
+    public Builder mergeSchedulerView(org.curranthaven.internal.transport.wire.SchedulerView value) {
+      if (schedulerViewBuilder_ == null) {
+        if (payloadCase_ == 16 &&
+            payload_ != org.curranthaven.internal.transport.wire.SchedulerView.getDefaultInstance()) {
+          payload_ = org.curranthaven.internal.transport.wire.SchedulerView.newBuilder((org.curranthaven.internal.transport.wire.SchedulerView) payload_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          payload_ = value;
+        }
+        onChanged();
+      } else {
+        if (payloadCase_ == 16) {
+          schedulerViewBuilder_.mergeFrom(value);
+        } else {
+          schedulerViewBuilder_.setMessage(value);
+        }
+      }
+      payloadCase_ = 16;
+      return this;
+    }
+    /**
+     * <code>.curranthaven.SchedulerView scheduler_view = 16;</code>
+     */
+    public Builder clearSchedulerView() {
+      if (schedulerViewBuilder_ == null) {
+        if (payloadCase_ == 16) {
+          payloadCase_ = 0;
+          payload_ = null;
+          onChanged();
+        }
+      } else {
+        if (payloadCase_ == 16) {
+          payloadCase_ = 0;
+          payload_ = null;
+        }
+        schedulerViewBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.curranthaven.SchedulerView scheduler_view = 16;</code>
+     */
+    public org.curranthaven.internal.transport.wire.SchedulerView.Builder getSchedulerViewBuilder() {
+      return internalGetSchedulerViewFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.curranthaven.SchedulerView scheduler_view = 16;</code>
+     */
+    @java.lang.Override
+    public org.curranthaven.internal.transport.wire.SchedulerViewOrBuilder getSchedulerViewOrBuilder() {
+      if ((payloadCase_ == 16) && (schedulerViewBuilder_ != null)) {
+        return schedulerViewBuilder_.getMessageOrBuilder();
+      } else {
+        if (payloadCase_ == 16) {
+          return (org.curranthaven.internal.transport.wire.SchedulerView) payload_;
+        }
+        return org.curranthaven.internal.transport.wire.SchedulerView.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.curranthaven.SchedulerView scheduler_view = 16;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.curranthaven.internal.transport.wire.SchedulerView, org.curranthaven.internal.transport.wire.SchedulerView.Builder, org.curranthaven.internal.transport.wire.SchedulerViewOrBuilder> 
+        internalGetSchedulerViewFieldBuilder() {
+      if (schedulerViewBuilder_ == null) {
+        if (!(payloadCase_ == 16)) {
+          payload_ = org.curranthaven.internal.transport.wire.SchedulerView.getDefaultInstance();
+        }
+        schedulerViewBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.curranthaven.internal.transport.wire.SchedulerView, org.curranthaven.internal.transport.wire.SchedulerView.Builder, org.curranthaven.internal.transport.wire.SchedulerViewOrBuilder>(
+                (org.curranthaven.internal.transport.wire.SchedulerView) payload_,
+                getParentForChildren(),
+                isClean());
+        payload_ = null;
+      }
+      payloadCase_ = 16;
+      onChanged();
+      return schedulerViewBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.curranthaven.internal.transport.wire.GatewayStatus, org.curranthaven.internal.transport.wire.GatewayStatus.Builder, org.curranthaven.internal.transport.wire.GatewayStatusOrBuilder> gatewayStatusBuilder_;
+    /**
+     * <code>.curranthaven.GatewayStatus gateway_status = 17;</code>
+     * @return Whether the gatewayStatus field is set.
+     */
+    @java.lang.Override
+    public boolean hasGatewayStatus() {
+      return payloadCase_ == 17;
+    }
+    /**
+     * <code>.curranthaven.GatewayStatus gateway_status = 17;</code>
+     * @return The gatewayStatus.
+     */
+    @java.lang.Override
+    public org.curranthaven.internal.transport.wire.GatewayStatus getGatewayStatus() {
+      if (gatewayStatusBuilder_ == null) {
+        if (payloadCase_ == 17) {
+          return (org.curranthaven.internal.transport.wire.GatewayStatus) payload_;
+        }
+        return org.curranthaven.internal.transport.wire.GatewayStatus.getDefaultInstance();
+      } else {
+        if (payloadCase_ == 17) {
+          return gatewayStatusBuilder_.getMessage();
+        }
+        return org.curranthaven.internal.transport.wire.GatewayStatus.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.curranthaven.GatewayStatus gateway_status = 17;</code>
+     */
+    public Builder setGatewayStatus(org.curranthaven.internal.transport.wire.GatewayStatus value) {
+      if (gatewayStatusBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        payload_ = value;
+        onChanged();
+      } else {
+        gatewayStatusBuilder_.setMessage(value);
+      }
+      payloadCase_ = 17;
+      return this;
+    }
+    /**
+     * <code>.curranthaven.GatewayStatus gateway_status = 17;</code>
+     */
+    public Builder setGatewayStatus(
+        org.curranthaven.internal.transport.wire.GatewayStatus.Builder builderForValue) {
+      if (gatewayStatusBuilder_ == null) {
+        payload_ = builderForValue.build();
+        onChanged();
+      } else {
+        gatewayStatusBuilder_.setMessage(builderForValue.build());
+      }
+      payloadCase_ = 17;
+      return this;
+    }
+    /**
+     * <code>.curranthaven.GatewayStatus gateway_status = 17;</code>
+     */
+    public Builder mergeGatewayStatus(org.curranthaven.internal.transport.wire.GatewayStatus value) {
+      if (gatewayStatusBuilder_ == null) {
+        if (payloadCase_ == 17 &&
+            payload_ != org.curranthaven.internal.transport.wire.GatewayStatus.getDefaultInstance()) {
+          payload_ = org.curranthaven.internal.transport.wire.GatewayStatus.newBuilder((org.curranthaven.internal.transport.wire.GatewayStatus) payload_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          payload_ = value;
+        }
+        onChanged();
+      } else {
+        if (payloadCase_ == 17) {
+          gatewayStatusBuilder_.mergeFrom(value);
+        } else {
+          gatewayStatusBuilder_.setMessage(value);
+        }
+      }
+      payloadCase_ = 17;
+      return this;
+    }
+    /**
+     * <code>.curranthaven.GatewayStatus gateway_status = 17;</code>
+     */
+    public Builder clearGatewayStatus() {
+      if (gatewayStatusBuilder_ == null) {
+        if (payloadCase_ == 17) {
+          payloadCase_ = 0;
+          payload_ = null;
+          onChanged();
+        }
+      } else {
+        if (payloadCase_ == 17) {
+          payloadCase_ = 0;
+          payload_ = null;
+        }
+        gatewayStatusBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.curranthaven.GatewayStatus gateway_status = 17;</code>
+     */
+    public org.curranthaven.internal.transport.wire.GatewayStatus.Builder getGatewayStatusBuilder() {
+      return internalGetGatewayStatusFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.curranthaven.GatewayStatus gateway_status = 17;</code>
+     */
+    @java.lang.Override
+    public org.curranthaven.internal.transport.wire.GatewayStatusOrBuilder getGatewayStatusOrBuilder() {
+      if ((payloadCase_ == 17) && (gatewayStatusBuilder_ != null)) {
+        return gatewayStatusBuilder_.getMessageOrBuilder();
+      } else {
+        if (payloadCase_ == 17) {
+          return (org.curranthaven.internal.transport.wire.GatewayStatus) payload_;
+        }
+        return org.curranthaven.internal.transport.wire.GatewayStatus.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.curranthaven.GatewayStatus gateway_status = 17;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.curranthaven.internal.transport.wire.GatewayStatus, org.curranthaven.internal.transport.wire.GatewayStatus.Builder, org.curranthaven.internal.transport.wire.GatewayStatusOrBuilder> 
+        internalGetGatewayStatusFieldBuilder() {
+      if (gatewayStatusBuilder_ == null) {
+        if (!(payloadCase_ == 17)) {
+          payload_ = org.curranthaven.internal.transport.wire.GatewayStatus.getDefaultInstance();
+        }
+        gatewayStatusBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.curranthaven.internal.transport.wire.GatewayStatus, org.curranthaven.internal.transport.wire.GatewayStatus.Builder, org.curranthaven.internal.transport.wire.GatewayStatusOrBuilder>(
+                (org.curranthaven.internal.transport.wire.GatewayStatus) payload_,
+                getParentForChildren(),
+                isClean());
+        payload_ = null;
+      }
+      payloadCase_ = 17;
+      onChanged();
+      return gatewayStatusBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.curranthaven.internal.transport.wire.DispatchRequests, org.curranthaven.internal.transport.wire.DispatchRequests.Builder, org.curranthaven.internal.transport.wire.DispatchRequestsOrBuilder> dispatchRequestsBuilder_;
+    /**
+     * <code>.curranthaven.DispatchRequests dispatch_requests = 18;</code>
+     * @return Whether the dispatchRequests field is set.
+     */
+    @java.lang.Override
+    public boolean hasDispatchRequests() {
+      return payloadCase_ == 18;
+    }
+    /**
+     * <code>.curranthaven.DispatchRequests dispatch_requests = 18;</code>
+     * @return The dispatchRequests.
+     */
+    @java.lang.Override
+    public org.curranthaven.internal.transport.wire.DispatchRequests getDispatchRequests() {
+      if (dispatchRequestsBuilder_ == null) {
+        if (payloadCase_ == 18) {
+          return (org.curranthaven.internal.transport.wire.DispatchRequests) payload_;
+        }
+        return org.curranthaven.internal.transport.wire.DispatchRequests.getDefaultInstance();
+      } else {
+        if (payloadCase_ == 18) {
+          return dispatchRequestsBuilder_.getMessage();
+        }
+        return org.curranthaven.internal.transport.wire.DispatchRequests.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.curranthaven.DispatchRequests dispatch_requests = 18;</code>
+     */
+    public Builder setDispatchRequests(org.curranthaven.internal.transport.wire.DispatchRequests value) {
+      if (dispatchRequestsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        payload_ = value;
+        onChanged();
+      } else {
+        dispatchRequestsBuilder_.setMessage(value);
+      }
+      payloadCase_ = 18;
+      return this;
+    }
+    /**
+     * <code>.curranthaven.DispatchRequests dispatch_requests = 18;</code>
+     */
+    public Builder setDispatchRequests(
+        org.curranthaven.internal.transport.wire.DispatchRequests.Builder builderForValue) {
+      if (dispatchRequestsBuilder_ == null) {
+        payload_ = builderForValue.build();
+        onChanged();
+      } else {
+        dispatchRequestsBuilder_.setMessage(builderForValue.build());
+      }
+      payloadCase_ = 18;
+      return this;
+    }
+    /**
+     * <code>.curranthaven.DispatchRequests dispatch_requests = 18;</code>
+     */
+    public Builder mergeDispatchRequests(org.curranthaven.internal.transport.wire.DispatchRequests value) {
+      if (dispatchRequestsBuilder_ == null) {
+        if (payloadCase_ == 18 &&
+            payload_ != org.curranthaven.internal.transport.wire.DispatchRequests.getDefaultInstance()) {
+          payload_ = org.curranthaven.internal.transport.wire.DispatchRequests.newBuilder((org.curranthaven.internal.transport.wire.DispatchRequests) payload_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          payload_ = value;
+        }
+        onChanged();
+      } else {
+        if (payloadCase_ == 18) {
+          dispatchRequestsBuilder_.mergeFrom(value);
+        } else {
+          dispatchRequestsBuilder_.setMessage(value);
+        }
+      }
+      payloadCase_ = 18;
+      return this;
+    }
+    /**
+     * <code>.curranthaven.DispatchRequests dispatch_requests = 18;</code>
+     */
+    public Builder clearDispatchRequests() {
+      if (dispatchRequestsBuilder_ == null) {
+        if (payloadCase_ == 18) {
+          payloadCase_ = 0;
+          payload_ = null;
+          onChanged();
+        }
+      } else {
+        if (payloadCase_ == 18) {
+          payloadCase_ = 0;
+          payload_ = null;
+        }
+        dispatchRequestsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.curranthaven.DispatchRequests dispatch_requests = 18;</code>
+     */
+    public org.curranthaven.internal.transport.wire.DispatchRequests.Builder getDispatchRequestsBuilder() {
+      return internalGetDispatchRequestsFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.curranthaven.DispatchRequests dispatch_requests = 18;</code>
+     */
+    @java.lang.Override
+    public org.curranthaven.internal.transport.wire.DispatchRequestsOrBuilder getDispatchRequestsOrBuilder() {
+      if ((payloadCase_ == 18) && (dispatchRequestsBuilder_ != null)) {
+        return dispatchRequestsBuilder_.getMessageOrBuilder();
+      } else {
+        if (payloadCase_ == 18) {
+          return (org.curranthaven.internal.transport.wire.DispatchRequests) payload_;
+        }
+        return org.curranthaven.internal.transport.wire.DispatchRequests.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.curranthaven.DispatchRequests dispatch_requests = 18;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.curranthaven.internal.transport.wire.DispatchRequests, org.curranthaven.internal.transport.wire.DispatchRequests.Builder, org.curranthaven.internal.transport.wire.DispatchRequestsOrBuilder> 
+        internalGetDispatchRequestsFieldBuilder() {
+      if (dispatchRequestsBuilder_ == null) {
+        if (!(payloadCase_ == 18)) {
+          payload_ = org.curranthaven.internal.transport.wire.DispatchRequests.getDefaultInstance();
+        }
+        dispatchRequestsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.curranthaven.internal.transport.wire.DispatchRequests, org.curranthaven.internal.transport.wire.DispatchRequests.Builder, org.curranthaven.internal.transport.wire.DispatchRequestsOrBuilder>(
+                (org.curranthaven.internal.transport.wire.DispatchRequests) payload_,
+                getParentForChildren(),
+                isClean());
+        payload_ = null;
+      }
+      payloadCase_ = 18;
+      onChanged();
+      return dispatchRequestsBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.curranthaven.internal.transport.wire.DispatchOrders, org.curranthaven.internal.transport.wire.DispatchOrders.Builder, org.curranthaven.internal.transport.wire.DispatchOrdersOrBuilder> dispatchOrdersBuilder_;
+    /**
+     * <code>.curranthaven.DispatchOrders dispatch_orders = 19;</code>
+     * @return Whether the dispatchOrders field is set.
+     */
+    @java.lang.Override
+    public boolean hasDispatchOrders() {
+      return payloadCase_ == 19;
+    }
+    /**
+     * <code>.curranthaven.DispatchOrders dispatch_orders = 19;</code>
+     * @return The dispatchOrders.
+     */
+    @java.lang.Override
+    public org.curranthaven.internal.transport.wire.DispatchOrders getDispatchOrders() {
+      if (dispatchOrdersBuilder_ == null) {
+        if (payloadCase_ == 19) {
+          return (org.curranthaven.internal.transport.wire.DispatchOrders) payload_;
+        }
+        return org.curranthaven.internal.transport.wire.DispatchOrders.getDefaultInstance();
+      } else {
+        if (payloadCase_ == 19) {
+          return dispatchOrdersBuilder_.getMessage();
+        }
+        return org.curranthaven.internal.transport.wire.DispatchOrders.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.curranthaven.DispatchOrders dispatch_orders = 19;</code>
+     */
+    public Builder setDispatchOrders(org.curranthaven.internal.transport.wire.DispatchOrders value) {
+      if (dispatchOrdersBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        payload_ = value;
+        onChanged();
+      } else {
+        dispatchOrdersBuilder_.setMessage(value);
+      }
+      payloadCase_ = 19;
+      return this;
+    }
+    /**
+     * <code>.curranthaven.DispatchOrders dispatch_orders = 19;</code>
+     */
+    public Builder setDispatchOrders(
+        org.curranthaven.internal.transport.wire.DispatchOrders.Builder builderForValue) {
+      if (dispatchOrdersBuilder_ == null) {
+        payload_ = builderForValue.build();
+        onChanged();
+      } else {
+        dispatchOrdersBuilder_.setMessage(builderForValue.build());
+      }
+      payloadCase_ = 19;
+      return this;
+    }
+    /**
+     * <code>.curranthaven.DispatchOrders dispatch_orders = 19;</code>
+     */
+    public Builder mergeDispatchOrders(org.curranthaven.internal.transport.wire.DispatchOrders value) {
+      if (dispatchOrdersBuilder_ == null) {
+        if (payloadCase_ == 19 &&
+            payload_ != org.curranthaven.internal.transport.wire.DispatchOrders.getDefaultInstance()) {
+          payload_ = org.curranthaven.internal.transport.wire.DispatchOrders.newBuilder((org.curranthaven.internal.transport.wire.DispatchOrders) payload_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          payload_ = value;
+        }
+        onChanged();
+      } else {
+        if (payloadCase_ == 19) {
+          dispatchOrdersBuilder_.mergeFrom(value);
+        } else {
+          dispatchOrdersBuilder_.setMessage(value);
+        }
+      }
+      payloadCase_ = 19;
+      return this;
+    }
+    /**
+     * <code>.curranthaven.DispatchOrders dispatch_orders = 19;</code>
+     */
+    public Builder clearDispatchOrders() {
+      if (dispatchOrdersBuilder_ == null) {
+        if (payloadCase_ == 19) {
+          payloadCase_ = 0;
+          payload_ = null;
+          onChanged();
+        }
+      } else {
+        if (payloadCase_ == 19) {
+          payloadCase_ = 0;
+          payload_ = null;
+        }
+        dispatchOrdersBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.curranthaven.DispatchOrders dispatch_orders = 19;</code>
+     */
+    public org.curranthaven.internal.transport.wire.DispatchOrders.Builder getDispatchOrdersBuilder() {
+      return internalGetDispatchOrdersFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.curranthaven.DispatchOrders dispatch_orders = 19;</code>
+     */
+    @java.lang.Override
+    public org.curranthaven.internal.transport.wire.DispatchOrdersOrBuilder getDispatchOrdersOrBuilder() {
+      if ((payloadCase_ == 19) && (dispatchOrdersBuilder_ != null)) {
+        return dispatchOrdersBuilder_.getMessageOrBuilder();
+      } else {
+        if (payloadCase_ == 19) {
+          return (org.curranthaven.internal.transport.wire.DispatchOrders) payload_;
+        }
+        return org.curranthaven.internal.transport.wire.DispatchOrders.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.curranthaven.DispatchOrders dispatch_orders = 19;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.curranthaven.internal.transport.wire.DispatchOrders, org.curranthaven.internal.transport.wire.DispatchOrders.Builder, org.curranthaven.internal.transport.wire.DispatchOrdersOrBuilder> 
+        internalGetDispatchOrdersFieldBuilder() {
+      if (dispatchOrdersBuilder_ == null) {
+        if (!(payloadCase_ == 19)) {
+          payload_ = org.curranthaven.internal.transport.wire.DispatchOrders.getDefaultInstance();
+        }
+        dispatchOrdersBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.curranthaven.internal.transport.wire.DispatchOrders, org.curranthaven.internal.transport.wire.DispatchOrders.Builder, org.curranthaven.internal.transport.wire.DispatchOrdersOrBuilder>(
+                (org.curranthaven.internal.transport.wire.DispatchOrders) payload_,
+                getParentForChildren(),
+                isClean());
+        payload_ = null;
+      }
+      payloadCase_ = 19;
+      onChanged();
+      return dispatchOrdersBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:curranthaven.Envelope)
   }
 
--- a/src/main/java/org/curranthaven/internal/transport/wire/EnvelopeOrBuilder.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/EnvelopeOrBuilder.java
@@ -222,5 +222,80 @@
    */
   org.curranthaven.internal.transport.wire.RevisionAnswerOrBuilder getRevisionAnswerOrBuilder();
 
+  /**
+   * <code>.curranthaven.KnownHosts known_hosts = 15;</code>
+   * @return Whether the knownHosts field is set.
+   */
+  boolean hasKnownHosts();
+  /**
+   * <code>.curranthaven.KnownHosts known_hosts = 15;</code>
+   * @return The knownHosts.
+   */
+  org.curranthaven.internal.transport.wire.KnownHosts getKnownHosts();
+  /**
+   * <code>.curranthaven.KnownHosts known_hosts = 15;</code>
+   */
+  org.curranthaven.internal.transport.wire.KnownHostsOrBuilder getKnownHostsOrBuilder();
+
+  /**
+   * <code>.curranthaven.SchedulerView scheduler_view = 16;</code>
+   * @return Whether the schedulerView field is set.
+   */
+  boolean hasSchedulerView();
+  /**
+   * <code>.curranthaven.SchedulerView scheduler_view = 16;</code>
+   * @return The schedulerView.
+   */
+  org.curranthaven.internal.transport.wire.SchedulerView getSchedulerView();
+  /**
+   * <code>.curranthaven.SchedulerView scheduler_view = 16;</code>
+   */
+  org.curranthaven.internal.transport.wire.SchedulerViewOrBuilder getSchedulerViewOrBuilder();
+
+  /**
+   * <code>.curranthaven.GatewayStatus gateway_status = 17;</code>
+   * @return Whether the gatewayStatus field is set.
+   */
+  boolean hasGatewayStatus();
+  /**
+   * <code>.curranthaven.GatewayStatus gateway_status = 17;</code>
+   * @return The gatewayStatus.
+   */
+  org.curranthaven.internal.transport.wire.GatewayStatus getGatewayStatus();
+  /**
+   * <code>.curranthaven.GatewayStatus gateway_status = 17;</code>
+   */
+  org.curranthaven.internal.transport.wire.GatewayStatusOrBuilder getGatewayStatusOrBuilder();
+
+  /**
+   * <code>.curranthaven.DispatchRequests dispatch_requests = 18;</code>
+   * @return Whether the dispatchRequests field is set.
+   */
+  boolean hasDispatchRequests();
+  /**
+   * <code>.curranthaven.DispatchRequests dispatch_requests = 18;</code>
+   * @return The dispatchRequests.
+   */
+  org.curranthaven.internal.transport.wire.DispatchRequests getDispatchRequests();
+  /**
+   * <code>.curranthaven.DispatchRequests dispatch_requests = 18;</code>
+   */
+  org.curranthaven.internal.transport.wire.DispatchRequestsOrBuilder getDispatchRequestsOrBuilder();
+
+  /**
+   * <code>.curranthaven.DispatchOrders dispatch_orders = 19;</code>
+   * @return Whether the dispatchOrders field is set.
+   */
+  boolean hasDispatchOrders();
+  /**
+   * <code>.curranthaven.DispatchOrders dispatch_orders = 19;</code>
+   * @return The dispatchOrders.
+   */
+  org.curranthaven.internal.transport.wire.DispatchOrders getDispatchOrders();
+  /**
+   * <code>.curranthaven.DispatchOrders dispatch_orders = 19;</code>
+   */
+  org.curranthaven.internal.transport.wire.DispatchOrdersOrBuilder getDispatchOrdersOrBuilder();
+
   org.curranthaven.internal.transport.wire.Envelope.PayloadCase getPayloadCase();
 }
--- /dev/null
+++ b/src/main/java/org/curranthaven/platform/CallTranslation.java
@@ -0,0 +1,112 @@
+package org.curranthaven.platform;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpUtil;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import org.curranthaven.api.Outcome;
+import org.curranthaven.api.ResultCode;
+import org.curranthaven.internal.relay.InboundCall;
+import org.curranthaven.internal.transport.wire.PromptPart;
+
+/** Reads callers' requests. */
+final class CallTranslation {
+  private CallTranslation() {}
+
+  static Outcome<InboundCall> read(FullHttpRequest request) {
+    HttpHeaders headers = request.headers();
+    String uri = request.uri();
+    if (!uri.startsWith("/")) {
+      return Outcome.failed(ResultCode.MALFORMED_BODY, "the request target is no path");
+    }
+    if (headers.getAll(HttpHeaderNames.HOST).size() > 1) {
+      return Outcome.failed(ResultCode.MALFORMED_BODY, "the request names two hosts");
+    }
+    int[] tokens = tokens(headers.get(Headers.TOKENS, ""));
+    int query = uri.indexOf('?');
+    return Outcome.success(
+        new InboundCall(
+            headers.get(Headers.REQUEST_ID, ""),
+            hostName(headers.get(HttpHeaderNames.HOST, "")),
+            request.method(),
+            uri,
+            query < 0 ? uri : uri.substring(0, query),
+            headers.get(Headers.KEY, "").strip(),
+            number(headers.get(Headers.DEADLINE, "")),
+            headers.get(Headers.MODEL, ""),
+            tokens[0],
+            tokens[1],
+            (int) number(headers.get(Headers.HINT, "")),
+            parts(headers.get(Headers.PROMPT_PARTS, "")),
+            headers.get(Headers.LAST_EVENT_ID, ""),
+            forwarded(headers),
+            ByteBufUtil.getBytes(request.content()),
+            HttpUtil.isKeepAlive(request)));
+  }
+
+  private static String hostName(String host) {
+    int colon = host.indexOf(':');
+    return (colon < 0 ? host : host.substring(0, colon)).toLowerCase(Locale.ROOT);
+  }
+
+  private static HttpHeaders forwarded(HttpHeaders headers) {
+    Set<String> dropped = new HashSet<>(Headers.HOP);
+    dropped.addAll(Headers.SET_BY_SYSTEM);
+    for (String value : headers.getAll(HttpHeaderNames.CONNECTION)) {
+      for (String option : value.split(",")) {
+        dropped.add(option.strip().toLowerCase(Locale.ROOT));
+      }
+    }
+    dropped.remove("host");
+    dropped.removeAll(PROTECTED);
+    HttpHeaders kept = new DefaultHttpHeaders();
+    headers.forEach(
+        header -> {
+          if (!dropped.contains(header.getKey().toLowerCase(Locale.ROOT))) {
+            kept.add(header.getKey(), header.getValue());
+          }
+        });
+    return kept;
+  }
+
+  /** Headers that a caller cannot have dropped by naming them as options of its connection. */
+  private static final Set<String> PROTECTED =
+      Set.of("attempt-id", "model", "token-count", "prompt-prefix", "last-event-id");
+
+  private static int[] tokens(String text) {
+    String[] parts = text.split(",");
+    int input = (int) number(parts[0]);
+    int output = parts.length > 1 ? (int) number(parts[1]) : 0;
+    return new int[] {input, output};
+  }
+
+  private static long number(String text) {
+    try {
+      return text.isBlank() ? 0 : Math.max(0, (long) Double.parseDouble(text.strip()));
+    } catch (NumberFormatException e) {
+      return 0;
+    }
+  }
+
+  private static List<PromptPart> parts(String text) {
+    List<PromptPart> parts = new ArrayList<>();
+    for (String entry : text.split(",")) {
+      int colon = entry.indexOf(':');
+      if (colon > 0) {
+        parts.add(
+            PromptPart.newBuilder()
+                .setId(entry.substring(0, colon).strip())
+                .setTokens((int) number(entry.substring(colon + 1)))
+                .build());
+      }
+    }
+    return parts;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/platform/ControlTranslation.java
@@ -0,0 +1,76 @@
+package org.curranthaven.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.handler.codec.http.FullHttpRequest;
+import java.io.IOException;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import org.curranthaven.internal.relay.ControlCall;
+import org.curranthaven.internal.settings.Addresses;
+import org.curranthaven.internal.settings.Json;
+import org.curranthaven.internal.transport.wire.BackendRecord;
+
+/** Reads the calls of backend servers and operators. */
+final class ControlTranslation {
+  private static final String REGISTRATIONS = "/api/runners/";
+  private static final String CONFIGURATION = "/api/config";
+  private static final int BAD_REQUEST = 400;
+  private static final int NOT_FOUND = 404;
+
+  private ControlTranslation() {}
+
+  static ControlCall read(FullHttpRequest request) {
+    String uri = request.uri();
+    int query = uri.indexOf('?');
+    String path = query < 0 ? uri : uri.substring(0, query);
+    String method = request.method().name();
+    if (path.startsWith(REGISTRATIONS) && path.length() > REGISTRATIONS.length()) {
+      String id = URLDecoder.decode(path.substring(REGISTRATIONS.length()), StandardCharsets.UTF_8);
+      return switch (method) {
+        case "PUT" -> registration(id, ByteBufUtil.getBytes(request.content()));
+        case "DELETE" -> new ControlCall.Withdraw(id);
+        default -> notFound(method, path);
+      };
+    }
+    if (path.equals(CONFIGURATION)) {
+      return switch (method) {
+        case "PUT" -> new ControlCall.ReplaceCatalog(ByteBufUtil.getBytes(request.content()));
+        case "GET" -> new ControlCall.ReadCatalog();
+        default -> notFound(method, path);
+      };
+    }
+    return notFound(method, path);
+  }
+
+  private static ControlCall notFound(String method, String path) {
+    return new ControlCall.Invalid(NOT_FOUND, "there is no call " + method + " " + path);
+  }
+
+  private static ControlCall registration(String id, byte[] body) {
+    try {
+      JsonNode node = Json.LENIENT.readTree(body);
+      String service = node == null ? "" : node.path("service").asText("");
+      String address = node == null ? "" : node.path("address").asText("");
+      JsonNode sequence = node == null ? null : node.get("seq");
+      if (node == null || service.isEmpty() || sequence == null || !sequence.isIntegralNumber()) {
+        return new ControlCall.Invalid(BAD_REQUEST, "a registration needs service and seq");
+      }
+      Addresses.parse(address);
+      return new ControlCall.Register(
+          BackendRecord.newBuilder()
+              .setId(id)
+              .setService(service)
+              .setAddress(address)
+              .setDataCentre(node.path("zone").asText(""))
+              .setSlots(Math.max(1, node.path("slots").asInt(1)))
+              .setLeaving(node.path("state").asText("").equals("draining"))
+              .setSequence(sequence.asLong())
+              .setColdLeftMillis(Math.max(0, node.path("coldLeftMs").asLong(0)))
+              .build());
+    } catch (IOException | IllegalArgumentException e) {
+      return new ControlCall.Invalid(
+          BAD_REQUEST, "the registration cannot be read: " + e.getMessage());
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/platform/Headers.java
@@ -0,0 +1,57 @@
+package org.curranthaven.platform;
+
+import java.util.Set;
+
+/** Names of the platform's headers. */
+final class Headers {
+  static final String REQUEST_ID = "Attempt-Id";
+  static final String DEADLINE = "Deadline-Ms";
+  static final String PROMPT_PARTS = "Prompt-Prefix";
+  static final String LAST_EVENT_ID = "Last-Event-Id";
+  static final String SEAL = "Response-Seal";
+  static final String WORKSPACE = "Tenant";
+  static final String EXPECTED_BACKEND = "Expect-Instance";
+  static final String NOT_RUN = "Not-Executed";
+  static final String MODEL = "Model";
+  static final String TOKENS = "Token-Count";
+  static final String URGENCY = "Request-Urgency";
+  static final String HINT = "Length-Hint";
+  static final String KEY = "X-Api-Key";
+  static final String TAKE_OVER = "Kv-From";
+
+  /** Headers that only this system sets; what callers send under these names is dropped. */
+  static final Set<String> SET_BY_SYSTEM =
+      Set.of(
+          "x-api-key",
+          "tenant",
+          "expect-instance",
+          "expect-version",
+          "request-urgency",
+          "deadline-ms",
+          "pin-ms",
+          "hold",
+          "kv-backup",
+          "kv-from",
+          "kv-fetch",
+          "not-executed",
+          "response-seal",
+          "runner-id",
+          "runner-load");
+
+  /** Headers that concern one connection only. */
+  static final Set<String> HOP =
+      Set.of(
+          "connection",
+          "keep-alive",
+          "proxy-connection",
+          "proxy-authorization",
+          "proxy-authenticate",
+          "transfer-encoding",
+          "te",
+          "trailer",
+          "upgrade",
+          "expect",
+          "content-length");
+
+  private Headers() {}
+}
