--- a/src/main/java/org/curranthaven/internal/cli/Main.java
+++ b/src/main/java/org/curranthaven/internal/cli/Main.java
@@ -85,6 +85,7 @@
     return List.of(
         new ServeCommand(),
         new RoutedCommand(),
+        new RehearseCommand(),
         new SettingsCommand(),
         new ItemCommand(Edit.Kind.CLASS),
         new ItemCommand(Edit.Kind.WORKSPACE),
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/cli/RehearseCommand.java
@@ -0,0 +1,113 @@
+package org.curranthaven.internal.cli;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.curranthaven.api.Failure;
+import org.curranthaven.api.Outcome;
+import org.curranthaven.api.ResultCode;
+import org.curranthaven.internal.consensus.DataFolder;
+import org.curranthaven.internal.relay.Gateway;
+import org.curranthaven.internal.relay.WireProtocol;
+import org.curranthaven.internal.scheduler.ControlHost;
+import org.curranthaven.internal.settings.RoutedSettings;
+import org.curranthaven.internal.supervision.Clock;
+
+/**
+ * {@code rehearse}: starts a control host and a gateway in one process on loopback, sends each a
+ * call, and exits. The build runs it to record which classes a start needs.
+ */
+final class RehearseCommand implements Command {
+  private static final long SETTLE_MILLIS = 2_500;
+  private static final int SOCKET_TIMEOUT_MILLIS = 2_000;
+
+  @Override
+  public void register(Subparsers parsers) {
+    Subparser parser =
+        parsers
+            .addParser("rehearse")
+            .help("start a control host and a gateway on loopback, and exit");
+    parser.addArgument("--protocol").required(true).help("name of the protocol to speak");
+    parser.setDefault(Main.COMMAND, this);
+  }
+
+  @Override
+  public int run(Namespace arguments) throws InterruptedException, IOException {
+    Logging.configure(false);
+    WireProtocol protocol = RoutedCommand.protocol(arguments.getString("protocol"));
+    if (protocol == null) {
+      return Main.fail(Failure.of(ResultCode.USAGE, "there is no such protocol"));
+    }
+    String controlPeer = freeAddress();
+    String controlAddress = freeAddress();
+    String callerAddress = freeAddress();
+    Path folder = Files.createTempDirectory("curranthaven-rehearsal");
+    RoutedSettings control =
+        settings("control-1", controlPeer, controlPeer, null, controlAddress, folder);
+    RoutedSettings gateway =
+        settings("gateway-1", freeAddress(), controlPeer, callerAddress, null, null);
+    if (!(DataFolder.open(folder) instanceof Outcome.Success<DataFolder> opened)) {
+      return Main.fail(Failure.of(ResultCode.STORAGE_FAILED, folder + " cannot be used"));
+    }
+    new ControlHost(control, protocol, opened.value(), Clock.system()).start();
+    new Gateway(gateway, protocol, Clock.system()).start();
+    Thread.sleep(SETTLE_MILLIS);
+    call(callerAddress);
+    call(controlAddress);
+    return 0;
+  }
+
+  private static RoutedSettings settings(
+      String name,
+      String peerAddress,
+      String contact,
+      @org.jspecify.annotations.Nullable String callerAddress,
+      @org.jspecify.annotations.Nullable String controlAddress,
+      @org.jspecify.annotations.Nullable Path folder) {
+    return new RoutedSettings(
+        name,
+        "here",
+        peerAddress,
+        callerAddress,
+        null,
+        controlAddress,
+        folder == null ? null : folder.toString(),
+        List.of(contact),
+        folder != null,
+        0,
+        1,
+        0.2,
+        10,
+        10,
+        1_000);
+  }
+
+  private static String freeAddress() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return "127.0.0.1:" + socket.getLocalPort();
+    }
+  }
+
+  private static void call(String address) throws IOException {
+    int colon = address.indexOf(':');
+    int port = Integer.parseInt(address.substring(colon + 1));
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      socket.setSoTimeout(SOCKET_TIMEOUT_MILLIS);
+      OutputStream out = socket.getOutputStream();
+      String request = "GET /rehearsal HTTP/1.1\r\nHost: here\r\nConnection: close\r\n\r\n";
+      out.write(request.getBytes(StandardCharsets.US_ASCII));
+      InputStream in = socket.getInputStream();
+      in.readAllBytes();
+    }
+  }
+}
--- a/src/main/java/org/curranthaven/internal/cli/RoutedCommand.java
+++ b/src/main/java/org/curranthaven/internal/cli/RoutedCommand.java
@@ -15,6 +15,7 @@
 import org.curranthaven.internal.scheduler.ControlHost;
 import org.curranthaven.internal.settings.RoutedSettings;
 import org.curranthaven.internal.supervision.Clock;
+import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
 
 /** {@code serve-routed}: runs one host that serves routed calls in the words of a platform. */
@@ -37,12 +38,7 @@
   public int run(Namespace arguments) throws InterruptedException {
     Logging.configure(false);
     String name = arguments.getString("protocol");
-    WireProtocol protocol =
-        ServiceLoader.load(WireProtocol.class).stream()
-            .map(ServiceLoader.Provider::get)
-            .filter(found -> found.name().equals(name))
-            .findFirst()
-            .orElse(null);
+    WireProtocol protocol = protocol(name);
     if (protocol == null) {
       return Main.fail(Failure.of(ResultCode.USAGE, "there is no protocol '" + name + "'"));
     }
@@ -52,6 +48,15 @@
     };
   }
 
+  /** Returns the protocol of the name, or null. */
+  static @Nullable WireProtocol protocol(String name) {
+    return ServiceLoader.load(WireProtocol.class).stream()
+        .map(ServiceLoader.Provider::get)
+        .filter(found -> found.name().equals(name))
+        .findFirst()
+        .orElse(null);
+  }
+
   private static int serve(RoutedSettings settings, WireProtocol protocol)
       throws InterruptedException {
     CountDownLatch stop = new CountDownLatch(1);
