Move calls off a leaving engine one after the other; keep copies of irreplaceable calls

Cause: copies from a leaving engine share its link, so that four at once were all half made when it was taken away; and a stream whose engine was gone had nothing to go on from.

Change: one move at a time, smallest first, near engines first; an engine with memory to spare keeps a copy of each call that may not be repeated; a broken run is stopped for certain and goes on from the copy.

--- a/src/main/java/org/curranthaven/internal/catalog/EngineSpec.java
+++ b/src/main/java/org/curranthaven/internal/catalog/EngineSpec.java
@@ -7,5 +7,7 @@
  * @param memoryTokens tokens that an engine's memory holds
  * @param tokensPerEvent tokens in one event of a stream
  * @param moves whether a running request can be moved to another engine
+ * @param backups whether an engine can keep another one supplied with a copy of a running request
  */
-public record EngineSpec(int slots, int memoryTokens, int tokensPerEvent, boolean moves) {}
+public record EngineSpec(
+    int slots, int memoryTokens, int tokensPerEvent, boolean moves, boolean backups) {}
--- a/src/main/java/org/curranthaven/internal/dispatch/BackendState.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/BackendState.java
@@ -10,6 +10,10 @@
   private long warmAtMillis;
   private long fullUntilMillis;
   final Map<CallKey, OpenCall> calls = new LinkedHashMap<>();
+
+  /** Calls that run elsewhere and of which a copy is kept here. */
+  final Map<CallKey, OpenCall> copies = new LinkedHashMap<>();
+
   final PromptParts parts = new PromptParts();
 
   BackendState(BackendRecord registration, long nowMillis) {
@@ -52,6 +56,9 @@
     for (OpenCall call : calls.values()) {
       sum += call.memoryTokens();
     }
+    for (OpenCall copy : copies.values()) {
+      sum += copy.memoryTokens();
+    }
     return sum;
   }
 
--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SortedSet;
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 import org.curranthaven.internal.catalog.Catalog;
@@ -69,11 +71,18 @@
   private static final long UNKNOWN_SERVICE_WAIT_MILLIS = 1_000;
 
   /** Output still to come below which a call on a leaving backend server is not moved, in ms. */
-  private static final double MIN_MOVE_REST_MILLIS = 600;
+  private static final double MIN_MOVE_REST_MILLIS = 1_000;
+
+  /** Cost of a move to another data centre, which takes twice as long, in shares of a memory. */
+  private static final double FAR_MOVE_COST = 0.35;
 
   private static final int MAX_MOVE_ATTEMPTS = 3;
   private static final long MIN_RETRY_AFTER_MILLIS = 200;
   private static final long MAX_RETRY_AFTER_MILLIS = 15_000;
+
+  /** Share of an engine's memory that copies of calls on other engines may fill it to. */
+  private static final double BACKUP_MEMORY_SHARE = 0.6;
+
   private static final int MAX_URGENCY = 9;
   private static final int MAX_WAITING = 20_000;
 
@@ -82,7 +91,7 @@
   private final RandomGenerator random;
   private final Map<String, BackendState> backends = new LinkedHashMap<>();
   private final Map<CallKey, BackendState> placements = new HashMap<>();
-  private final Map<String, TreeSet<WaitingCall>> queues = new HashMap<>();
+  private final Map<String, SortedSet<WaitingCall>> queues = new HashMap<>();
   private final Map<CallKey, WaitingCall> waiting = new HashMap<>();
   private final Map<String, RetryWindow> retries = new HashMap<>();
   private final Map<String, RouteLengths> lengths = new HashMap<>();
@@ -164,40 +173,68 @@
     }
   }
 
+  /**
+   * Moves calls away from a leaving engine, one after the other: copies share its link, and one
+   * that is whole saves a call, while several that are half made save none. The smallest go first.
+   */
   private void moveCallsAway(String id, long nowMillis) {
     BackendState source = backends.get(id);
     EngineSpec engine = source == null ? null : engineOf(source.registration().getService());
     if (source == null || engine == null || !engine.moves()) {
       return;
     }
-    for (OpenCall call : List.copyOf(source.calls.values())) {
-      moveAway(source, call, engine, nowMillis);
+    if (source.calls.values().stream().anyMatch(call -> call.moving)) {
+      return;
+    }
+    List<OpenCall> smallestFirst =
+        source.calls.values().stream()
+            .filter(DispatchCore::isWorthMoving)
+            .sorted(Comparator.comparingDouble(OpenCall::memoryTokens))
+            .toList();
+    for (OpenCall call : smallestFirst) {
+      if (moveAway(source, call, engine, nowMillis)) {
+        return;
+      }
     }
   }
 
-  private void moveAway(BackendState source, OpenCall call, EngineSpec engine, long nowMillis) {
+  private static boolean isWorthMoving(OpenCall call) {
     boolean endsSoon = call.remainingTokens() * TOKEN_MILLIS < MIN_MOVE_REST_MILLIS;
-    boolean tried = call.moveAttempts >= MAX_MOVE_ATTEMPTS;
-    if (call.moving || tried || endsSoon || call.outputTokens() == 0) {
-      return;
-    }
+    return call.outputTokens() > 0 && !endsSoon && call.moveAttempts < MAX_MOVE_ATTEMPTS;
+  }
+
+  /**
+   * Orders the move of a call to the engine to which it takes the least; returns whether it did.
+   */
+  private boolean moveAway(BackendState source, OpenCall call, EngineSpec engine, long nowMillis) {
     BackendState target = null;
+    double leastCost = Double.POSITIVE_INFINITY;
     for (BackendState other : backends.values()) {
       boolean able = other != source && isUsable(other, call.ask, nowMillis);
       if (able && hasRoom(other, engine, call.memoryTokens(), MEMORY_SHARE, nowMillis)) {
-        boolean better = target == null || other.memoryTokens() < target.memoryTokens();
-        target = better ? other : target;
+        double cost = moveCost(source, other, engine);
+        target = cost < leastCost ? other : target;
+        leastCost = Math.min(cost, leastCost);
       }
     }
-    if (target != null) {
-      call.moving = true;
-      call.moveAttempts++;
-      decisions.add(new DispatchDecision.MoveTo(call.key, target.id()));
-      // Counted at the target from now on; at the source until the move has ended.
-      OpenCall copy = new OpenCall(call.key, call.ask, call.remainingTokens(), nowMillis);
-      copy.progressed(call.outputTokens());
-      target.calls.put(call.key, copy);
+    if (target == null) {
+      return false;
     }
+    call.moving = true;
+    call.moveAttempts++;
+    decisions.add(new DispatchDecision.MoveTo(call.key, target.id()));
+    // Counted at the target from now on, and at the source until the move has ended.
+    OpenCall copy = new OpenCall(call.key, call.ask, call.remainingTokens(), nowMillis);
+    copy.progressed(call.outputTokens());
+    target.calls.put(call.key, copy);
+    return true;
+  }
+
+  private static double moveCost(BackendState source, BackendState target, EngineSpec engine) {
+    boolean near =
+        source.registration().getDataCentre().equals(target.registration().getDataCentre());
+    double memory = target.memoryTokens() / Math.max(1, engine.memoryTokens());
+    return memory + (near ? 0 : FAR_MOVE_COST);
   }
 
   // ---- calls ------------------------------------------------------------------------------------
@@ -213,7 +250,7 @@
       refuse(key, MIN_RETRY_AFTER_MILLIS, RefusalReason.RETRIES_USED_UP);
       return;
     }
-    TreeSet<WaitingCall> queue = queueOf(ask.getService());
+    SortedSet<WaitingCall> queue = queueOf(ask.getService());
     boolean overtakes = queue.isEmpty() || ask.getPriority() < queue.first().ask().getPriority();
     if (overtakes && place(key, ask, nowMillis)) {
       return;
@@ -222,7 +259,7 @@
   }
 
   private void waitOrRefuse(
-      CallKey key, DispatchAsk ask, TreeSet<WaitingCall> queue, long nowMillis) {
+      CallKey key, DispatchAsk ask, SortedSet<WaitingCall> queue, long nowMillis) {
     long targetLeft = Math.min(ask.getTargetLeftMillis(), ask.getDeadlineLeftMillis());
     boolean served = hasCandidates(ask, nowMillis);
     if (!served && ask.getExcludedCount() > 0) {
@@ -278,12 +315,22 @@
       case DISPATCH_OUTCOME_MOVE_FAILED -> moveFailed(key, backend);
       default -> closed(key, backend, outcome, outputTokens, nowMillis);
     }
+    if (backend.registration().getLeaving()) {
+      moveCallsAway(backend.id(), nowMillis);
+    }
     serveQueue(backend.registration().getService(), nowMillis);
   }
 
   private void moved(CallKey key, BackendState source) {
-    source.calls.remove(key);
+    OpenCall call = source.calls.remove(key);
     forgetIfGone(source);
+    BackendState keeper = call == null ? null : backends.get(call.backup);
+    if (call != null) {
+      dropBackup(call);
+    }
+    if (call != null && !call.moving && keeper != null) {
+      keeper.calls.put(key, call);
+    }
     for (BackendState target : backends.values()) {
       if (target.calls.containsKey(key)) {
         placements.put(key, target);
@@ -312,6 +359,7 @@
     if (call == null) {
       return;
     }
+    dropBackup(call);
     if (call.moving) {
       moveFailed(key, backend);
     }
@@ -365,7 +413,7 @@
     for (WaitingCall call : List.copyOf(waiting.values())) {
       if (nowMillis >= call.giveUpAtMillis()) {
         waiting.remove(call.key());
-        TreeSet<WaitingCall> queue = queueOf(call.ask().getService());
+        SortedSet<WaitingCall> queue = queueOf(call.ask().getService());
         queue.remove(call);
         boolean served = hasCandidates(call.ask(), nowMillis);
         refuse(
@@ -385,7 +433,7 @@
   // ---- placing ----------------------------------------------------------------------------------
 
   private void serveQueue(String service, long nowMillis) {
-    TreeSet<WaitingCall> queue = queues.get(service);
+    SortedSet<WaitingCall> queue = queues.get(service);
     while (queue != null && !queue.isEmpty()) {
       WaitingCall first = queue.first();
       if (!place(first.key(), agedBy(first, nowMillis), nowMillis)) {
@@ -421,11 +469,42 @@
     best.calls.put(key, call);
     best.parts.read(ask.getPartsList());
     placements.put(key, best);
-    decisions.add(
-        new DispatchDecision.Place(key, best.id(), Math.min(MAX_URGENCY, ask.getPriority())));
+    chooseBackup(best, call, engine, nowMillis);
+    int urgency = Math.min(MAX_URGENCY, ask.getPriority());
+    decisions.add(new DispatchDecision.Place(key, best.id(), urgency, call.backup));
     return true;
   }
 
+  /** Has a copy of an irreplaceable call kept where memory is left over. */
+  private void chooseBackup(
+      BackendState runsAt, OpenCall call, @Nullable EngineSpec engine, long nowMillis) {
+    if (engine == null || !engine.backups() || !call.ask.getIrreplaceable()) {
+      return;
+    }
+    BackendState keeper = null;
+    double leastCost = Double.POSITIVE_INFINITY;
+    for (BackendState other : backends.values()) {
+      boolean able = other != runsAt && isUsable(other, call.ask, nowMillis);
+      if (able && hasRoom(other, engine, call.memoryTokens(), BACKUP_MEMORY_SHARE, nowMillis)) {
+        double cost = moveCost(runsAt, other, engine);
+        keeper = cost < leastCost ? other : keeper;
+        leastCost = Math.min(cost, leastCost);
+      }
+    }
+    if (keeper != null) {
+      call.backup = keeper.id();
+      keeper.copies.put(call.key, call);
+    }
+  }
+
+  private void dropBackup(OpenCall call) {
+    BackendState keeper = backends.get(call.backup);
+    call.backup = "";
+    if (keeper != null) {
+      keeper.copies.remove(call.key);
+    }
+  }
+
   private boolean isUsable(BackendState backend, DispatchAsk ask, long nowMillis) {
     BackendRecord registration = backend.registration();
     return registration.getService().equals(ask.getService())
@@ -563,7 +642,7 @@
 
   // ---- look-ups ---------------------------------------------------------------------------------
 
-  private TreeSet<WaitingCall> queueOf(String service) {
+  private SortedSet<WaitingCall> queueOf(String service) {
     return queues.computeIfAbsent(service, name -> new TreeSet<>(WaitingCall.BY_RANK));
   }
 
--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchDecision.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchDecision.java
@@ -9,8 +9,10 @@
    * The call runs on a backend server.
    *
    * @param urgency rank at the backend server; 0 comes first
+   * @param backup backend server that keeps a copy of the running call; empty for none
    */
-  record Place(CallKey key, String backend, int urgency) implements DispatchDecision {}
+  record Place(CallKey key, String backend, int urgency, String backup)
+      implements DispatchDecision {}
 
   /**
    * The call is turned away; it did not run.
--- a/src/main/java/org/curranthaven/internal/dispatch/OpenCall.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/OpenCall.java
@@ -20,6 +20,9 @@
   boolean moving;
   int moveAttempts;
 
+  /** Backend server that keeps a copy; empty for none. */
+  String backup = "";
+
   OpenCall(CallKey key, DispatchAsk ask, int forecastTokens, long placedAtMillis) {
     this.key = key;
     this.ask = ask;
--- a/src/main/java/org/curranthaven/internal/relay/BackendCall.java
+++ b/src/main/java/org/curranthaven/internal/relay/BackendCall.java
@@ -11,6 +11,7 @@
  * @param resumeAfter event after which a stream goes on; empty for all of it
  * @param takeOverFrom where an engine takes the state of the running request from; empty for a new
  *     run
+ * @param backupAt address of the engine that is to keep a copy; empty for none
  */
 public record BackendCall(
     InboundCall call,
@@ -19,4 +20,5 @@
     long deadlineLeftMillis,
     int urgency,
     String resumeAfter,
-    String takeOverFrom) {}
+    String takeOverFrom,
+    String backupAt) {}
--- a/src/main/java/org/curranthaven/internal/relay/CallPlacer.java
+++ b/src/main/java/org/curranthaven/internal/relay/CallPlacer.java
@@ -7,8 +7,8 @@
 public interface CallPlacer {
   /** Is told where a call runs. */
   interface Placed {
-    /** The call is to run on a backend server. */
-    void placed(String backend, int urgency);
+    /** The call is to run on a backend server; another one may keep a copy of it. */
+    void placed(String backend, int urgency, String backup);
 
     /** The call is turned away. */
     void refused(long retryAfterMillis, String reason);
--- a/src/main/java/org/curranthaven/internal/relay/Exchange.java
+++ b/src/main/java/org/curranthaven/internal/relay/Exchange.java
@@ -45,8 +45,8 @@
   private @Nullable Attempt attempt;
   private @Nullable Handover handover;
   private AttemptResult.@Nullable Answered lastAnswer;
-  private @Nullable HttpResponse firstHead;
   private String backend = "";
+  private String backup = "";
   private String lastEventId;
   private int urgency;
   private int runs;
@@ -106,7 +106,8 @@
             .addAllExcluded(excluded)
             .setRepeat(repeat)
             .setDataCentre(context.dataCentre())
-            .setEngine(engine != null);
+            .setEngine(engine != null)
+            .setIrreplaceable(engine != null && !route.isRepeatable());
     if (engine != null) {
       builder.addAllParts(call.parts());
     }
@@ -133,7 +134,7 @@
   }
 
   @Override
-  public void placed(String backendId, int newUrgency) {
+  public void placed(String backendId, int newUrgency, String backupId) {
     BackendRecord record = context.backend(backendId);
     long left = endsAtMillis - context.clock().nowMillis();
     if (done || left < MIN_SEND_MILLIS) {
@@ -143,6 +144,7 @@
     placed = true;
     backend = backendId;
     urgency = newUrgency;
+    backup = backupId;
     if (record == null) {
       sends++;
       afterAttempt(new AttemptResult.Unreachable("the backend server is gone"));
@@ -153,6 +155,7 @@
 
   private void send(BackendRecord record, String takeOverFrom) {
     sends++;
+    BackendRecord keeper = context.backend(backup);
     Attempt next = new Attempt(record, this);
     attempt = next;
     BackendCall backendCall =
@@ -163,7 +166,8 @@
             Math.max(1, endsAtMillis - context.clock().nowMillis()),
             service.engine() == null ? -1 : urgency,
             lastEventId,
-            takeOverFrom);
+            takeOverFrom,
+            takeOverFrom.isEmpty() && keeper != null ? keeper.getAddress() : "");
     next.start(context.pool(), context.protocol().backendRequest(backendCall), call.id());
   }
 
@@ -193,7 +197,6 @@
     }
     if (!started) {
       started = true;
-      firstHead = response;
       caller.startStream(response);
       context.measured(route, context.clock().nowMillis() - arrivedAtMillis);
     }
@@ -241,26 +244,46 @@
       handover.sourceEnded();
       return;
     }
-    boolean taking = takeOver != null;
-    String source = takeOver;
-    takeOver = null;
+    boolean taking = takingOver;
+    takingOver = false;
     boolean refusedThere =
         result instanceof AttemptResult.NotRun || result instanceof AttemptResult.Unreachable;
-    if (taking && refusedThere && source != null && !source.equals(from.backend().getId())) {
-      BackendRecord stopped = context.backend(source);
-      if (stopped != null) {
-        takeOver = source;
-        send(stopped, takeOverName);
-        return;
-      }
+    BackendRecord stopped = context.backend(takeOverElse);
+    if (taking && refusedThere && stopped != null) {
+      takeOverElse = "";
+      takingOver = true;
+      send(stopped, takeOverName);
+      return;
     }
     if (taking && refusedThere) {
       afterAttempt(new AttemptResult.Broken("the moved run could not go on"));
       return;
     }
+    if (result instanceof AttemptResult.Broken && !taking && mayRescue()) {
+      rescue(from);
+      return;
+    }
     afterAttempt(result);
   }
 
+  /** Returns whether a copy of the broken run may be left to go on from. */
+  private boolean mayRescue() {
+    EngineSpec engine = service.engine();
+    return engine != null && engine.moves() && !route.isRepeatable() && !backup.isEmpty();
+  }
+
+  /** Has a run whose connection broke stopped for certain, and goes on from what is left of it. */
+  private void rescue(Attempt broken) {
+    BackendRecord keeper = context.backend(backup);
+    if (keeper == null) {
+      afterAttempt(new AttemptResult.Broken("the run broke off and so did its copy"));
+      return;
+    }
+    Logger.info("call {} of {} broke off at {}", call.id(), route.name(), backend);
+    handover = new Handover(context, call, broken.backend(), keeper, new RescueEnd(broken, keeper));
+    handover.startStopped();
+  }
+
   private void afterAttempt(AttemptResult result) {
     if (result instanceof AttemptResult.Answered || result instanceof AttemptResult.Broken) {
       runs++;
@@ -394,9 +417,12 @@
 
   // ---- moving a running request -----------------------------------------------------------------
 
-  private @Nullable String takeOver;
+  private boolean takingOver;
   private String takeOverName = "";
 
+  /** Engine that keeps the stopped run if the other one does not take it over. */
+  private String takeOverElse = "";
+
   @Override
   public void moveTo(String target) {
     Attempt running = attempt;
@@ -426,7 +452,9 @@
         return;
       }
       Logger.info("call {} of {} stays at {}", call.id(), route.name(), backend);
-      if (sourceEnded) {
+      if (sourceEnded && mayRescue()) {
+        rescue(source);
+      } else if (sourceEnded) {
         afterAttempt(new AttemptResult.Broken("the run stopped and could not be moved"));
       } else {
         context.placer().ended(placementId, DispatchOutcome.DISPATCH_OUTCOME_MOVE_FAILED, 0);
@@ -435,20 +463,47 @@
 
     @Override
     public void moved(BackendRecord to, String copyName) {
-      handover = null;
-      if (done) {
-        return;
-      }
-      source.cancel();
-      takeOver = source.backend().getId();
-      takeOverName = copyName;
-      Logger.info(
-          "call {} of {} moves from {} to {}", call.id(), route.name(), backend, to.getId());
-      if (!to.getId().equals(backend)) {
-        backend = to.getId();
-        context.placer().ended(placementId, DispatchOutcome.DISPATCH_OUTCOME_MOVED, outputTokens());
-      }
-      send(to, copyName);
+      goOn(source, to, copyName, source.backend().getId());
+    }
+  }
+
+  /** Sends the call to an engine that takes the running request over. */
+  private void goOn(Attempt source, BackendRecord to, String copyName, String otherwise) {
+    handover = null;
+    if (done) {
+      return;
+    }
+    source.cancel();
+    takingOver = true;
+    takeOverElse = otherwise;
+    takeOverName = copyName;
+    backup = "";
+    Logger.info("call {} of {} moves from {} to {}", call.id(), route.name(), backend, to.getId());
+    if (!to.getId().equals(backend)) {
+      backend = to.getId();
+      context.placer().ended(placementId, DispatchOutcome.DISPATCH_OUTCOME_MOVED, outputTokens());
+    }
+    send(to, copyName);
+  }
+
+  /** Goes on from the copy where the run itself could not be had any more. */
+  private final class RescueEnd implements Handover.Owner {
+    private final Attempt broken;
+    private final BackendRecord keeper;
+
+    RescueEnd(Attempt broken, BackendRecord keeper) {
+      this.broken = broken;
+      this.keeper = keeper;
+    }
+
+    @Override
+    public void notMoved(boolean sourceEnded) {
+      moved(keeper, context.protocol().copyName(keeper, call.id()));
+    }
+
+    @Override
+    public void moved(BackendRecord to, String copyName) {
+      goOn(broken, to, copyName, "");
     }
   }
 
--- a/src/main/java/org/curranthaven/internal/relay/Handover.java
+++ b/src/main/java/org/curranthaven/internal/relay/Handover.java
@@ -58,6 +58,13 @@
     order(false, this::copiedWhileRunning);
   }
 
+  /** Starts with a run whose stream has ended already: it is stopped for certain first. */
+  void startStopped() {
+    sourceEnded = true;
+    stopping = true;
+    order(true, this::copiedAndStopped);
+  }
+
   /** Called when the source's stream has ended without its end. */
   void sourceEnded() {
     sourceEnded = true;
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -288,7 +288,7 @@
     for (Placement placement : orders.getPlacementsList()) {
       Placed call = calls.get(placement.getId());
       if (call != null && call.backend().isEmpty()) {
-        call.placed(placement.getBackend(), placement.getUrgency());
+        call.placed(placement.getBackend(), placement.getUrgency(), placement.getBackup());
       }
     }
     for (Refusal refusal : orders.getRefusalsList()) {
@@ -412,7 +412,8 @@
         continue;
       }
       switch (decision) {
-        case DispatchDecision.Place place -> call.placed(place.backend(), place.urgency());
+        case DispatchDecision.Place place ->
+            call.placed(place.backend(), place.urgency(), place.backup());
         case DispatchDecision.Refuse refuse -> {
           calls.remove(refuse.key().id());
           call.refused(refuse.retryAfterMillis(), refuse.reason().name());
--- a/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
@@ -54,7 +54,6 @@
 
   private final RoutedSettings settings;
   private final WireProtocol protocol;
-  private final Clock clock;
   private final EventLoopGroup group;
   private final EventLoop loop;
   private final DataFolder folder;
@@ -72,7 +71,6 @@
     this.settings = settings;
     this.protocol = protocol;
     this.folder = folder;
-    this.clock = clock;
     this.incarnation = clock.epochMillis();
     this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     this.loop = group.next();
--- a/src/main/java/org/curranthaven/internal/scheduler/LeaderClient.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/LeaderClient.java
@@ -44,12 +44,11 @@
   private long nextRequestId = 1;
 
   /** A call that waits for the leader's answer. */
-  private final class Pending {
+  private static final class Pending {
     final String path;
     final ByteString body;
     final long endsAtMillis;
     final Consumer<ControlReply> answer;
-    long tries;
 
     Pending(String path, ByteString body, long endsAtMillis, Consumer<ControlReply> answer) {
       this.path = path;
@@ -84,7 +83,6 @@
     }
     String leader = leaderHost.get();
     long requestId = nextRequestId++;
-    pending.tries++;
     open.put(requestId, pending);
     AdminRequest request =
         AdminRequest.newBuilder()
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -329,7 +329,8 @@
                 Placement.newBuilder()
                     .setId(place.key().id())
                     .setBackend(place.backend())
-                    .setUrgency(place.urgency()));
+                    .setUrgency(place.urgency())
+                    .setBackup(place.backup()));
         case DispatchDecision.Refuse refuse ->
             order.addRefusals(
                 Refusal.newBuilder()
--- a/src/main/java/org/curranthaven/internal/transport/wire/Curranthaven.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/Curranthaven.java
@@ -452,7 +452,7 @@
       "\n\010backends\030\006 \003(\0132\033.curranthaven.BackendR" +
       "ecord\022\014\n\004gone\030\007 \003(\t\"^\n\014OpenDispatch\022&\n\003a" +
       "sk\030\001 \001(\0132\031.curranthaven.DispatchAsk\022\017\n\007b" +
-      "ackend\030\002 \001(\t\022\025\n\routput_tokens\030\003 \001(\r\"\330\002\n\013" +
+      "ackend\030\002 \001(\t\022\025\n\routput_tokens\030\003 \001(\r\"\357\002\n\013" +
       "DispatchAsk\022\n\n\002id\030\001 \001(\004\022\017\n\007service\030\002 \001(\t" +
       "\022\r\n\005route\030\003 \001(\t\022\021\n\tworkspace\030\004 \001(\t\022\020\n\010pr" +
       "iority\030\005 \001(\r\022\025\n\rprompt_tokens\030\006 \001(\r\022\031\n\021m" +
@@ -461,44 +461,45 @@
       "\022\034\n\024deadline_left_millis\030\n \001(\003\022\020\n\010exclud" +
       "ed\030\013 \003(\t\022\016\n\006repeat\030\014 \001(\010\022\'\n\005parts\030\r \003(\0132" +
       "\030.curranthaven.PromptPart\022\023\n\013data_centre" +
-      "\030\016 \001(\t\022\016\n\006engine\030\017 \001(\010\"(\n\nPromptPart\022\n\n\002" +
-      "id\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\r\"\244\001\n\020DispatchReq" +
-      "uests\022\014\n\004term\030\001 \001(\004\022\'\n\004asks\030\002 \003(\0132\031.curr" +
-      "anthaven.DispatchAsk\0220\n\010progress\030\003 \003(\0132\036" +
-      ".curranthaven.DispatchProgress\022\'\n\004ends\030\004" +
-      " \003(\0132\031.curranthaven.DispatchEnd\"5\n\020Dispa" +
-      "tchProgress\022\n\n\002id\030\001 \001(\004\022\025\n\routput_tokens" +
-      "\030\002 \001(\r\"`\n\013DispatchEnd\022\n\n\002id\030\001 \001(\004\022.\n\007out" +
-      "come\030\002 \001(\0162\035.curranthaven.DispatchOutcom" +
-      "e\022\025\n\routput_tokens\030\003 \001(\r\"\227\001\n\016DispatchOrd" +
-      "ers\022\014\n\004term\030\001 \001(\004\022+\n\nplacements\030\002 \003(\0132\027." +
-      "curranthaven.Placement\022\'\n\010refusals\030\003 \003(\013" +
-      "2\025.curranthaven.Refusal\022!\n\005moves\030\004 \003(\0132\022" +
-      ".curranthaven.Move\"9\n\tPlacement\022\n\n\002id\030\001 " +
-      "\001(\004\022\017\n\007backend\030\002 \001(\t\022\017\n\007urgency\030\003 \001(\r\"A\n" +
-      "\007Refusal\022\n\n\002id\030\001 \001(\004\022\032\n\022retry_after_mill" +
-      "is\030\002 \001(\004\022\016\n\006reason\030\003 \001(\t\"\"\n\004Move\022\n\n\002id\030\001" +
-      " \001(\004\022\016\n\006target\030\002 \001(\t*O\n\tEntryKind\022\023\n\017ENT" +
-      "RY_KIND_NOOP\020\000\022\026\n\022ENTRY_KIND_COMMAND\020\001\022\025" +
-      "\n\021ENTRY_KIND_VOTERS\020\002*\246\001\n\rCommandStatus\022" +
-      "\036\n\032COMMAND_STATUS_UNSPECIFIED\020\000\022\032\n\026COMMA" +
-      "ND_STATUS_APPLIED\020\001\022\035\n\031COMMAND_STATUS_NO" +
-      "T_LEADER\020\002\022\032\n\026COMMAND_STATUS_UNKNOWN\020\003\022\036" +
-      "\n\032COMMAND_STATUS_UNAVAILABLE\020\004*\353\001\n\014Claim" +
-      "Verdict\022\035\n\031CLAIM_VERDICT_UNSPECIFIED\020\000\022\031" +
-      "\n\025CLAIM_VERDICT_GRANTED\020\001\022\031\n\025CLAIM_VERDI" +
-      "CT_RUNNING\020\002\022\026\n\022CLAIM_VERDICT_DONE\020\003\022\034\n\030" +
-      "CLAIM_VERDICT_KEY_REUSED\020\004\022\031\n\025CLAIM_VERD" +
-      "ICT_TOO_OLD\020\005\022\035\n\031CLAIM_VERDICT_FROM_FUTU" +
-      "RE\020\006\022\026\n\022CLAIM_VERDICT_FULL\020\007*\216\002\n\017Dispatc" +
-      "hOutcome\022 \n\034DISPATCH_OUTCOME_UNSPECIFIED" +
-      "\020\000\022\035\n\031DISPATCH_OUTCOME_ANSWERED\020\001\022\033\n\027DIS" +
-      "PATCH_OUTCOME_FAILED\020\002\022\035\n\031DISPATCH_OUTCO" +
-      "ME_REJECTED\020\003\022 \n\034DISPATCH_OUTCOME_UNREAC" +
-      "HABLE\020\004\022\036\n\032DISPATCH_OUTCOME_CANCELLED\020\005\022" +
-      "\032\n\026DISPATCH_OUTCOME_MOVED\020\006\022 \n\034DISPATCH_" +
-      "OUTCOME_MOVE_FAILED\020\007B,\n(org.curranthave" +
-      "n.internal.transport.wireP\001b\006proto3"
+      "\030\016 \001(\t\022\016\n\006engine\030\017 \001(\010\022\025\n\rirreplaceable\030" +
+      "\020 \001(\010\"(\n\nPromptPart\022\n\n\002id\030\001 \001(\t\022\016\n\006token" +
+      "s\030\002 \001(\r\"\244\001\n\020DispatchRequests\022\014\n\004term\030\001 \001" +
+      "(\004\022\'\n\004asks\030\002 \003(\0132\031.curranthaven.Dispatch" +
+      "Ask\0220\n\010progress\030\003 \003(\0132\036.curranthaven.Dis" +
+      "patchProgress\022\'\n\004ends\030\004 \003(\0132\031.curranthav" +
+      "en.DispatchEnd\"5\n\020DispatchProgress\022\n\n\002id" +
+      "\030\001 \001(\004\022\025\n\routput_tokens\030\002 \001(\r\"`\n\013Dispatc" +
+      "hEnd\022\n\n\002id\030\001 \001(\004\022.\n\007outcome\030\002 \001(\0162\035.curr" +
+      "anthaven.DispatchOutcome\022\025\n\routput_token" +
+      "s\030\003 \001(\r\"\227\001\n\016DispatchOrders\022\014\n\004term\030\001 \001(\004" +
+      "\022+\n\nplacements\030\002 \003(\0132\027.curranthaven.Plac" +
+      "ement\022\'\n\010refusals\030\003 \003(\0132\025.curranthaven.R" +
+      "efusal\022!\n\005moves\030\004 \003(\0132\022.curranthaven.Mov" +
+      "e\"I\n\tPlacement\022\n\n\002id\030\001 \001(\004\022\017\n\007backend\030\002 " +
+      "\001(\t\022\017\n\007urgency\030\003 \001(\r\022\016\n\006backup\030\004 \001(\t\"A\n\007" +
+      "Refusal\022\n\n\002id\030\001 \001(\004\022\032\n\022retry_after_milli" +
+      "s\030\002 \001(\004\022\016\n\006reason\030\003 \001(\t\"\"\n\004Move\022\n\n\002id\030\001 " +
+      "\001(\004\022\016\n\006target\030\002 \001(\t*O\n\tEntryKind\022\023\n\017ENTR" +
+      "Y_KIND_NOOP\020\000\022\026\n\022ENTRY_KIND_COMMAND\020\001\022\025\n" +
+      "\021ENTRY_KIND_VOTERS\020\002*\246\001\n\rCommandStatus\022\036" +
+      "\n\032COMMAND_STATUS_UNSPECIFIED\020\000\022\032\n\026COMMAN" +
+      "D_STATUS_APPLIED\020\001\022\035\n\031COMMAND_STATUS_NOT" +
+      "_LEADER\020\002\022\032\n\026COMMAND_STATUS_UNKNOWN\020\003\022\036\n" +
+      "\032COMMAND_STATUS_UNAVAILABLE\020\004*\353\001\n\014ClaimV" +
+      "erdict\022\035\n\031CLAIM_VERDICT_UNSPECIFIED\020\000\022\031\n" +
+      "\025CLAIM_VERDICT_GRANTED\020\001\022\031\n\025CLAIM_VERDIC" +
+      "T_RUNNING\020\002\022\026\n\022CLAIM_VERDICT_DONE\020\003\022\034\n\030C" +
+      "LAIM_VERDICT_KEY_REUSED\020\004\022\031\n\025CLAIM_VERDI" +
+      "CT_TOO_OLD\020\005\022\035\n\031CLAIM_VERDICT_FROM_FUTUR" +
+      "E\020\006\022\026\n\022CLAIM_VERDICT_FULL\020\007*\216\002\n\017Dispatch" +
+      "Outcome\022 \n\034DISPATCH_OUTCOME_UNSPECIFIED\020" +
+      "\000\022\035\n\031DISPATCH_OUTCOME_ANSWERED\020\001\022\033\n\027DISP" +
+      "ATCH_OUTCOME_FAILED\020\002\022\035\n\031DISPATCH_OUTCOM" +
+      "E_REJECTED\020\003\022 \n\034DISPATCH_OUTCOME_UNREACH" +
+      "ABLE\020\004\022\036\n\032DISPATCH_OUTCOME_CANCELLED\020\005\022\032" +
+      "\n\026DISPATCH_OUTCOME_MOVED\020\006\022 \n\034DISPATCH_O" +
+      "UTCOME_MOVE_FAILED\020\007B,\n(org.curranthaven" +
+      ".internal.transport.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -779,7 +780,7 @@
     internal_static_curranthaven_DispatchAsk_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_curranthaven_DispatchAsk_descriptor,
-        new java.lang.String[] { "Id", "Service", "Route", "Workspace", "Priority", "PromptTokens", "MaxOutputTokens", "HintedOutputTokens", "TargetLeftMillis", "DeadlineLeftMillis", "Excluded", "Repeat", "Parts", "DataCentre", "Engine", });
+        new java.lang.String[] { "Id", "Service", "Route", "Workspace", "Priority", "PromptTokens", "MaxOutputTokens", "HintedOutputTokens", "TargetLeftMillis", "DeadlineLeftMillis", "Excluded", "Repeat", "Parts", "DataCentre", "Engine", "Irreplaceable", });
     internal_static_curranthaven_PromptPart_descriptor =
       getDescriptor().getMessageType(46);
     internal_static_curranthaven_PromptPart_fieldAccessorTable = new
@@ -815,7 +816,7 @@
     internal_static_curranthaven_Placement_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_curranthaven_Placement_descriptor,
-        new java.lang.String[] { "Id", "Backend", "Urgency", });
+        new java.lang.String[] { "Id", "Backend", "Urgency", "Backup", });
     internal_static_curranthaven_Refusal_descriptor =
       getDescriptor().getMessageType(52);
     internal_static_curranthaven_Refusal_fieldAccessorTable = new
--- a/src/main/java/org/curranthaven/internal/transport/wire/DispatchAsk.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/DispatchAsk.java
@@ -400,6 +400,21 @@
     return engine_;
   }
 
+  public static final int IRREPLACEABLE_FIELD_NUMBER = 16;
+  private boolean irreplaceable_ = false;
+  /**
+   * <pre>
+   * Whether the loss of the backend server would lose the call: a copy elsewhere saves it.
+   * </pre>
+   *
+   * <code>bool irreplaceable = 16;</code>
+   * @return The irreplaceable.
+   */
+  @java.lang.Override
+  public boolean getIrreplaceable() {
+    return irreplaceable_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -459,6 +474,9 @@
     if (engine_ != false) {
       output.writeBool(15, engine_);
     }
+    if (irreplaceable_ != false) {
+      output.writeBool(16, irreplaceable_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -528,6 +546,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(15, engine_);
     }
+    if (irreplaceable_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(16, irreplaceable_);
+    }
     return size;
   }
   @java.lang.Override
@@ -582,6 +604,8 @@
         .equals(other.getDataCentre())) return false;
     if (getEngine()
         != other.getEngine()) return false;
+    if (getIrreplaceable()
+        != other.getIrreplaceable()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -632,6 +656,9 @@
     hash = (37 * hash) + ENGINE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getEngine());
+    hash = (37 * hash) + IRREPLACEABLE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getIrreplaceable());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -785,6 +812,7 @@
       bitField0_ = (bitField0_ & ~0x00001000);
       dataCentre_ = "";
       engine_ = false;
+      irreplaceable_ = false;
       return this;
     }
 
@@ -874,6 +902,9 @@
       if (((from_bitField0_ & 0x00004000) != 0)) {
         result.engine_ = engine_;
       }
+      if (((from_bitField0_ & 0x00008000) != 0)) {
+        result.irreplaceable_ = irreplaceable_;
+      }
     }
 
     @java.lang.Override
@@ -971,6 +1002,9 @@
       if (other.getEngine() != false) {
         setEngine(other.getEngine());
       }
+      if (other.getIrreplaceable() != false) {
+        setIrreplaceable(other.getIrreplaceable());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1078,6 +1112,11 @@
               bitField0_ |= 0x00004000;
               break;
             } // case 120
+            case 128: {
+              irreplaceable_ = input.readBool();
+              bitField0_ |= 0x00008000;
+              break;
+            } // case 128
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2052,6 +2091,50 @@
       return this;
     }
 
+    private boolean irreplaceable_ ;
+    /**
+     * <pre>
+     * Whether the loss of the backend server would lose the call: a copy elsewhere saves it.
+     * </pre>
+     *
+     * <code>bool irreplaceable = 16;</code>
+     * @return The irreplaceable.
+     */
+    @java.lang.Override
+    public boolean getIrreplaceable() {
+      return irreplaceable_;
+    }
+    /**
+     * <pre>
+     * Whether the loss of the backend server would lose the call: a copy elsewhere saves it.
+     * </pre>
+     *
+     * <code>bool irreplaceable = 16;</code>
+     * @param value The irreplaceable to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIrreplaceable(boolean value) {
+
+      irreplaceable_ = value;
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the loss of the backend server would lose the call: a copy elsewhere saves it.
+     * </pre>
+     *
+     * <code>bool irreplaceable = 16;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearIrreplaceable() {
+      bitField0_ = (bitField0_ & ~0x00008000);
+      irreplaceable_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:curranthaven.DispatchAsk)
   }
 
--- a/src/main/java/org/curranthaven/internal/transport/wire/DispatchAskOrBuilder.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/DispatchAskOrBuilder.java
@@ -172,4 +172,14 @@
    * @return The engine.
    */
   boolean getEngine();
+
+  /**
+   * <pre>
+   * Whether the loss of the backend server would lose the call: a copy elsewhere saves it.
+   * </pre>
+   *
+   * <code>bool irreplaceable = 16;</code>
+   * @return The irreplaceable.
+   */
+  boolean getIrreplaceable();
 }
--- a/src/main/java/org/curranthaven/internal/transport/wire/Placement.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/Placement.java
@@ -29,6 +29,7 @@
   }
   private Placement() {
     backend_ = "";
+    backup_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -110,6 +111,53 @@
     return urgency_;
   }
 
+  public static final int BACKUP_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object backup_ = "";
+  /**
+   * <pre>
+   * Backend server that keeps a copy of the running call; empty for none.
+   * </pre>
+   *
+   * <code>string backup = 4;</code>
+   * @return The backup.
+   */
+  @java.lang.Override
+  public java.lang.String getBackup() {
+    java.lang.Object ref = backup_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      backup_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Backend server that keeps a copy of the running call; empty for none.
+   * </pre>
+   *
+   * <code>string backup = 4;</code>
+   * @return The bytes for backup.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getBackupBytes() {
+    java.lang.Object ref = backup_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      backup_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -133,6 +181,9 @@
     if (urgency_ != 0) {
       output.writeUInt32(3, urgency_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(backup_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 4, backup_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -148,6 +199,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(3, urgency_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(backup_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(4, backup_);
+    }
     return size;
   }
   @java.lang.Override
@@ -178,6 +232,8 @@
         .equals(other.getBackend())) return false;
     if (getUrgency()
         != other.getUrgency()) return false;
+    if (!getBackup()
+        .equals(other.getBackup())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -196,6 +252,8 @@
     hash = (53 * hash) + getBackend().hashCode();
     hash = (37 * hash) + URGENCY_FIELD_NUMBER;
     hash = (53 * hash) + getUrgency();
+    hash = (37 * hash) + BACKUP_FIELD_NUMBER;
+    hash = (53 * hash) + getBackup().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -330,6 +388,7 @@
       id_ = 0L;
       backend_ = "";
       urgency_ = 0;
+      backup_ = "";
       return this;
     }
 
@@ -372,6 +431,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.urgency_ = urgency_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.backup_ = backup_;
+      }
     }
 
     @java.lang.Override
@@ -397,6 +459,11 @@
       if (other.getUrgency() != 0) {
         setUrgency(other.getUrgency());
       }
+      if (!other.getBackup().isEmpty()) {
+        backup_ = other.backup_;
+        bitField0_ |= 0x00000008;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -436,6 +503,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 34: {
+              backup_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -589,6 +661,98 @@
       return this;
     }
 
+    private java.lang.Object backup_ = "";
+    /**
+     * <pre>
+     * Backend server that keeps a copy of the running call; empty for none.
+     * </pre>
+     *
+     * <code>string backup = 4;</code>
+     * @return The backup.
+     */
+    public java.lang.String getBackup() {
+      java.lang.Object ref = backup_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        backup_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Backend server that keeps a copy of the running call; empty for none.
+     * </pre>
+     *
+     * <code>string backup = 4;</code>
+     * @return The bytes for backup.
+     */
+    public com.google.protobuf.ByteString
+        getBackupBytes() {
+      java.lang.Object ref = backup_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        backup_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Backend server that keeps a copy of the running call; empty for none.
+     * </pre>
+     *
+     * <code>string backup = 4;</code>
+     * @param value The backup to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBackup(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      backup_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Backend server that keeps a copy of the running call; empty for none.
+     * </pre>
+     *
+     * <code>string backup = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBackup() {
+      backup_ = getDefaultInstance().getBackup();
+      bitField0_ = (bitField0_ & ~0x00000008);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Backend server that keeps a copy of the running call; empty for none.
+     * </pre>
+     *
+     * <code>string backup = 4;</code>
+     * @param value The bytes for backup to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBackupBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      backup_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:curranthaven.Placement)
   }
 
--- a/src/main/java/org/curranthaven/internal/transport/wire/PlacementOrBuilder.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/PlacementOrBuilder.java
@@ -33,4 +33,24 @@
    * @return The urgency.
    */
   int getUrgency();
+
+  /**
+   * <pre>
+   * Backend server that keeps a copy of the running call; empty for none.
+   * </pre>
+   *
+   * <code>string backup = 4;</code>
+   * @return The backup.
+   */
+  java.lang.String getBackup();
+  /**
+   * <pre>
+   * Backend server that keeps a copy of the running call; empty for none.
+   * </pre>
+   *
+   * <code>string backup = 4;</code>
+   * @return The bytes for backup.
+   */
+  com.google.protobuf.ByteString
+      getBackupBytes();
 }
--- a/src/main/java/org/curranthaven/platform/BackendTranslation.java
+++ b/src/main/java/org/curranthaven/platform/BackendTranslation.java
@@ -56,6 +56,9 @@
     if (!call.takeOverFrom().isEmpty()) {
       headers.set(Headers.TAKE_OVER, call.takeOverFrom());
     }
+    if (!call.backupAt().isEmpty()) {
+      headers.set(Headers.BACKUP, call.backupAt());
+    }
     if (inbound.body().length > 0 || !isBodyless(inbound.method())) {
       headers.set(HttpHeaderNames.CONTENT_LENGTH, inbound.body().length);
     }
--- a/src/main/java/org/curranthaven/platform/CatalogTranslation.java
+++ b/src/main/java/org/curranthaven/platform/CatalogTranslation.java
@@ -106,7 +106,8 @@
         node.path("slots").asInt(1),
         node.path("kvCapacity").asInt(1),
         Math.max(1, node.path("stride").asInt(1)),
-        node.path("moves").asBoolean(false));
+        node.path("moves").asBoolean(false),
+        node.path("backups").asBoolean(false));
   }
 
   private static CallLimits limits(JsonNode node) {
--- a/src/main/java/org/curranthaven/platform/Headers.java
+++ b/src/main/java/org/curranthaven/platform/Headers.java
@@ -18,6 +18,7 @@
   static final String HINT = "Length-Hint";
   static final String KEY = "X-Api-Key";
   static final String TAKE_OVER = "Kv-From";
+  static final String BACKUP = "Kv-Backup";
 
   /** Headers that only this system sets; what callers send under these names is dropped. */
   static final Set<String> SET_BY_SYSTEM =
