Keep a copy of a moved call, and spread moves over engines' links

Cause: a call that was moved had no copy any more; two engines that left at once moved their calls to the same third one, whose link made both slow (last copy 440 ms instead of 13 ms).

--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -76,6 +76,9 @@
   /** Cost of a move to another data centre, which takes twice as long, in shares of a memory. */
   private static final double FAR_MOVE_COST = 0.35;
 
+  /** Cost of a move to an engine whose link another move fills, in shares of a memory. */
+  private static final double BUSY_LINK_COST = 0.7;
+
   private static final int MAX_MOVE_ATTEMPTS = 3;
   private static final long MIN_RETRY_AFTER_MILLIS = 200;
   private static final long MAX_RETRY_AFTER_MILLIS = 15_000;
@@ -222,11 +225,13 @@
     }
     call.moving = true;
     call.moveAttempts++;
-    decisions.add(new DispatchDecision.MoveTo(call.key, target.id()));
     // Counted at the target from now on, and at the source until the move has ended.
     OpenCall copy = new OpenCall(call.key, call.ask, call.remainingTokens(), nowMillis);
     copy.progressed(call.outputTokens());
+    copy.arriving = true;
     target.calls.put(call.key, copy);
+    chooseBackup(target, copy, engine, nowMillis);
+    decisions.add(new DispatchDecision.MoveTo(call.key, target.id(), copy.backup));
     return true;
   }
 
@@ -234,7 +239,8 @@
     boolean near =
         source.registration().getDataCentre().equals(target.registration().getDataCentre());
     double memory = target.memoryTokens() / Math.max(1, engine.memoryTokens());
-    return memory + (near ? 0 : FAR_MOVE_COST);
+    long arriving = target.calls.values().stream().filter(call -> call.arriving).count();
+    return memory + (near ? 0 : FAR_MOVE_COST) + arriving * BUSY_LINK_COST;
   }
 
   // ---- calls ------------------------------------------------------------------------------------
@@ -332,7 +338,9 @@
       keeper.calls.put(key, call);
     }
     for (BackendState target : backends.values()) {
-      if (target.calls.containsKey(key)) {
+      OpenCall arrived = target.calls.get(key);
+      if (arrived != null) {
+        arrived.arriving = false;
         placements.put(key, target);
         return;
       }
@@ -346,8 +354,9 @@
       call.moving = false;
     }
     for (BackendState other : backends.values()) {
-      if (other != source) {
-        other.calls.remove(key);
+      OpenCall copy = other == source ? null : other.calls.remove(key);
+      if (copy != null) {
+        dropBackup(copy);
       }
     }
   }
@@ -501,7 +510,7 @@
     BackendState keeper = backends.get(call.backup);
     call.backup = "";
     if (keeper != null) {
-      keeper.copies.remove(call.key);
+      keeper.copies.remove(call.key, call);
     }
   }
 
--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchDecision.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchDecision.java
@@ -22,6 +22,10 @@
   record Refuse(CallKey key, long retryAfterMillis, RefusalReason reason)
       implements DispatchDecision {}
 
-  /** The running call goes on at another backend server. */
-  record MoveTo(CallKey key, String target) implements DispatchDecision {}
+  /**
+   * The running call goes on at another backend server.
+   *
+   * @param backup backend server that keeps a copy of it from then on; empty for none
+   */
+  record MoveTo(CallKey key, String target, String backup) implements DispatchDecision {}
 }
--- a/src/main/java/org/curranthaven/internal/dispatch/OpenCall.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/OpenCall.java
@@ -17,7 +17,13 @@
   final long placedAtMillis;
   private final int forecastTokens;
   private int outputTokens;
+
+  /** Whether the call is being moved away from here. */
   boolean moving;
+
+  /** Whether the call is being moved to here. */
+  boolean arriving;
+
   int moveAttempts;
 
   /** Backend server that keeps a copy; empty for none. */
--- a/src/main/java/org/curranthaven/internal/relay/CallPlacer.java
+++ b/src/main/java/org/curranthaven/internal/relay/CallPlacer.java
@@ -14,7 +14,7 @@
     void refused(long retryAfterMillis, String reason);
 
     /** The running call is to go on at another backend server. */
-    void moveTo(String target);
+    void moveTo(String target, String backup);
 
     /** Returns the call as it was asked for. */
     DispatchAsk ask();
--- a/src/main/java/org/curranthaven/internal/relay/Exchange.java
+++ b/src/main/java/org/curranthaven/internal/relay/Exchange.java
@@ -167,7 +167,7 @@
             service.engine() == null ? -1 : urgency,
             lastEventId,
             takeOverFrom,
-            takeOverFrom.isEmpty() && keeper != null ? keeper.getAddress() : "");
+            keeper != null ? keeper.getAddress() : "");
     next.start(context.pool(), context.protocol().backendRequest(backendCall), call.id());
   }
 
@@ -424,7 +424,7 @@
   private String takeOverElse = "";
 
   @Override
-  public void moveTo(String target) {
+  public void moveTo(String target, String newBackup) {
     Attempt running = attempt;
     BackendRecord record = context.backend(target);
     if (done || !placed || !started || running == null || record == null || handover != null) {
@@ -433,16 +433,19 @@
       }
       return;
     }
-    handover = new Handover(context, call, running.backend(), record, new MoveEnd(running));
+    handover =
+        new Handover(context, call, running.backend(), record, new MoveEnd(running, newBackup));
     handover.start();
   }
 
   /** Goes on where a handover led to. */
   private final class MoveEnd implements Handover.Owner {
     private final Attempt source;
+    private final String newBackup;
 
-    MoveEnd(Attempt source) {
+    MoveEnd(Attempt source, String newBackup) {
       this.source = source;
+      this.newBackup = newBackup;
     }
 
     @Override
@@ -463,12 +466,13 @@
 
     @Override
     public void moved(BackendRecord to, String copyName) {
-      goOn(source, to, copyName, source.backend().getId());
+      goOn(source, to, copyName, source.backend().getId(), newBackup);
     }
   }
 
   /** Sends the call to an engine that takes the running request over. */
-  private void goOn(Attempt source, BackendRecord to, String copyName, String otherwise) {
+  private void goOn(
+      Attempt source, BackendRecord to, String copyName, String otherwise, String newBackup) {
     handover = null;
     if (done) {
       return;
@@ -477,7 +481,7 @@
     takingOver = true;
     takeOverElse = otherwise;
     takeOverName = copyName;
-    backup = "";
+    backup = newBackup;
     Logger.info("call {} of {} moves from {} to {}", call.id(), route.name(), backend, to.getId());
     if (!to.getId().equals(backend)) {
       backend = to.getId();
@@ -503,7 +507,7 @@
 
     @Override
     public void moved(BackendRecord to, String copyName) {
-      goOn(broken, to, copyName, "");
+      goOn(broken, to, copyName, "", "");
     }
   }
 
--- a/src/main/java/org/curranthaven/internal/relay/Handover.java
+++ b/src/main/java/org/curranthaven/internal/relay/Handover.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.curranthaven.internal.transport.wire.BackendRecord;
+import org.tinylog.Logger;
 
 /**
  * Moves the state of a running request to another engine: copies while the run goes on, then stops
@@ -25,6 +26,8 @@
   private final BackendRecord source;
   private final BackendRecord target;
   private final Owner owner;
+  private long startAtMillis;
+  private long stopAtMillis;
   private boolean sourceEnded;
   private boolean over;
   private boolean stopping;
@@ -55,6 +58,7 @@
   }
 
   void start() {
+    startAtMillis = context.clock().nowMillis();
     order(false, this::copiedWhileRunning);
   }
 
@@ -62,6 +66,7 @@
   void startStopped() {
     sourceEnded = true;
     stopping = true;
+    stopAtMillis = context.clock().nowMillis();
     order(true, this::copiedAndStopped);
   }
 
@@ -84,6 +89,7 @@
       return;
     }
     stopping = true;
+    stopAtMillis = context.clock().nowMillis();
     order(true, this::copiedAndStopped);
   }
 
@@ -107,6 +113,11 @@
   private void finishMoved() {
     if (!over) {
       over = true;
+      Logger.info(
+          "call {}: copied in {} ms, stopped and copied in {} ms",
+          call.id(),
+          stopAtMillis - startAtMillis,
+          context.clock().nowMillis() - stopAtMillis);
       owner.moved(destination, copyName);
     }
   }
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -300,7 +300,7 @@
     for (Move move : orders.getMovesList()) {
       Placed call = calls.get(move.getId());
       if (call != null) {
-        call.moveTo(move.getTarget());
+        call.moveTo(move.getTarget(), move.getBackup());
       }
     }
   }
@@ -418,7 +418,7 @@
           calls.remove(refuse.key().id());
           call.refused(refuse.retryAfterMillis(), refuse.reason().name());
         }
-        case DispatchDecision.MoveTo move -> call.moveTo(move.target());
+        case DispatchDecision.MoveTo move -> call.moveTo(move.target(), move.backup());
       }
     }
   }
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -338,7 +338,11 @@
                     .setRetryAfterMillis(refuse.retryAfterMillis())
                     .setReason(refuse.reason().name()));
         case DispatchDecision.MoveTo move ->
-            order.addMoves(Move.newBuilder().setId(move.key().id()).setTarget(move.target()));
+            order.addMoves(
+                Move.newBuilder()
+                    .setId(move.key().id())
+                    .setTarget(move.target())
+                    .setBackup(move.backup()));
       }
     }
     orders.forEach(
@@ -358,6 +362,11 @@
           long nowMillis = clock.nowMillis();
           BackendRecord changed = table.registered(news, nowMillis);
           if (changed != null) {
+            Logger.info(
+                "backend server {} of {} {}",
+                changed.getId(),
+                changed.getService(),
+                changed.getLeaving() ? "leaves" : "registered");
             core.backendChanged(changed, nowMillis);
             push(List.of(changed), List.of());
           }
@@ -379,6 +388,7 @@
         () -> {
           long nowMillis = clock.nowMillis();
           if (table.gone(id, nowMillis)) {
+            Logger.info("backend server {} is gone", id);
             core.backendGone(id, nowMillis);
             push(List.of(), List.of(id));
           }
--- a/src/main/java/org/curranthaven/internal/transport/wire/Curranthaven.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/Curranthaven.java
@@ -478,28 +478,29 @@
       "e\"I\n\tPlacement\022\n\n\002id\030\001 \001(\004\022\017\n\007backend\030\002 " +
       "\001(\t\022\017\n\007urgency\030\003 \001(\r\022\016\n\006backup\030\004 \001(\t\"A\n\007" +
       "Refusal\022\n\n\002id\030\001 \001(\004\022\032\n\022retry_after_milli" +
-      "s\030\002 \001(\004\022\016\n\006reason\030\003 \001(\t\"\"\n\004Move\022\n\n\002id\030\001 " +
-      "\001(\004\022\016\n\006target\030\002 \001(\t*O\n\tEntryKind\022\023\n\017ENTR" +
-      "Y_KIND_NOOP\020\000\022\026\n\022ENTRY_KIND_COMMAND\020\001\022\025\n" +
-      "\021ENTRY_KIND_VOTERS\020\002*\246\001\n\rCommandStatus\022\036" +
-      "\n\032COMMAND_STATUS_UNSPECIFIED\020\000\022\032\n\026COMMAN" +
-      "D_STATUS_APPLIED\020\001\022\035\n\031COMMAND_STATUS_NOT" +
-      "_LEADER\020\002\022\032\n\026COMMAND_STATUS_UNKNOWN\020\003\022\036\n" +
-      "\032COMMAND_STATUS_UNAVAILABLE\020\004*\353\001\n\014ClaimV" +
-      "erdict\022\035\n\031CLAIM_VERDICT_UNSPECIFIED\020\000\022\031\n" +
-      "\025CLAIM_VERDICT_GRANTED\020\001\022\031\n\025CLAIM_VERDIC" +
-      "T_RUNNING\020\002\022\026\n\022CLAIM_VERDICT_DONE\020\003\022\034\n\030C" +
-      "LAIM_VERDICT_KEY_REUSED\020\004\022\031\n\025CLAIM_VERDI" +
-      "CT_TOO_OLD\020\005\022\035\n\031CLAIM_VERDICT_FROM_FUTUR" +
-      "E\020\006\022\026\n\022CLAIM_VERDICT_FULL\020\007*\216\002\n\017Dispatch" +
-      "Outcome\022 \n\034DISPATCH_OUTCOME_UNSPECIFIED\020" +
-      "\000\022\035\n\031DISPATCH_OUTCOME_ANSWERED\020\001\022\033\n\027DISP" +
-      "ATCH_OUTCOME_FAILED\020\002\022\035\n\031DISPATCH_OUTCOM" +
-      "E_REJECTED\020\003\022 \n\034DISPATCH_OUTCOME_UNREACH" +
-      "ABLE\020\004\022\036\n\032DISPATCH_OUTCOME_CANCELLED\020\005\022\032" +
-      "\n\026DISPATCH_OUTCOME_MOVED\020\006\022 \n\034DISPATCH_O" +
-      "UTCOME_MOVE_FAILED\020\007B,\n(org.curranthaven" +
-      ".internal.transport.wireP\001b\006proto3"
+      "s\030\002 \001(\004\022\016\n\006reason\030\003 \001(\t\"2\n\004Move\022\n\n\002id\030\001 " +
+      "\001(\004\022\016\n\006target\030\002 \001(\t\022\016\n\006backup\030\003 \001(\t*O\n\tE" +
+      "ntryKind\022\023\n\017ENTRY_KIND_NOOP\020\000\022\026\n\022ENTRY_K" +
+      "IND_COMMAND\020\001\022\025\n\021ENTRY_KIND_VOTERS\020\002*\246\001\n" +
+      "\rCommandStatus\022\036\n\032COMMAND_STATUS_UNSPECI" +
+      "FIED\020\000\022\032\n\026COMMAND_STATUS_APPLIED\020\001\022\035\n\031CO" +
+      "MMAND_STATUS_NOT_LEADER\020\002\022\032\n\026COMMAND_STA" +
+      "TUS_UNKNOWN\020\003\022\036\n\032COMMAND_STATUS_UNAVAILA" +
+      "BLE\020\004*\353\001\n\014ClaimVerdict\022\035\n\031CLAIM_VERDICT_" +
+      "UNSPECIFIED\020\000\022\031\n\025CLAIM_VERDICT_GRANTED\020\001" +
+      "\022\031\n\025CLAIM_VERDICT_RUNNING\020\002\022\026\n\022CLAIM_VER" +
+      "DICT_DONE\020\003\022\034\n\030CLAIM_VERDICT_KEY_REUSED\020" +
+      "\004\022\031\n\025CLAIM_VERDICT_TOO_OLD\020\005\022\035\n\031CLAIM_VE" +
+      "RDICT_FROM_FUTURE\020\006\022\026\n\022CLAIM_VERDICT_FUL" +
+      "L\020\007*\216\002\n\017DispatchOutcome\022 \n\034DISPATCH_OUTC" +
+      "OME_UNSPECIFIED\020\000\022\035\n\031DISPATCH_OUTCOME_AN" +
+      "SWERED\020\001\022\033\n\027DISPATCH_OUTCOME_FAILED\020\002\022\035\n" +
+      "\031DISPATCH_OUTCOME_REJECTED\020\003\022 \n\034DISPATCH" +
+      "_OUTCOME_UNREACHABLE\020\004\022\036\n\032DISPATCH_OUTCO" +
+      "ME_CANCELLED\020\005\022\032\n\026DISPATCH_OUTCOME_MOVED" +
+      "\020\006\022 \n\034DISPATCH_OUTCOME_MOVE_FAILED\020\007B,\n(" +
+      "org.curranthaven.internal.transport.wire" +
+      "P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -828,7 +829,7 @@
     internal_static_curranthaven_Move_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_curranthaven_Move_descriptor,
-        new java.lang.String[] { "Id", "Target", });
+        new java.lang.String[] { "Id", "Target", "Backup", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/src/main/java/org/curranthaven/internal/transport/wire/Move.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/Move.java
@@ -33,6 +33,7 @@
   }
   private Move() {
     target_ = "";
+    backup_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -103,6 +104,53 @@
     }
   }
 
+  public static final int BACKUP_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object backup_ = "";
+  /**
+   * <pre>
+   * Backend server that keeps a copy of the call from then on; empty for none.
+   * </pre>
+   *
+   * <code>string backup = 3;</code>
+   * @return The backup.
+   */
+  @java.lang.Override
+  public java.lang.String getBackup() {
+    java.lang.Object ref = backup_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      backup_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Backend server that keeps a copy of the call from then on; empty for none.
+   * </pre>
+   *
+   * <code>string backup = 3;</code>
+   * @return The bytes for backup.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getBackupBytes() {
+    java.lang.Object ref = backup_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      backup_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -123,6 +171,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(target_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 2, target_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(backup_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 3, backup_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -134,6 +185,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(target_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(2, target_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(backup_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(3, backup_);
+    }
     return size;
   }
   @java.lang.Override
@@ -162,6 +216,8 @@
         != other.getId()) return false;
     if (!getTarget()
         .equals(other.getTarget())) return false;
+    if (!getBackup()
+        .equals(other.getBackup())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -178,6 +234,8 @@
         getId());
     hash = (37 * hash) + TARGET_FIELD_NUMBER;
     hash = (53 * hash) + getTarget().hashCode();
+    hash = (37 * hash) + BACKUP_FIELD_NUMBER;
+    hash = (53 * hash) + getBackup().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -315,6 +373,7 @@
       bitField0_ = 0;
       id_ = 0L;
       target_ = "";
+      backup_ = "";
       return this;
     }
 
@@ -354,6 +413,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.target_ = target_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.backup_ = backup_;
+      }
     }
 
     @java.lang.Override
@@ -376,6 +438,11 @@
         bitField0_ |= 0x00000002;
         onChanged();
       }
+      if (!other.getBackup().isEmpty()) {
+        backup_ = other.backup_;
+        bitField0_ |= 0x00000004;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -410,6 +477,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 18
+            case 26: {
+              backup_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 26
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -531,6 +603,98 @@
       return this;
     }
 
+    private java.lang.Object backup_ = "";
+    /**
+     * <pre>
+     * Backend server that keeps a copy of the call from then on; empty for none.
+     * </pre>
+     *
+     * <code>string backup = 3;</code>
+     * @return The backup.
+     */
+    public java.lang.String getBackup() {
+      java.lang.Object ref = backup_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        backup_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Backend server that keeps a copy of the call from then on; empty for none.
+     * </pre>
+     *
+     * <code>string backup = 3;</code>
+     * @return The bytes for backup.
+     */
+    public com.google.protobuf.ByteString
+        getBackupBytes() {
+      java.lang.Object ref = backup_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        backup_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Backend server that keeps a copy of the call from then on; empty for none.
+     * </pre>
+     *
+     * <code>string backup = 3;</code>
+     * @param value The backup to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBackup(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      backup_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Backend server that keeps a copy of the call from then on; empty for none.
+     * </pre>
+     *
+     * <code>string backup = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBackup() {
+      backup_ = getDefaultInstance().getBackup();
+      bitField0_ = (bitField0_ & ~0x00000004);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Backend server that keeps a copy of the call from then on; empty for none.
+     * </pre>
+     *
+     * <code>string backup = 3;</code>
+     * @param value The bytes for backup to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBackupBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      backup_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:curranthaven.Move)
   }
 
--- a/src/main/java/org/curranthaven/internal/transport/wire/MoveOrBuilder.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/MoveOrBuilder.java
@@ -27,4 +27,24 @@
    */
   com.google.protobuf.ByteString
       getTargetBytes();
+
+  /**
+   * <pre>
+   * Backend server that keeps a copy of the call from then on; empty for none.
+   * </pre>
+   *
+   * <code>string backup = 3;</code>
+   * @return The backup.
+   */
+  java.lang.String getBackup();
+  /**
+   * <pre>
+   * Backend server that keeps a copy of the call from then on; empty for none.
+   * </pre>
+   *
+   * <code>string backup = 3;</code>
+   * @return The bytes for backup.
+   */
+  com.google.protobuf.ByteString
+      getBackupBytes();
 }
