Test the whole path of routed calls on loopback; write each batch of the log under one checksum

Cause: a loss of power may keep the later of two writes that were not synced and lose the earlier one; the log then held a sound record after an unsound one and was refused as damaged, so that the host could not start again.

Change: a batch is one write under one checksum: it is torn as a whole or not at all.

The tests of the whole path use real sockets and scripted backend servers: own answer only, sent once, crossed and cut answers, resumed and cut streams, callers gone, leaving backend servers, smuggled requests, catalogs.

--- a/src/main/java/org/curranthaven/internal/cli/RehearseCommand.java
+++ b/src/main/java/org/curranthaven/internal/cli/RehearseCommand.java
@@ -55,7 +55,7 @@
     RoutedSettings control =
         settings("control-1", controlPeer, controlPeer, null, controlAddress, folder);
     RoutedSettings gateway =
-        settings("gateway-1", freeAddress(), controlPeer, callerAddress, null, null);
+        settings("gateway-1", otherHost(controlPeer), controlPeer, callerAddress, null, null);
     if (!(DataFolder.open(folder) instanceof Outcome.Success<DataFolder> opened)) {
       return Main.fail(Failure.of(ResultCode.STORAGE_FAILED, folder + " cannot be used"));
     }
@@ -98,6 +98,11 @@
     }
   }
 
+  /** Returns the same port at another loopback address: hosts find each other at one port. */
+  private static String otherHost(String address) {
+    return address.replace("127.0.0.1", "127.0.0.2");
+  }
+
   private static void call(String address) throws IOException {
     int colon = address.indexOf(':');
     int port = Integer.parseInt(address.substring(colon + 1));
--- a/src/main/java/org/curranthaven/internal/consensus/GroupStorage.java
+++ b/src/main/java/org/curranthaven/internal/consensus/GroupStorage.java
@@ -1,6 +1,7 @@
 package org.curranthaven.internal.consensus;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -32,6 +33,7 @@
   private static final String SEGMENT_PREFIX = "log-";
 
   private final Path folder;
+  private final ByteArrayOutputStream batch = new ByteArrayOutputStream();
   private FileChannel segment;
   private long segmentNumber;
   private long term;
@@ -94,6 +96,7 @@
 
   /** Makes everything persisted so far last. */
   public void sync() throws IOException {
+    flush();
     segment.force(false);
     if (segment.size() >= SEGMENT_BYTES) {
       startSegment();
@@ -117,12 +120,23 @@
         .build();
   }
 
+  /** Adds a record to the batch that the next flush writes. */
   private void write(LogRecord record) throws IOException {
-    RecordFiles.write(segment, record.toByteArray());
+    record.writeDelimitedTo(batch);
+  }
+
+  /** Writes the batch under one checksum, so that a loss of power tears all of it or nothing. */
+  private void flush() throws IOException {
+    if (batch.size() > 0) {
+      byte[] payload = batch.toByteArray();
+      batch.reset();
+      RecordFiles.write(segment, payload);
+    }
   }
 
   private void saveSnapshot(SnapshotFile snapshot, boolean replacesLog) throws IOException {
     // The log that the snapshot rests on must last before the snapshot can stand for it.
+    flush();
     segment.force(false);
     Path target = folder.resolve(SNAPSHOT_NAME);
     Path temporary = folder.resolve(SNAPSHOT_NAME + ".tmp");
@@ -141,6 +155,7 @@
     startSegment();
     if (replacesLog) {
       write(LogRecord.newBuilder().setTruncateFrom(0).build());
+      flush();
       segment.force(false);
     }
     deleteCoveredSegments(snapshot.getLastIndex());
@@ -152,6 +167,7 @@
     segment = next;
     segmentNumber++;
     write(hardState());
+    flush();
     segment.force(true);
     RecordFiles.syncFolder(folder);
   }
--- a/src/main/java/org/curranthaven/internal/consensus/RecordFiles.java
+++ b/src/main/java/org/curranthaven/internal/consensus/RecordFiles.java
@@ -1,5 +1,6 @@
 package org.curranthaven.internal.consensus;
 
+import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
@@ -11,7 +12,7 @@
 import org.curranthaven.internal.transport.wire.LogRecord;
 import org.jspecify.annotations.Nullable;
 
-/** Files of records, each with its length and checksum before it. */
+/** Files of batches of records, each batch with its length and checksum before it. */
 final class RecordFiles {
   private static final int HEADER_BYTES = 8;
 
@@ -62,7 +63,12 @@
         cutTail(path, offset);
         return;
       }
-      consumer.accept(LogRecord.parseFrom(payload));
+      ByteArrayInputStream batch = new ByteArrayInputStream(payload);
+      LogRecord record = LogRecord.parseDelimitedFrom(batch);
+      while (record != null) {
+        consumer.accept(record);
+        record = LogRecord.parseDelimitedFrom(batch);
+      }
     }
   }
 
--- a/src/test/java/org/curranthaven/ArchitectureTest.java
+++ b/src/test/java/org/curranthaven/ArchitectureTest.java
@@ -42,6 +42,26 @@
           .orShould()
           .callMethod(System.class, "nanoTime");
 
+  @ArchTest
+  static final ArchRule nothing_depends_on_the_platform =
+      noClasses()
+          .that()
+          .resideOutsideOfPackage("org.curranthaven.platform..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAPackage("org.curranthaven.platform..");
+
+  @ArchTest
+  static final ArchRule placing_calls_is_pure =
+      noClasses()
+          .that()
+          .resideInAnyPackage(
+              "org.curranthaven.internal.dispatch..", "org.curranthaven.internal.catalog..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(
+              "java.net..", "java.nio..", "java.util.concurrent..", "io.netty..", "org.tinylog..");
+
   @ArchTest
   static final ArchRule routing_is_pure =
       noClasses()
--- /dev/null
+++ b/src/test/java/org/curranthaven/platform/CallTranslationTest.java
@@ -0,0 +1,93 @@
+package org.curranthaven.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import org.curranthaven.api.Outcome;
+import org.curranthaven.internal.relay.BackendCall;
+import org.curranthaven.internal.relay.InboundCall;
+import org.curranthaven.internal.transport.wire.BackendRecord;
+import org.junit.jupiter.api.Test;
+
+class CallTranslationTest {
+  private static FullHttpRequest request() {
+    FullHttpRequest request =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            HttpMethod.POST,
+            "/a/x?y=1",
+            Unpooled.copiedBuffer("body", StandardCharsets.UTF_8));
+    request
+        .headers()
+        .add("Host", "stories.example:80")
+        .add("Attempt-Id", "id-1")
+        .add("Token-Count", "1460,80")
+        .add("Prompt-Prefix", "5c:800,91:410")
+        .add("Deadline-Ms", "39000")
+        .add("X-Api-Key", "k1");
+    return request;
+  }
+
+  private static InboundCall read(FullHttpRequest request) {
+    return ((Outcome.Success<InboundCall>) CallTranslation.read(request)).value();
+  }
+
+  private static FullHttpRequest passedOn(FullHttpRequest request) {
+    BackendRecord backend =
+        BackendRecord.newBuilder().setId("i-1").setAddress("10.0.0.1:80").build();
+    return BackendTranslation.request(
+        new BackendCall(read(request), backend, "t1", 500, 2, "", "", ""));
+  }
+
+  @Test
+  void a_request_is_decoded_once() {
+    InboundCall call = read(request());
+
+    assertThat(call.host()).isEqualTo("stories.example");
+    assertThat(call.path()).isEqualTo("/a/x");
+    assertThat(call.key()).isEqualTo("k1");
+    assertThat(call.promptTokens()).isEqualTo(1_460);
+    assertThat(call.maxOutputTokens()).isEqualTo(80);
+    assertThat(call.parts()).hasSize(2);
+    assertThat(call.deadlineMillis()).isEqualTo(39_000);
+  }
+
+  @Test
+  void headers_that_only_the_system_sets_are_never_passed_on_from_a_caller() {
+    FullHttpRequest request = request();
+    for (String name : Headers.SET_BY_SYSTEM) {
+      request.headers().set(name, "forged");
+    }
+
+    assertThat(passedOn(request).headers()).noneMatch(header -> header.getValue().equals("forged"));
+  }
+
+  @Test
+  void the_key_is_replaced_by_the_workspace() {
+    FullHttpRequest passed = passedOn(request());
+
+    assertThat(passed.headers().get("X-Api-Key")).isNull();
+    assertThat(passed.headers().get("Tenant")).isEqualTo("t1");
+    assertThat(passed.headers().get("Expect-Instance")).isEqualTo("i-1");
+    assertThat(passed.headers().get("Deadline-Ms")).isEqualTo("500");
+  }
+
+  @Test
+  void method_path_query_body_and_own_headers_stay_as_they_are() {
+    FullHttpRequest request = request();
+    request.headers().add("Connection", "x-once, Attempt-Id").add("X-Once", "1").add("X-Own", "2");
+
+    FullHttpRequest passed = passedOn(request);
+
+    assertThat(passed.uri()).isEqualTo("/a/x?y=1");
+    assertThat(passed.content().toString(StandardCharsets.UTF_8)).isEqualTo("body");
+    assertThat(passed.headers().get("X-Own")).isEqualTo("2");
+    assertThat(passed.headers().get("X-Once")).isNull();
+    assertThat(passed.headers().get("Attempt-Id")).isEqualTo("id-1");
+  }
+}
--- /dev/null
+++ b/src/test/java/org/curranthaven/platform/FakeBackend.java
@@ -0,0 +1,151 @@
+package org.curranthaven.platform;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.jspecify.annotations.Nullable;
+
+/** A backend server whose answers a test writes byte by byte. */
+final class FakeBackend implements AutoCloseable {
+  private final ServerSocket socket;
+  private final Script script;
+  private final List<Received> received = new CopyOnWriteArrayList<>();
+  private final List<Socket> open = new CopyOnWriteArrayList<>();
+
+  /** One request as it arrived. */
+  record Received(String line, Map<String, String> headers, String body) {
+    String header(String name) {
+      return headers.getOrDefault(name.toLowerCase(Locale.ROOT), "");
+    }
+  }
+
+  /** Answers one request on its connection; closes the connection to break off. */
+  interface Script {
+    void answer(Received request, Socket connection) throws Exception;
+  }
+
+  FakeBackend(Script script) throws IOException {
+    this.script = script;
+    this.socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    Thread.ofVirtual().start(this::accept);
+  }
+
+  String address() {
+    return "127.0.0.1:" + socket.getLocalPort();
+  }
+
+  List<Received> received() {
+    return received;
+  }
+
+  private void accept() {
+    while (!socket.isClosed()) {
+      try {
+        Socket connection = socket.accept();
+        open.add(connection);
+        Thread.ofVirtual().start(() -> serve(connection));
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private void serve(Socket connection) {
+    try (connection) {
+      InputStream in = new BufferedInputStream(connection.getInputStream());
+      Received request = read(in);
+      while (request != null) {
+        received.add(request);
+        script.answer(request, connection);
+        request = connection.isClosed() ? null : read(in);
+      }
+    } catch (Exception e) {
+      // The other side closed the connection, or the script did.
+    }
+  }
+
+  private static @Nullable Received read(InputStream in) throws IOException {
+    String line = readLine(in);
+    if (line.isEmpty()) {
+      return null;
+    }
+    Map<String, String> headers = new TreeMap<>();
+    String header = readLine(in);
+    while (!header.isEmpty()) {
+      int colon = header.indexOf(':');
+      headers.put(
+          header.substring(0, colon).toLowerCase(Locale.ROOT), header.substring(colon + 1).strip());
+      header = readLine(in);
+    }
+    int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+    String body = new String(in.readNBytes(length), StandardCharsets.UTF_8);
+    return new Received(line, headers, body);
+  }
+
+  private static String readLine(InputStream in) throws IOException {
+    ByteArrayOutputStream line = new ByteArrayOutputStream();
+    int next = in.read();
+    while (next >= 0 && next != '\n') {
+      if (next != '\r') {
+        line.write(next);
+      }
+      next = in.read();
+    }
+    return line.toString(StandardCharsets.US_ASCII);
+  }
+
+  static void write(Socket connection, String text) throws IOException {
+    connection.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+    connection.getOutputStream().flush();
+  }
+
+  /** Returns a whole answer to the request. */
+  static String answer(Received request, int status, String body) {
+    return "HTTP/1.1 %d X\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\nContent-Length: %d\r\n\r\n%s"
+        .formatted(
+            status,
+            request.header("Attempt-Id"),
+            body.getBytes(StandardCharsets.UTF_8).length,
+            body);
+  }
+
+  /** Returns the head of a stream. */
+  static String streamHead(Received request) {
+    return """
+        HTTP/1.1 200 OK\r
+        Attempt-Id: %s\r
+        Response-Seal: s\r
+        Content-Type: text/event-stream\r
+        Transfer-Encoding: chunked\r
+        \r
+        """
+        .formatted(request.header("Attempt-Id"));
+  }
+
+  /** Returns one chunk of a chunked body; the last one for an empty text. */
+  static String chunk(String text) {
+    return "%x\r\n%s\r\n".formatted(text.getBytes(StandardCharsets.UTF_8).length, text);
+  }
+
+  static String event(int id) {
+    return chunk("id: %d\ndata: token %d\n\n".formatted(id, id));
+  }
+
+  @Override
+  public void close() throws IOException {
+    socket.close();
+    for (Socket connection : open) {
+      connection.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/curranthaven/platform/RoutedFleetTest.java
@@ -0,0 +1,398 @@
+package org.curranthaven.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.curranthaven.api.Outcome;
+import org.curranthaven.internal.consensus.DataFolder;
+import org.curranthaven.internal.relay.Gateway;
+import org.curranthaven.internal.scheduler.ControlHost;
+import org.curranthaven.internal.settings.RoutedSettings;
+import org.curranthaven.internal.supervision.Clock;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The whole path on loopback: one control host, one gateway, and backend servers under script. */
+@Timeout(120)
+class RoutedFleetTest {
+  private static final String CATALOG =
+      """
+      {"version":%d,"routes":[
+        {"name":"pages","host":"site.example","pathPrefix":"/pages/","kind":"idempotent",
+         "timeoutMs":3000,"targetLatencyMs":2000,"priority":1,"service":"plain","attempts":2},
+        {"name":"holds","host":"site.example","pathPrefix":"/holds/","kind":"non_idempotent",
+         "timeoutMs":3000,"targetLatencyMs":2000,"priority":1,"service":"plain","attempts":1},
+        {"name":"tags","host":"site.example","pathPrefix":"/tags/","kind":"stream",
+         "timeoutMs":5000,"targetLatencyMs":2000,"priority":0,"service":"plain","attempts":2,
+         "resumable":true},
+        {"name":"drafts","host":"site.example","pathPrefix":"/drafts/","kind":"stream",
+         "timeoutMs":5000,"targetLatencyMs":2000,"priority":1,"service":"plain","attempts":1}],
+       "services":[{"name":"plain","healthPath":"/health","maxConns":100}],
+       "limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,
+         "idleTimeoutMs":15000},
+       "tenants":[{"name":"t1","apiKeys":["k1"]}]}
+      """;
+
+  @TempDir Path folder;
+
+  private final HttpClient client = HttpClient.newHttpClient();
+  private String controlAddress = "";
+  private String callerAddress = "";
+  private int nextId;
+
+  private static String freeAddress() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return "127.0.0.1:" + socket.getLocalPort();
+    }
+  }
+
+  @BeforeEach
+  void startFleet() throws Exception {
+    String controlPeer = freeAddress();
+    controlAddress = freeAddress();
+    callerAddress = freeAddress();
+    PlatformProtocol protocol = new PlatformProtocol();
+    DataFolder data = ((Outcome.Success<DataFolder>) DataFolder.open(folder)).value();
+    new ControlHost(
+            settings("control-1", controlPeer, controlPeer, null, controlAddress, folder),
+            protocol,
+            data,
+            Clock.system())
+        .start();
+    new Gateway(
+            // Hosts find each other at the same port, so the gateway has an address of its own.
+            settings(
+                "gateway-1",
+                controlPeer.replace("127.0.0.1", "127.0.0.2"),
+                controlPeer,
+                callerAddress,
+                null,
+                null),
+            protocol,
+            Clock.system())
+        .start();
+    put(CATALOG.formatted(1));
+    while (status(rawCall("/nowhere/", "")) != 404) {
+      Thread.sleep(50);
+    }
+  }
+
+  private static RoutedSettings settings(
+      String name,
+      String peer,
+      String contact,
+      @Nullable String caller,
+      @Nullable String control,
+      @Nullable Path data) {
+    return new RoutedSettings(
+        name,
+        "here",
+        peer,
+        caller,
+        null,
+        control,
+        data == null ? null : data.toString(),
+        List.of(contact),
+        data != null,
+        0,
+        1,
+        0.2,
+        10,
+        10,
+        60_000);
+  }
+
+  private HttpResponse<String> control(String method, String path, String body) throws Exception {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://" + controlAddress + path))
+            .method(method, HttpRequest.BodyPublishers.ofString(body))
+            .timeout(Duration.ofSeconds(10))
+            .build();
+    return client.send(request, HttpResponse.BodyHandlers.ofString());
+  }
+
+  /** Sends a catalog until it is accepted, as operators do. */
+  private void put(String catalog) throws Exception {
+    while (control("PUT", "/api/config", catalog).statusCode() != 200) {
+      Thread.sleep(100);
+    }
+  }
+
+  private void register(String id, FakeBackend backend, String state, long seq) throws Exception {
+    String body =
+        """
+        {"service":"plain","address":"%s","zone":"here","slots":4,"state":"%s","seq":%d}
+        """
+            .formatted(backend.address(), state, seq);
+    while (control("PUT", "/api/runners/" + id, body).statusCode() != 200) {
+      Thread.sleep(100);
+    }
+  }
+
+  private HttpResponse<String> call(String path) throws Exception {
+    return client.send(request(path), HttpResponse.BodyHandlers.ofString());
+  }
+
+  private HttpRequest request(String path) {
+    return HttpRequest.newBuilder(URI.create("http://" + callerAddress + path))
+        .header("Attempt-Id", "call-" + nextId++)
+        .header("Deadline-Ms", "4000")
+        .header("X-Api-Key", "k1")
+        .POST(HttpRequest.BodyPublishers.ofString("question"))
+        .build();
+  }
+
+  /** The JDK's client sets the host name itself, so the catalog's host is written by hand here. */
+  private String rawCall(String path, String headers) throws Exception {
+    try (Socket socket = open(path, headers)) {
+      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    }
+  }
+
+  private Socket open(String path, String headers) throws Exception {
+    int port = Integer.parseInt(callerAddress.substring(callerAddress.indexOf(':') + 1));
+    Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+    String request =
+        "POST %s HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: call-%d\r\nDeadline-Ms: 4000\r\n%s"
+                .formatted(path, nextId++, headers)
+            + "X-Api-Key: k1\r\nConnection: close\r\nContent-Length: 8\r\n\r\nquestion";
+    FakeBackend.write(socket, request);
+    return socket;
+  }
+
+  private static int status(String answer) {
+    return Integer.parseInt(answer.split(" ", 3)[1]);
+  }
+
+  @Test
+  void a_call_gets_exactly_its_own_answer() throws Exception {
+    try (FakeBackend backend =
+        new FakeBackend(
+            (request, connection) ->
+                FakeBackend.write(
+                    connection, FakeBackend.answer(request, 200, "to " + request.body())))) {
+      register("i-1", backend, "ready", 1);
+
+      String answer = rawCall("/pages/1?x=2", "Tenant: forged\r\n");
+
+      assertThat(status(answer)).isEqualTo(200);
+      assertThat(answer).endsWith("to question").contains("Response-Seal: s");
+      assertThat(backend.received()).hasSize(1);
+      assertThat(backend.received().getFirst().line()).isEqualTo("POST /pages/1?x=2 HTTP/1.1");
+      assertThat(backend.received().getFirst().header("Tenant")).isEqualTo("t1");
+      assertThat(backend.received().getFirst().header("Expect-Instance")).isEqualTo("i-1");
+    }
+  }
+
+  @Test
+  void what_may_not_repeat_is_sent_once_when_its_answer_is_lost() throws Exception {
+    try (FakeBackend backend = new FakeBackend((request, connection) -> connection.close())) {
+      register("i-1", backend, "ready", 1);
+
+      assertThat(status(rawCall("/holds/1", ""))).isEqualTo(502);
+      assertThat(backend.received()).hasSize(1);
+    }
+  }
+
+  @Test
+  void an_answer_that_belongs_to_another_request_is_never_passed_on() throws Exception {
+    try (FakeBackend backend =
+        new FakeBackend(
+            (request, connection) -> {
+              String other = "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nResponse-Seal: s\r\n";
+              FakeBackend.write(connection, other + "Content-Length: 5\r\n\r\nwrong");
+              FakeBackend.write(connection, FakeBackend.answer(request, 200, "right"));
+            })) {
+      register("i-1", backend, "ready", 1);
+
+      assertThat(rawCall("/holds/1", "")).endsWith("right");
+      assertThat(rawCall("/holds/2", "")).endsWith("right");
+    }
+  }
+
+  @Test
+  void an_answer_that_is_cut_short_is_never_passed_on_as_whole() throws Exception {
+    try (FakeBackend backend =
+        new FakeBackend(
+            (request, connection) -> {
+              String whole = FakeBackend.answer(request, 200, "a longer answer");
+              FakeBackend.write(connection, whole.substring(0, whole.length() - 4));
+              connection.close();
+            })) {
+      register("i-1", backend, "ready", 1);
+
+      assertThat(status(rawCall("/holds/1", ""))).isEqualTo(502);
+    }
+  }
+
+  @Test
+  void a_success_without_the_seal_is_not_passed_on() throws Exception {
+    try (FakeBackend backend =
+        new FakeBackend(
+            (request, connection) ->
+                FakeBackend.write(
+                    connection,
+                    FakeBackend.answer(request, 200, "x").replace("Response-Seal: s\r\n", "")))) {
+      register("i-1", backend, "ready", 1);
+
+      assertThat(status(rawCall("/holds/1", ""))).isEqualTo(502);
+    }
+  }
+
+  @Test
+  void a_stream_goes_on_elsewhere_after_its_last_whole_event() throws Exception {
+    AtomicInteger runs = new AtomicInteger();
+    FakeBackend.Script script =
+        (request, connection) -> {
+          int first = runs.getAndIncrement() == 0 ? 1 : 3;
+          FakeBackend.write(connection, FakeBackend.streamHead(request));
+          FakeBackend.write(connection, FakeBackend.event(first) + FakeBackend.event(first + 1));
+          if (first == 1) {
+            FakeBackend.write(connection, FakeBackend.chunk("id: 3\ndata: tok"));
+            connection.close();
+          } else {
+            FakeBackend.write(connection, FakeBackend.chunk(""));
+          }
+        };
+    try (FakeBackend one = new FakeBackend(script);
+        FakeBackend two = new FakeBackend(script)) {
+      register("i-1", one, "ready", 1);
+      register("i-2", two, "ready", 1);
+
+      String answer = rawCall("/tags/1", "");
+
+      assertThat(answer.split("data: token ", -1)).hasSize(5);
+      assertThat(answer).endsWith("0\r\n\r\n");
+      assertThat(runs).hasValue(2);
+      List<FakeBackend.Received> requests = new ArrayList<>(one.received());
+      requests.addAll(two.received());
+      assertThat(requests)
+          .extracting(request -> request.header("Last-Event-Id"))
+          .containsExactlyInAnyOrder("", "2");
+    }
+  }
+
+  @Test
+  void a_stream_that_may_not_resume_is_seen_to_be_cut() throws Exception {
+    try (FakeBackend backend =
+        new FakeBackend(
+            (request, connection) -> {
+              FakeBackend.write(connection, FakeBackend.streamHead(request) + FakeBackend.event(1));
+              connection.close();
+            })) {
+      register("i-1", backend, "ready", 1);
+
+      String answer = rawCall("/drafts/1", "");
+
+      assertThat(answer).contains("token 1").doesNotEndWith("0\r\n\r\n");
+      assertThat(backend.received()).hasSize(1);
+    }
+  }
+
+  @Test
+  void the_backend_server_is_told_at_once_that_the_caller_has_gone() throws Exception {
+    CountDownLatch started = new CountDownLatch(1);
+    CountDownLatch closed = new CountDownLatch(1);
+    try (FakeBackend backend =
+        new FakeBackend(
+            (request, connection) -> {
+              FakeBackend.write(connection, FakeBackend.streamHead(request) + FakeBackend.event(1));
+              started.countDown();
+              InputStream in = connection.getInputStream();
+              if (in.read() < 0) {
+                closed.countDown();
+              }
+            })) {
+      register("i-1", backend, "ready", 1);
+      Socket caller = open("/drafts/1", "");
+      assertThat(started.await(20, TimeUnit.SECONDS)).isTrue();
+
+      caller.close();
+
+      assertThat(closed.await(20, TimeUnit.SECONDS)).isTrue();
+    }
+  }
+
+  @Test
+  void a_backend_server_whose_leave_was_acknowledged_gets_no_new_call() throws Exception {
+    FakeBackend.Script script =
+        (request, connection) ->
+            FakeBackend.write(connection, FakeBackend.answer(request, 200, "ok"));
+    try (FakeBackend one = new FakeBackend(script);
+        FakeBackend two = new FakeBackend(script)) {
+      register("i-1", one, "ready", 1);
+      register("i-2", two, "ready", 1);
+      register("i-1", one, "draining", 2);
+      register("i-1", one, "ready", 1);
+      int before = one.received().size();
+
+      for (int i = 0; i < 20; i++) {
+        assertThat(status(rawCall("/pages/" + i, ""))).isEqualTo(200);
+      }
+
+      assertThat(one.received()).hasSize(before);
+      assertThat(two.received()).hasSize(20);
+    }
+  }
+
+  @Test
+  void a_request_whose_length_can_be_read_in_two_ways_reaches_no_backend_server() throws Exception {
+    try (FakeBackend backend =
+        new FakeBackend(
+            (request, connection) ->
+                FakeBackend.write(connection, FakeBackend.answer(request, 200, "ok")))) {
+      register("i-1", backend, "ready", 1);
+
+      String answer = rawCall("/pages/1", "Transfer-Encoding: chunked\r\n");
+
+      assertThat(status(answer)).isEqualTo(400);
+      assertThat(backend.received()).isEmpty();
+    }
+  }
+
+  @Test
+  void an_accepted_catalog_is_in_force_and_an_older_one_never_again() throws Exception {
+    put(CATALOG.formatted(9).replace("/pages/", "/leaves/"));
+    put(CATALOG.formatted(3));
+
+    assertThat(control("GET", "/api/config", "").body()).contains("\"version\":9");
+    assertThat(status(rawCall("/pages/1", ""))).isEqualTo(404);
+  }
+
+  @Test
+  void an_invalid_catalog_is_refused_and_changes_nothing() throws Exception {
+    String cutShort = CATALOG.formatted(10).substring(0, 300);
+
+    assertThat(control("PUT", "/api/config", cutShort).statusCode()).isEqualTo(400);
+    assertThat(control("GET", "/api/config", "").body()).contains("\"version\":1");
+  }
+
+  @Test
+  void an_unknown_key_or_route_is_refused_and_a_missing_backend_says_when_to_come_back()
+      throws Exception {
+    assertThat(status(rawCall("/nowhere/", ""))).isEqualTo(404);
+    assertThat(call("/pages/1").statusCode()).isEqualTo(404);
+    String answer = rawCall("/pages/1", "");
+    assertThat(status(answer)).isEqualTo(503);
+    assertThat(answer.toLowerCase(java.util.Locale.ROOT)).contains("retry-after:");
+  }
+}
