Notice silent and partly failing backend servers; do not reuse long idle connections for calls that may not repeat

Cause: a backend server that went silent kept its calls until their time was up; one that failed two calls in five was never three failures in a row; a connection that was idle for seconds may be gone without a sign, and what is sent on it is lost.

Change: a call that may run again is given up at a silent backend server once its target is missed; a stream of which a copy is kept goes on from it after 1.5 s without an event; failure rates are compared with the peers'; a call that may not repeat uses a connection idle for at most 250 ms; a connection is given 400 ms to be made.

--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -100,6 +100,7 @@
   private final Map<String, RouteLengths> lengths = new HashMap<>();
   private final Map<String, Double> plainMillis = new HashMap<>();
   private final OutlierEjector ejector = new OutlierEjector();
+  private final FailureRates failureRates = new FailureRates();
   private Catalog catalog = Catalog.empty();
   private List<DispatchDecision> decisions = new ArrayList<>();
   private long nextOrder;
@@ -173,6 +174,7 @@
     if (state.registration().getLeaving() && state.calls.isEmpty()) {
       backends.remove(state.id());
       ejector.forget(state.id());
+      failureRates.forget(state.id());
     }
   }
 
@@ -374,8 +376,11 @@
     }
     switch (outcome) {
       case DISPATCH_OUTCOME_ANSWERED -> answered(call, backend, tokens, nowMillis);
-      case DISPATCH_OUTCOME_FAILED, DISPATCH_OUTCOME_UNREACHABLE ->
-          ejector.failed(backend.id(), peersOf(backend), nowMillis);
+      case DISPATCH_OUTCOME_FAILED, DISPATCH_OUTCOME_UNREACHABLE -> {
+        List<String> peers = peersOf(backend);
+        ejector.failed(backend.id(), peers, nowMillis);
+        failureRates.failed(backend.id(), peers, nowMillis);
+      }
       case DISPATCH_OUTCOME_REJECTED -> backend.rejected(nowMillis + FULL_MILLIS);
       default -> {}
     }
@@ -384,6 +389,7 @@
 
   private void answered(OpenCall call, BackendState backend, int tokens, long nowMillis) {
     ejector.succeeded(backend.id());
+    failureRates.succeeded(backend.id());
     if (call.ask.getEngine()) {
       lengthsOf(call.ask).finished(tokens);
     } else {
@@ -519,7 +525,8 @@
     return registration.getService().equals(ask.getService())
         && !registration.getLeaving()
         && !ask.getExcludedList().contains(registration.getId())
-        && !ejector.isEjected(registration.getId(), nowMillis);
+        && !ejector.isEjected(registration.getId(), nowMillis)
+        && !failureRates.isOut(registration.getId(), nowMillis);
   }
 
   private boolean hasCandidates(DispatchAsk ask, long nowMillis) {
--- a/src/main/java/org/curranthaven/internal/relay/Attempt.java
+++ b/src/main/java/org/curranthaven/internal/relay/Attempt.java
@@ -25,6 +25,7 @@
   private boolean cancelled;
   private boolean sent;
   private boolean ended;
+  private boolean heard;
 
   /** Is told how the attempt goes. */
   interface Owner {
@@ -49,9 +50,10 @@
     return sent;
   }
 
-  void start(BackendPool pool, FullHttpRequest request, String requestId) {
+  void start(BackendPool pool, FullHttpRequest request, String requestId, long maxIdleMillis) {
     pool.acquire(
         backend.getAddress(),
+        maxIdleMillis,
         acquired -> {
           if (cancelled) {
             request.release();
@@ -69,6 +71,16 @@
         });
   }
 
+  /** Returns whether any part of an answer has come. */
+  boolean isHeard() {
+    return heard;
+  }
+
+  /** Gives the attempt up because the backend server is silent. */
+  void giveUpSilent() {
+    giveUp("the backend server is silent");
+  }
+
   /** Ends the attempt; the backend server is told to stop by the end of its connection. */
   void cancel() {
     cancelled = true;
@@ -98,6 +110,7 @@
   public void head(AnswerHead answerHead, HttpResponse answer) {
     head = answerHead;
     response = answer;
+    heard = true;
     boolean unproven = !answerHead.sealed() || answerHead.requestId().isEmpty();
     if (answerHead.isSuccess() && unproven) {
       giveUp("a success that the backend server does not vouch for");
--- a/src/main/java/org/curranthaven/internal/relay/BackendConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/BackendConnection.java
@@ -26,7 +26,9 @@
   private @Nullable AnswerHead head;
   private boolean skipping;
   private boolean unsound;
+  private boolean broken;
   private boolean released;
+  private long idleSinceMillis;
   private long idleUntilMillis;
 
   /** Is told the answer to a call. */
@@ -54,8 +56,9 @@
     return address;
   }
 
-  boolean isUsable(long nowMillis) {
-    return isOpen() && !unsound && listener == null && nowMillis < idleUntilMillis;
+  boolean isUsable(long nowMillis, long maxIdleMillis) {
+    boolean fresh = nowMillis < idleUntilMillis && nowMillis - idleSinceMillis <= maxIdleMillis;
+    return isOpen() && !unsound && listener == null && fresh;
   }
 
   boolean isOpen() {
@@ -162,14 +165,13 @@
     if (answer == null || answer.closes() || unsound || !isOpen()) {
       close();
     } else {
+      idleSinceMillis = pool.nowMillis();
       idleUntilMillis = pool.idleUntilMillis(answer);
       released = true;
     }
     current.whole();
   }
 
-  private boolean broken;
-
   private void fail(String reason) {
     AnswerListener current = listener;
     listener = null;
--- a/src/main/java/org/curranthaven/internal/relay/BackendPool.java
+++ b/src/main/java/org/curranthaven/internal/relay/BackendPool.java
@@ -20,7 +20,7 @@
 
 /** Connections to backend servers that wait for their next call. Used on the event loop only. */
 final class BackendPool {
-  private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+  private static final int CONNECT_TIMEOUT_MILLIS = 400;
 
   /** Time before a backend server's own limit at which an idle connection is given up. */
   private static final long IDLE_MARGIN_MILLIS = 700;
@@ -49,12 +49,17 @@
     return opened;
   }
 
-  /** Passes a connection to the consumer, or null if none can be made. */
-  void acquire(String address, Consumer<@Nullable BackendConnection> consumer) {
+  /**
+   * Passes a connection to the consumer, or null if none can be made.
+   *
+   * @param maxIdleMillis longest time for which the connection may have been idle: one that was
+   *     idle for longer may be gone without a sign
+   */
+  void acquire(String address, long maxIdleMillis, Consumer<@Nullable BackendConnection> consumer) {
     ArrayDeque<BackendConnection> connections = idle.get(address);
     while (connections != null && !connections.isEmpty()) {
       BackendConnection connection = connections.pollLast();
-      if (connection.isUsable(clock.nowMillis())) {
+      if (connection.isUsable(clock.nowMillis(), maxIdleMillis)) {
         consumer.accept(connection);
         return;
       }
@@ -91,6 +96,10 @@
     return clock.nowMillis() + idleMillis;
   }
 
+  long nowMillis() {
+    return clock.nowMillis();
+  }
+
   void release(BackendConnection connection) {
     idle.computeIfAbsent(connection.address(), address -> new ArrayDeque<>()).addLast(connection);
   }
--- a/src/main/java/org/curranthaven/internal/relay/Exchange.java
+++ b/src/main/java/org/curranthaven/internal/relay/Exchange.java
@@ -27,6 +27,17 @@
   private static final long MIN_SEND_MILLIS = 5;
 
   private static final long RETRY_SOON_MILLIS = 500;
+
+  /** Idle time of a connection above which it is not used for a call that may not run twice. */
+  private static final long UNREPEATABLE_IDLE_MILLIS = 250;
+
+  /** Shortest silence after which a call is given up at a backend server. */
+  private static final long MIN_SILENCE_MILLIS = 600;
+
+  /** Pause of a stream after which its engine is taken for lost: many times an ordinary one. */
+  private static final long STREAM_SILENCE_MILLIS = 1_500;
+
+  private static final long MIN_CHECK_MILLIS = 100;
   private static final int DEFAULT_TOKENS_PER_EVENT = 1;
 
   private final RelayContext context;
@@ -48,6 +59,7 @@
   private String backend = "";
   private String backup = "";
   private String lastEventId;
+  private long lastEventAtMillis;
   private int urgency;
   private int runs;
   private int sends;
@@ -168,7 +180,50 @@
             lastEventId,
             takeOverFrom,
             keeper != null ? keeper.getAddress() : "");
-    next.start(context.pool(), context.protocol().backendRequest(backendCall), call.id());
+    next.start(
+        context.pool(),
+        context.protocol().backendRequest(backendCall),
+        call.id(),
+        route.isRepeatable() ? Long.MAX_VALUE : UNREPEATABLE_IDLE_MILLIS);
+    lastEventAtMillis = context.clock().nowMillis();
+    watchForSilence(next);
+  }
+
+  /**
+   * Watches a backend server that may be gone without a sign: a call that may run again is given up
+   * there once its target is missed; a stream of which a copy is kept, after a long pause.
+   */
+  private void watchForSilence(Attempt watched) {
+    if (route.isRepeatable() && runs + 1 < route.attempts()) {
+      long wait = Math.max(MIN_SILENCE_MILLIS, route.targetMillis());
+      context.loop().schedule(() -> giveUpIfUnheard(watched), wait, TimeUnit.MILLISECONDS);
+    } else if (mayRescue()) {
+      context
+          .loop()
+          .schedule(() -> giveUpIfPaused(watched), STREAM_SILENCE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void giveUpIfUnheard(Attempt watched) {
+    if (!done && watched == attempt && !watched.isHeard()) {
+      watched.giveUpSilent();
+    }
+  }
+
+  private void giveUpIfPaused(Attempt watched) {
+    if (done || watched != attempt || handover != null) {
+      return;
+    }
+    long pauseMillis = context.clock().nowMillis() - lastEventAtMillis;
+    if (started && caller.isWritable() && pauseMillis >= STREAM_SILENCE_MILLIS) {
+      watched.giveUpSilent();
+      return;
+    }
+    long next = started ? STREAM_SILENCE_MILLIS - pauseMillis : STREAM_SILENCE_MILLIS;
+    context
+        .loop()
+        .schedule(
+            () -> giveUpIfPaused(watched), Math.max(MIN_CHECK_MILLIS, next), TimeUnit.MILLISECONDS);
   }
 
   @Override
@@ -200,6 +255,7 @@
       caller.startStream(response);
       context.measured(route, context.clock().nowMillis() - arrivedAtMillis);
     }
+    lastEventAtMillis = context.clock().nowMillis();
     boolean first = events == 0;
     for (EventSplitter.Event event : newEvents) {
       if (isNew(event)) {
--- a/src/main/java/org/curranthaven/internal/relay/Handover.java
+++ b/src/main/java/org/curranthaven/internal/relay/Handover.java
@@ -14,10 +14,14 @@
  */
 final class Handover {
   private static final int OK = 200;
+  private static final long MAX_IDLE_MILLIS = 250;
 
   /** Longest time for one copy; after it the move is given up. */
   private static final long COPY_TIMEOUT_MILLIS = 4_000;
 
+  /** Longest time for an engine that broke off to answer whether the run still goes on. */
+  private static final long STOP_TIMEOUT_MILLIS = 600;
+
   /** Time after the last copy for which the rest of the source's stream is awaited. */
   private static final long SOURCE_END_MILLIS = 400;
 
@@ -26,6 +30,7 @@
   private final BackendRecord source;
   private final BackendRecord target;
   private final Owner owner;
+  private long copyTimeoutMillis = COPY_TIMEOUT_MILLIS;
   private long startAtMillis;
   private long stopAtMillis;
   private boolean sourceEnded;
@@ -64,6 +69,8 @@
 
   /** Starts with a run whose stream has ended already: it is stopped for certain first. */
   void startStopped() {
+    copyTimeoutMillis = STOP_TIMEOUT_MILLIS;
+    startAtMillis = context.clock().nowMillis();
     sourceEnded = true;
     stopping = true;
     stopAtMillis = context.clock().nowMillis();
@@ -135,6 +142,7 @@
         .pool()
         .acquire(
             source.getAddress(),
+            MAX_IDLE_MILLIS,
             connection -> {
               if (connection == null || !connection.isOpen()) {
                 request.release();
@@ -146,7 +154,7 @@
               context
                   .loop()
                   .schedule(
-                      () -> answer.tooLate(connection), COPY_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+                      () -> answer.tooLate(connection), copyTimeoutMillis, TimeUnit.MILLISECONDS);
             });
   }
 
--- a/src/test/java/org/curranthaven/platform/RoutedFleetTest.java
+++ b/src/test/java/org/curranthaven/platform/RoutedFleetTest.java
@@ -16,9 +16,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import org.curranthaven.api.Outcome;
 import org.curranthaven.internal.consensus.DataFolder;
 import org.curranthaven.internal.relay.Gateway;
@@ -45,8 +47,12 @@
          "timeoutMs":5000,"targetLatencyMs":2000,"priority":0,"service":"plain","attempts":2,
          "resumable":true},
         {"name":"drafts","host":"site.example","pathPrefix":"/drafts/","kind":"stream",
-         "timeoutMs":5000,"targetLatencyMs":2000,"priority":1,"service":"plain","attempts":1}],
-       "services":[{"name":"plain","healthPath":"/health","maxConns":100}],
+         "timeoutMs":5000,"targetLatencyMs":2000,"priority":1,"service":"plain","attempts":1},
+        {"name":"stories","host":"site.example","pathPrefix":"/stories/","kind":"stream",
+         "timeoutMs":9000,"targetLatencyMs":2000,"priority":1,"service":"engines","attempts":1}],
+       "services":[{"name":"plain","healthPath":"/health","maxConns":100},
+        {"name":"engines","healthPath":"/health","maxConns":100,
+         "engine":{"slots":8,"kvCapacity":20000,"stride":4,"moves":true,"backups":true}}],
        "limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,
          "idleTimeoutMs":15000},
        "tenants":[{"name":"t1","apiKeys":["k1"]}]}
@@ -138,11 +144,16 @@
   }
 
   private void register(String id, FakeBackend backend, String state, long seq) throws Exception {
+    register(id, backend, state, seq, "plain");
+  }
+
+  private void register(String id, FakeBackend backend, String state, long seq, String service)
+      throws Exception {
     String body =
         """
-        {"service":"plain","address":"%s","zone":"here","slots":4,"state":"%s","seq":%d}
+        {"service":"%s","address":"%s","zone":"here","slots":4,"state":"%s","seq":%d}
         """
-            .formatted(backend.address(), state, seq);
+            .formatted(service, backend.address(), state, seq);
     while (control("PUT", "/api/runners/" + id, body).statusCode() != 200) {
       Thread.sleep(100);
     }
@@ -308,6 +319,96 @@
     }
   }
 
+  private static final String TOKENS = "Model: m\r\nToken-Count: 1000,4000\r\n";
+
+  @Test
+  void a_stream_goes_on_from_its_copy_when_its_engine_is_lost() throws Exception {
+    AtomicReference<FakeBackend> runsAt = new AtomicReference<>();
+    List<FakeBackend> engines = new ArrayList<>();
+    FakeBackend.Script script =
+        (request, connection) -> {
+          FakeBackend.write(connection, FakeBackend.streamHead(request));
+          if (request.header("Kv-From").isEmpty()) {
+            FakeBackend.write(connection, FakeBackend.event(1) + FakeBackend.event(2));
+            FakeBackend first =
+                engines.stream()
+                    .filter(e -> e.received().contains(request))
+                    .findFirst()
+                    .orElseThrow();
+            runsAt.set(first);
+            first.close();
+          } else {
+            FakeBackend.write(connection, FakeBackend.event(3) + FakeBackend.chunk(""));
+          }
+        };
+    try (FakeBackend one = new FakeBackend(script);
+        FakeBackend two = new FakeBackend(script)) {
+      engines.addAll(List.of(one, two));
+      register("i-1", one, "ready", 1, "engines");
+      register("i-2", two, "ready", 1, "engines");
+
+      String answer = rawCall("/stories/1", TOKENS);
+
+      FakeBackend keeper = runsAt.get() == one ? two : one;
+      assertThat(answer.split("data: token ", -1)).hasSize(4);
+      assertThat(answer).endsWith("0\r\n\r\n");
+      FakeBackend.Received run = Objects.requireNonNull(runsAt.get()).received().getFirst();
+      FakeBackend.Received next = keeper.received().getFirst();
+      assertThat(run.header("Kv-Backup")).isEqualTo(keeper.address());
+      assertThat(next.header("Kv-From"))
+          .isEqualTo(keeper.address() + "/" + run.header("Attempt-Id"));
+      assertThat(next.header("Last-Event-Id")).isEqualTo("2");
+    }
+  }
+
+  @Test
+  void a_stream_is_moved_off_a_leaving_engine_without_losing_an_event() throws Exception {
+    CountDownLatch started = new CountDownLatch(1);
+    AtomicReference<Socket> stream = new AtomicReference<>();
+    FakeBackend.Script leaving =
+        (request, connection) -> {
+          if (request.line().contains("kv-move")) {
+            boolean last = request.body().contains("\"last\":true");
+            if (last) {
+              Socket running = Objects.requireNonNull(stream.get());
+              FakeBackend.write(running, FakeBackend.event(3));
+              running.close();
+            }
+            String body = "{\"handle\":\"h7\",\"made\":3}";
+            FakeBackend.write(
+                connection,
+                "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+          } else {
+            stream.set(connection);
+            FakeBackend.write(connection, FakeBackend.streamHead(request));
+            FakeBackend.write(connection, FakeBackend.event(1) + FakeBackend.event(2));
+            started.countDown();
+          }
+        };
+    FakeBackend.Script target =
+        (request, connection) ->
+            FakeBackend.write(
+                connection,
+                FakeBackend.streamHead(request) + FakeBackend.event(4) + FakeBackend.chunk(""));
+    try (FakeBackend one = new FakeBackend(leaving);
+        FakeBackend two = new FakeBackend(target)) {
+      register("i-1", one, "ready", 1, "engines");
+      try (Socket caller = open("/stories/1", TOKENS)) {
+        assertThat(started.await(20, TimeUnit.SECONDS)).isTrue();
+        register("i-2", two, "ready", 1, "engines");
+
+        register("i-1", one, "draining", 2, "engines");
+
+        String answer = new String(caller.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertThat(answer.split("data: token ", -1)).hasSize(5);
+        assertThat(answer).endsWith("0\r\n\r\n");
+        FakeBackend.Received next = two.received().getFirst();
+        assertThat(next.header("Kv-From")).isEqualTo(one.address() + "/h7");
+        assertThat(next.header("Last-Event-Id")).isEqualTo("3");
+      }
+    }
+  }
+
   @Test
   void the_backend_server_is_told_at_once_that_the_caller_has_gone() throws Exception {
     CountDownLatch started = new CountDownLatch(1);
