During a planned stop take no call that may outlast the process

Change: once balancers have had time to notice the stop, a call is taken only if it must end before the process does; the others are told that they did not run and to come back at once.

--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -84,7 +84,7 @@
   private static final long MAX_RETRY_AFTER_MILLIS = 15_000;
 
   /** Share of an engine's memory that copies of calls on other engines may fill it to. */
-  private static final double BACKUP_MEMORY_SHARE = 0.6;
+  private static final double BACKUP_MEMORY_SHARE = 0.5;
 
   private static final int MAX_URGENCY = 9;
   private static final int MAX_WAITING = 20_000;
--- a/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
@@ -50,6 +50,7 @@
 final class CallerConnection extends SimpleChannelInboundHandler<HttpObject> {
   private static final int MAX_WAITING_REQUESTS = 32;
   private static final long MILLIS_PER_SECOND = 1_000;
+  private static final long DRAINING_RETRY_MILLIS = 50;
   private static final long NOT_INFORMED_RETRY_MILLIS = 1_000;
 
   /** Headers that concern one connection only. */
@@ -239,6 +240,16 @@
       fail(Failure.of(ResultCode.BAD_KEY, "the key is not known"));
       return;
     }
+    long allowedMillis =
+        call.deadlineMillis() > 0
+            ? Math.min(call.deadlineMillis(), route.timeoutMillis())
+            : route.timeoutMillis();
+    if (!context.mayTake(allowedMillis)) {
+      fail(
+          Failure.retryLater(
+              ResultCode.HOST_DRAINING, "this host is being stopped", DRAINING_RETRY_MILLIS));
+      return;
+    }
     ServiceSpec service = catalog.service(route.serviceFor(context.draw()));
     if (service == null) {
       fail(Failure.of(ResultCode.INTERNAL, "the route's service is missing"));
@@ -253,6 +264,7 @@
             route,
             service,
             workspace == null || !catalog.needsKey(route) ? "" : workspace.name(),
+            allowedMillis,
             ranked && workspace != null ? workspace.priority() : route.priority());
     exchange = next;
     context.opened(next);
--- a/src/main/java/org/curranthaven/internal/relay/Exchange.java
+++ b/src/main/java/org/curranthaven/internal/relay/Exchange.java
@@ -75,6 +75,7 @@
       Route route,
       ServiceSpec service,
       String workspace,
+      long allowedMillis,
       int priority) {
     this.context = context;
     this.caller = caller;
@@ -85,12 +86,8 @@
     this.priority = priority;
     this.lastEventId = call.lastEventId();
     this.arrivedAtMillis = context.clock().nowMillis();
-    long allowed =
-        call.deadlineMillis() > 0
-            ? Math.min(call.deadlineMillis(), route.timeoutMillis())
-            : route.timeoutMillis();
-    this.endsAtMillis = arrivedAtMillis + allowed;
-    this.timeout = context.loop().schedule(this::timeUp, allowed, TimeUnit.MILLISECONDS);
+    this.endsAtMillis = arrivedAtMillis + allowedMillis;
+    this.timeout = context.loop().schedule(this::timeUp, allowedMillis, TimeUnit.MILLISECONDS);
   }
 
   void start() {
--- a/src/main/java/org/curranthaven/internal/relay/Gateway.java
+++ b/src/main/java/org/curranthaven/internal/relay/Gateway.java
@@ -58,6 +58,8 @@
   private final HostRecord self;
   private final Set<Exchange> open = new HashSet<>();
   private Catalog catalog = Catalog.empty();
+  private volatile long stopBeganMillis;
+  private volatile long stopEndsMillis;
   private volatile boolean draining;
   private volatile int openCalls;
   private long placements = 1;
@@ -125,9 +127,11 @@
    * @return the number of calls that were cut off
    */
   public int drain() throws InterruptedException {
-    draining = true;
     long startMillis = clock.nowMillis();
     long endMillis = startMillis + settings.drainMillis() - EXIT_MARGIN_MILLIS;
+    stopBeganMillis = startMillis;
+    stopEndsMillis = endMillis;
+    draining = true;
     Logger.info("{} drains {} open calls", settings.name(), openCalls);
     boolean idleClosed = false;
     while (clock.nowMillis() < endMillis) {
@@ -238,6 +242,14 @@
     return draining;
   }
 
+  @Override
+  public boolean mayTake(long allowedMillis) {
+    long nowMillis = clock.nowMillis();
+    return !draining
+        || DrainRules.mayTake(
+            nowMillis - stopBeganMillis, stopEndsMillis - nowMillis, allowedMillis);
+  }
+
   @Override
   public @Nullable BackendRecord backend(String id) {
     return link.backend(id);
--- a/src/main/java/org/curranthaven/internal/relay/RelayContext.java
+++ b/src/main/java/org/curranthaven/internal/relay/RelayContext.java
@@ -31,6 +31,13 @@
   /** Returns whether the gateway is being stopped. */
   boolean isDraining();
 
+  /**
+   * Returns whether a call may still be taken, though the gateway may be being stopped.
+   *
+   * @param allowedMillis longest time that the call may take
+   */
+  boolean mayTake(long allowedMillis);
+
   /** Returns the backend server of the name, or null if it is gone. */
   @Nullable BackendRecord backend(String id);
 
