--- /dev/null
+++ b/src/test/java/org/curranthaven/platform/RoutedFleetFixture.java
@@ -0,0 +1,184 @@
+package org.curranthaven.platform;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import org.curranthaven.api.Outcome;
+import org.curranthaven.internal.consensus.DataFolder;
+import org.curranthaven.internal.relay.Gateway;
+import org.curranthaven.internal.scheduler.ControlHost;
+import org.curranthaven.internal.settings.RoutedSettings;
+import org.curranthaven.internal.supervision.Clock;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Starts one control host and one gateway on loopback before each test. */
+abstract class RoutedFleetFixture {
+  static final String CATALOG =
+      """
+      {"version":%d,"routes":[
+        {"name":"pages","host":"site.example","pathPrefix":"/pages/","kind":"idempotent",
+         "timeoutMs":3000,"targetLatencyMs":2000,"priority":1,"service":"plain","attempts":2},
+        {"name":"holds","host":"site.example","pathPrefix":"/holds/","kind":"non_idempotent",
+         "timeoutMs":3000,"targetLatencyMs":2000,"priority":1,"service":"plain","attempts":1},
+        {"name":"tags","host":"site.example","pathPrefix":"/tags/","kind":"stream",
+         "timeoutMs":5000,"targetLatencyMs":2000,"priority":0,"service":"plain","attempts":2,
+         "resumable":true},
+        {"name":"drafts","host":"site.example","pathPrefix":"/drafts/","kind":"stream",
+         "timeoutMs":5000,"targetLatencyMs":2000,"priority":1,"service":"plain","attempts":1},
+        {"name":"stories","host":"site.example","pathPrefix":"/stories/","kind":"stream",
+         "timeoutMs":9000,"targetLatencyMs":2000,"priority":1,"service":"engines","attempts":1}],
+       "services":[{"name":"plain","healthPath":"/health","maxConns":100},
+        {"name":"engines","healthPath":"/health","maxConns":100,
+         "engine":{"slots":8,"kvCapacity":20000,"stride":4,"moves":true,"backups":true}}],
+       "limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,
+         "idleTimeoutMs":15000},
+       "tenants":[{"name":"t1","apiKeys":["k1"]}]}
+      """;
+
+  @TempDir Path folder;
+
+  private final HttpClient client = HttpClient.newHttpClient();
+  String controlAddress = "";
+  String callerAddress = "";
+  private int nextId;
+
+  private static String freeAddress() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return "127.0.0.1:" + socket.getLocalPort();
+    }
+  }
+
+  @BeforeEach
+  void startFleet() throws Exception {
+    String controlPeer = freeAddress();
+    controlAddress = freeAddress();
+    callerAddress = freeAddress();
+    PlatformProtocol protocol = new PlatformProtocol();
+    DataFolder data = ((Outcome.Success<DataFolder>) DataFolder.open(folder)).value();
+    new ControlHost(
+            settings("control-1", controlPeer, controlPeer, null, controlAddress, folder),
+            protocol,
+            data,
+            Clock.system())
+        .start();
+    new Gateway(
+            // Hosts find each other at the same port, so the gateway has an address of its own.
+            settings(
+                "gateway-1",
+                controlPeer.replace("127.0.0.1", "127.0.0.2"),
+                controlPeer,
+                callerAddress,
+                null,
+                null),
+            protocol,
+            Clock.system())
+        .start();
+    put(CATALOG.formatted(1));
+    while (status(rawCall("/nowhere/", "")) != 404) {
+      Thread.sleep(50);
+    }
+  }
+
+  private static RoutedSettings settings(
+      String name,
+      String peer,
+      String contact,
+      @Nullable String caller,
+      @Nullable String control,
+      @Nullable Path data) {
+    return new RoutedSettings(
+        name,
+        "here",
+        peer,
+        caller,
+        null,
+        control,
+        data == null ? null : data.toString(),
+        List.of(contact),
+        data != null,
+        0,
+        1,
+        0.2,
+        10,
+        10,
+        60_000);
+  }
+
+  HttpResponse<String> control(String method, String path, String body) throws Exception {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://" + controlAddress + path))
+            .method(method, HttpRequest.BodyPublishers.ofString(body))
+            .timeout(Duration.ofSeconds(10))
+            .build();
+    return client.send(request, HttpResponse.BodyHandlers.ofString());
+  }
+
+  /** Sends a catalog until it is accepted, as operators do. */
+  void put(String catalog) throws Exception {
+    while (control("PUT", "/api/config", catalog).statusCode() != 200) {
+      Thread.sleep(100);
+    }
+  }
+
+  void register(String id, FakeBackend backend, String state, long seq) throws Exception {
+    register(id, backend, state, seq, "plain");
+  }
+
+  void register(String id, FakeBackend backend, String state, long seq, String service)
+      throws Exception {
+    String body =
+        """
+        {"service":"%s","address":"%s","zone":"here","slots":4,"state":"%s","seq":%d}
+        """
+            .formatted(service, backend.address(), state, seq);
+    while (control("PUT", "/api/runners/" + id, body).statusCode() != 200) {
+      Thread.sleep(100);
+    }
+  }
+
+  HttpResponse<String> call(String path) throws Exception {
+    return client.send(request(path), HttpResponse.BodyHandlers.ofString());
+  }
+
+  private HttpRequest request(String path) {
+    return HttpRequest.newBuilder(URI.create("http://" + callerAddress + path))
+        .header("Attempt-Id", "call-" + nextId++)
+        .header("Deadline-Ms", "4000")
+        .header("X-Api-Key", "k1")
+        .POST(HttpRequest.BodyPublishers.ofString("question"))
+        .build();
+  }
+
+  /** The JDK's client sets the host name itself, so the catalog's host is written by hand here. */
+  String rawCall(String path, String headers) throws Exception {
+    try (Socket socket = open(path, headers)) {
+      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    }
+  }
+
+  Socket open(String path, String headers) throws Exception {
+    int port = Integer.parseInt(callerAddress.substring(callerAddress.indexOf(':') + 1));
+    Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+    String request =
+        "POST %s HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: call-%d\r\nDeadline-Ms: 4000\r\n%s"
+                .formatted(path, nextId++, headers)
+            + "X-Api-Key: k1\r\nConnection: close\r\nContent-Length: 8\r\n\r\nquestion";
+    FakeBackend.write(socket, request);
+    return socket;
+  }
+
+  static int status(String answer) {
+    return Integer.parseInt(answer.split(" ", 3)[1]);
+  }
+}
