Write log lines of routed hosts as JSON; show metrics and state of a gateway

Cause: the JSON log format failed at the start, since tinylog's own JSON writer writes to files only; a gateway of routed calls showed neither metrics nor its state.

Change: a writer of one JSON object a line to standard output; with statusAddress set, a gateway serves /metrics and /dump.

--- a/src/main/java/org/curranthaven/internal/cli/Logging.java
+++ b/src/main/java/org/curranthaven/internal/cli/Logging.java
@@ -6,15 +6,13 @@
 final class Logging {
   private Logging() {}
 
-  /** Writes lines as text or as JSON, to standard error; to be called before the first line. */
+  /**
+   * Writes lines as text to standard error, or as JSON to standard output; to be called before the
+   * first line.
+   */
   static void configure(boolean json) {
     if (json) {
-      Configuration.set("writer", "json");
-      Configuration.set("writer.stream", "err");
-      Configuration.set("writer.format", "LDJSON");
-      Configuration.set("writer.field.time", "date: yyyy-MM-dd'T'HH:mm:ss.SSSXXX");
-      Configuration.set("writer.field.level", "level");
-      Configuration.set("writer.field.message", "message");
+      Configuration.set("writer", "json line");
     } else {
       Configuration.set("writer", "console");
       Configuration.set("writer.stream", "err");
--- a/src/main/java/org/curranthaven/internal/cli/RehearseCommand.java
+++ b/src/main/java/org/curranthaven/internal/cli/RehearseCommand.java
@@ -43,7 +43,7 @@
 
   @Override
   public int run(Namespace arguments) throws InterruptedException, IOException {
-    Logging.configure(false);
+    Logging.configure(true);
     WireProtocol protocol = RoutedCommand.protocol(arguments.getString("protocol"));
     if (protocol == null) {
       return Main.fail(Failure.of(ResultCode.USAGE, "there is no such protocol"));
@@ -81,6 +81,7 @@
         callerAddress,
         null,
         controlAddress,
+        null,
         folder == null ? null : folder.toString(),
         List.of(contact),
         folder != null,
--- a/src/main/java/org/curranthaven/internal/cli/RoutedCommand.java
+++ b/src/main/java/org/curranthaven/internal/cli/RoutedCommand.java
@@ -36,7 +36,7 @@
 
   @Override
   public int run(Namespace arguments) throws InterruptedException {
-    Logging.configure(false);
+    Logging.configure(true);
     String name = arguments.getString("protocol");
     WireProtocol protocol = protocol(name);
     if (protocol == null) {
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/observe/StatusServer.java
@@ -0,0 +1,62 @@
+package org.curranthaven.internal.observe;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
+import org.curranthaven.internal.settings.Json;
+
+/**
+ * Serves {@code GET /metrics} and {@code GET /dump} of a host of routed calls to its operators.
+ *
+ * <pre>{@code
+ * StatusServer.start(address, metrics, gateway::dump);
+ * }</pre>
+ */
+public final class StatusServer {
+  private static final int OK = 200;
+  private static final int UNAVAILABLE = 503;
+  private static final long DUMP_MILLIS = 2_000;
+
+  private StatusServer() {}
+
+  /**
+   * Starts the server.
+   *
+   * @param dump gives the state of the process, from whichever thread owns it
+   * @throws IOException if the address cannot be listened on
+   */
+  public static void start(
+      InetSocketAddress address, RoutedMetrics metrics, Supplier<? extends Future<?>> dump)
+      throws IOException {
+    HttpServer server = HttpServer.create(address, 0);
+    server.createContext("/metrics", exchange -> answer(exchange, OK, metrics.page()));
+    server.createContext("/dump", exchange -> dump(exchange, dump.get()));
+    server.start();
+  }
+
+  private static void dump(HttpExchange exchange, Future<?> state) throws IOException {
+    try {
+      answer(exchange, OK, Json.text(state.get(DUMP_MILLIS, TimeUnit.MILLISECONDS)));
+    } catch (ExecutionException | TimeoutException e) {
+      answer(exchange, UNAVAILABLE, "{\"error\":\"the process does not answer\"}");
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static void answer(HttpExchange exchange, int status, String text) throws IOException {
+    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+    exchange.sendResponseHeaders(status, bytes.length);
+    try (OutputStream out = exchange.getResponseBody()) {
+      out.write(bytes);
+    }
+  }
+}
--- a/src/main/java/org/curranthaven/internal/relay/Gateway.java
+++ b/src/main/java/org/curranthaven/internal/relay/Gateway.java
@@ -4,11 +4,13 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.Future;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.curranthaven.api.Outcome;
@@ -16,6 +18,8 @@
 import org.curranthaven.internal.catalog.Catalog;
 import org.curranthaven.internal.catalog.Route;
 import org.curranthaven.internal.dispatch.RetryAllowance;
+import org.curranthaven.internal.observe.RoutedMetrics;
+import org.curranthaven.internal.observe.StatusServer;
 import org.curranthaven.internal.settings.Addresses;
 import org.curranthaven.internal.settings.RoutedSettings;
 import org.curranthaven.internal.supervision.Clock;
@@ -56,6 +60,7 @@
   private final RelayServer server;
   private final RandomGenerator random;
   private final HostRecord self;
+  private final @Nullable RoutedMetrics metrics;
   private final Set<Exchange> open = new HashSet<>();
   private Catalog catalog = Catalog.empty();
   private volatile long stopBeganMillis;
@@ -70,6 +75,8 @@
     this.protocol = protocol;
     this.clock = clock;
     long incarnation = clock.epochMillis();
+    String status = settings.statusAddress();
+    this.metrics = status == null || status.isEmpty() ? null : new RoutedMetrics();
     this.random = new SplittableRandom(settings.name().hashCode() ^ System.nanoTime());
     this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     this.loop = group.next();
@@ -105,9 +112,25 @@
     if (ready != null && !ready.isEmpty()) {
       server.listenForReadinessChecks(Addresses.parse(ready), this::isReady);
     }
+    startStatus();
     Logger.info("{} takes callers at {}", settings.name(), settings.callerAddress());
   }
 
+  private void startStatus() {
+    String address = settings.statusAddress();
+    RoutedMetrics shown = metrics;
+    if (shown == null || address == null) {
+      return;
+    }
+    shown.gauge("curranthaven_open_calls", () -> openCalls);
+    shown.gauge("curranthaven_peer_bytes_sent", network::bytesSent);
+    try {
+      StatusServer.start(Addresses.parse(address), shown, this::dump);
+    } catch (IOException e) {
+      Logger.error("no status at {}: {}; the gateway serves without it", address, e.getMessage());
+    }
+  }
+
   private void runNetwork() {
     try {
       network.run();
@@ -278,13 +301,52 @@
   }
 
   @Override
-  public void measured(Route route, long firstReplyMillis) {}
+  public void measured(Route route, long firstReplyMillis) {
+    if (metrics != null) {
+      metrics.firstReply(route.name(), firstReplyMillis);
+    }
+  }
 
   @Override
-  public void failed(Route route, ResultCode code) {}
+  public void failed(Route route, ResultCode code) {
+    if (metrics != null) {
+      metrics.failed(route.name(), code);
+    }
+  }
+
+  /**
+   * State of a gateway for operators.
+   *
+   * @param scheduler host that schedules; empty while the gateway decides alone
+   */
+  public record Dump(
+      String name,
+      boolean ready,
+      boolean draining,
+      String scheduler,
+      long catalogRevision,
+      int openCalls,
+      long backendConnectionsOpened,
+      List<String> backends,
+      List<String> hosts) {}
+
+  /** Returns the state of the gateway, read on its event loop. */
+  public Future<Dump> dump() {
+    return loop.submit(
+        () ->
+            new Dump(
+                settings.name(),
+                isReady(),
+                draining,
+                link.scheduler(),
+                catalog.revision(),
+                openCalls,
+                pool.opened(),
+                link.backendNames(),
+                connectedHosts()));
+  }
 
-  /** Returns the names of the control hosts that are connected. */
-  public List<String> connectedHosts() {
+  private List<String> connectedHosts() {
     return network.connected().stream().map(HostRecord::getName).sorted().toList();
   }
 }
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -98,6 +98,11 @@
     return backends.get(id);
   }
 
+  /** Returns the names of the backend servers that are known. */
+  List<String> backendNames() {
+    return backends.keySet().stream().sorted().toList();
+  }
+
   /** Returns whether a scheduler has told its view at least once. */
   boolean isViewed() {
     return viewed;
@@ -422,16 +427,4 @@
       }
     }
   }
-
-  /** Returns the number of calls that wait or run. */
-  int openCalls() {
-    return calls.size();
-  }
-
-  /** Reports the catalog and backend servers in force. */
-  void reportStatus() {
-    if (!scheduler.isEmpty()) {
-      sendStatus(false);
-    }
-  }
 }
--- a/src/main/java/org/curranthaven/internal/settings/RoutedSettings.java
+++ b/src/main/java/org/curranthaven/internal/settings/RoutedSettings.java
@@ -23,6 +23,7 @@
  * @param callerAddress address for callers; empty on a host that takes none
  * @param readyAddress address for the balancer's readiness checks; empty on such a host
  * @param controlAddress address for backend servers and operators; empty on a host without the role
+ * @param statusAddress address for operators, with metrics and state; empty for none
  * @param dataFolder folder of the durable state; empty on such a host
  * @param contacts control hosts, as IP:PORT; the port is replaced by this host's peer port
  * @param firstStart whether the whole fleet starts for the first time, on empty folders
@@ -40,6 +41,7 @@
     @Nullable String callerAddress,
     @Nullable String readyAddress,
     @Nullable String controlAddress,
+    @Nullable String statusAddress,
     @Nullable String dataFolder,
     List<String> contacts,
     boolean firstStart,
--- a/src/test/java/org/curranthaven/platform/RoutedFleetFixture.java
+++ b/src/test/java/org/curranthaven/platform/RoutedFleetFixture.java
@@ -104,6 +104,7 @@
         caller,
         null,
         control,
+        null,
         data == null ? null : data.toString(),
         List.of(contact),
         data != null,
