--- /dev/null
+++ b/src/test/java/org/curranthaven/internal/relay/GivenTime.java
@@ -0,0 +1,44 @@
+package org.curranthaven.internal.relay;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.concurrent.TimeUnit;
+import org.curranthaven.internal.supervision.Clock;
+
+/** An event loop and a clock that advance only when a test says so. */
+public final class GivenTime implements Clock {
+  private static final long STEP_MILLIS = 10;
+
+  private final EmbeddedChannel channel = new EmbeddedChannel();
+  private long nowMillis = 1_000;
+
+  /** Creates the loop with its time standing still. */
+  public GivenTime() {
+    channel.freezeTime();
+  }
+
+  /** Returns the loop. */
+  public EventLoop loop() {
+    return channel.eventLoop();
+  }
+
+  /** Lets time pass, and runs what becomes due. */
+  public void pass(long millis) {
+    for (long passed = 0; passed < millis; passed += STEP_MILLIS) {
+      nowMillis += STEP_MILLIS;
+      channel.advanceTimeBy(STEP_MILLIS, TimeUnit.MILLISECONDS);
+      channel.runScheduledPendingTasks();
+      channel.runPendingTasks();
+    }
+  }
+
+  @Override
+  public long nowMillis() {
+    return nowMillis;
+  }
+
+  @Override
+  public long epochMillis() {
+    return nowMillis;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
@@ -0,0 +1,199 @@
+package org.curranthaven.internal.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.curranthaven.internal.dispatch.RetryAllowance;
+import org.curranthaven.internal.transport.wire.BackendRecord;
+import org.curranthaven.internal.transport.wire.DispatchAsk;
+import org.curranthaven.internal.transport.wire.DispatchOrders;
+import org.curranthaven.internal.transport.wire.Envelope;
+import org.curranthaven.internal.transport.wire.GatewayStatus;
+import org.curranthaven.internal.transport.wire.Placement;
+import org.curranthaven.internal.transport.wire.SchedulerView;
+import org.junit.jupiter.api.Test;
+
+class SchedulerLinkTest {
+  private final GivenTime time = new GivenTime();
+  private final List<Envelope> sent = new ArrayList<>();
+  private final SchedulerLink link =
+      new SchedulerLink(
+          "gateway-1",
+          time.loop(),
+          time,
+          new SplittableRandom(1),
+          new RetryAllowance(0.2, 10, 10_000),
+          (host, message) -> sent.add(message.build()),
+          new SchedulerLink.ViewListener() {
+            @Override
+            public void catalogReceived(byte[] document) {}
+
+            @Override
+            public void backendsChanged(Collection<BackendRecord> backends) {}
+          });
+
+  /** A call that notes where it was placed. */
+  private static final class Call implements CallPlacer.Placed {
+    private final DispatchAsk ask;
+    private String backend = "";
+
+    Call(long id) {
+      this.ask =
+          DispatchAsk.newBuilder()
+              .setId(id)
+              .setService("plain")
+              .setTargetLeftMillis(500)
+              .setDeadlineLeftMillis(3_000)
+              .build();
+    }
+
+    @Override
+    public void placed(String backendId, int urgency, String backup) {
+      backend = backendId;
+    }
+
+    @Override
+    public void refused(long retryAfterMillis, String reason) {
+      throw new AssertionError("turned away: " + reason);
+    }
+
+    @Override
+    public void moveTo(String target, String backup) {}
+
+    @Override
+    public DispatchAsk ask() {
+      return ask;
+    }
+
+    @Override
+    public int outputTokens() {
+      return 0;
+    }
+
+    @Override
+    public String backend() {
+      return backend;
+    }
+  }
+
+  private static BackendRecord backend(String id) {
+    return BackendRecord.newBuilder().setId(id).setService("plain").setSlots(4).build();
+  }
+
+  private void view(String host, long term, long version, String... backends) {
+    SchedulerView.Builder view =
+        SchedulerView.newBuilder().setTerm(term).setVersion(version).setGateways(1);
+    for (String id : backends) {
+      view.addBackends(backend(id));
+    }
+    link.received(host, view.build());
+  }
+
+  private void ask(Call call) {
+    link.ask(call.ask(), call);
+    time.pass(10);
+  }
+
+  private GatewayStatus lastStatus() {
+    return sent.stream()
+        .filter(Envelope::hasGatewayStatus)
+        .map(Envelope::getGatewayStatus)
+        .reduce((first, second) -> second)
+        .orElseThrow();
+  }
+
+  @Test
+  void a_call_goes_to_the_scheduler_and_runs_where_it_says() {
+    view("control-1", 3, 1, "i-1");
+    Call call = new Call(7);
+    ask(call);
+
+    link.received(
+        "control-1",
+        DispatchOrders.newBuilder()
+            .setTerm(3)
+            .addPlacements(Placement.newBuilder().setId(7).setBackend("i-1"))
+            .build());
+
+    assertThat(call.backend()).isEqualTo("i-1");
+  }
+
+  @Test
+  void calls_go_on_being_placed_while_no_scheduler_is_heard() {
+    view("control-1", 3, 1, "i-1");
+    Call waiting = new Call(1);
+    ask(waiting);
+    assertThat(waiting.backend()).isEmpty();
+
+    time.pass(SchedulerLink.LOST_AFTER_MILLIS + 200);
+    Call later = new Call(2);
+    ask(later);
+
+    assertThat(waiting.backend()).isEqualTo("i-1");
+    assertThat(later.backend()).isEqualTo("i-1");
+  }
+
+  @Test
+  void orders_of_an_earlier_term_are_not_obeyed() {
+    view("control-1", 3, 1, "i-1");
+    view("control-2", 4, 1, "i-1");
+    Call call = new Call(7);
+    ask(call);
+
+    link.received(
+        "control-1",
+        DispatchOrders.newBuilder()
+            .setTerm(3)
+            .addPlacements(Placement.newBuilder().setId(7).setBackend("i-1"))
+            .build());
+    view("control-1", 3, 9, "i-9");
+
+    assertThat(call.backend()).isEmpty();
+    assertThat(link.backend("i-9")).isNull();
+  }
+
+  @Test
+  void a_backend_server_that_is_gone_is_not_brought_back_by_an_older_list() {
+    view("control-1", 3, 1, "i-1", "i-2");
+    link.received(
+        "control-1",
+        SchedulerView.newBuilder()
+            .setTerm(3)
+            .setBaseVersion(1)
+            .setVersion(2)
+            .addGone("i-1")
+            .build());
+
+    view("control-2", 4, 1, "i-1", "i-2");
+
+    assertThat(link.backend("i-1")).isNull();
+    assertThat(link.backend("i-2")).isNotNull();
+  }
+
+  @Test
+  void a_new_scheduler_is_told_all_that_runs_and_all_that_waits() {
+    view("control-1", 3, 1, "i-1");
+    Call running = new Call(1);
+    Call waiting = new Call(2);
+    ask(running);
+    link.received(
+        "control-1",
+        DispatchOrders.newBuilder()
+            .setTerm(3)
+            .addPlacements(Placement.newBuilder().setId(1).setBackend("i-1"))
+            .build());
+    ask(waiting);
+    sent.clear();
+
+    link.received("control-2", SchedulerView.newBuilder().setTerm(4).build());
+
+    assertThat(lastStatus().getFull()).isTrue();
+    assertThat(lastStatus().getOpenList()).extracting(open -> open.getAsk().getId()).contains(1L);
+    assertThat(lastStatus().getBackendsList()).hasSize(1);
+    assertThat(sent.stream().filter(Envelope::hasDispatchRequests))
+        .anyMatch(message -> message.getDispatchRequests().getAsks(0).getId() == 2);
+  }
+}
