Give a host's address back before its network ends

Cause: PeerNetwork.run closed its event loop without waiting for it, so a host that was restarted at once could find its own listener still bound; on a busy machine for longer than the supervisor's restarts last. Second way to the same failure: tests took their listeners' ports from the range of outgoing connections, of which any may be given a port whose host is down. A call of the tests that got no answer had no time limit, so the run did not end.

--- a/src/main/java/org/curranthaven/internal/cli/RehearseCommand.java
+++ b/src/main/java/org/curranthaven/internal/cli/RehearseCommand.java
@@ -4,7 +4,6 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -21,6 +20,7 @@
 import org.curranthaven.internal.relay.WireProtocol;
 import org.curranthaven.internal.scheduler.ControlHost;
 import org.curranthaven.internal.settings.RoutedSettings;
+import org.curranthaven.internal.standin.LocalFleet;
 import org.curranthaven.internal.supervision.Clock;
 
 /**
@@ -48,9 +48,10 @@
     if (protocol == null) {
       return Main.fail(Failure.of(ResultCode.USAGE, "there is no such protocol"));
     }
-    String controlPeer = freeAddress();
-    String controlAddress = freeAddress();
-    String callerAddress = freeAddress();
+    List<String> addresses = LocalFleet.freeAddresses(3);
+    String controlPeer = addresses.get(0);
+    String controlAddress = addresses.get(1);
+    String callerAddress = addresses.get(2);
     Path folder = Files.createTempDirectory("curranthaven-rehearsal");
     RoutedSettings control =
         settings("control-1", controlPeer, controlPeer, null, controlAddress, folder);
@@ -93,12 +94,6 @@
         1_000);
   }
 
-  private static String freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return "127.0.0.1:" + socket.getLocalPort();
-    }
-  }
-
   /** Returns the same port at another loopback address: hosts find each other at one port. */
   private static String otherHost(String address) {
     return address.replace("127.0.0.1", "127.0.0.2");
--- a/src/main/java/org/curranthaven/internal/standin/LocalFleet.java
+++ b/src/main/java/org/curranthaven/internal/standin/LocalFleet.java
@@ -8,11 +8,13 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.Stream;
 import org.curranthaven.api.Outcome;
 import org.curranthaven.internal.host.HostProcess;
 import org.curranthaven.internal.settings.HostSettings;
 import org.curranthaven.internal.supervision.Clock;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Several hosts in this process on loopback, with data folders in a temporary folder. The first
@@ -33,6 +35,11 @@
   private static final int MAX_BODY_BYTES = 1_048_576;
   private static final long POLL_MILLIS = 20;
 
+  /** Ports for listeners: above the well-known ones, below those of outgoing connections. */
+  private static final int LOW_PORT = 10_000;
+
+  private static final int HIGH_PORT = 30_000;
+
   private final Path folder;
   private final List<HostSettings> settings = new ArrayList<>();
   private final List<HostProcess> hosts = new ArrayList<>();
@@ -81,15 +88,20 @@
     };
   }
 
-  /** Returns loopback addresses with ports that are free now. */
+  /**
+   * Returns loopback addresses with ports that are free now. The system gives none of them to an
+   * outgoing connection, so that a host that was stopped can listen on its own again.
+   */
   public static List<String> freeAddresses(int count) throws IOException {
     List<ServerSocket> sockets = new ArrayList<>();
     List<String> addresses = new ArrayList<>();
     try {
-      for (int i = 0; i < count; i++) {
-        ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-        sockets.add(socket);
-        addresses.add("127.0.0.1:" + socket.getLocalPort());
+      while (addresses.size() < count) {
+        ServerSocket socket = boundOrNull(ThreadLocalRandom.current().nextInt(LOW_PORT, HIGH_PORT));
+        if (socket != null) {
+          sockets.add(socket);
+          addresses.add("127.0.0.1:" + socket.getLocalPort());
+        }
       }
       return addresses;
     } finally {
@@ -99,6 +111,14 @@
     }
   }
 
+  private static @Nullable ServerSocket boundOrNull(int port) {
+    try {
+      return new ServerSocket(port, 1, InetAddress.getLoopbackAddress());
+    } catch (IOException e) {
+      return null; // Taken; the caller tries another.
+    }
+  }
+
   /** Returns a host by its place, from 0. */
   public HostProcess host(int index) {
     return hosts.get(index);
--- a/src/main/java/org/curranthaven/internal/transport/PeerNetwork.java
+++ b/src/main/java/org/curranthaven/internal/transport/PeerNetwork.java
@@ -2,6 +2,8 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -16,7 +18,6 @@
 import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
 import io.netty.handler.timeout.ReadTimeoutHandler;
-import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
@@ -58,6 +59,9 @@
 
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
+  /** Longest wait for the listener to close, in milliseconds; below the supervisor's own wait. */
+  private static final long STOP_MILLIS = 2_000;
+
   private final String listenAddress;
   private final Supplier<HostRecord> self;
   private final PeerListener listener;
@@ -179,26 +183,37 @@
         sharedGroup == null
             ? new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
             : sharedGroup;
+    ChannelFuture listening = listen(group);
     try {
-      InetSocketAddress address = Addresses.parse(listenAddress);
-      new ServerBootstrap()
-          .group(group)
-          .channel(NioServerSocketChannel.class)
-          .option(ChannelOption.SO_REUSEADDR, true)
-          .childOption(ChannelOption.TCP_NODELAY, true)
-          .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_BUFFER)
-          .childHandler(initializer(""))
-          .bind(address)
-          .sync();
+      listening.sync();
       while (true) {
         dialMissing(group);
         Thread.sleep(DIAL_MILLIS);
       }
     } finally {
-      if (sharedGroup == null) {
-        group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
-      }
-      byHost.clear();
+      stop(listening.channel(), group);
+    }
+  }
+
+  private ChannelFuture listen(EventLoopGroup group) {
+    return new ServerBootstrap()
+        .group(group)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_BUFFER)
+        .childHandler(initializer(""))
+        .bind(Addresses.parse(listenAddress));
+  }
+
+  /** Gives the address back before it returns, since the next run of this host binds it at once. */
+  private void stop(Channel server, EventLoopGroup group) {
+    server.close().awaitUninterruptibly(STOP_MILLIS);
+    byHost.values().forEach(PeerConnection::close);
+    byHost.clear();
+    dialling.clear();
+    if (sharedGroup == null) {
+      group.shutdownGracefully(0, STOP_MILLIS, TimeUnit.MILLISECONDS);
     }
   }
 
--- a/src/test/java/org/curranthaven/internal/host/FleetClient.java
+++ b/src/test/java/org/curranthaven/internal/host/FleetClient.java
@@ -8,6 +8,7 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.time.Duration;
 import java.util.List;
 import java.util.UUID;
 import org.curranthaven.internal.configuration.ConfigurationChange;
@@ -23,6 +24,9 @@
 final class FleetClient {
   static final long PATIENCE_MILLIS = 120_000;
 
+  /** A call that waits longer is given up and, where a condition is awaited, made again. */
+  private static final Duration ANSWER_WAIT = Duration.ofSeconds(30);
+
   private final LocalFleet fleet;
   private final HttpClient client = HttpClient.newHttpClient();
 
@@ -67,12 +71,12 @@
   }
 
   JsonNode get(int host, String path) throws IOException, InterruptedException {
-    HttpRequest request = HttpRequest.newBuilder(URI.create(url(host, path))).build();
-    return Json.LENIENT.readTree(client.send(request, HttpResponse.BodyHandlers.ofString()).body());
+    HttpRequest.Builder request = HttpRequest.newBuilder(URI.create(url(host, path)));
+    return Json.LENIENT.readTree(send(request).body());
   }
 
   HttpResponse<String> send(HttpRequest.Builder request) throws IOException, InterruptedException {
-    return client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+    return client.send(request.timeout(ANSWER_WAIT).build(), HttpResponse.BodyHandlers.ofString());
   }
 
   HttpResponse<String> change(int host, String id, long base, List<Edit> edits)
--- a/src/test/java/org/curranthaven/platform/RoutedFleetFixture.java
+++ b/src/test/java/org/curranthaven/platform/RoutedFleetFixture.java
@@ -1,8 +1,6 @@
 package org.curranthaven.platform;
 
-import java.io.IOException;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -17,6 +15,7 @@
 import org.curranthaven.internal.relay.Gateway;
 import org.curranthaven.internal.scheduler.ControlHost;
 import org.curranthaven.internal.settings.RoutedSettings;
+import org.curranthaven.internal.standin.LocalFleet;
 import org.curranthaven.internal.supervision.Clock;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.BeforeEach;
@@ -53,17 +52,12 @@
   String callerAddress = "";
   private int nextId;
 
-  private static String freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return "127.0.0.1:" + socket.getLocalPort();
-    }
-  }
-
   @BeforeEach
   void startFleet() throws Exception {
-    String controlPeer = freeAddress();
-    controlAddress = freeAddress();
-    callerAddress = freeAddress();
+    List<String> addresses = LocalFleet.freeAddresses(3);
+    String controlPeer = addresses.get(0);
+    controlAddress = addresses.get(1);
+    callerAddress = addresses.get(2);
     PlatformProtocol protocol = new PlatformProtocol();
     DataFolder data = ((Outcome.Success<DataFolder>) DataFolder.open(folder)).value();
     new ControlHost(
