Split the placing core into rooms, forecasts, moves and waiting calls

Each placement worked out the call's forecast and the most urgent running call once for every backend server. Change: Backends, RoomRules, WaitForecast, CallMoves and WaitingCalls, each one idea; both searches for the cheapest backend server are one. No rule changed.

--- a/src/main/java/org/curranthaven/internal/dispatch/BackendState.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/BackendState.java
@@ -34,6 +34,18 @@
     return registration.getId();
   }
 
+  String service() {
+    return registration.getService();
+  }
+
+  boolean serves(String service) {
+    return registration.getService().equals(service);
+  }
+
+  boolean isLeaving() {
+    return registration.getLeaving();
+  }
+
   int slots() {
     return Math.max(1, registration.getSlots());
   }
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/dispatch/Backends.java
@@ -0,0 +1,142 @@
+package org.curranthaven.internal.dispatch;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.Stream;
+import org.curranthaven.internal.catalog.Catalog;
+import org.curranthaven.internal.catalog.EngineSpec;
+import org.curranthaven.internal.catalog.ServiceSpec;
+import org.curranthaven.internal.routing.OutlierEjector;
+import org.curranthaven.internal.transport.wire.BackendRecord;
+import org.curranthaven.internal.transport.wire.DispatchAsk;
+import org.jspecify.annotations.Nullable;
+
+/** The backend servers, what runs on each, and which of them may take a call. Not thread-safe. */
+final class Backends {
+  private final Map<String, BackendState> byId = new LinkedHashMap<>();
+  private final Map<CallKey, BackendState> placements = new HashMap<>();
+  private final OutlierEjector ejector = new OutlierEjector();
+  private final FailureRates failureRates = new FailureRates();
+  private Catalog catalog = Catalog.empty();
+
+  void setCatalog(Catalog newer) {
+    catalog = newer;
+  }
+
+  /** Returns what is known of the service's engines; null if it has none. */
+  @Nullable EngineSpec engineOf(String service) {
+    ServiceSpec spec = catalog.service(service);
+    return spec == null ? null : spec.engine();
+  }
+
+  void registered(BackendRecord registration, long nowMillis) {
+    BackendState known = byId.get(registration.getId());
+    if (known == null) {
+      byId.put(registration.getId(), new BackendState(registration, nowMillis));
+    } else {
+      known.registered(registration, nowMillis);
+    }
+  }
+
+  @Nullable BackendState get(String id) {
+    return byId.get(id);
+  }
+
+  Collection<BackendState> all() {
+    return byId.values();
+  }
+
+  /** Returns the service's backend servers that are not leaving. */
+  Stream<BackendState> stayingOf(String service) {
+    return byId.values().stream().filter(state -> state.serves(service) && !state.isLeaving());
+  }
+
+  /** Returns those that may take the call, whether they have room or not. */
+  Stream<BackendState> usable(DispatchAsk ask, long nowMillis) {
+    Predicate<BackendState> trusted =
+        state ->
+            !ejector.isEjected(state.id(), nowMillis) && !failureRates.isOut(state.id(), nowMillis);
+    return stayingOf(ask.getService())
+        .filter(state -> !ask.getExcludedList().contains(state.id()))
+        .filter(trusted);
+  }
+
+  /** Returns the one that costs least; null for none. The cost of each is worked out once. */
+  static @Nullable BackendState cheapest(
+      Stream<BackendState> among, ToDoubleFunction<BackendState> cost) {
+    BackendState best = null;
+    double least = Double.POSITIVE_INFINITY;
+    for (Iterator<BackendState> each = among.iterator(); each.hasNext(); ) {
+      BackendState candidate = each.next();
+      double its = cost.applyAsDouble(candidate);
+      if (its < least) {
+        best = candidate;
+        least = its;
+      }
+    }
+    return best;
+  }
+
+  // ---- where calls run --------------------------------------------------------------------------
+
+  int openCalls() {
+    return placements.size();
+  }
+
+  Collection<CallKey> openKeys() {
+    return placements.keySet();
+  }
+
+  @Nullable BackendState runningAt(CallKey key) {
+    return placements.get(key);
+  }
+
+  void placed(OpenCall call, BackendState backend) {
+    backend.calls.put(call.key, call);
+    placements.put(call.key, backend);
+  }
+
+  /** Notes that the call runs at the backend server, which counts it already. */
+  void nowAt(CallKey key, BackendState backend) {
+    placements.put(key, backend);
+  }
+
+  void unplaced(CallKey key) {
+    placements.remove(key);
+  }
+
+  void forgetIfGone(BackendState state) {
+    if (state.isLeaving() && state.calls.isEmpty()) {
+      byId.remove(state.id());
+      ejector.forget(state.id());
+      failureRates.forget(state.id());
+    }
+  }
+
+  // ---- how calls fared --------------------------------------------------------------------------
+
+  void replied(BackendState backend) {
+    ejector.succeeded(backend.id());
+  }
+
+  void answered(BackendState backend) {
+    ejector.succeeded(backend.id());
+    failureRates.succeeded(backend.id());
+  }
+
+  void failed(BackendState backend, long nowMillis) {
+    List<String> peers =
+        byId.values().stream()
+            .filter(other -> other.serves(backend.service()))
+            .map(BackendState::id)
+            .toList();
+    ejector.failed(backend.id(), peers, nowMillis);
+    failureRates.failed(backend.id(), peers, nowMillis);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/dispatch/CallMoves.java
@@ -0,0 +1,160 @@
+package org.curranthaven.internal.dispatch;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.Consumer;
+import org.curranthaven.internal.catalog.EngineSpec;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Moves running calls off engines that leave, and has copies of irreplaceable ones kept. Answers
+ * the load under which engines are taken away while their calls run. Not thread-safe.
+ */
+final class CallMoves {
+  /** Output still to come below which a call on a leaving backend server is not moved, in ms. */
+  private static final double MIN_MOVE_REST_MILLIS = 1_000;
+
+  /** Cost of a move to another data centre, which takes twice as long, in shares of a memory. */
+  private static final double FAR_MOVE_COST = 0.35;
+
+  /** Cost of a move to an engine whose link another move fills, in shares of a memory. */
+  private static final double BUSY_LINK_COST = 0.7;
+
+  private static final int MAX_MOVE_ATTEMPTS = 3;
+
+  private final Backends backends;
+  private final RoomRules rooms;
+  private final Consumer<DispatchDecision> decisions;
+
+  CallMoves(Backends backends, RoomRules rooms, Consumer<DispatchDecision> decisions) {
+    this.backends = backends;
+    this.rooms = rooms;
+    this.decisions = decisions;
+  }
+
+  /**
+   * Moves calls away from a leaving engine, one after the other: copies share its link, and one
+   * that is whole saves a call, while several that are half made save none. The smallest go first.
+   */
+  void moveAwayFrom(BackendState source, long nowMillis) {
+    EngineSpec engine = backends.engineOf(source.service());
+    if (!source.isLeaving() || engine == null || !engine.moves()) {
+      return;
+    }
+    if (source.calls.values().stream().anyMatch(call -> call.moving)) {
+      return;
+    }
+    List<OpenCall> smallestFirst =
+        source.calls.values().stream()
+            .filter(CallMoves::isWorthMoving)
+            .sorted(Comparator.comparingDouble(OpenCall::memoryTokens))
+            .toList();
+    for (OpenCall call : smallestFirst) {
+      if (moveAway(source, call, engine, nowMillis)) {
+        return;
+      }
+    }
+  }
+
+  private static boolean isWorthMoving(OpenCall call) {
+    boolean endsSoon = call.remainingTokens() * WaitForecast.TOKEN_MILLIS < MIN_MOVE_REST_MILLIS;
+    return call.outputTokens() > 0 && !endsSoon && call.moveAttempts < MAX_MOVE_ATTEMPTS;
+  }
+
+  /**
+   * Orders the move of a call to the engine to which it takes the least; returns whether it did.
+   */
+  private boolean moveAway(BackendState source, OpenCall call, EngineSpec engine, long nowMillis) {
+    BackendState target = cheapest(source, call, engine, RoomRules.MEMORY_SHARE, nowMillis);
+    if (target == null) {
+      return false;
+    }
+    call.moving = true;
+    call.moveAttempts++;
+    // Counted at the target from now on, and at the source until the move has ended.
+    OpenCall copy = new OpenCall(call.key, call.ask, call.remainingTokens(), nowMillis);
+    copy.progressed(call.outputTokens());
+    copy.arriving = true;
+    target.calls.put(call.key, copy);
+    keepCopy(target, copy, nowMillis);
+    decisions.accept(new DispatchDecision.MoveTo(call.key, target.id(), copy.backup));
+    return true;
+  }
+
+  /** Returns the engine with room to which the call's memory takes the least; null for none. */
+  private @Nullable BackendState cheapest(
+      BackendState source, OpenCall call, EngineSpec engine, double memoryShare, long nowMillis) {
+    double tokens = call.memoryTokens();
+    return Backends.cheapest(
+        backends
+            .usable(call.ask, nowMillis)
+            .filter(other -> other != source)
+            .filter(other -> rooms.hasRoom(other, engine, tokens, memoryShare, nowMillis)),
+        other -> moveCost(source, other, engine));
+  }
+
+  private static double moveCost(BackendState source, BackendState target, EngineSpec engine) {
+    boolean near =
+        source.registration().getDataCentre().equals(target.registration().getDataCentre());
+    double memory = target.memoryTokens() / Math.max(1, engine.memoryTokens());
+    long arriving = target.calls.values().stream().filter(call -> call.arriving).count();
+    return memory + (near ? 0 : FAR_MOVE_COST) + arriving * BUSY_LINK_COST;
+  }
+
+  /** Notes that the call left the source: for the target of its move, or for its copy. */
+  void moved(CallKey key, BackendState source) {
+    OpenCall call = source.calls.remove(key);
+    backends.forgetIfGone(source);
+    BackendState keeper = call == null ? null : backends.get(call.backup);
+    if (call != null) {
+      dropCopy(call);
+    }
+    if (call != null && !call.moving && keeper != null) {
+      keeper.calls.put(key, call);
+    }
+    for (BackendState target : backends.all()) {
+      OpenCall arrived = target.calls.get(key);
+      if (arrived != null) {
+        arrived.arriving = false;
+        backends.nowAt(key, target);
+        return;
+      }
+    }
+    backends.unplaced(key);
+  }
+
+  /** Notes that the call goes on at the source, or has ended there. */
+  void moveFailed(CallKey key, BackendState source) {
+    OpenCall call = source.calls.get(key);
+    if (call != null) {
+      call.moving = false;
+    }
+    for (BackendState other : backends.all()) {
+      OpenCall copy = other == source ? null : other.calls.remove(key);
+      if (copy != null) {
+        dropCopy(copy);
+      }
+    }
+  }
+
+  /** Has a copy of an irreplaceable call kept where memory is left over. */
+  void keepCopy(BackendState runsAt, OpenCall call, long nowMillis) {
+    EngineSpec engine = backends.engineOf(runsAt.service());
+    if (engine == null || !engine.backups() || !call.ask.getIrreplaceable()) {
+      return;
+    }
+    BackendState keeper = cheapest(runsAt, call, engine, RoomRules.COPY_MEMORY_SHARE, nowMillis);
+    if (keeper != null) {
+      call.backup = keeper.id();
+      keeper.copies.put(call.key, call);
+    }
+  }
+
+  void dropCopy(OpenCall call) {
+    BackendState keeper = backends.get(call.backup);
+    call.backup = "";
+    if (keeper != null) {
+      keeper.copies.remove(call.key, call);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/dispatch/RoomRules.java
@@ -0,0 +1,70 @@
+package org.curranthaven.internal.dispatch;
+
+import org.curranthaven.internal.catalog.EngineSpec;
+import org.curranthaven.internal.transport.wire.DispatchAsk;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Tells whether a backend server has room for a call: answers the load under which memory that
+ * outputs have yet to fill is promised twice. Stateless.
+ */
+final class RoomRules {
+  /** Share of an engine's memory that forecasts may fill for the most urgent calls. */
+  static final double MEMORY_SHARE = 0.95;
+
+  /** The same share for less urgent calls, so that an urgent one finds room. */
+  private static final double LESS_URGENT_MEMORY_SHARE = 0.88;
+
+  /** Share of an engine's memory that copies of calls on other engines may fill it to. */
+  static final double COPY_MEMORY_SHARE = 0.5;
+
+  /** Calls a plain backend server is given for each slot: a short queue keeps it busy. */
+  private static final double PLAIN_CALLS_PER_SLOT = 1.5;
+
+  private final int capacityShares;
+
+  /**
+   * Creates the rules.
+   *
+   * @param capacityShares number of hosts that decide alone on the same backend servers
+   */
+  RoomRules(int capacityShares) {
+    this.capacityShares = Math.max(1, capacityShares);
+  }
+
+  int capacityShares() {
+    return capacityShares;
+  }
+
+  /** Returns the share of an engine's memory that a call of the priority may fill it to. */
+  static double memoryShare(DispatchAsk ask, int mostUrgentPriority) {
+    return ask.getPriority() <= mostUrgentPriority ? MEMORY_SHARE : LESS_URGENT_MEMORY_SHARE;
+  }
+
+  /**
+   * Tells whether a call may be placed.
+   *
+   * @param engine what is known of the service's engines; null if it has none
+   * @param tokens memory that the call is counted with
+   * @param memoryShare share of an engine's memory that it may fill
+   */
+  boolean hasRoom(
+      BackendState backend,
+      @Nullable EngineSpec engine,
+      double tokens,
+      double memoryShare,
+      long nowMillis) {
+    if (backend.saysFull(nowMillis)) {
+      return false;
+    }
+    if (engine == null) {
+      double most = backend.slots() * PLAIN_CALLS_PER_SLOT / capacityShares;
+      return backend.calls.size() < Math.max(1, most);
+    }
+    int slots = Math.max(1, engine.slots() / capacityShares);
+    double memory = memoryShare * engine.memoryTokens() / capacityShares;
+    boolean fits = backend.memoryTokens() + tokens <= memory;
+    boolean alone = backend.calls.isEmpty() && tokens <= engine.memoryTokens();
+    return backend.calls.size() < slots && (fits || alone);
+  }
+}
