--- a/src/main/java/org/curranthaven/internal/consensus/RaftTiming.java
+++ b/src/main/java/org/curranthaven/internal/consensus/RaftTiming.java
@@ -32,6 +32,6 @@
 
   /** Returns the bounds used between data centres a few milliseconds apart. */
   public static RaftTiming standard() {
-    return new RaftTiming(100, 600, 1_000, 500);
+    return new RaftTiming(80, 400, 650, 330);
   }
 }
--- a/src/main/java/org/curranthaven/internal/relay/Exchange.java
+++ b/src/main/java/org/curranthaven/internal/relay/Exchange.java
@@ -47,9 +47,9 @@
   private final ServiceSpec service;
   private final String workspace;
   private final int priority;
-  private final long arrivedAtMillis;
   private final long endsAtMillis;
   private final ScheduledFuture<?> timeout;
+  private final CallProgress progress;
   private final Set<String> excluded = new LinkedHashSet<>();
   private long placementId;
   private @Nullable DispatchAsk ask;
@@ -58,12 +58,9 @@
   private AttemptResult.@Nullable Answered lastAnswer;
   private String backend = "";
   private String backup = "";
-  private String lastEventId;
-  private long lastEventAtMillis;
   private int urgency;
   private int runs;
   private int sends;
-  private int events;
   private boolean started;
   private boolean placed;
   private boolean done;
@@ -84,9 +81,11 @@
     this.service = service;
     this.workspace = workspace;
     this.priority = priority;
-    this.lastEventId = call.lastEventId();
-    this.arrivedAtMillis = context.clock().nowMillis();
-    this.endsAtMillis = arrivedAtMillis + allowedMillis;
+    long nowMillis = context.clock().nowMillis();
+    EngineSpec engine = service.engine();
+    int tokensPerEvent = engine == null ? DEFAULT_TOKENS_PER_EVENT : engine.tokensPerEvent();
+    this.progress = new CallProgress(route, tokensPerEvent, call.lastEventId(), nowMillis);
+    this.endsAtMillis = nowMillis + allowedMillis;
     this.timeout = context.loop().schedule(this::timeUp, allowedMillis, TimeUnit.MILLISECONDS);
   }
 
@@ -110,7 +109,7 @@
             .setPromptTokens(call.promptTokens() + outputTokens())
             .setMaxOutputTokens(Math.max(0, call.maxOutputTokens() - outputTokens()))
             .setHintedOutputTokens(Math.max(0, call.hintedOutputTokens() - outputTokens()))
-            .setTargetLeftMillis(arrivedAtMillis + route.targetMillis() - nowMillis)
+            .setTargetLeftMillis(progress.arrivedAtMillis() + route.targetMillis() - nowMillis)
             .setDeadlineLeftMillis(endsAtMillis - nowMillis)
             .addAllExcluded(excluded)
             .setRepeat(repeat)
@@ -138,8 +137,7 @@
 
   @Override
   public int outputTokens() {
-    EngineSpec engine = service.engine();
-    return events * (engine == null ? DEFAULT_TOKENS_PER_EVENT : engine.tokensPerEvent());
+    return progress.outputTokens();
   }
 
   @Override
@@ -174,7 +172,7 @@
             workspace,
             Math.max(1, endsAtMillis - context.clock().nowMillis()),
             service.engine() == null ? -1 : urgency,
-            lastEventId,
+            progress.lastEventId(),
             takeOverFrom,
             keeper != null ? keeper.getAddress() : "");
     next.start(
@@ -182,7 +180,7 @@
         context.protocol().backendRequest(backendCall),
         call.id(),
         route.isRepeatable() ? Long.MAX_VALUE : UNREPEATABLE_IDLE_MILLIS);
-    lastEventAtMillis = context.clock().nowMillis();
+    progress.sent(context.clock().nowMillis());
     watchForSilence(next);
   }
 
@@ -211,7 +209,7 @@
     if (done || watched != attempt || handover != null) {
       return;
     }
-    long pauseMillis = context.clock().nowMillis() - lastEventAtMillis;
+    long pauseMillis = progress.pauseMillis(context.clock().nowMillis());
     if (started && caller.isWritable() && pauseMillis >= STREAM_SILENCE_MILLIS) {
       watched.giveUpSilent();
       return;
@@ -247,40 +245,24 @@
     if (done || from != attempt) {
       return;
     }
+    progress.replied(context.clock().nowMillis());
     if (!started) {
       started = true;
       caller.startStream(response);
-      context.measured(route, context.clock().nowMillis() - arrivedAtMillis);
+      context.measured(route, progress.firstReplyMillis());
     }
-    lastEventAtMillis = context.clock().nowMillis();
-    boolean first = events == 0;
+    boolean first = outputTokens() == 0;
     for (EventSplitter.Event event : newEvents) {
-      if (isNew(event)) {
+      if (progress.isNew(event)) {
         caller.writeStream(event.bytes());
       }
     }
-    if (first && events > 0) {
+    if (first && outputTokens() > 0) {
       context.placer().progressed(placementId, outputTokens());
     }
     from.setReading(caller.isWritable());
   }
 
-  private boolean isNew(EventSplitter.Event event) {
-    if (event.id().isEmpty()) {
-      return true;
-    }
-    boolean repeated = !lastEventId.isEmpty() && compareIds(event.id(), lastEventId) <= 0;
-    if (!repeated) {
-      lastEventId = event.id();
-      events++;
-    }
-    return !repeated;
-  }
-
-  private static int compareIds(String a, String b) {
-    return a.length() == b.length() ? a.compareTo(b) : Integer.compare(a.length(), b.length());
-  }
-
   /** Called when the caller's connection takes more bytes, or none for the moment. */
   void callerWritable(boolean writable) {
     if (attempt != null) {
@@ -404,8 +386,9 @@
 
   private void deliver(AttemptResult.Answered answer) {
     if (!started) {
+      progress.replied(context.clock().nowMillis());
       finish();
-      context.measured(route, context.clock().nowMillis() - arrivedAtMillis);
+      context.measured(route, progress.firstReplyMillis());
       caller.respond(answer.response(), answer.body());
       return;
     }
@@ -465,6 +448,9 @@
       done = true;
       timeout.cancel(false);
       context.closed(this);
+      if (progress.isLate()) {
+        Logger.info("call {} of {} was late: {}", call.id(), route.name(), progress.times());
+      }
     }
   }
 
@@ -536,6 +522,7 @@
     takeOverName = copyName;
     backup = newBackup;
     Logger.info("call {} of {} moves from {} to {}", call.id(), route.name(), backend, to.getId());
+    progress.moved();
     if (!to.getId().equals(backend)) {
       backend = to.getId();
       context.placer().ended(placementId, DispatchOutcome.DISPATCH_OUTCOME_MOVED, outputTokens());
--- a/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
@@ -166,11 +166,13 @@
 
   /** Tells every host which control hosts there are. */
   private void gossip() {
+    network.connected().forEach(this::tellControlHosts);
+  }
+
+  private void tellControlHosts(HostRecord host) {
     KnownHosts.Builder known = KnownHosts.newBuilder().addControlAddresses(settings.peerAddress());
-    connectedControlHosts().forEach(host -> known.addControlAddresses(host.getPeerAddress()));
-    for (HostRecord host : network.connected()) {
-      network.send(host.getName(), Envelope.newBuilder().setKnownHosts(known));
-    }
+    connectedControlHosts().forEach(control -> known.addControlAddresses(control.getPeerAddress()));
+    network.send(host.getName(), Envelope.newBuilder().setKnownHosts(known));
   }
 
   /** What the consensus thread tells, carried over to the event loop. */
@@ -317,6 +319,15 @@
   @Override
   public void connected(HostRecord host) {
     Logger.info("connected to {}", host.getName());
+    if (host.getControl()) {
+      loop.execute(this::gossip);
+    } else {
+      loop.execute(
+          () -> {
+            tellControlHosts(host);
+            scheduler.gatewayConnected(host);
+          });
+    }
   }
 
   @Override
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -44,9 +44,12 @@
   private static final long HEARTBEAT_MILLIS = 200;
   private static final long WAITING_TICK_MILLIS = 40;
 
-  /** Time for which a new scheduler waits for the gateways to tell what they have open. */
+  /** Longest time for which a new scheduler waits for the gateways to tell what they have open. */
   private static final long REBUILD_MILLIS = 250;
 
+  /** Shortest such time: gateways that lost their connection with the old scheduler come back. */
+  static final long MIN_REBUILD_MILLIS = 100;
+
   private final EventLoop loop;
   private final Clock clock;
   private final RandomGenerator random;
@@ -63,7 +66,8 @@
   private BackendTable table = new BackendTable();
   private long term;
   private long version;
-  private long rebuiltAtMillis;
+  private long begunAtMillis;
+  private boolean rebuilding;
   private long lastHeartbeatMillis;
   private boolean ticking;
 
@@ -121,8 +125,10 @@
     table = new BackendTable();
     views.clear();
     version = 1;
-    rebuiltAtMillis = nowMillis + REBUILD_MILLIS;
-    loop.schedule(this::endRebuild, REBUILD_MILLIS, TimeUnit.MILLISECONDS);
+    begunAtMillis = nowMillis;
+    rebuilding = true;
+    loop.schedule(this::endRebuildIfInformed, MIN_REBUILD_MILLIS, TimeUnit.MILLISECONDS);
+    loop.schedule(this::endRebuildIfInformed, REBUILD_MILLIS, TimeUnit.MILLISECONDS);
     heartbeat(nowMillis);
     if (!ticking) {
       ticking = true;
@@ -140,16 +146,24 @@
     waiters.clear();
     open.forEach(waiter -> waiter.answer().accept(false));
     held.clear();
+    rebuilding = false;
   }
 
-  private boolean isRebuilding() {
-    return clock.nowMillis() < rebuiltAtMillis;
+  /** Ends the rebuilding once every connected gateway has told its state, or its time is up. */
+  private void endRebuildIfInformed() {
+    long tookMillis = clock.nowMillis() - begunAtMillis;
+    Collection<HostRecord> connected = gateways.get();
+    boolean informed =
+        tookMillis >= MIN_REBUILD_MILLIS
+            && !connected.isEmpty()
+            && connected.stream().allMatch(gateway -> viewOf(gateway).synced);
+    if (rebuilding && (informed || tookMillis >= REBUILD_MILLIS)) {
+      endRebuild();
+    }
   }
 
   private void endRebuild() {
-    if (isRebuilding()) {
-      return;
-    }
+    rebuilding = false;
     List<Runnable> ready = List.copyOf(held);
     held.clear();
     version++;
@@ -162,7 +176,7 @@
 
   /** Runs an action now, or once the state is rebuilt. */
   private void whenRebuilt(Runnable action) {
-    if (isRebuilding()) {
+    if (rebuilding) {
       held.add(action);
     } else {
       action.run();
@@ -190,14 +204,23 @@
 
   private void heartbeat(long nowMillis) {
     lastHeartbeatMillis = nowMillis;
-    for (HostRecord gateway : gateways.get()) {
-      GatewayView view = viewOf(gateway);
-      boolean behind = view.version < version && !isRebuilding();
-      if (behind && view.synced) {
-        sendFull(gateway);
-      } else {
-        sender.accept(gateway.getName(), Envelope.newBuilder().setSchedulerView(base(view)));
-      }
+    gateways.get().forEach(this::tellView);
+  }
+
+  private void tellView(HostRecord gateway) {
+    GatewayView view = viewOf(gateway);
+    boolean behind = view.version < version && !rebuilding;
+    if (behind && view.synced) {
+      sendFull(gateway);
+    } else {
+      sender.accept(gateway.getName(), Envelope.newBuilder().setSchedulerView(base(view)));
+    }
+  }
+
+  /** Called when a connection to a gateway is up: it is told who schedules without waiting. */
+  void gatewayConnected(HostRecord gateway) {
+    if (term > 0) {
+      tellView(gateway);
     }
   }
 
@@ -259,7 +282,9 @@
     if (status.getFull()) {
       restore(from, status, nowMillis);
       view.synced = true;
-      if (!isRebuilding()) {
+      if (rebuilding) {
+        endRebuildIfInformed();
+      } else {
         sendFull(from);
       }
     }
--- a/src/main/java/org/curranthaven/internal/transport/PeerNetwork.java
+++ b/src/main/java/org/curranthaven/internal/transport/PeerNetwork.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
@@ -24,6 +25,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Supplier;
@@ -57,8 +59,6 @@
   private static final WriteBufferWaterMark WRITE_BUFFER =
       new WriteBufferWaterMark(4 * 1024 * 1024, 16 * 1024 * 1024);
 
-  private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
-
   /** Longest wait for the listener to close, in milliseconds; below the supervisor's own wait. */
   private static final long STOP_MILLIS = 2_000;
 
@@ -70,6 +70,8 @@
   private final Map<String, Long> learntAtMillis = new ConcurrentHashMap<>();
   private final Map<String, PeerConnection> byHost = new ConcurrentHashMap<>();
   private final Set<String> dialling = ConcurrentHashMap.newKeySet();
+  private final DialTimes dialTimes = new DialTimes();
+  private final Semaphore newlyLearnt = new Semaphore(0);
   private final Map<String, String> hostByAddress = new ConcurrentHashMap<>();
   private final Set<String> blocked = ConcurrentHashMap.newKeySet();
   private final LongAdder bytesSent = new LongAdder();
@@ -110,7 +112,9 @@
 
   /** Adds a host that was heard of; one not heard of again is forgotten after a while. */
   public void learn(String peerAddress) {
-    learntAtMillis.put(peerAddress, Clock.system().nowMillis());
+    if (learntAtMillis.put(peerAddress, Clock.system().nowMillis()) == null) {
+      newlyLearnt.release();
+    }
   }
 
   /** Returns the name of this host. */
@@ -188,7 +192,9 @@
       listening.sync();
       while (true) {
         dialMissing(group);
-        Thread.sleep(DIAL_MILLIS);
+        // A host that was just heard of is dialled at once.
+        newlyLearnt.tryAcquire(DIAL_MILLIS, TimeUnit.MILLISECONDS);
+        newlyLearnt.drainPermits();
       }
     } finally {
       stop(listening.channel(), group);
@@ -222,6 +228,7 @@
     learntAtMillis.values().removeIf(learnt -> nowMillis - learnt > FORGET_MILLIS);
     Set<String> contacts = new HashSet<>(fixedContacts);
     contacts.addAll(learntAtMillis.keySet());
+    dialTimes.keepOnly(contacts);
     for (String address : contacts) {
       String host = hostByAddress.get(address);
       boolean connected = host != null && byHost.containsKey(host);
@@ -238,12 +245,17 @@
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_BUFFER)
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, dialTimes.timeoutMillis(address))
         .handler(initializer(address))
         .connect(Addresses.parse(address))
         .addListener(
             future -> {
-              if (!future.isSuccess()) {
+              if (future.isSuccess()) {
+                dialTimes.succeeded(address);
+              } else {
+                if (future.cause() instanceof ConnectTimeoutException) {
+                  dialTimes.failed(address);
+                }
                 dialling.remove(address);
               }
             });
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -129,6 +129,31 @@
     assertThat(answer.value).isTrue();
   }
 
+  @Test
+  void a_gateway_that_connects_is_told_at_once_who_schedules() {
+    lead();
+    gateways.add(host("g3"));
+
+    scheduler.gatewayConnected(host("g3"));
+
+    assertThat(sent.getLast().getKey()).isEqualTo("g3");
+    assertThat(sent.getLast().getValue().getSchedulerView().getTerm()).isEqualTo(5);
+  }
+
+  @Test
+  void a_new_scheduler_goes_on_as_soon_as_every_gateway_has_told_its_state() {
+    scheduler.lead(5);
+    status("g1", 0, 0, true);
+    Answer answer = new Answer();
+    scheduler.register(backend(1, false), answer::accept);
+    time.pass(Scheduler.MIN_REBUILD_MILLIS + 20);
+    assertThat(answer.value).isNull();
+
+    status("g2", 0, 0, true);
+
+    assertThat(answer.value).isTrue();
+  }
+
   @Test
   void a_new_scheduler_places_nothing_before_it_knows_what_runs() {
     scheduler.lead(5);
