Place calls where their first reply comes in time; learn how long reading takes

Waiting calls were served by due time, so under load each was placed just when it was about to be late. Change: the time to the first reply is learnt for each prompt token that is read before it; a call goes only where that is in time, and is passed over, not waited for, while it is not; one that cannot be in time any more runs only where a fifth of the memory is free, else it is turned away then. Hosts that decide alone draw lots instead of all taking the same engine.

--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.SortedSet;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 import org.curranthaven.internal.catalog.Catalog;
 import org.curranthaven.internal.catalog.EngineSpec;
 import org.curranthaven.internal.transport.wire.BackendRecord;
@@ -38,8 +39,11 @@
   /** Time for which a backend server that turned a call away gets none. */
   private static final long FULL_MILLIS = 150;
 
-  /** Time after its target at which a waiting call is turned away. */
-  private static final long LATE_WAIT_MILLIS = 300;
+  /** Weight of chance where hosts that decide alone do not know what the others place. */
+  private static final double ALONE_SPREAD_TOKENS = 3_000;
+
+  /** Time after its target at which a plain call that waits is turned away: it is short. */
+  private static final long PLAIN_LATE_MILLIS = 300;
 
   private static final int MAX_URGENCY = 9;
 
@@ -134,14 +138,14 @@
     }
     SortedSet<WaitingCall> queue = waiting.of(ask.getService());
     boolean overtakes = queue.isEmpty() || ask.getPriority() < queue.first().ask().getPriority();
-    if (overtakes && place(key, ask, nowMillis)) {
-      return;
+    Placing placing =
+        overtakes ? place(key, ask, ask.getTargetLeftMillis(), nowMillis) : Placing.NO_ROOM;
+    if (placing != Placing.PLACED) {
+      waitOrRefuse(key, ask, placing, nowMillis);
     }
-    waitOrRefuse(key, ask, queue, nowMillis);
   }
 
-  private void waitOrRefuse(
-      CallKey key, DispatchAsk ask, SortedSet<WaitingCall> queue, long nowMillis) {
+  private void waitOrRefuse(CallKey key, DispatchAsk ask, Placing placing, long nowMillis) {
     long targetLeft = Math.min(ask.getTargetLeftMillis(), ask.getDeadlineLeftMillis());
     boolean served = hasCandidates(ask, nowMillis);
     if (!served && ask.getExcludedCount() > 0) {
@@ -149,22 +153,29 @@
       return;
     }
     double expected =
-        served ? forecast.expectedWaitMillis(ask, queue) : WaitForecast.UNKNOWN_SERVICE_WAIT_MILLIS;
-    long readMillis = WaitForecast.readMillis(ask);
+        served ? expectedWaitMillis(ask, placing) : WaitForecast.UNKNOWN_SERVICE_WAIT_MILLIS;
+    long readMillis = forecast.readMillis(ask);
     boolean inTime = served ? expected + readMillis <= targetLeft : targetLeft > expected;
     if (!inTime || waiting.isFull()) {
-      refuseForRoom(key, served, expected);
+      if (!served || !placeLate(key, ask, nowMillis)) {
+        refuseForRoom(key, served, expected);
+      }
       return;
     }
-    long wait =
-        served
-            ? targetLeft - readMillis + LATE_WAIT_MILLIS
-            : WaitForecast.UNKNOWN_SERVICE_WAIT_MILLIS;
+    long mostWait = ask.getEngine() ? targetLeft - readMillis : targetLeft + PLAIN_LATE_MILLIS;
+    long wait = served ? mostWait : WaitForecast.UNKNOWN_SERVICE_WAIT_MILLIS;
     long giveUpAt = nowMillis + Math.min(wait, ask.getDeadlineLeftMillis());
     long dueAt = nowMillis + ask.getTargetLeftMillis();
     waiting.add(new WaitingCall(key, ask, waiting.takeOrder(), dueAt, giveUpAt));
   }
 
+  private double expectedWaitMillis(DispatchAsk ask, Placing placing) {
+    // Where there is room but much to read first, reading makes way for the call all the time.
+    return placing == Placing.NOT_IN_TIME
+        ? 0
+        : forecast.expectedWaitMillis(ask, waiting.of(ask.getService()));
+  }
+
   /** Notes how far a call's output has come. */
   public void progressed(CallKey key, int outputTokens, long nowMillis) {
     BackendState backend = backends.runningAt(key);
@@ -176,7 +187,9 @@
     call.progressed(outputTokens);
     if (first) {
       backends.replied(backend);
+      forecast.replied(call, nowMillis);
       moves.moveAwayFrom(backend, nowMillis);
+      serveQueue(backend.service(), nowMillis);
     }
   }
 
@@ -247,9 +260,10 @@
   public void tick(long nowMillis) {
     for (WaitingCall call : waiting.due(nowMillis)) {
       waiting.remove(call.key());
-      SortedSet<WaitingCall> queue = waiting.of(call.ask().getService());
-      double expected = forecast.expectedWaitMillis(call.ask(), queue);
-      refuseForRoom(call.key(), hasCandidates(call.ask(), nowMillis), expected);
+      if (!placeLate(call.key(), call.ask(), nowMillis)) {
+        double expected = expectedWaitMillis(call.ask(), Placing.NO_ROOM);
+        refuseForRoom(call.key(), hasCandidates(call.ask(), nowMillis), expected);
+      }
     }
     waiting.services().forEach(service -> serveQueue(service, nowMillis));
     for (BackendState backend : List.copyOf(backends.all())) {
@@ -260,36 +274,80 @@
   // ---- placing ----------------------------------------------------------------------------------
 
   private void serveQueue(String service, long nowMillis) {
-    SortedSet<WaitingCall> queue = waiting.of(service);
-    while (!queue.isEmpty()) {
-      WaitingCall first = queue.first();
-      if (!place(first.key(), first.ask(), nowMillis)) {
+    for (WaitingCall call : List.copyOf(waiting.of(service))) {
+      Placing placing = place(call.key(), call.ask(), call.dueAtMillis() - nowMillis, nowMillis);
+      if (placing == Placing.PLACED) {
+        waiting.remove(call.key());
+      } else if (placing == Placing.NO_ROOM) {
+        // Those behind it would take the room that a large call waits for.
         return;
       }
-      waiting.remove(first.key());
     }
   }
 
-  private boolean place(CallKey key, DispatchAsk ask, long nowMillis) {
-    EngineSpec engine = backends.engineOf(ask.getService());
-    OpenCall call = new OpenCall(key, ask, forecast.outputTokens(ask), nowMillis);
-    double tokens = call.memoryTokens();
+  /** What came of the attempt to place a call. */
+  private enum Placing {
+    PLACED,
+    /** No backend server has room. */
+    NO_ROOM,
+    /** There is room, but so much to read first that the call would be late. */
+    NOT_IN_TIME
+  }
+
+  /** Places a call where it can be in time. */
+  private Placing place(CallKey key, DispatchAsk ask, long targetLeftMillis, long nowMillis) {
     double share = RoomRules.memoryShare(ask, mostUrgentPriority(ask.getService()));
+    OpenCall call = new OpenCall(key, ask, forecast.outputTokens(ask), nowMillis);
+    List<BackendState> withRoom = withRoom(call, share, nowMillis).toList();
     BackendState best =
-        Backends.cheapest(
-            backends
-                .usable(ask, nowMillis)
-                .filter(backend -> rooms.hasRoom(backend, engine, tokens, share, nowMillis)),
-            backend -> cost(backend, engine, ask, nowMillis));
-    if (best == null) {
-      return false;
+        cheapest(
+            withRoom.stream().filter(backend -> isInTime(backend, ask, targetLeftMillis)),
+            ask,
+            nowMillis);
+    if (best != null) {
+      run(call, best, nowMillis);
+      return Placing.PLACED;
+    }
+    return withRoom.isEmpty() ? Placing.NO_ROOM : Placing.NOT_IN_TIME;
+  }
+
+  private boolean isInTime(BackendState backend, DispatchAsk ask, long targetLeftMillis) {
+    int tokensAhead = backend.unreadTokens() + ask.getPromptTokens();
+    return !ask.getEngine() || forecast.firstReplyMillis(ask, tokensAhead) <= targetLeftMillis;
+  }
+
+  /** Places a call that cannot be in time any more, where that takes no room from others. */
+  private boolean placeLate(CallKey key, DispatchAsk ask, long nowMillis) {
+    OpenCall call = new OpenCall(key, ask, forecast.outputTokens(ask), nowMillis);
+    Stream<BackendState> withRoom = withRoom(call, RoomRules.LATE_MEMORY_SHARE, nowMillis);
+    BackendState best = cheapest(withRoom, ask, nowMillis);
+    if (best != null) {
+      run(call, best, nowMillis);
     }
+    return best != null;
+  }
+
+  private Stream<BackendState> withRoom(OpenCall call, double share, long nowMillis) {
+    EngineSpec engine = backends.engineOf(call.ask.getService());
+    double tokens = call.memoryTokens();
+    return backends
+        .usable(call.ask, nowMillis)
+        .filter(backend -> rooms.hasRoom(backend, engine, tokens, share, nowMillis));
+  }
+
+  private @Nullable BackendState cheapest(
+      Stream<BackendState> among, DispatchAsk ask, long nowMillis) {
+    EngineSpec engine = backends.engineOf(ask.getService());
+    return Backends.cheapest(among, backend -> cost(backend, engine, ask, nowMillis));
+  }
+
+  private void run(OpenCall call, BackendState best, long nowMillis) {
+    call.tokensAhead = best.unreadTokens() + call.ask.getPromptTokens();
     backends.placed(call, best);
-    best.parts.read(ask.getPartsList());
+    best.parts.read(call.ask.getPartsList());
     moves.keepCopy(best, call, nowMillis);
-    int urgency = Math.min(MAX_URGENCY, ask.getPriority());
-    decisions.add(new DispatchDecision.Place(key, best.id(), urgency, call.backup));
-    return true;
+    int urgency = Math.min(MAX_URGENCY, call.ask.getPriority());
+    decisions.add(new DispatchDecision.Place(call.key, best.id(), urgency, call.backup));
   }
 
   private boolean hasCandidates(DispatchAsk ask, long nowMillis) {
@@ -317,7 +375,9 @@
       return load * MEMORY_WEIGHT_TOKENS + far * FAR_WEIGHT_TOKENS + cold + random.nextDouble();
     }
     double memory = backend.memoryTokens() / Math.max(1, engine.memoryTokens());
+    double chance = rooms.capacityShares() > 1 ? ALONE_SPREAD_TOKENS * random.nextDouble() : 0;
     return backend.unreadTokens()
+        + chance
         + memory * MEMORY_WEIGHT_TOKENS
         + far * FAR_WEIGHT_TOKENS
         + cold
--- a/src/main/java/org/curranthaven/internal/dispatch/OpenCall.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/OpenCall.java
@@ -18,6 +18,9 @@
   private final int forecastTokens;
   private int outputTokens;
 
+  /** Prompt tokens to be read until the first output, this call's own included; 0: not known. */
+  int tokensAhead;
+
   /** Whether the call is being moved away from here. */
   boolean moving;
 
--- a/src/main/java/org/curranthaven/internal/dispatch/WaitForecast.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/WaitForecast.java
@@ -17,8 +17,18 @@
   /** Time that an engine takes for one output token. */
   static final double TOKEN_MILLIS = 10;
 
-  /** Time that an engine takes to read one prompt token between other calls' steps. */
-  private static final double READ_MILLIS_PER_TOKEN = 0.16;
+  /** Time that an engine takes to read one prompt token, until first replies have told better. */
+  private static final double FIRST_READ_MILLIS_PER_TOKEN = 0.16;
+
+  private static final double READ_WEIGHT = 0.05;
+
+  /** Bounds of the learnt time: one odd call must not turn others away. */
+  private static final double LEAST_READ_MILLIS_PER_TOKEN = 0.07;
+
+  private static final double MOST_READ_MILLIS_PER_TOKEN = 0.5;
+
+  /** Part of a first reply's time that is kept free for what the mean does not tell. */
+  private static final double READ_MARGIN = 1.1;
 
   /** Time that a plain call takes until runs have told better. */
   private static final double FIRST_PLAIN_MILLIS = 100;
@@ -40,6 +50,7 @@
   private final RandomGenerator random;
   private final Map<String, RouteLengths> lengths = new HashMap<>();
   private final Map<String, Double> plainMillis = new HashMap<>();
+  private final Map<String, Double> readMillisPerToken = new HashMap<>();
 
   WaitForecast(Backends backends, int capacityShares, RandomGenerator random) {
     this.backends = backends;
@@ -67,9 +78,33 @@
     }
   }
 
-  /** Returns the time from a call's placement to its first reply. */
-  static long readMillis(DispatchAsk ask) {
-    return ask.getEngine() ? (long) (ask.getPromptTokens() * READ_MILLIS_PER_TOKEN) : 0;
+  /** Learns from a call whose first output came. */
+  void replied(OpenCall call, long nowMillis) {
+    if (call.tokensAhead > 0) {
+      double each = (double) (nowMillis - call.placedAtMillis) / call.tokensAhead;
+      double bounded = Math.clamp(each, LEAST_READ_MILLIS_PER_TOKEN, MOST_READ_MILLIS_PER_TOKEN);
+      String service = call.ask.getService();
+      double old = perToken(service);
+      readMillisPerToken.put(service, old + READ_WEIGHT * (bounded - old));
+    }
+  }
+
+  private double perToken(String service) {
+    return readMillisPerToken.getOrDefault(service, FIRST_READ_MILLIS_PER_TOKEN);
+  }
+
+  /** Returns the time from a call's placement on an idle engine to its first reply. */
+  long readMillis(DispatchAsk ask) {
+    return ask.getEngine() ? firstReplyMillis(ask, ask.getPromptTokens()) : 0;
+  }
+
+  /**
+   * Returns the time from a call's placement to its first reply.
+   *
+   * @param tokensAhead prompt tokens to be read until then, the call's own included
+   */
+  long firstReplyMillis(DispatchAsk ask, int tokensAhead) {
+    return (long) (tokensAhead * perToken(ask.getService()) * READ_MARGIN);
   }
 
   /** Returns when to come back, spread so that those turned away together do not return so. */
@@ -114,13 +149,16 @@
     backends
         .stayingOf(service)
         .flatMap(backend -> backend.calls.values().stream())
-        .forEach(call -> releases.add(new Release(restMillis(call), call.memoryTokens())));
+        .forEach(
+            call ->
+                releases.add(
+                    new Release(restMillis(call, perToken(service)), call.memoryTokens())));
     releases.sort(Comparator.comparingDouble(Release::afterMillis));
     return releases;
   }
 
-  private static double restMillis(OpenCall call) {
-    return call.remainingTokens() * TOKEN_MILLIS + call.unreadTokens() * READ_MILLIS_PER_TOKEN;
+  private static double restMillis(OpenCall call, double readMillisPerToken) {
+    return call.remainingTokens() * TOKEN_MILLIS + call.unreadTokens() * readMillisPerToken;
   }
 
   private double needOf(DispatchAsk ask) {
--- a/src/test/java/org/curranthaven/internal/dispatch/DispatchCoreTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/DispatchCoreTest.java
@@ -2,7 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.curranthaven.internal.catalog.CallKind;
 import org.curranthaven.internal.catalog.CallLimits;
@@ -22,6 +24,7 @@
 
   private final DispatchCore core =
       new DispatchCore(new RetryAllowance(0.2, 10, 10_000), 1, new SplittableRandom(1));
+  private Catalog catalog = Catalog.empty();
   private long nextId = 1;
 
   @BeforeEach
@@ -41,13 +44,14 @@
             false,
             false,
             List.of(new ServiceShare("engines", 1)));
-    core.setCatalog(
+    catalog =
         new Catalog(
             1,
             List.of(route),
             List.of(new ServiceSpec("engines", 100, engine), new ServiceSpec("plain", 100, null)),
             CallLimits.standard(),
-            null));
+            null);
+    core.setCatalog(catalog);
   }
 
   private static BackendRecord backend(String id, String service) {
@@ -153,6 +157,80 @@
     assertThat(core.waitingCalls()).isZero();
   }
 
+  @Test
+  void a_call_waits_until_what_is_to_be_read_before_it_lets_it_be_in_time() {
+    core.backendChanged(backend("x", "engines"), 0);
+    CallKey reading = ask(draft(3_000, 100), 0);
+    onlyDecision();
+    CallKey second = ask(draft(3_000, 100).setTargetLeftMillis(1_000), 1);
+    assertThat(core.takeDecisions()).isEmpty();
+
+    core.progressed(reading, 4, 400);
+
+    assertThat(onlyDecision()).isEqualTo(new DispatchDecision.Place(second, "x", 1, ""));
+  }
+
+  @Test
+  void a_call_that_must_wait_for_reading_does_not_hold_up_one_that_need_not() {
+    core.backendChanged(backend("x", "engines"), 0);
+    ask(draft(3_000, 100), 0);
+    onlyDecision();
+    ask(draft(3_000, 100).setTargetLeftMillis(1_000), 1);
+    CallKey patient = ask(draft(3_000, 100).setTargetLeftMillis(1_400), 2);
+
+    core.tick(10);
+
+    assertThat(((DispatchDecision.Place) onlyDecision()).key()).isEqualTo(patient);
+  }
+
+  @Test
+  void a_call_that_cannot_be_in_time_any_more_runs_only_where_memory_is_left_over() {
+    core.backendChanged(backend("x", "engines"), 0);
+    CallKey late = ask(draft(3_000, 100).setTargetLeftMillis(100), 0);
+    assertThat(((DispatchDecision.Place) onlyDecision()).key()).isEqualTo(late);
+    ask(draft(4_500, 100).setTargetLeftMillis(5_000), 1);
+    onlyDecision();
+
+    ask(draft(1_000, 100).setTargetLeftMillis(100), 2);
+
+    assertThat(onlyDecision()).isInstanceOf(DispatchDecision.Refuse.class);
+  }
+
+  @Test
+  void slow_first_replies_lead_to_earlier_refusals() {
+    core.backendChanged(backend("x", "engines"), 0);
+    for (int i = 0; i < 80; i++) {
+      CallKey call = ask(draft(1_000, 8), i * 1_000L);
+      core.progressed(call, 4, i * 1_000L + 500);
+      core.ended(call, DispatchOutcome.DISPATCH_OUTCOME_ANSWERED, 8, i * 1_000L + 600);
+    }
+    long nowMillis = 100_000;
+    CallKey large = ask(draft(6_300, 100).setTargetLeftMillis(9_000), nowMillis);
+    core.progressed(large, 4, nowMillis + 3_000);
+    core.takeDecisions();
+
+    ask(draft(2_900, 100), nowMillis + 3_001);
+
+    assertThat(onlyDecision()).isInstanceOf(DispatchDecision.Refuse.class);
+  }
+
+  @Test
+  void hosts_that_decide_alone_do_not_all_choose_the_same_engine() {
+    Set<String> chosen = new HashSet<>();
+    for (int seed = 0; seed < 20; seed++) {
+      DispatchCore alone =
+          new DispatchCore(new RetryAllowance(0.2, 10, 10_000), 20, new SplittableRandom(seed));
+      alone.setCatalog(catalog);
+      for (String id : List.of("x", "y", "z")) {
+        alone.backendChanged(backend(id, "engines"), 0);
+      }
+      alone.ask(new CallKey("gateway", 1), draft(3_000, 100).build(), 0);
+      chosen.add(((DispatchDecision.Place) alone.takeDecisions().getFirst()).backend());
+    }
+
+    assertThat(chosen).hasSize(3);
+  }
+
   @Test
   void a_more_urgent_call_overtakes_those_that_wait() {
     core.backendChanged(backend("x", "engines"), 0);
