--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -319,7 +319,12 @@
   /** Places a call that cannot be in time any more, where that takes no room from others. */
   private boolean placeLate(CallKey key, DispatchAsk ask, long nowMillis) {
     OpenCall call = new OpenCall(key, ask, forecast.outputTokens(ask), nowMillis);
-    Stream<BackendState> withRoom = withRoom(call, RoomRules.LATE_MEMORY_SHARE, nowMillis);
+    boolean othersWait = !waiting.of(ask.getService()).isEmpty();
+    double share =
+        othersWait
+            ? RoomRules.LATE_MEMORY_SHARE
+            : RoomRules.memoryShare(ask, mostUrgentPriority(ask.getService()));
+    Stream<BackendState> withRoom = withRoom(call, share, nowMillis);
     BackendState best = cheapest(withRoom, ask, nowMillis);
     if (best != null) {
       run(call, best, nowMillis);
--- a/src/main/java/org/curranthaven/internal/dispatch/RoomRules.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/RoomRules.java
@@ -15,7 +15,7 @@
   /** The same share for less urgent calls, so that an urgent one finds room. */
   private static final double LESS_URGENT_MEMORY_SHARE = 0.88;
 
-  /** The same share for calls that will be late: those that can be in time go before them. */
+  /** The same share for calls that will be late while others wait that can be in time. */
   static final double LATE_MEMORY_SHARE = 0.8;
 
   /** Share of an engine's memory that copies of calls on other engines may fill it to. */
