Keep long calls of a gateway that has just started until it is informed

Change: a call with 4.5 s or more to go waits up to 0.9 s for the catalog; its time counts from its arrival. Shorter calls are turned away at once as before. Heartbeats every 130 ms, a scheduler is lost after 450 ms.

--- a/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
@@ -17,7 +17,6 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
@@ -30,7 +29,6 @@
 import java.util.ArrayDeque;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.curranthaven.api.Failure;
 import org.curranthaven.api.Outcome;
@@ -53,17 +51,11 @@
   private static final long DRAINING_RETRY_MILLIS = 50;
   private static final long NOT_INFORMED_RETRY_MILLIS = 1_000;
 
-  /** Headers that concern one connection only. */
-  private static final Set<String> HOP_HEADERS =
-      Set.of(
-          "connection",
-          "keep-alive",
-          "proxy-connection",
-          "transfer-encoding",
-          "te",
-          "trailer",
-          "upgrade",
-          "content-length");
+  /** Longest time for which a call waits for a catalog: a host that has started gets it soon. */
+  private static final long NOT_INFORMED_WAIT_MILLIS = 900;
+
+  /** Calls with less time than this are turned away at once instead: waiting takes most of it. */
+  private static final long MIN_TIME_TO_WAIT_MILLIS = 5 * NOT_INFORMED_WAIT_MILLIS;
 
   private final RelayContext context;
   private final ArrayDeque<FullHttpRequest> waiting = new ArrayDeque<>();
@@ -71,6 +63,13 @@
   private @Nullable HttpRequest collecting;
   private ByteArrayOutputStream body = new ByteArrayOutputStream();
   private @Nullable Exchange exchange;
+
+  /** Calls that had to wait for the catalog. */
+  private int heldCalls;
+
+  /** Which of them waits now; 0 for none. */
+  private int heldCall;
+
   private boolean keepAlive;
   private boolean headRequest;
   private boolean answering;
@@ -215,19 +214,54 @@
     headRequest = request.method().equals(HttpMethod.HEAD);
     switch (context.protocol().readCall(request)) {
       case Outcome.Failed<InboundCall> failed -> fail(failed.failure());
-      case Outcome.Success<InboundCall> success -> route(success.value());
+      case Outcome.Success<InboundCall> success -> routeWhenInformed(success.value());
     }
   }
 
-  private void route(InboundCall call) {
-    if (!context.isInformed()) {
-      fail(
-          Failure.retryLater(
-              ResultCode.HOST_NOT_FRESH,
-              "this host does not know the catalog yet",
-              NOT_INFORMED_RETRY_MILLIS));
+  /** Routes a call; one that comes before the catalog waits for it if it has the time. */
+  private void routeWhenInformed(InboundCall call) {
+    long nowMillis = context.clock().nowMillis();
+    boolean mayWait =
+        call.deadlineMillis() <= 0 || call.deadlineMillis() >= MIN_TIME_TO_WAIT_MILLIS;
+    if (context.isInformed()) {
+      route(call, nowMillis);
+    } else if (mayWait) {
+      heldCalls++;
+      int number = heldCalls;
+      heldCall = number;
+      context.whenInformed(() -> routeHeld(number, call, nowMillis));
+      context
+          .loop()
+          .schedule(
+              () -> routeHeld(number, call, nowMillis),
+              NOT_INFORMED_WAIT_MILLIS,
+              TimeUnit.MILLISECONDS);
+    } else {
+      failUninformed();
+    }
+  }
+
+  private void routeHeld(int number, InboundCall call, long arrivedAtMillis) {
+    if (heldCall != number || gone) {
       return;
     }
+    heldCall = 0;
+    if (context.isInformed()) {
+      route(call, arrivedAtMillis);
+    } else {
+      failUninformed();
+    }
+  }
+
+  private void failUninformed() {
+    fail(
+        Failure.retryLater(
+            ResultCode.HOST_NOT_FRESH,
+            "this host does not know the catalog yet",
+            NOT_INFORMED_RETRY_MILLIS));
+  }
+
+  private void route(InboundCall call, long arrivedAtMillis) {
     Catalog catalog = context.catalog();
     Optional<Route> found = catalog.routeFor(call.host(), call.path());
     if (found.isEmpty()) {
@@ -264,6 +298,7 @@
             route,
             service,
             workspace == null || !catalog.needsKey(route) ? "" : workspace.name(),
+            arrivedAtMillis,
             allowedMillis,
             ranked && workspace != null ? workspace.priority() : route.priority());
     exchange = next;
@@ -278,7 +313,7 @@
     FullHttpResponse response =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1, answer.status(), Unpooled.wrappedBuffer(content));
-    copyHeaders(answer.headers(), response.headers());
+    HopHeaders.copy(answer.headers(), response.headers(), HopHeaders.of(answer.headers()));
     write(response);
   }
 
@@ -325,7 +360,7 @@
   /** Starts to pass a stream on. */
   void startStream(HttpResponse answer) {
     HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, answer.status());
-    copyHeaders(answer.headers(), response.headers());
+    HopHeaders.copy(answer.headers(), response.headers(), HopHeaders.of(answer.headers()));
     response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
     if (!staysOpen()) {
       keepAlive = false;
@@ -372,27 +407,6 @@
     }
   }
 
-  private static void copyHeaders(HttpHeaders from, HttpHeaders to) {
-    Set<String> named = Set.copyOf(connectionOptions(from));
-    from.forEach(
-        header -> {
-          String name = header.getKey().toLowerCase(Locale.ROOT);
-          if (!HOP_HEADERS.contains(name) && !named.contains(name)) {
-            to.add(header.getKey(), header.getValue());
-          }
-        });
-  }
-
-  private static Set<String> connectionOptions(HttpHeaders headers) {
-    Set<String> options = new java.util.HashSet<>();
-    for (String value : headers.getAll(HttpHeaderNames.CONNECTION)) {
-      for (String option : value.split(",")) {
-        options.add(option.strip().toLowerCase(Locale.ROOT));
-      }
-    }
-    return options;
-  }
-
   // ---- closing ----------------------------------------------------------------------------------
 
   /** Closes the connection if no request is being answered or read. */
--- a/src/main/java/org/curranthaven/internal/relay/Exchange.java
+++ b/src/main/java/org/curranthaven/internal/relay/Exchange.java
@@ -72,6 +72,7 @@
       Route route,
       ServiceSpec service,
       String workspace,
+      long arrivedAtMillis,
       long allowedMillis,
       int priority) {
     this.context = context;
@@ -81,12 +82,12 @@
     this.service = service;
     this.workspace = workspace;
     this.priority = priority;
-    long nowMillis = context.clock().nowMillis();
     EngineSpec engine = service.engine();
     int tokensPerEvent = engine == null ? DEFAULT_TOKENS_PER_EVENT : engine.tokensPerEvent();
-    this.progress = new CallProgress(route, tokensPerEvent, call.lastEventId(), nowMillis);
-    this.endsAtMillis = nowMillis + allowedMillis;
-    this.timeout = context.loop().schedule(this::timeUp, allowedMillis, TimeUnit.MILLISECONDS);
+    this.progress = new CallProgress(route, tokensPerEvent, call.lastEventId(), arrivedAtMillis);
+    this.endsAtMillis = arrivedAtMillis + allowedMillis;
+    long left = Math.max(0, endsAtMillis - context.clock().nowMillis());
+    this.timeout = context.loop().schedule(this::timeUp, left, TimeUnit.MILLISECONDS);
   }
 
   void start() {
--- a/src/main/java/org/curranthaven/internal/relay/Gateway.java
+++ b/src/main/java/org/curranthaven/internal/relay/Gateway.java
@@ -5,6 +5,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
@@ -62,6 +63,7 @@
   private final HostRecord self;
   private final @Nullable RoutedMetrics metrics;
   private final Set<Exchange> open = new HashSet<>();
+  private final List<Runnable> awaitingInformation = new ArrayList<>();
   private Catalog catalog = Catalog.empty();
   private volatile long stopBeganMillis;
   private volatile long stopEndsMillis;
@@ -184,6 +186,7 @@
     @Override
     public void backendsChanged(Collection<BackendRecord> backends) {
       pool.retain(backends.stream().map(BackendRecord::getAddress).collect(Collectors.toSet()));
+      runAwaiting();
     }
   }
 
@@ -192,6 +195,15 @@
       catalog = newer;
       link.catalogInForce(newer);
       Logger.info("catalog {} is in force", newer.revision());
+      runAwaiting();
+    }
+  }
+
+  private void runAwaiting() {
+    if (isInformed() && !awaitingInformation.isEmpty()) {
+      List<Runnable> ready = List.copyOf(awaitingInformation);
+      awaitingInformation.clear();
+      ready.forEach(loop::execute);
     }
   }
 
@@ -260,6 +272,11 @@
     return link.isViewed() && catalog.revision() > 0;
   }
 
+  @Override
+  public void whenInformed(Runnable action) {
+    awaitingInformation.add(action);
+  }
+
   @Override
   public boolean isDraining() {
     return draining;
--- a/src/main/java/org/curranthaven/internal/relay/RelayContext.java
+++ b/src/main/java/org/curranthaven/internal/relay/RelayContext.java
@@ -28,6 +28,9 @@
   /** Returns whether the gateway knows enough to serve. */
   boolean isInformed();
 
+  /** Runs an action once the gateway knows enough to serve. */
+  void whenInformed(Runnable action);
+
   /** Returns whether the gateway is being stopped. */
   boolean isDraining();
 
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -41,7 +41,7 @@
  */
 final class SchedulerLink implements CallPlacer {
   /** Silence after which a scheduler counts as lost. */
-  static final long LOST_AFTER_MILLIS = 700;
+  static final long LOST_AFTER_MILLIS = 450;
 
   private static final long CHECK_MILLIS = 100;
   private static final long PROGRESS_MILLIS = 500;
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -41,7 +41,7 @@
  * scheduler rebuilds it from the gateways. Used on the event loop only.
  */
 final class Scheduler {
-  private static final long HEARTBEAT_MILLIS = 200;
+  private static final long HEARTBEAT_MILLIS = 130;
   private static final long WAITING_TICK_MILLIS = 40;
 
   /** Longest time for which a new scheduler waits for the gateways to tell what they have open. */
--- a/src/main/java/org/curranthaven/platform/CallTranslation.java
+++ b/src/main/java/org/curranthaven/platform/CallTranslation.java
@@ -7,12 +7,12 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 import org.curranthaven.api.Outcome;
 import org.curranthaven.api.ResultCode;
+import org.curranthaven.internal.relay.HopHeaders;
 import org.curranthaven.internal.relay.InboundCall;
 import org.curranthaven.internal.transport.wire.PromptPart;
 
@@ -57,22 +57,12 @@
   }
 
   private static HttpHeaders forwarded(HttpHeaders headers) {
-    Set<String> dropped = new HashSet<>(Headers.HOP);
+    Set<String> dropped = HopHeaders.of(headers);
     dropped.addAll(Headers.SET_BY_SYSTEM);
-    for (String value : headers.getAll(HttpHeaderNames.CONNECTION)) {
-      for (String option : value.split(",")) {
-        dropped.add(option.strip().toLowerCase(Locale.ROOT));
-      }
-    }
     dropped.remove("host");
     dropped.removeAll(PROTECTED);
     HttpHeaders kept = new DefaultHttpHeaders();
-    headers.forEach(
-        header -> {
-          if (!dropped.contains(header.getKey().toLowerCase(Locale.ROOT))) {
-            kept.add(header.getKey(), header.getValue());
-          }
-        });
+    HopHeaders.copy(headers, kept, dropped);
     return kept;
   }
 
--- a/src/main/java/org/curranthaven/platform/Headers.java
+++ b/src/main/java/org/curranthaven/platform/Headers.java
@@ -39,20 +39,5 @@
           "runner-id",
           "runner-load");
 
-  /** Headers that concern one connection only. */
-  static final Set<String> HOP =
-      Set.of(
-          "connection",
-          "keep-alive",
-          "proxy-connection",
-          "proxy-authorization",
-          "proxy-authenticate",
-          "transfer-encoding",
-          "te",
-          "trailer",
-          "upgrade",
-          "expect",
-          "content-length");
-
   private Headers() {}
 }
