Bound the copies at an engine without calls like those at any other

Change: an engine is idle only without copies; a line tells where each call goes and where its copy is kept.

--- a/src/main/java/org/curranthaven/internal/dispatch/BackendState.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/BackendState.java
@@ -63,6 +63,11 @@
     return nowMillis < fullUntilMillis;
   }
 
+  /** Returns whether nothing runs here and no copy is kept here. */
+  boolean isIdle() {
+    return calls.isEmpty() && copies.isEmpty();
+  }
+
   double memoryTokens() {
     double sum = 0;
     for (OpenCall call : calls.values()) {
--- a/src/main/java/org/curranthaven/internal/dispatch/RoomRules.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/RoomRules.java
@@ -67,7 +67,7 @@
     int slots = Math.max(1, engine.slots() / capacityShares);
     double memory = memoryShare * engine.memoryTokens() / capacityShares;
     boolean fits = backend.memoryTokens() + tokens <= memory;
-    boolean alone = backend.calls.isEmpty() && tokens <= engine.memoryTokens();
+    boolean alone = backend.isIdle() && tokens <= engine.memoryTokens();
     return backend.calls.size() < slots && (fits || alone);
   }
 }
--- a/src/main/java/org/curranthaven/internal/relay/Exchange.java
+++ b/src/main/java/org/curranthaven/internal/relay/Exchange.java
@@ -158,6 +158,13 @@
       afterAttempt(new AttemptResult.Unreachable("the backend server is gone"));
       return;
     }
+    Logger.info(
+        "call {} of {} goes to {}, try {}, copy at {}",
+        call.id(),
+        route.name(),
+        backendId,
+        sends + 1,
+        backupId.isEmpty() ? "none" : backupId);
     send(record, "");
   }
 
--- a/src/test/java/org/curranthaven/internal/dispatch/DispatchCoreTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/DispatchCoreTest.java
@@ -65,6 +65,11 @@
         .build();
   }
 
+  /** A backend server that starts slowly, so that calls go elsewhere first. */
+  private static BackendRecord cold(String id) {
+    return backend(id, "engines").toBuilder().setColdLeftMillis(60_000).build();
+  }
+
   private static BackendRecord leaving(String id) {
     return backend(id, "engines").toBuilder().setLeaving(true).setSequence(9).build();
   }
@@ -296,6 +301,22 @@
     assertThat(place.backup()).isNotEmpty().isNotEqualTo(place.backend());
   }
 
+  @Test
+  void copies_leave_half_of_an_idle_engine_to_calls() {
+    core.backendChanged(backend("x", "engines"), 0);
+    core.backendChanged(cold("idle"), 0);
+    for (int i = 0; i < 7; i++) {
+      core.progressed(ask(draft(1_200, 50).setIrreplaceable(true), i), 4, i);
+    }
+
+    long copies =
+        core.takeDecisions().stream()
+            .filter(decision -> decision instanceof DispatchDecision.Place)
+            .filter(decision -> ((DispatchDecision.Place) decision).backup().equals("idle"))
+            .count();
+    assertThat(copies).isEqualTo(4);
+  }
+
   @Test
   void retries_stay_within_the_allowance_of_the_service() {
     core.backendChanged(backend("p", "plain"), 0);
