--- a/src/main/java/org/curranthaven/internal/dispatch/CallMoves.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/CallMoves.java
@@ -137,12 +137,18 @@
     }
   }
 
-  /** Has a copy of an irreplaceable call kept where memory is left over. */
+  /**
+   * Has a copy of an irreplaceable call kept where memory is left over: at the engine that keeps it
+   * and at the service's engines together, so that copies do not take what calls need.
+   */
   void keepCopy(BackendState runsAt, OpenCall call, long nowMillis) {
     EngineSpec engine = backends.engineOf(runsAt.service());
     if (engine == null || !engine.backups() || !call.ask.getIrreplaceable()) {
       return;
     }
+    if (memoryFill(runsAt.service(), engine) >= RoomRules.COPY_MEMORY_SHARE) {
+      return;
+    }
     BackendState keeper = cheapest(runsAt, call, engine, RoomRules.COPY_MEMORY_SHARE, nowMillis);
     if (keeper != null) {
       call.backup = keeper.id();
@@ -150,6 +156,19 @@
     }
   }
 
+  /** Returns the share of the memory of all the service's engines that is in use. */
+  private double memoryFill(String service, EngineSpec engine) {
+    double used = 0;
+    double all = 0;
+    for (BackendState backend : backends.all()) {
+      if (backend.serves(service) && !backend.isLeaving()) {
+        used += backend.memoryTokens();
+        all += engine.memoryTokens();
+      }
+    }
+    return all == 0 ? 1 : used / all;
+  }
+
   void dropCopy(OpenCall call) {
     BackendState keeper = backends.get(call.backup);
     call.backup = "";
--- a/src/main/java/org/curranthaven/internal/dispatch/RoomRules.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/RoomRules.java
@@ -18,7 +18,7 @@
   /** The same share for calls that will be late while others wait that can be in time. */
   static final double LATE_MEMORY_SHARE = 0.8;
 
-  /** Share of an engine's memory that copies of calls on other engines may fill it to. */
+  /** Share of memory that copies may fill, of one engine and of all of a service together. */
   static final double COPY_MEMORY_SHARE = 0.5;
 
   /** Calls a plain backend server is given for each slot: a short queue keeps it busy. */
--- a/src/test/java/org/curranthaven/internal/dispatch/DispatchCoreTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/DispatchCoreTest.java
@@ -317,6 +317,21 @@
     assertThat(copies).isEqualTo(4);
   }
 
+  @Test
+  void no_copies_are_made_while_calls_need_the_memory_of_the_service() {
+    core.backendChanged(backend("x", "engines"), 0);
+    core.backendChanged(backend("y", "engines"), 0);
+    core.backendChanged(cold("new"), 0);
+    for (int i = 0; i < 2; i++) {
+      core.progressed(ask(draft(8_000, 50).setTargetLeftMillis(9_000), i), 4, i);
+    }
+    core.takeDecisions();
+
+    ask(draft(900, 50).setIrreplaceable(true), 5);
+
+    assertThat(((DispatchDecision.Place) onlyDecision()).backup()).isEmpty();
+  }
+
   @Test
   void retries_stay_within_the_allowance_of_the_service() {
     core.backendChanged(backend("p", "plain"), 0);
