Notice a silent scheduler by a call that it does not answer

A question that was lost on its way was never repeated. Change: a scheduler says of each call it cannot place that it waits; a call of which nothing is heard for 150 ms, nor anything else, is the scheduler's loss; if something else was heard, it is asked again. Tests: SchedulerLinkTest (three), SchedulerTest.a_gateway_is_told_that_its_call_waits.

--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -86,6 +86,11 @@
     return waiting.size();
   }
 
+  /** Returns whether the call was taken in and waits for room. */
+  public boolean isWaiting(CallKey key) {
+    return waiting.contains(key);
+  }
+
   /** Returns the number of calls that run. */
   public int openCalls() {
     return backends.openCalls();
--- a/src/main/java/org/curranthaven/internal/dispatch/WaitingCalls.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/WaitingCalls.java
@@ -20,6 +20,10 @@
     return byKey.size();
   }
 
+  boolean contains(CallKey key) {
+    return byKey.containsKey(key);
+  }
+
   boolean isFull() {
     return byKey.size() >= MAX_WAITING;
   }
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -43,6 +43,12 @@
   /** Silence after which a scheduler counts as lost. */
   static final long LOST_AFTER_MILLIS = 450;
 
+  /**
+   * Time for a scheduler to answer a call, if only that it waits: many times what an answer takes,
+   * and below the targets of short calls.
+   */
+  static final long ANSWER_MILLIS = 150;
+
   private static final long CHECK_MILLIS = 100;
   private static final long PROGRESS_MILLIS = 500;
 
@@ -57,6 +63,10 @@
   private final Map<String, BackendRecord> backends = new HashMap<>();
   private final Set<String> gone = new HashSet<>();
   private final Map<Long, Integer> reported = new HashMap<>();
+
+  /** Calls of which the scheduler has not said yet what becomes of them. */
+  private final Set<Long> unanswered = new HashSet<>();
+
   private String scheduler = "";
   private long term;
   private long version;
@@ -239,13 +249,37 @@
   public void ask(DispatchAsk ask, Placed placed) {
     calls.put(ask.getId(), placed);
     if (isConnected()) {
-      send(DispatchRequests.newBuilder().addAsks(ask));
+      askScheduler(ask);
       checkLater();
     } else {
       askAlone(ask);
     }
   }
 
+  private void askScheduler(DispatchAsk ask) {
+    send(DispatchRequests.newBuilder().addAsks(ask));
+    // A scheduler that rebuilds its state has told no version yet, and answers only after that.
+    if (version > 0) {
+      unanswered.add(ask.getId());
+      long askedAtMillis = clock.nowMillis();
+      long askedTerm = term;
+      loop.schedule(
+          () -> checkAnswered(ask, askedTerm, askedAtMillis), ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  /** Decides alone if the scheduler is silent; asks again if only the question was lost. */
+  private void checkAnswered(DispatchAsk ask, long askedTerm, long askedAtMillis) {
+    if (!unanswered.contains(ask.getId()) || term != askedTerm || !isConnected()) {
+      return;
+    }
+    if (lastHeardMillis <= askedAtMillis) {
+      lose("it does not answer");
+    } else {
+      askScheduler(ask);
+    }
+  }
+
   @Override
   public void progressed(long id, int outputTokens) {
     reported.put(id, outputTokens);
@@ -269,6 +303,7 @@
     if (over) {
       calls.remove(id);
       reported.remove(id);
+      unanswered.remove(id);
     }
     if (isConnected()) {
       send(
@@ -290,13 +325,16 @@
       return;
     }
     lastHeardMillis = clock.nowMillis();
+    orders.getWaitingList().forEach(unanswered::remove);
     for (Placement placement : orders.getPlacementsList()) {
+      unanswered.remove(placement.getId());
       Placed call = calls.get(placement.getId());
       if (call != null && call.backend().isEmpty()) {
         call.placed(placement.getBackend(), placement.getUrgency(), placement.getBackup());
       }
     }
     for (Refusal refusal : orders.getRefusalsList()) {
+      unanswered.remove(refusal.getId());
       Placed call = calls.remove(refusal.getId());
       if (call != null) {
         call.refused(refusal.getRetryAfterMillis(), refusal.getReason());
@@ -359,6 +397,7 @@
   private void lose(String reason) {
     Logger.info("scheduler {} is lost: {}; deciding alone", scheduler, reason);
     scheduler = "";
+    unanswered.clear();
     startAlone();
   }
 
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -326,10 +326,18 @@
       core.progressed(
           new CallKey(gateway, progress.getId()), progress.getOutputTokens(), nowMillis);
     }
+    DispatchOrders.Builder waiting = DispatchOrders.newBuilder().setTerm(term);
     for (DispatchAsk ask : requests.getAsksList()) {
-      core.ask(new CallKey(gateway, ask.getId()), ask, nowMillis);
+      CallKey key = new CallKey(gateway, ask.getId());
+      core.ask(key, ask, nowMillis);
+      if (core.isWaiting(key)) {
+        waiting.addWaiting(ask.getId());
+      }
     }
     flush();
+    if (waiting.getWaitingCount() > 0) {
+      sender.accept(gateway, Envelope.newBuilder().setDispatchOrders(waiting));
+    }
   }
 
   /** Called when the connection to a gateway is gone. */
--- a/src/main/java/org/curranthaven/internal/transport/wire/Curranthaven.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/Curranthaven.java
@@ -471,36 +471,36 @@
       "\030\001 \001(\004\022\025\n\routput_tokens\030\002 \001(\r\"`\n\013Dispatc" +
       "hEnd\022\n\n\002id\030\001 \001(\004\022.\n\007outcome\030\002 \001(\0162\035.curr" +
       "anthaven.DispatchOutcome\022\025\n\routput_token" +
-      "s\030\003 \001(\r\"\227\001\n\016DispatchOrders\022\014\n\004term\030\001 \001(\004" +
+      "s\030\003 \001(\r\"\250\001\n\016DispatchOrders\022\014\n\004term\030\001 \001(\004" +
       "\022+\n\nplacements\030\002 \003(\0132\027.curranthaven.Plac" +
       "ement\022\'\n\010refusals\030\003 \003(\0132\025.curranthaven.R" +
       "efusal\022!\n\005moves\030\004 \003(\0132\022.curranthaven.Mov" +
-      "e\"I\n\tPlacement\022\n\n\002id\030\001 \001(\004\022\017\n\007backend\030\002 " +
-      "\001(\t\022\017\n\007urgency\030\003 \001(\r\022\016\n\006backup\030\004 \001(\t\"A\n\007" +
-      "Refusal\022\n\n\002id\030\001 \001(\004\022\032\n\022retry_after_milli" +
-      "s\030\002 \001(\004\022\016\n\006reason\030\003 \001(\t\"2\n\004Move\022\n\n\002id\030\001 " +
-      "\001(\004\022\016\n\006target\030\002 \001(\t\022\016\n\006backup\030\003 \001(\t*O\n\tE" +
-      "ntryKind\022\023\n\017ENTRY_KIND_NOOP\020\000\022\026\n\022ENTRY_K" +
-      "IND_COMMAND\020\001\022\025\n\021ENTRY_KIND_VOTERS\020\002*\246\001\n" +
-      "\rCommandStatus\022\036\n\032COMMAND_STATUS_UNSPECI" +
-      "FIED\020\000\022\032\n\026COMMAND_STATUS_APPLIED\020\001\022\035\n\031CO" +
-      "MMAND_STATUS_NOT_LEADER\020\002\022\032\n\026COMMAND_STA" +
-      "TUS_UNKNOWN\020\003\022\036\n\032COMMAND_STATUS_UNAVAILA" +
-      "BLE\020\004*\353\001\n\014ClaimVerdict\022\035\n\031CLAIM_VERDICT_" +
-      "UNSPECIFIED\020\000\022\031\n\025CLAIM_VERDICT_GRANTED\020\001" +
-      "\022\031\n\025CLAIM_VERDICT_RUNNING\020\002\022\026\n\022CLAIM_VER" +
-      "DICT_DONE\020\003\022\034\n\030CLAIM_VERDICT_KEY_REUSED\020" +
-      "\004\022\031\n\025CLAIM_VERDICT_TOO_OLD\020\005\022\035\n\031CLAIM_VE" +
-      "RDICT_FROM_FUTURE\020\006\022\026\n\022CLAIM_VERDICT_FUL" +
-      "L\020\007*\216\002\n\017DispatchOutcome\022 \n\034DISPATCH_OUTC" +
-      "OME_UNSPECIFIED\020\000\022\035\n\031DISPATCH_OUTCOME_AN" +
-      "SWERED\020\001\022\033\n\027DISPATCH_OUTCOME_FAILED\020\002\022\035\n" +
-      "\031DISPATCH_OUTCOME_REJECTED\020\003\022 \n\034DISPATCH" +
-      "_OUTCOME_UNREACHABLE\020\004\022\036\n\032DISPATCH_OUTCO" +
-      "ME_CANCELLED\020\005\022\032\n\026DISPATCH_OUTCOME_MOVED" +
-      "\020\006\022 \n\034DISPATCH_OUTCOME_MOVE_FAILED\020\007B,\n(" +
-      "org.curranthaven.internal.transport.wire" +
-      "P\001b\006proto3"
+      "e\022\017\n\007waiting\030\005 \003(\004\"I\n\tPlacement\022\n\n\002id\030\001 " +
+      "\001(\004\022\017\n\007backend\030\002 \001(\t\022\017\n\007urgency\030\003 \001(\r\022\016\n" +
+      "\006backup\030\004 \001(\t\"A\n\007Refusal\022\n\n\002id\030\001 \001(\004\022\032\n\022" +
+      "retry_after_millis\030\002 \001(\004\022\016\n\006reason\030\003 \001(\t" +
+      "\"2\n\004Move\022\n\n\002id\030\001 \001(\004\022\016\n\006target\030\002 \001(\t\022\016\n\006" +
+      "backup\030\003 \001(\t*O\n\tEntryKind\022\023\n\017ENTRY_KIND_" +
+      "NOOP\020\000\022\026\n\022ENTRY_KIND_COMMAND\020\001\022\025\n\021ENTRY_" +
+      "KIND_VOTERS\020\002*\246\001\n\rCommandStatus\022\036\n\032COMMA" +
+      "ND_STATUS_UNSPECIFIED\020\000\022\032\n\026COMMAND_STATU" +
+      "S_APPLIED\020\001\022\035\n\031COMMAND_STATUS_NOT_LEADER" +
+      "\020\002\022\032\n\026COMMAND_STATUS_UNKNOWN\020\003\022\036\n\032COMMAN" +
+      "D_STATUS_UNAVAILABLE\020\004*\353\001\n\014ClaimVerdict\022" +
+      "\035\n\031CLAIM_VERDICT_UNSPECIFIED\020\000\022\031\n\025CLAIM_" +
+      "VERDICT_GRANTED\020\001\022\031\n\025CLAIM_VERDICT_RUNNI" +
+      "NG\020\002\022\026\n\022CLAIM_VERDICT_DONE\020\003\022\034\n\030CLAIM_VE" +
+      "RDICT_KEY_REUSED\020\004\022\031\n\025CLAIM_VERDICT_TOO_" +
+      "OLD\020\005\022\035\n\031CLAIM_VERDICT_FROM_FUTURE\020\006\022\026\n\022" +
+      "CLAIM_VERDICT_FULL\020\007*\216\002\n\017DispatchOutcome" +
+      "\022 \n\034DISPATCH_OUTCOME_UNSPECIFIED\020\000\022\035\n\031DI" +
+      "SPATCH_OUTCOME_ANSWERED\020\001\022\033\n\027DISPATCH_OU" +
+      "TCOME_FAILED\020\002\022\035\n\031DISPATCH_OUTCOME_REJEC" +
+      "TED\020\003\022 \n\034DISPATCH_OUTCOME_UNREACHABLE\020\004\022" +
+      "\036\n\032DISPATCH_OUTCOME_CANCELLED\020\005\022\032\n\026DISPA" +
+      "TCH_OUTCOME_MOVED\020\006\022 \n\034DISPATCH_OUTCOME_" +
+      "MOVE_FAILED\020\007B,\n(org.curranthaven.intern" +
+      "al.transport.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -811,7 +811,7 @@
     internal_static_curranthaven_DispatchOrders_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_curranthaven_DispatchOrders_descriptor,
-        new java.lang.String[] { "Term", "Placements", "Refusals", "Moves", });
+        new java.lang.String[] { "Term", "Placements", "Refusals", "Moves", "Waiting", });
     internal_static_curranthaven_Placement_descriptor =
       getDescriptor().getMessageType(51);
     internal_static_curranthaven_Placement_fieldAccessorTable = new
--- a/src/main/java/org/curranthaven/internal/transport/wire/DispatchOrders.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/DispatchOrders.java
@@ -35,6 +35,7 @@
     placements_ = java.util.Collections.emptyList();
     refusals_ = java.util.Collections.emptyList();
     moves_ = java.util.Collections.emptyList();
+    waiting_ = emptyLongList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -189,6 +190,48 @@
     return moves_.get(index);
   }
 
+  public static final int WAITING_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.LongList waiting_ =
+      emptyLongList();
+  /**
+   * <pre>
+   * Calls that were taken in and wait for room.
+   * </pre>
+   *
+   * <code>repeated uint64 waiting = 5;</code>
+   * @return A list containing the waiting.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Long>
+      getWaitingList() {
+    return waiting_;
+  }
+  /**
+   * <pre>
+   * Calls that were taken in and wait for room.
+   * </pre>
+   *
+   * <code>repeated uint64 waiting = 5;</code>
+   * @return The count of waiting.
+   */
+  public int getWaitingCount() {
+    return waiting_.size();
+  }
+  /**
+   * <pre>
+   * Calls that were taken in and wait for room.
+   * </pre>
+   *
+   * <code>repeated uint64 waiting = 5;</code>
+   * @param index The index of the element to return.
+   * @return The waiting at the given index.
+   */
+  public long getWaiting(int index) {
+    return waiting_.getLong(index);
+  }
+  private int waitingMemoizedSerializedSize = -1;
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -203,6 +246,7 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
+    getSerializedSize();
     if (term_ != 0L) {
       output.writeUInt64(1, term_);
     }
@@ -215,6 +259,13 @@
     for (int i = 0; i < moves_.size(); i++) {
       output.writeMessage(4, moves_.get(i));
     }
+    if (getWaitingList().size() > 0) {
+      output.writeUInt32NoTag(42);
+      output.writeUInt32NoTag(waitingMemoizedSerializedSize);
+    }
+    for (int i = 0; i < waiting_.size(); i++) {
+      output.writeUInt64NoTag(waiting_.getLong(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -250,6 +301,20 @@
           }
           size += 1 * count;
         }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < waiting_.size(); i++) {
+        dataSize += com.google.protobuf.CodedOutputStream
+          .computeUInt64SizeNoTag(waiting_.getLong(i));
+      }
+      size += dataSize;
+      if (!getWaitingList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      waitingMemoizedSerializedSize = dataSize;
+    }
     return size;
   }
   @java.lang.Override
@@ -282,6 +347,8 @@
         .equals(other.getRefusalsList())) return false;
     if (!getMovesList()
         .equals(other.getMovesList())) return false;
+    if (!getWaitingList()
+        .equals(other.getWaitingList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -308,6 +375,10 @@
       hash = (37 * hash) + MOVES_FIELD_NUMBER;
       hash = (53 * hash) + getMovesList().hashCode();
     }
+    if (getWaitingCount() > 0) {
+      hash = (37 * hash) + WAITING_FIELD_NUMBER;
+      hash = (53 * hash) + getWaitingList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -465,6 +536,7 @@
         movesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000008);
+      waiting_ = emptyLongList();
       return this;
     }
 
@@ -532,6 +604,10 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.term_ = term_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        waiting_.makeImmutable();
+        result.waiting_ = waiting_;
+      }
     }
 
     @java.lang.Override
@@ -627,6 +703,17 @@
           }
         }
       }
+      if (!other.waiting_.isEmpty()) {
+        if (waiting_.isEmpty()) {
+          waiting_ = other.waiting_;
+          waiting_.makeImmutable();
+          bitField0_ |= 0x00000010;
+        } else {
+          ensureWaitingIsMutable();
+          waiting_.addAll(other.waiting_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -695,6 +782,22 @@
               }
               break;
             } // case 34
+            case 40: {
+              long v = input.readUInt64();
+              ensureWaitingIsMutable();
+              waiting_.addLong(v);
+              break;
+            } // case 40
+            case 42: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              ensureWaitingIsMutable();
+              while (input.getBytesUntilLimit() > 0) {
+                waiting_.addLong(input.readUInt64());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1446,6 +1549,118 @@
       return movesBuilder_;
     }
 
+    private com.google.protobuf.Internal.LongList waiting_ = emptyLongList();
+    private void ensureWaitingIsMutable() {
+      if (!waiting_.isModifiable()) {
+        waiting_ = makeMutableCopy(waiting_);
+      }
+      bitField0_ |= 0x00000010;
+    }
+    /**
+     * <pre>
+     * Calls that were taken in and wait for room.
+     * </pre>
+     *
+     * <code>repeated uint64 waiting = 5;</code>
+     * @return A list containing the waiting.
+     */
+    public java.util.List<java.lang.Long>
+        getWaitingList() {
+      waiting_.makeImmutable();
+      return waiting_;
+    }
+    /**
+     * <pre>
+     * Calls that were taken in and wait for room.
+     * </pre>
+     *
+     * <code>repeated uint64 waiting = 5;</code>
+     * @return The count of waiting.
+     */
+    public int getWaitingCount() {
+      return waiting_.size();
+    }
+    /**
+     * <pre>
+     * Calls that were taken in and wait for room.
+     * </pre>
+     *
+     * <code>repeated uint64 waiting = 5;</code>
+     * @param index The index of the element to return.
+     * @return The waiting at the given index.
+     */
+    public long getWaiting(int index) {
+      return waiting_.getLong(index);
+    }
+    /**
+     * <pre>
+     * Calls that were taken in and wait for room.
+     * </pre>
+     *
+     * <code>repeated uint64 waiting = 5;</code>
+     * @param index The index to set the value at.
+     * @param value The waiting to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWaiting(
+        int index, long value) {
+
+      ensureWaitingIsMutable();
+      waiting_.setLong(index, value);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls that were taken in and wait for room.
+     * </pre>
+     *
+     * <code>repeated uint64 waiting = 5;</code>
+     * @param value The waiting to add.
+     * @return This builder for chaining.
+     */
+    public Builder addWaiting(long value) {
+
+      ensureWaitingIsMutable();
+      waiting_.addLong(value);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls that were taken in and wait for room.
+     * </pre>
+     *
+     * <code>repeated uint64 waiting = 5;</code>
+     * @param values The waiting to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllWaiting(
+        java.lang.Iterable<? extends java.lang.Long> values) {
+      ensureWaitingIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, waiting_);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls that were taken in and wait for room.
+     * </pre>
+     *
+     * <code>repeated uint64 waiting = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWaiting() {
+      waiting_ = emptyLongList();
+      bitField0_ = (bitField0_ & ~0x00000010);
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:curranthaven.DispatchOrders)
   }
 
--- a/src/main/java/org/curranthaven/internal/transport/wire/DispatchOrdersOrBuilder.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/DispatchOrdersOrBuilder.java
@@ -87,4 +87,33 @@
    */
   org.curranthaven.internal.transport.wire.MoveOrBuilder getMovesOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Calls that were taken in and wait for room.
+   * </pre>
+   *
+   * <code>repeated uint64 waiting = 5;</code>
+   * @return A list containing the waiting.
+   */
+  java.util.List<java.lang.Long> getWaitingList();
+  /**
+   * <pre>
+   * Calls that were taken in and wait for room.
+   * </pre>
+   *
+   * <code>repeated uint64 waiting = 5;</code>
+   * @return The count of waiting.
+   */
+  int getWaitingCount();
+  /**
+   * <pre>
+   * Calls that were taken in and wait for room.
+   * </pre>
+   *
+   * <code>repeated uint64 waiting = 5;</code>
+   * @param index The index of the element to return.
+   * @return The waiting at the given index.
+   */
+  long getWaiting(int index);
 }
--- a/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
@@ -136,6 +136,42 @@
     assertThat(later.backend()).isEqualTo("i-1");
   }
 
+  @Test
+  void a_call_is_placed_without_a_scheduler_that_does_not_answer_it() {
+    view("control-1", 3, 1, "i-1");
+    Call call = new Call(1);
+
+    ask(call);
+    time.pass(SchedulerLink.ANSWER_MILLIS + 20);
+
+    assertThat(call.backend()).isEqualTo("i-1");
+  }
+
+  @Test
+  void a_call_that_the_scheduler_keeps_waiting_is_not_placed_without_it() {
+    view("control-1", 3, 1, "i-1");
+    Call call = new Call(1);
+    ask(call);
+    link.received("control-1", DispatchOrders.newBuilder().setTerm(3).addWaiting(1).build());
+
+    time.pass(SchedulerLink.ANSWER_MILLIS + 20);
+
+    assertThat(call.backend()).isEmpty();
+    assertThat(link.scheduler()).isEqualTo("control-1");
+  }
+
+  @Test
+  void a_call_whose_question_was_lost_is_asked_again() {
+    view("control-1", 3, 1, "i-1");
+    ask(new Call(1));
+    view("control-1", 3, 1, "i-1");
+
+    time.pass(SchedulerLink.ANSWER_MILLIS);
+
+    assertThat(sent.stream().filter(Envelope::hasDispatchRequests).count()).isEqualTo(2);
+    assertThat(link.scheduler()).isEqualTo("control-1");
+  }
+
   @Test
   void orders_of_an_earlier_term_are_not_obeyed() {
     view("control-1", 3, 1, "i-1");
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -140,6 +140,24 @@
     assertThat(sent.getLast().getValue().getSchedulerView().getTerm()).isEqualTo(5);
   }
 
+  @Test
+  void a_gateway_is_told_that_its_call_waits() {
+    lead();
+    scheduler.register(backend(1, false), new Answer()::accept);
+    for (long id = 1; id <= 4; id++) {
+      DispatchAsk ask =
+          DispatchAsk.newBuilder()
+              .setId(id)
+              .setService("plain")
+              .setTargetLeftMillis(500)
+              .setDeadlineLeftMillis(3_000)
+              .build();
+      scheduler.received(host("g1"), DispatchRequests.newBuilder().setTerm(5).addAsks(ask).build());
+    }
+
+    assertThat(sent.getLast().getValue().getDispatchOrders().getWaitingList()).containsExactly(4L);
+  }
+
   @Test
   void a_new_scheduler_goes_on_as_soon_as_every_gateway_has_told_its_state() {
     scheduler.lead(5);
