--- a/src/main/java/org/curranthaven/internal/relay/Exchange.java
+++ b/src/main/java/org/curranthaven/internal/relay/Exchange.java
@@ -22,7 +22,7 @@
  * One call from its arrival to its final answer: has it placed, sends it, repeats it where its
  * route allows that, and relays the answer. Used on the event loop only.
  */
-final class Exchange implements CallPlacer.Placed, Attempt.Owner {
+final class Exchange implements CallPlacer.Placed, Attempt.Owner, RunMoves.Owner {
   /** Time left below which a call is not sent any more. */
   private static final long MIN_SEND_MILLIS = 5;
 
@@ -50,11 +50,11 @@
   private final long endsAtMillis;
   private final ScheduledFuture<?> timeout;
   private final CallProgress progress;
+  private final RunMoves moves;
   private final Set<String> excluded = new LinkedHashSet<>();
   private long placementId;
   private @Nullable DispatchAsk ask;
   private @Nullable Attempt attempt;
-  private @Nullable Handover handover;
   private AttemptResult.@Nullable Answered lastAnswer;
   private String backend = "";
   private String backup = "";
@@ -84,6 +84,7 @@
     this.priority = priority;
     EngineSpec engine = service.engine();
     int tokensPerEvent = engine == null ? DEFAULT_TOKENS_PER_EVENT : engine.tokensPerEvent();
+    this.moves = new RunMoves(context, call, route, engine, this);
     this.progress = new CallProgress(route, tokensPerEvent, call.lastEventId(), arrivedAtMillis);
     this.endsAtMillis = arrivedAtMillis + allowedMillis;
     long left = Math.max(0, endsAtMillis - context.clock().nowMillis());
@@ -200,7 +201,7 @@
     if (route.isRepeatable() && runs + 1 < route.attempts()) {
       long wait = Math.max(MIN_SILENCE_MILLIS, route.targetMillis());
       context.loop().schedule(() -> giveUpIfUnheard(watched), wait, TimeUnit.MILLISECONDS);
-    } else if (mayRescue()) {
+    } else if (moves.mayRescue(backup)) {
       context
           .loop()
           .schedule(() -> giveUpIfPaused(watched), STREAM_SILENCE_MILLIS, TimeUnit.MILLISECONDS);
@@ -214,7 +215,7 @@
   }
 
   private void giveUpIfPaused(Attempt watched) {
-    if (done || watched != attempt || handover != null) {
+    if (done || watched != attempt || moves.isMoving()) {
       return;
     }
     long pauseMillis = progress.pauseMillis(context.clock().nowMillis());
@@ -283,48 +284,9 @@
     if (done || from != attempt) {
       return;
     }
-    if (handover != null && result instanceof AttemptResult.Broken) {
-      handover.sourceEnded();
-      return;
-    }
-    boolean taking = takingOver;
-    takingOver = false;
-    boolean refusedThere =
-        result instanceof AttemptResult.NotRun || result instanceof AttemptResult.Unreachable;
-    BackendRecord stopped = context.backend(takeOverElse);
-    if (taking && refusedThere && stopped != null) {
-      takeOverElse = "";
-      takingOver = true;
-      send(stopped, takeOverName);
-      return;
+    if (!moves.goesOnAfter(from, result, backup)) {
+      afterAttempt(result);
     }
-    if (taking && refusedThere) {
-      afterAttempt(new AttemptResult.Broken("the moved run could not go on"));
-      return;
-    }
-    if (result instanceof AttemptResult.Broken && !taking && mayRescue()) {
-      rescue(from);
-      return;
-    }
-    afterAttempt(result);
-  }
-
-  /** Returns whether a copy of the broken run may be left to go on from. */
-  private boolean mayRescue() {
-    EngineSpec engine = service.engine();
-    return engine != null && engine.moves() && !route.isRepeatable() && !backup.isEmpty();
-  }
-
-  /** Has a run whose connection broke stopped for certain, and goes on from what is left of it. */
-  private void rescue(Attempt broken) {
-    BackendRecord keeper = context.backend(backup);
-    if (keeper == null) {
-      afterAttempt(new AttemptResult.Broken("the run broke off and so did its copy"));
-      return;
-    }
-    Logger.info("call {} of {} broke off at {}", call.id(), route.name(), backend);
-    handover = new Handover(context, call, broken.backend(), keeper, new RescueEnd(broken, keeper));
-    handover.startStopped();
   }
 
   private void afterAttempt(AttemptResult result) {
@@ -464,99 +426,47 @@
 
   // ---- moving a running request -----------------------------------------------------------------
 
-  private boolean takingOver;
-  private String takeOverName = "";
-
-  /** Engine that keeps the stopped run if the other one does not take it over. */
-  private String takeOverElse = "";
-
   @Override
   public void moveTo(String target, String newBackup) {
     Attempt running = attempt;
     BackendRecord record = context.backend(target);
-    if (done || !placed || !started || running == null || record == null || handover != null) {
+    if (done || !placed || !started || running == null || record == null || moves.isMoving()) {
       if (!done && placed) {
-        context.placer().ended(placementId, DispatchOutcome.DISPATCH_OUTCOME_MOVE_FAILED, 0);
+        stays();
       }
       return;
     }
-    handover =
-        new Handover(context, call, running.backend(), record, new MoveEnd(running, newBackup));
-    handover.start();
+    moves.move(running, record, newBackup, backup);
   }
 
-  /** Goes on where a handover led to. */
-  private final class MoveEnd implements Handover.Owner {
-    private final Attempt source;
-    private final String newBackup;
-
-    MoveEnd(Attempt source, String newBackup) {
-      this.source = source;
-      this.newBackup = newBackup;
-    }
-
-    @Override
-    public void notMoved(boolean sourceEnded) {
-      handover = null;
-      if (done) {
-        return;
-      }
-      Logger.info("call {} of {} stays at {}", call.id(), route.name(), backend);
-      if (sourceEnded && mayRescue()) {
-        rescue(source);
-      } else if (sourceEnded) {
-        afterAttempt(new AttemptResult.Broken("the run stopped and could not be moved"));
-      } else {
-        context.placer().ended(placementId, DispatchOutcome.DISPATCH_OUTCOME_MOVE_FAILED, 0);
-      }
-    }
+  @Override
+  public boolean isOver() {
+    return done;
+  }
 
-    @Override
-    public void moved(BackendRecord to, String copyName) {
-      goOn(source, to, copyName, source.backend().getId(), newBackup);
-    }
+  @Override
+  public void stays() {
+    context.placer().ended(placementId, DispatchOutcome.DISPATCH_OUTCOME_MOVE_FAILED, 0);
   }
 
-  /** Sends the call to an engine that takes the running request over. */
-  private void goOn(
-      Attempt source, BackendRecord to, String copyName, String otherwise, String newBackup) {
-    handover = null;
-    if (done) {
-      return;
-    }
-    source.cancel();
-    takingOver = true;
-    takeOverElse = otherwise;
-    takeOverName = copyName;
+  @Override
+  public void goesOnAt(BackendRecord to, String newBackup) {
     backup = newBackup;
-    Logger.info("call {} of {} moves from {} to {}", call.id(), route.name(), backend, to.getId());
     progress.moved();
     if (!to.getId().equals(backend)) {
       backend = to.getId();
       context.placer().ended(placementId, DispatchOutcome.DISPATCH_OUTCOME_MOVED, outputTokens());
     }
-    send(to, copyName);
   }
 
-  /** Goes on from the copy where the run itself could not be had any more. */
-  private final class RescueEnd implements Handover.Owner {
-    private final Attempt broken;
-    private final BackendRecord keeper;
-
-    RescueEnd(Attempt broken, BackendRecord keeper) {
-      this.broken = broken;
-      this.keeper = keeper;
-    }
-
-    @Override
-    public void notMoved(boolean sourceEnded) {
-      moved(keeper, context.protocol().copyName(keeper, call.id()));
-    }
+  @Override
+  public void sendTo(BackendRecord to, String copyName) {
+    send(to, copyName);
+  }
 
-    @Override
-    public void moved(BackendRecord to, String copyName) {
-      goOn(broken, to, copyName, "", "");
-    }
+  @Override
+  public void lost(String reason) {
+    afterAttempt(new AttemptResult.Broken(reason));
   }
 
   /** Returns whether the call is a stream that has begun. */
