--- a/src/main/java/org/curranthaven/internal/consensus/RaftTiming.java
+++ b/src/main/java/org/curranthaven/internal/consensus/RaftTiming.java
@@ -30,7 +30,10 @@
     }
   }
 
-  /** Returns the bounds used between data centres a few milliseconds apart. */
+  /**
+   * Returns the bounds used between data centres a few milliseconds apart: five heartbeats may be
+   * lost before a leader is, and a restarted voter keeps an election waiting for 400 ms only.
+   */
   public static RaftTiming standard() {
     return new RaftTiming(80, 400, 650, 330);
   }
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -76,6 +76,7 @@
   private boolean viewed;
   private @Nullable DispatchCore alone;
   private boolean checking;
+  private long lastProgressMillis;
 
   /** Is told what a scheduler says. */
   interface ViewListener {
@@ -357,8 +358,6 @@
     }
   }
 
-  private long lastProgressMillis;
-
   private void check() {
     checking = false;
     if (!scheduler.isEmpty() && !isConnected()) {
