Do once what was done twice on the way of a call; forget held calls

Read over the whole change; no decision differs. - A gateway without a catalog kept the closure of each held call after its time was up, without bound, until a catalog came. HeldActions runs each once, on release or when its time is up, and forgets it; CallerConnection's own numbering of held calls is gone with it. CallerConnectionTest checks that nothing is left. - Each event copied the whole queue of a service before serving it; it is walked in place now. - The question for a place was built twice; the list of control hosts once for each host it goes to. - Gateway and ControlHost each had the thread that runs the network: PeerNetwork.start().

--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableSet;
 import java.util.SortedSet;
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
@@ -279,7 +280,9 @@
   // ---- placing ----------------------------------------------------------------------------------
 
   private void serveQueue(String service, long nowMillis) {
-    for (WaitingCall call : List.copyOf(waiting.of(service))) {
+    NavigableSet<WaitingCall> queue = waiting.of(service);
+    WaitingCall call = queue.isEmpty() ? null : queue.first();
+    while (call != null) {
       Placing placing = place(call.key(), call.ask(), call.dueAtMillis() - nowMillis, nowMillis);
       if (placing == Placing.PLACED) {
         waiting.remove(call.key());
@@ -287,6 +290,7 @@
         // Those behind it would take the room that a large call waits for.
         return;
       }
+      call = queue.higher(call);
     }
   }
 
--- a/src/main/java/org/curranthaven/internal/dispatch/WaitingCalls.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/WaitingCalls.java
@@ -4,7 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.SortedSet;
+import java.util.NavigableSet;
 import java.util.TreeSet;
 import org.jspecify.annotations.Nullable;
 
@@ -12,7 +12,7 @@
 final class WaitingCalls {
   private static final int MAX_WAITING = 20_000;
 
-  private final Map<String, SortedSet<WaitingCall>> byService = new HashMap<>();
+  private final Map<String, NavigableSet<WaitingCall>> byService = new HashMap<>();
   private final Map<CallKey, WaitingCall> byKey = new HashMap<>();
   private long nextOrder;
 
@@ -33,7 +33,7 @@
   }
 
   /** Returns the service's calls, the first to be served first. */
-  SortedSet<WaitingCall> of(String service) {
+  NavigableSet<WaitingCall> of(String service) {
     return byService.computeIfAbsent(service, name -> new TreeSet<>(WaitingCall.BY_RANK));
   }
 
--- a/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
@@ -63,13 +63,6 @@
   private @Nullable HttpRequest collecting;
   private ByteArrayOutputStream body = new ByteArrayOutputStream();
   private @Nullable Exchange exchange;
-
-  /** Calls that had to wait for the catalog. */
-  private int heldCalls;
-
-  /** Which of them waits now; 0 for none. */
-  private int heldCall;
-
   private boolean keepAlive;
   private boolean headRequest;
   private boolean answering;
@@ -226,26 +219,16 @@
     if (context.isInformed()) {
       route(call, nowMillis);
     } else if (mayWait) {
-      heldCalls++;
-      int number = heldCalls;
-      heldCall = number;
-      context.whenInformed(() -> routeHeld(number, call, nowMillis));
-      context
-          .loop()
-          .schedule(
-              () -> routeHeld(number, call, nowMillis),
-              NOT_INFORMED_WAIT_MILLIS,
-              TimeUnit.MILLISECONDS);
+      context.whenInformed(() -> routeHeld(call, nowMillis), NOT_INFORMED_WAIT_MILLIS);
     } else {
       failUninformed();
     }
   }
 
-  private void routeHeld(int number, InboundCall call, long arrivedAtMillis) {
-    if (heldCall != number || gone) {
+  private void routeHeld(InboundCall call, long arrivedAtMillis) {
+    if (gone) {
       return;
     }
-    heldCall = 0;
     if (context.isInformed()) {
       route(call, arrivedAtMillis);
     } else {
--- a/src/main/java/org/curranthaven/internal/relay/Exchange.java
+++ b/src/main/java/org/curranthaven/internal/relay/Exchange.java
@@ -121,10 +121,11 @@
     if (engine != null) {
       builder.addAllParts(call.parts());
     }
-    ask = builder.build();
+    DispatchAsk built = builder.build();
+    ask = built;
     placed = false;
     backend = "";
-    context.placer().ask(builder.build(), this);
+    context.placer().ask(built, this);
   }
 
   @Override
--- a/src/main/java/org/curranthaven/internal/relay/Gateway.java
+++ b/src/main/java/org/curranthaven/internal/relay/Gateway.java
@@ -5,7 +5,6 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
@@ -63,7 +62,7 @@
   private final HostRecord self;
   private final @Nullable RoutedMetrics metrics;
   private final Set<Exchange> open = new HashSet<>();
-  private final List<Runnable> awaitingInformation = new ArrayList<>();
+  private final HeldActions awaitingInformation;
   private Catalog catalog = Catalog.empty();
   private volatile long stopBeganMillis;
   private volatile long stopEndsMillis;
@@ -102,13 +101,14 @@
                 settings.retryRatio(), settings.retrySlack(), settings.retryWindowMillis()),
             network::send,
             new Views());
+    this.awaitingInformation = new HeldActions(loop);
     this.pool = new BackendPool(loop, clock, protocol);
     this.server = new RelayServer(group, this);
   }
 
   /** Starts to listen and to look for a scheduler. */
   public void start() throws InterruptedException {
-    Thread.ofPlatform().daemon(true).name("network").start(this::runNetwork);
+    network.start();
     server.listenForCallers(Addresses.parse(String.valueOf(settings.callerAddress())));
     String ready = settings.readyAddress();
     if (ready != null && !ready.isEmpty()) {
@@ -133,14 +133,6 @@
     }
   }
 
-  private void runNetwork() {
-    try {
-      network.run();
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
   private boolean isReady() {
     return !draining && isInformed();
   }
@@ -200,10 +192,8 @@
   }
 
   private void runAwaiting() {
-    if (isInformed() && !awaitingInformation.isEmpty()) {
-      List<Runnable> ready = List.copyOf(awaitingInformation);
-      awaitingInformation.clear();
-      ready.forEach(loop::execute);
+    if (isInformed()) {
+      awaitingInformation.release();
     }
   }
 
@@ -273,8 +263,8 @@
   }
 
   @Override
-  public void whenInformed(Runnable action) {
-    awaitingInformation.add(action);
+  public void whenInformed(Runnable action, long mostMillis) {
+    awaitingInformation.hold(action, mostMillis);
   }
 
   @Override
--- a/src/main/java/org/curranthaven/internal/relay/RelayContext.java
+++ b/src/main/java/org/curranthaven/internal/relay/RelayContext.java
@@ -28,8 +28,8 @@
   /** Returns whether the gateway knows enough to serve. */
   boolean isInformed();
 
-  /** Runs an action once the gateway knows enough to serve. */
-  void whenInformed(Runnable action);
+  /** Runs an action once the gateway knows enough to serve, or after the time all the same. */
+  void whenInformed(Runnable action, long mostMillis);
 
   /** Returns whether the gateway is being stopped. */
   boolean isDraining();
--- a/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
@@ -109,21 +109,13 @@
 
   /** Starts to listen, to vote and to look for the other hosts. */
   public void start() throws InterruptedException {
-    Thread.ofPlatform().daemon(true).name("network").start(this::runNetwork);
+    network.start();
     Thread.ofPlatform().daemon(true).name("consensus").start(this::runConsensus);
     server.listen(Addresses.parse(String.valueOf(settings.controlAddress())));
     loop.scheduleAtFixedRate(this::gossip, GOSSIP_MILLIS, GOSSIP_MILLIS, TimeUnit.MILLISECONDS);
     Logger.info("{} takes control calls at {}", settings.name(), settings.controlAddress());
   }
 
-  private void runNetwork() {
-    try {
-      network.run();
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
   private void runConsensus() {
     while (true) {
       try {
@@ -166,13 +158,16 @@
 
   /** Tells every host which control hosts there are. */
   private void gossip() {
-    network.connected().forEach(this::tellControlHosts);
+    tellControlHosts(network.connected());
   }
 
-  private void tellControlHosts(HostRecord host) {
+  private void tellControlHosts(Collection<HostRecord> hosts) {
     KnownHosts.Builder known = KnownHosts.newBuilder().addControlAddresses(settings.peerAddress());
     connectedControlHosts().forEach(control -> known.addControlAddresses(control.getPeerAddress()));
-    network.send(host.getName(), Envelope.newBuilder().setKnownHosts(known));
+    KnownHosts built = known.build();
+    for (HostRecord host : hosts) {
+      network.send(host.getName(), Envelope.newBuilder().setKnownHosts(built));
+    }
   }
 
   /** What the consensus thread tells, carried over to the event loop. */
@@ -324,7 +319,7 @@
     } else {
       loop.execute(
           () -> {
-            tellControlHosts(host);
+            tellControlHosts(List.of(host));
             scheduler.gatewayConnected(host);
           });
     }
--- a/src/main/java/org/curranthaven/internal/transport/PeerNetwork.java
+++ b/src/main/java/org/curranthaven/internal/transport/PeerNetwork.java
@@ -181,6 +181,21 @@
     blocked.addAll(hosts);
   }
 
+  /** Runs on a thread of its own, which is returned; it ends when it is interrupted. */
+  public Thread start() {
+    return Thread.ofPlatform()
+        .daemon(true)
+        .name("network")
+        .start(
+            () -> {
+              try {
+                run();
+              } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+              }
+            });
+  }
+
   @Override
   public void run() throws InterruptedException {
     EventLoopGroup group =
--- a/src/test/java/org/curranthaven/internal/relay/CallerConnectionTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/CallerConnectionTest.java
@@ -11,7 +11,6 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import java.lang.reflect.Proxy;
-import java.util.ArrayList;
 import java.util.List;
 import org.curranthaven.api.Outcome;
 import org.curranthaven.internal.catalog.Catalog;
@@ -23,7 +22,7 @@
   private static final long SHORT_DEADLINE_MILLIS = 600;
 
   private final GivenTime time = new GivenTime();
-  private final List<Runnable> awaiting = new ArrayList<>();
+  private final HeldActions awaiting = new HeldActions(time.loop());
   private boolean informed;
   private long deadlineMillis = LONG_DEADLINE_MILLIS;
   private final EmbeddedChannel caller = new EmbeddedChannel(new CallerConnection(context()));
@@ -43,7 +42,7 @@
                   case "isInformed" -> informed;
                   case "isDraining" -> false;
                   case "whenInformed" -> {
-                    awaiting.add((Runnable) arguments[0]);
+                    awaiting.hold((Runnable) arguments[0], (long) arguments[1]);
                     yield null;
                   }
                   default -> throw new UnsupportedOperationException(method.getName());
@@ -94,7 +93,8 @@
 
   private void becomeInformed() {
     informed = true;
-    awaiting.forEach(Runnable::run);
+    awaiting.release();
+    time.pass(10);
   }
 
   @Test
@@ -118,6 +118,7 @@
     FullHttpResponse response = caller.readOutbound();
     assertThat(response.status().code()).isEqualTo(503);
     assertThat(response.headers().contains(HttpHeaderNames.RETRY_AFTER)).isTrue();
+    assertThat(awaiting.size()).isZero();
     becomeInformed();
     assertThat(status()).isZero();
   }
--- a/src/test/java/org/curranthaven/internal/transport/PeerNetworkTest.java
+++ b/src/test/java/org/curranthaven/internal/transport/PeerNetworkTest.java
@@ -52,19 +52,6 @@
     public void disconnected(HostRecord host) {}
   }
 
-  private static Thread start(PeerNetwork network) {
-    return Thread.ofPlatform()
-        .daemon(true)
-        .start(
-            () -> {
-              try {
-                network.run();
-              } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-              }
-            });
-  }
-
   private static PeerNetwork network(String name, String address, String other, PeerListener to) {
     HostRecord self = HostRecord.newBuilder().setName(name).setPeerAddress(address).build();
     return new PeerNetwork(address, List.of(other), () -> self, to);
@@ -75,8 +62,8 @@
       throws IOException, InterruptedException {
     List<String> addresses = LocalFleet.freeAddresses(2);
     BusyListener listener = new BusyListener();
-    Thread running = start(network("one", addresses.get(0), addresses.get(1), listener));
-    Thread other = start(network("two", addresses.get(1), addresses.get(0), new QuietListener()));
+    Thread running = network("one", addresses.get(0), addresses.get(1), listener).start();
+    Thread other = network("two", addresses.get(1), addresses.get(0), new QuietListener()).start();
     assertThat(listener.busy.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
 
     running.interrupt();
