--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -13,6 +13,7 @@
 import org.curranthaven.internal.transport.wire.BackendRecord;
 import org.curranthaven.internal.transport.wire.DispatchOutcome;
 import org.curranthaven.internal.transport.wire.PlacementRequest;
+import org.curranthaven.internal.transport.wire.RunningDispatch;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -278,21 +279,24 @@
     backends.removeIfDrained(backend);
   }
 
-  /** Restores a running request that another scheduler placed. */
-  public void restoreRunning(
-      RequestId requestId,
-      PlacementRequest request,
-      String backendId,
-      int outputTokens,
-      long nowMillis) {
-    BackendState backend = backends.get(backendId);
+  /**
+   * Restores a running request that another scheduler placed, its backup copy and its migration.
+   */
+  public void restoreRunning(RequestId requestId, RunningDispatch dispatch, long nowMillis) {
+    BackendState backend = backends.get(dispatch.getBackend());
     if (backend == null) {
       return;
     }
+    PlacementRequest request = dispatch.getAsk();
     RunningRequest running =
         new RunningRequest(requestId, request, forecast.outputTokens(request), nowMillis);
-    running.outputProgressed(outputTokens);
+    running.outputProgressed(dispatch.getOutputTokens());
     backends.addPlacement(running, backend);
+    migrationPlanner.restoreBackup(running, dispatch.getBackup());
+    if (!dispatch.getMigrationTarget().isEmpty()) {
+      migrationPlanner.restoreMigration(
+          running, dispatch.getMigrationTarget(), dispatch.getMigrationBackup(), nowMillis);
+    }
     migrationPlanner.migrateFrom(backend, nowMillis);
   }
 
--- a/src/main/java/org/curranthaven/internal/dispatch/MigrationPlanner.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/MigrationPlanner.java
@@ -75,17 +75,43 @@
     if (target == null) {
       return false;
     }
+    RunningRequest incoming = addIncoming(running, target, nowMillis);
+    assignBackup(target, incoming, nowMillis);
+    decisions.accept(new DispatchDecision.Migrate(running.id, target.id(), incoming.backup));
+    return true;
+  }
+
+  /**
+   * Counts a migrating request on its target from now on, and on its source until the migration has
+   * ended.
+   */
+  private static RunningRequest addIncoming(
+      RunningRequest running, BackendState target, long nowMillis) {
     running.migratingAway = true;
     running.migrationAttempts++;
-    // Counted on the target from now on, and on the source until the migration has ended.
     RunningRequest incoming =
         new RunningRequest(running.id, running.request, running.remainingTokens(), nowMillis);
     incoming.outputProgressed(running.outputTokens());
     incoming.migratingIn = true;
     target.requests.put(running.id, incoming);
-    assignBackup(target, incoming, nowMillis);
-    decisions.accept(new DispatchDecision.Migrate(running.id, target.id(), incoming.backup));
-    return true;
+    return incoming;
+  }
+
+  /** Restores a migration that another scheduler started; does nothing if its target is unknown. */
+  void restoreMigration(RunningRequest running, String targetId, String backupId, long nowMillis) {
+    BackendState target = backends.get(targetId);
+    if (target != null && !target.requests.containsKey(running.id)) {
+      restoreBackup(addIncoming(running, target, nowMillis), backupId);
+    }
+  }
+
+  /** Restores a backup copy that another scheduler assigned; does nothing without its engine. */
+  void restoreBackup(RunningRequest running, String backupId) {
+    BackendState backupEngine = backends.get(backupId);
+    if (backupEngine != null) {
+      running.backup = backupId;
+      backupEngine.backupCopies.put(running.id, running);
+    }
   }
 
   /** Returns the engine with capacity that has the lowest migration cost; null if there is none. */
@@ -171,8 +197,7 @@
     BackendState backupEngine =
         cheapestTarget(primary, running, engine, CapacityRules.BACKUP_MEMORY_SHARE, nowMillis);
     if (backupEngine != null) {
-      running.backup = backupEngine.id();
-      backupEngine.backupCopies.put(running.id, running);
+      restoreBackup(running, backupEngine.id());
     }
   }
 
--- a/src/main/java/org/curranthaven/internal/gateway/CallerApi.java
+++ b/src/main/java/org/curranthaven/internal/gateway/CallerApi.java
@@ -83,7 +83,8 @@
   private void handleCompletion(HttpRequestContext context, boolean chat, long arrivedAtMillis)
       throws IOException, InterruptedException {
     if (!context.method().equals("POST")) {
-      context.failure(
+      reject(
+          context,
           Failure.of(
               ResultCode.METHOD_NOT_ALLOWED,
               "method " + context.method() + " is not allowed: completions require POST"));
@@ -91,7 +92,7 @@
     }
     Outcome<byte[]> body = context.body(maxBodyBytes);
     if (body instanceof Outcome.Failed<byte[]> failed) {
-      context.failure(failed.failure());
+      reject(context, failed.failure());
       return;
     }
     byte[] bodyBytes = ((Outcome.Success<byte[]>) body).value();
@@ -103,13 +104,14 @@
     }
     Outcome<CompletionRequest> parsed = CompletionRequest.parse(chat, bodyBytes);
     if (parsed instanceof Outcome.Failed<CompletionRequest> failed) {
-      context.failure(failed.failure());
+      reject(context, failed.failure());
       return;
     }
     CompletionRequest request = ((Outcome.Success<CompletionRequest>) parsed).value();
     Model model = configuration.models().get(request.model());
     if (model == null) {
-      context.failure(
+      reject(
+          context,
           Failure.of(
               ResultCode.UNKNOWN_MODEL, "model '" + request.model() + "' is not configured"));
       return;
@@ -299,14 +301,15 @@
     Configuration configuration = services.router().configuration();
     PlainService service = configuration.services().get(pathParts[0]);
     if (service == null) {
-      context.failure(
+      reject(
+          context,
           Failure.of(
               ResultCode.UNKNOWN_SERVICE, "service '" + pathParts[0] + "' is not configured"));
       return;
     }
     Outcome<byte[]> body = context.body(maxBodyBytes);
     if (body instanceof Outcome.Failed<byte[]> failed) {
-      context.failure(failed.failure());
+      reject(context, failed.failure());
       return;
     }
     Outcome<AdmittedRequest> admission =
@@ -339,7 +342,8 @@
         new ServiceRequestHandler(services, serviceClient, admitted.serviceClass());
     context.setHeader("X-Request-Id", admitted.key().key());
     if (!repeatable && METHODS_RETRIED_BY_CLIENTS.contains(context.method())) {
-      context.failure(
+      reject(
+          context,
           Failure.of(
               ResultCode.METHOD_NOT_ALLOWED,
               context.method()
--- a/src/main/java/org/curranthaven/internal/gateway/GenerationHandler.java
+++ b/src/main/java/org/curranthaven/internal/gateway/GenerationHandler.java
@@ -111,7 +111,7 @@
           return Outcome.success(completed.completion());
         }
         case AttemptEnd.Failed failed -> {
-          return Outcome.failed(failed.failure());
+          return Outcome.failed(withEarlierAttempts(failed.failure()));
         }
         case AttemptEnd.FailOver failOver -> {
           failingOver = true;
--- a/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
@@ -28,6 +28,7 @@
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayDeque;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.curranthaven.api.Failure;
@@ -69,6 +70,12 @@
    */
   private static final long MIN_DEADLINE_TO_WAIT_MILLIS = 5 * INITIALIZATION_WAIT_MILLIS;
 
+  /** Two spaces and the line end of a request line. */
+  private static final int REQUEST_LINE_SEPARATOR_BYTES = 4;
+
+  /** Colon, space and line end of a header. */
+  private static final int HEADER_SEPARATOR_BYTES = 4;
+
   private final RelayContext context;
   private final ArrayDeque<FullHttpRequest> pipelinedRequests = new ArrayDeque<>();
   private @Nullable ChannelHandlerContext channelContext;
@@ -162,6 +169,10 @@
       return;
     }
     if (message instanceof HttpRequest request) {
+      if (headerBytes(request) > context.catalog().limits().maxHeaderBytes()) {
+        rejectMalformed(new TooLongFrameException("headers exceed the catalog's limit"));
+        return;
+      }
       incompleteRequest = request;
       body = new ByteArrayOutputStream();
       if (HttpUtil.is100ContinueExpected(request) && !responding) {
@@ -174,6 +185,19 @@
     }
   }
 
+  /** Returns the size of the request line and the headers as they were received. */
+  private static int headerBytes(HttpRequest request) {
+    int bytes =
+        request.method().name().length()
+            + request.uri().length()
+            + request.protocolVersion().text().length()
+            + REQUEST_LINE_SEPARATOR_BYTES;
+    for (Map.Entry<String, String> header : request.headers()) {
+      bytes += header.getKey().length() + header.getValue().length() + HEADER_SEPARATOR_BYTES;
+    }
+    return bytes;
+  }
+
   private void rejectMalformed(Throwable cause) {
     if (responding) {
       closing = true;
--- a/src/main/java/org/curranthaven/internal/relay/MigrationCoordinator.java
+++ b/src/main/java/org/curranthaven/internal/relay/MigrationCoordinator.java
@@ -17,6 +17,7 @@
   private final @Nullable EngineCapabilities engine;
   private final Owner owner;
   private @Nullable StateTransfer transfer;
+  private Migration migration = Migration.NONE;
   private boolean resuming;
   private String stateReference = "";
 
@@ -65,6 +66,11 @@
     return transfer != null;
   }
 
+  /** Returns the migration in progress; {@link Migration#NONE} if there is none. */
+  Migration migration() {
+    return migration;
+  }
+
   /**
    * Starts the migration of a running request to another engine.
    *
@@ -72,6 +78,7 @@
    * @param backup backend server that keeps the backup copy now; empty for none
    */
   void migrate(Attempt running, BackendRecord target, String newBackup, String backup) {
+    migration = new Migration(target.getId(), newBackup);
     transfer =
         new StateTransfer(
             context,
@@ -172,20 +179,22 @@
     }
 
     @Override
-    public void onTransferFailed(boolean sourceEnded) {
+    public void onTransferFailed(StateTransfer.SourceState sourceState) {
       transfer = null;
+      migration = Migration.NONE;
       if (owner.isFinished()) {
         return;
       }
+      boolean running = sourceState == StateTransfer.SourceState.RUNNING;
       Logger.info(
           "request {} on route {}: migration from backend server {} failed; {}",
           request.id(),
           route.name(),
           source.backend().getId(),
-          sourceEnded ? "the request has stopped there" : "the request continues there");
-      if (sourceEnded && !backup.isEmpty()) {
+          running ? "the request continues there" : "its stream has ended there");
+      if (!running && !backup.isEmpty()) {
         resumeFromBackup(source, backup);
-      } else if (sourceEnded) {
+      } else if (!running) {
         owner.onStateLost(
             "the request stopped at backend server "
                 + source.backend().getId()
@@ -214,8 +223,19 @@
     }
 
     @Override
-    public void onTransferFailed(boolean sourceEnded) {
-      onTransferred(backupBackend, context.protocol().stateReference(backupBackend, request.id()));
+    public void onTransferFailed(StateTransfer.SourceState sourceState) {
+      if (sourceState == StateTransfer.SourceState.NOT_RUNNING) {
+        onTransferred(
+            backupBackend, context.protocol().stateReference(backupBackend, request.id()));
+        return;
+      }
+      transfer = null;
+      if (!owner.isFinished()) {
+        owner.onStateLost(
+            "the request was interrupted at backend server "
+                + interruptedAttempt.backend().getId()
+                + ", which can be reached and has not confirmed that it stopped the request");
+      }
     }
 
     @Override
@@ -232,6 +252,7 @@
       String newFallbackBackend,
       String newBackup) {
     transfer = null;
+    migration = Migration.NONE;
     if (owner.isFinished()) {
       return;
     }
--- a/src/main/java/org/curranthaven/internal/relay/RequestPlacer.java
+++ b/src/main/java/org/curranthaven/internal/relay/RequestPlacer.java
@@ -27,6 +27,12 @@
 
     /** Returns the backend server that the request runs on; empty while it is queued. */
     String backend();
+
+    /** Returns the backend server that keeps its backup copy; empty for none. */
+    String backup();
+
+    /** Returns the migration in progress; {@link Migration#NONE} if there is none. */
+    Migration migration();
   }
 
   /**
--- a/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
@@ -58,6 +58,7 @@
   private final ScheduledFuture<?> deadlineTimer;
   private final RequestProgress progress;
   private final MigrationCoordinator migration;
+  private final AttemptHistory history = new AttemptHistory();
   private final Set<String> excludedBackends = new LinkedHashSet<>();
   private long placementId;
   private @Nullable PlacementRequest pendingPlacement;
@@ -66,8 +67,6 @@
   private String backend = "";
   private String backup = "";
   private int urgency;
-  private int executionCount;
-  private int attemptCount;
   private boolean streamStarted;
   private boolean placed;
   private boolean finished;
@@ -147,6 +146,16 @@
     return backend;
   }
 
+  @Override
+  public String backup() {
+    return backup;
+  }
+
+  @Override
+  public Migration migration() {
+    return migration.migration();
+  }
+
   @Override
   public int outputTokens() {
     return progress.outputTokens();
@@ -165,7 +174,7 @@
     urgency = newUrgency;
     backup = backupId;
     if (target == null) {
-      attemptCount++;
+      history.recordStart();
       handleResult(
           new AttemptResult.Unreachable("backend server " + backendId + " is unavailable"));
       return;
@@ -175,7 +184,7 @@
             + " {} ms to deadline",
         request.id(),
         route.name(),
-        attemptCount + 1,
+        history.attempts() + 1,
         backendId,
         backupId.isEmpty() ? "none" : backupId,
         leftMillis);
@@ -183,7 +192,7 @@
   }
 
   private void send(BackendRecord target, String stateReference) {
-    attemptCount++;
+    history.recordStart();
     BackendRecord backupRecord = context.backend(backup);
     Attempt newAttempt = new Attempt(target, this);
     attempt = newAttempt;
@@ -213,7 +222,7 @@
    * copy, if its stream pauses for {@link #STREAM_STALL_TIMEOUT_MILLIS}.
    */
   private void scheduleResponseCheck(Attempt watchedAttempt) {
-    if (route.isRepeatable() && executionCount + 1 < route.attempts()) {
+    if (route.isRepeatable() && history.executions() + 1 < route.attempts()) {
       long timeoutMillis = Math.max(MIN_RESPONSE_TIMEOUT_MILLIS, route.targetMillis());
       context
           .loop()
@@ -267,7 +276,7 @@
       deliver(lastFailedResponse);
       return;
     }
-    if (executionCount > 0) {
+    if (history.executions() > 0) {
       fail(
           ResultCode.BACKEND_FAILED,
           "the request failed after it may have run, and its retry was rejected (reason "
@@ -328,11 +337,9 @@
   }
 
   private void handleResult(AttemptResult result) {
-    if (result instanceof AttemptResult.Completed || result instanceof AttemptResult.Interrupted) {
-      executionCount++;
-    }
+    history.recordResult(result);
     RetryDecision decision =
-        RetryRules.decide(result, route, executionCount, attemptCount, streamStarted);
+        RetryRules.decide(result, route, history.executions(), history.attempts(), streamStarted);
     reportEnd(result, decision);
     attempt = null;
     switch (decision) {
@@ -346,8 +353,7 @@
           lastFailedResponse = completed;
         }
         excludedBackends.add(backend);
-        // Not a repeat if this backend server was unreachable and no earlier attempt may have run.
-        requestPlacement(!(result instanceof AttemptResult.Unreachable) || executionCount > 0);
+        requestPlacement(history.nextIsRepeat());
       }
       case RetryDecision.Fail failure -> fail(failure.code(), describe(result), RETRY_AFTER_MILLIS);
     }
@@ -377,7 +383,7 @@
           "request {} on route {}: attempt {} at backend server {} ended: {}; next step: {}",
           request.id(),
           route.name(),
-          attemptCount,
+          history.attempts(),
           backend,
           describe(result),
           decision.getClass().getSimpleName());
@@ -423,7 +429,7 @@
         request.id(),
         route.name(),
         code,
-        attemptCount,
+        history.attempts(),
         context.clock().nowMillis() - progress.arrivedAtMillis(),
         message);
     if (streamStarted) {
@@ -437,7 +443,7 @@
     if (finished) {
       return;
     }
-    boolean mayHaveRun = executionCount > 0 || (attempt != null && attempt.wasSent());
+    boolean mayHaveRun = history.executions() > 0 || (attempt != null && attempt.wasSent());
     cancelAttempt();
     fail(
         mayHaveRun ? ResultCode.DEADLINE_PASSED : ResultCode.SHED,
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -51,6 +51,9 @@
    */
   static final long PLACEMENT_REPLY_TIMEOUT_MILLIS = 150;
 
+  /** Shortest time between two full statuses; longer than one takes to arrive and be applied. */
+  static final long FULL_STATUS_INTERVAL_MILLIS = 400;
+
   private static final long CHECK_INTERVAL_MILLIS = 100;
   private static final long PROGRESS_INTERVAL_MILLIS = 500;
 
@@ -79,6 +82,7 @@
   private @Nullable DispatchCore localDispatch;
   private boolean checkScheduled;
   private long lastProgressMillis;
+  private long fullStatusSentMillis = Long.MIN_VALUE / 2;
 
   /** Receives the catalogs and backend servers that a scheduler publishes. */
   interface ViewListener {
@@ -157,13 +161,19 @@
       listener.catalogReceived(view.getCatalog().toByteArray());
     }
     boolean updated = applyBackendUpdate(view);
-    if (schedulerChanged || reconnected) {
+    if (schedulerChanged || reconnected || isFullStatusDue(view)) {
       followScheduler();
     } else if (updated || !view.getCatalog().isEmpty()) {
       sendStatus(false);
     }
   }
 
+  /** Returns whether to send the full status again because the scheduler has not received it. */
+  private boolean isFullStatusDue(SchedulerView view) {
+    return view.getFullStatusRequested()
+        && clock.nowMillis() - fullStatusSentMillis >= FULL_STATUS_INTERVAL_MILLIS;
+  }
+
   private boolean applyBackendUpdate(SchedulerView view) {
     if (view.getBaseVersion() == 0 && view.getVersion() > 0 && view.getVersion() > viewVersion) {
       replaceBackends(view.getBackendsList());
@@ -238,20 +248,28 @@
             .setCatalogRevision(catalog.revision())
             .setFull(full);
     if (full) {
+      fullStatusSentMillis = clock.nowMillis();
       status.addAllBackends(backends.values()).addAllGone(removedBackends);
       for (PlacementListener request : openRequests.values()) {
         if (!request.backend().isEmpty()) {
-          status.addOpen(
-              RunningDispatch.newBuilder()
-                  .setAsk(request.placementRequest())
-                  .setBackend(request.backend())
-                  .setOutputTokens(request.outputTokens()));
+          status.addOpen(runningDispatch(request));
         }
       }
     }
     sender.accept(scheduler, Envelope.newBuilder().setGatewayStatus(status));
   }
 
+  private static RunningDispatch runningDispatch(PlacementListener request) {
+    return RunningDispatch.newBuilder()
+        .setAsk(request.placementRequest())
+        .setBackend(request.backend())
+        .setOutputTokens(request.outputTokens())
+        .setBackup(request.backup())
+        .setMigrationTarget(request.migration().target())
+        .setMigrationBackup(request.migration().backup())
+        .build();
+  }
+
   private void send(DispatchRequests.Builder requests) {
     sender.accept(scheduler, Envelope.newBuilder().setDispatchRequests(requests.setTerm(term)));
   }
@@ -455,12 +473,7 @@
           if (request.backend().isEmpty()) {
             queued.add(request.placementRequest());
           } else {
-            core.restoreRunning(
-                requestId(id),
-                request.placementRequest(),
-                request.backend(),
-                request.outputTokens(),
-                nowMillis);
+            core.restoreRunning(requestId(id), runningDispatch(request), nowMillis);
           }
         });
     queued.forEach(
--- a/src/main/java/org/curranthaven/internal/relay/StateTransfer.java
+++ b/src/main/java/org/curranthaven/internal/relay/StateTransfer.java
@@ -13,8 +13,6 @@
  * then stops the request and copies what has been added. Confined to the event loop.
  */
 final class StateTransfer {
-  private static final int OK = 200;
-
   /**
    * Longest idle time of a connection that is reused for a copy. A longer idle connection may be
    * closed already, and the transfer would then fail.
@@ -24,11 +22,19 @@
   /** Timeout of one copy, after which the transfer fails. */
   private static final long COPY_TIMEOUT_MILLIS = 4_000;
 
+  /** Value of the longest idle time with which no idle connection is reused. */
+  private static final long NEW_CONNECTION_ONLY = -1;
+
+  /** Timeout of one stop request to an engine on which the stream was interrupted. */
+  private static final long STOP_TIMEOUT_MILLIS = 600;
+
   /**
-   * Timeout of the stop request to an engine whose connection was lost while the request may still
-   * run there.
+   * Time for which an engine is asked to stop an interrupted request; below the time that callers
+   * wait for the next event of a stream.
    */
-  private static final long STOP_TIMEOUT_MILLIS = 600;
+  private static final long STOP_CONFIRMATION_MILLIS = 1_500;
+
+  private static final long STOP_RETRY_DELAY_MILLIS = 50;
 
   /** Time after the final copy during which the rest of the source's stream is awaited. */
   private static final long SOURCE_END_TIMEOUT_MILLIS = 400;
@@ -39,6 +45,7 @@
   private final BackendRecord target;
   private final Listener listener;
   private long copyTimeoutMillis = COPY_TIMEOUT_MILLIS;
+  private long maxConnectionIdleMillis = MAX_CONNECTION_IDLE_MILLIS;
   private long startedAtMillis;
   private long stopRequestedAtMillis;
   private boolean sourceEnded;
@@ -47,13 +54,20 @@
   private String stateReference = "";
   private BackendRecord destination;
 
+  /** What is known about the request at the source after a failed transfer. */
+  enum SourceState {
+    /** The request continues at the source. */
+    RUNNING,
+    /** The source does not run the request, or no connection to it can be opened. */
+    NOT_RUNNING,
+    /** The stream was interrupted, and the source has not confirmed that the request stopped. */
+    STOP_UNCONFIRMED
+  }
+
   /** Receives the outcome of a state transfer. */
   interface Listener {
-    /**
-     * Handles a failed transfer. The request continues at the source, or has ended there if {@code
-     * sourceEnded}.
-     */
-    void onTransferFailed(boolean sourceEnded);
+    /** Handles a failed transfer. */
+    void onTransferFailed(SourceState sourceState);
 
     /**
      * Handles a successful transfer: the request can resume from the referenced state at the given
@@ -83,15 +97,41 @@
 
   /**
    * Starts a transfer whose source stream has ended already: has the source stop the request, which
-   * may still run there, and copy its state. Fails if the source does not respond.
+   * may still run there, and copy its state. Asks again while the source can be reached and has not
+   * confirmed the stop.
    */
   void startWithEndedSource() {
     copyTimeoutMillis = STOP_TIMEOUT_MILLIS;
+    maxConnectionIdleMillis = NEW_CONNECTION_ONLY;
     startedAtMillis = context.clock().nowMillis();
     sourceEnded = true;
     stopping = true;
     stopRequestedAtMillis = context.clock().nowMillis();
-    requestCopy(true, this::onFinalCopy);
+    requestCopy(true, this::onStopResponse);
+  }
+
+  private void onStopResponse(TransferResponse response) {
+    if (finished) {
+      return;
+    }
+    boolean stopped =
+        response.outcome() == TransferResponse.Outcome.NOT_RUNNING
+            || response.outcome() == TransferResponse.Outcome.NO_CONNECTION;
+    long elapsedMillis = context.clock().nowMillis() - startedAtMillis;
+    if (!response.handle().isEmpty()) {
+      onFinalCopy(response);
+    } else if (stopped) {
+      finishFailed(SourceState.NOT_RUNNING);
+    } else if (elapsedMillis < STOP_CONFIRMATION_MILLIS) {
+      context
+          .loop()
+          .schedule(
+              () -> requestCopy(true, this::onStopResponse),
+              STOP_RETRY_DELAY_MILLIS,
+              TimeUnit.MILLISECONDS);
+    } else {
+      finishFailed(SourceState.STOP_UNCONFIRMED);
+    }
   }
 
   /** Handles the interruption of the source's stream before its final event. */
@@ -100,7 +140,7 @@
     if (!stateReference.isEmpty()) {
       finishTransferred();
     } else if (!stopping) {
-      finishFailed();
+      finishFailed(SourceState.STOP_UNCONFIRMED);
     }
   }
 
@@ -108,8 +148,8 @@
     if (finished) {
       return;
     }
-    if (response.status() != OK) {
-      finishFailed();
+    if (response.outcome() != TransferResponse.Outcome.COPIED) {
+      finishFailed(sourceStateAfterFailure());
       return;
     }
     stopping = true;
@@ -122,12 +162,12 @@
       return;
     }
     if (response.handle().isEmpty()) {
-      finishFailed();
+      finishFailed(sourceStateAfterFailure());
       return;
     }
     stateReference = context.protocol().stateReference(source, response.handle());
-    // With another status, the handle refers to the state that the source still holds.
-    destination = response.status() == OK ? target : source;
+    // Unless the copy is complete, the handle refers to the state that the source still holds.
+    destination = response.outcome() == TransferResponse.Outcome.COPIED ? target : source;
     if (sourceEnded) {
       finishTransferred();
     } else {
@@ -152,10 +192,14 @@
     }
   }
 
-  private void finishFailed() {
+  private SourceState sourceStateAfterFailure() {
+    return sourceEnded ? SourceState.STOP_UNCONFIRMED : SourceState.RUNNING;
+  }
+
+  private void finishFailed(SourceState sourceState) {
     if (!finished) {
       finished = true;
-      listener.onTransferFailed(sourceEnded);
+      listener.onTransferFailed(sourceState);
     }
   }
 
@@ -166,11 +210,12 @@
         .pool()
         .acquire(
             source.getAddress(),
-            MAX_CONNECTION_IDLE_MILLIS,
+            maxConnectionIdleMillis,
             connection -> {
               if (connection == null || !connection.isOpen()) {
                 copyRequest.release();
-                consumer.accept(new TransferResponse(0, ""));
+                consumer.accept(
+                    TransferResponse.withoutHandle(TransferResponse.Outcome.NO_CONNECTION));
                 return;
               }
               CopyResponseListener responseListener = new CopyResponseListener(consumer);
@@ -185,7 +230,8 @@
   }
 
   /**
-   * Collects the response to one copy request; reports status 0 after a connection loss or timeout.
+   * Collects the response to one copy request; reports that there was none after a connection loss
+   * or timeout.
    */
   private final class CopyResponseListener implements BackendConnection.ResponseListener {
     private final Consumer<TransferResponse> consumer;
@@ -214,13 +260,13 @@
 
     @Override
     public void onInterrupted(String reason) {
-      complete(new TransferResponse(0, ""));
+      complete(TransferResponse.withoutHandle(TransferResponse.Outcome.NO_RESPONSE));
     }
 
     void onTimeout(BackendConnection connection) {
       if (!completed) {
         connection.cancel();
-        complete(new TransferResponse(0, ""));
+        complete(TransferResponse.withoutHandle(TransferResponse.Outcome.NO_RESPONSE));
       }
     }
 
--- a/src/main/java/org/curranthaven/internal/relay/TransferResponse.java
+++ b/src/main/java/org/curranthaven/internal/relay/TransferResponse.java
@@ -3,7 +3,26 @@
 /**
  * An engine's response to a request to copy a running request's state to another engine.
  *
- * @param status HTTP status; 0 if no response was received
- * @param handle handle under which the copied state can be used; empty if there is none
+ * @param handle handle under which the copied state, or the state that the engine still holds, can
+ *     be used; empty if there is none
  */
-public record TransferResponse(int status, String handle) {}
+public record TransferResponse(Outcome outcome, String handle) {
+  /** What became of the request to copy. */
+  public enum Outcome {
+    /** The copy is complete. */
+    COPIED,
+    /** The engine does not run the request. */
+    NOT_RUNNING,
+    /** The engine copied nothing; it may still run the request. */
+    REJECTED,
+    /** The engine was reached and sent no complete response; it may still run the request. */
+    NO_RESPONSE,
+    /** No connection to the engine could be opened. */
+    NO_CONNECTION
+  }
+
+  /** Returns the outcome without a handle. */
+  static TransferResponse withoutHandle(Outcome outcome) {
+    return new TransferResponse(outcome, "");
+  }
+}
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -251,7 +251,8 @@
         SchedulerView.newBuilder()
             .setTerm(term)
             .setCatalogRevision(catalog.revision())
-            .setGateways(Math.max(1, gateways.get().size()));
+            .setGateways(Math.max(1, gateways.get().size()))
+            .setFullStatusRequested(!view.hasReportedState);
     if (view.catalogRevision < catalog.revision()) {
       builder.setCatalog(catalogDocument);
     }
@@ -317,8 +318,7 @@
     core.removeGateway(from.getName(), nowMillis);
     for (RunningDispatch running : status.getOpenList()) {
       RequestId key = new RequestId(from.getName(), running.getAsk().getId());
-      core.restoreRunning(
-          key, running.getAsk(), running.getBackend(), running.getOutputTokens(), nowMillis);
+      core.restoreRunning(key, running, nowMillis);
     }
     sendDecisions();
   }
--- a/src/main/java/org/curranthaven/internal/supervision/Supervisor.java
+++ b/src/main/java/org/curranthaven/internal/supervision/Supervisor.java
@@ -118,7 +118,10 @@
     }
   }
 
-  /** Runs the child once; returns why it failed, or an empty string if it was interrupted. */
+  /**
+   * Runs the child once; returns why it failed, or an empty string if it was interrupted. An error
+   * counts as a failure too: the thread would otherwise end without a restart.
+   */
   @SuppressWarnings("CatchingUnchecked")
   private static String runOnce(Child child) {
     try {
@@ -126,7 +129,7 @@
       return Thread.currentThread().isInterrupted() ? "" : "returned without being interrupted";
     } catch (InterruptedException e) {
       return "";
-    } catch (Exception e) {
+    } catch (Exception | Error e) {
       return e.toString();
     }
   }
--- a/src/main/java/org/curranthaven/internal/transport/wire/RunningDispatch.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/RunningDispatch.java
@@ -33,6 +33,9 @@
   }
   private RunningDispatch() {
     backend_ = "";
+    backup_ = "";
+    migrationTarget_ = "";
+    migrationBackup_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -154,6 +157,147 @@
     return outputTokens_;
   }
 
+  public static final int BACKUP_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object backup_ = "";
+  /**
+   * <pre>
+   * Id of the engine that keeps the backup copy of the request; empty for none.
+   * </pre>
+   *
+   * <code>string backup = 4;</code>
+   * @return The backup.
+   */
+  @java.lang.Override
+  public java.lang.String getBackup() {
+    java.lang.Object ref = backup_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      backup_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Id of the engine that keeps the backup copy of the request; empty for none.
+   * </pre>
+   *
+   * <code>string backup = 4;</code>
+   * @return The bytes for backup.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getBackupBytes() {
+    java.lang.Object ref = backup_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      backup_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int MIGRATION_TARGET_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object migrationTarget_ = "";
+  /**
+   * <pre>
+   * Id of the engine that the request is being migrated to; empty if it is not.
+   * </pre>
+   *
+   * <code>string migration_target = 5;</code>
+   * @return The migrationTarget.
+   */
+  @java.lang.Override
+  public java.lang.String getMigrationTarget() {
+    java.lang.Object ref = migrationTarget_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      migrationTarget_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Id of the engine that the request is being migrated to; empty if it is not.
+   * </pre>
+   *
+   * <code>string migration_target = 5;</code>
+   * @return The bytes for migrationTarget.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getMigrationTargetBytes() {
+    java.lang.Object ref = migrationTarget_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      migrationTarget_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int MIGRATION_BACKUP_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object migrationBackup_ = "";
+  /**
+   * <pre>
+   * Id of the engine that keeps the backup copy after the migration; empty for none.
+   * </pre>
+   *
+   * <code>string migration_backup = 6;</code>
+   * @return The migrationBackup.
+   */
+  @java.lang.Override
+  public java.lang.String getMigrationBackup() {
+    java.lang.Object ref = migrationBackup_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      migrationBackup_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Id of the engine that keeps the backup copy after the migration; empty for none.
+   * </pre>
+   *
+   * <code>string migration_backup = 6;</code>
+   * @return The bytes for migrationBackup.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getMigrationBackupBytes() {
+    java.lang.Object ref = migrationBackup_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      migrationBackup_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -177,6 +321,15 @@
     if (outputTokens_ != 0) {
       output.writeUInt32(3, outputTokens_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(backup_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 4, backup_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(migrationTarget_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 5, migrationTarget_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(migrationBackup_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 6, migrationBackup_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -192,6 +345,15 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(3, outputTokens_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(backup_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(4, backup_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(migrationTarget_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(5, migrationTarget_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(migrationBackup_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(6, migrationBackup_);
+    }
     return size;
   }
   @java.lang.Override
@@ -225,6 +387,12 @@
         .equals(other.getBackend())) return false;
     if (getOutputTokens()
         != other.getOutputTokens()) return false;
+    if (!getBackup()
+        .equals(other.getBackup())) return false;
+    if (!getMigrationTarget()
+        .equals(other.getMigrationTarget())) return false;
+    if (!getMigrationBackup()
+        .equals(other.getMigrationBackup())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -244,6 +412,12 @@
     hash = (53 * hash) + getBackend().hashCode();
     hash = (37 * hash) + OUTPUT_TOKENS_FIELD_NUMBER;
     hash = (53 * hash) + getOutputTokens();
+    hash = (37 * hash) + BACKUP_FIELD_NUMBER;
+    hash = (53 * hash) + getBackup().hashCode();
+    hash = (37 * hash) + MIGRATION_TARGET_FIELD_NUMBER;
+    hash = (53 * hash) + getMigrationTarget().hashCode();
+    hash = (37 * hash) + MIGRATION_BACKUP_FIELD_NUMBER;
+    hash = (53 * hash) + getMigrationBackup().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -392,6 +566,9 @@
       }
       backend_ = "";
       outputTokens_ = 0;
+      backup_ = "";
+      migrationTarget_ = "";
+      migrationBackup_ = "";
       return this;
     }
 
@@ -438,6 +615,15 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.outputTokens_ = outputTokens_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.backup_ = backup_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.migrationTarget_ = migrationTarget_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.migrationBackup_ = migrationBackup_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -464,6 +650,21 @@
       if (other.getOutputTokens() != 0) {
         setOutputTokens(other.getOutputTokens());
       }
+      if (!other.getBackup().isEmpty()) {
+        backup_ = other.backup_;
+        bitField0_ |= 0x00000008;
+        onChanged();
+      }
+      if (!other.getMigrationTarget().isEmpty()) {
+        migrationTarget_ = other.migrationTarget_;
+        bitField0_ |= 0x00000010;
+        onChanged();
+      }
+      if (!other.getMigrationBackup().isEmpty()) {
+        migrationBackup_ = other.migrationBackup_;
+        bitField0_ |= 0x00000020;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -505,6 +706,21 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 34: {
+              backup_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 34
+            case 42: {
+              migrationTarget_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
+            case 50: {
+              migrationBackup_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -813,6 +1029,282 @@
       return this;
     }
 
+    private java.lang.Object backup_ = "";
+    /**
+     * <pre>
+     * Id of the engine that keeps the backup copy of the request; empty for none.
+     * </pre>
+     *
+     * <code>string backup = 4;</code>
+     * @return The backup.
+     */
+    public java.lang.String getBackup() {
+      java.lang.Object ref = backup_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        backup_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Id of the engine that keeps the backup copy of the request; empty for none.
+     * </pre>
+     *
+     * <code>string backup = 4;</code>
+     * @return The bytes for backup.
+     */
+    public com.google.protobuf.ByteString
+        getBackupBytes() {
+      java.lang.Object ref = backup_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        backup_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Id of the engine that keeps the backup copy of the request; empty for none.
+     * </pre>
+     *
+     * <code>string backup = 4;</code>
+     * @param value The backup to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBackup(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      backup_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Id of the engine that keeps the backup copy of the request; empty for none.
+     * </pre>
+     *
+     * <code>string backup = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBackup() {
+      backup_ = getDefaultInstance().getBackup();
+      bitField0_ = (bitField0_ & ~0x00000008);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Id of the engine that keeps the backup copy of the request; empty for none.
+     * </pre>
+     *
+     * <code>string backup = 4;</code>
+     * @param value The bytes for backup to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBackupBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      backup_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object migrationTarget_ = "";
+    /**
+     * <pre>
+     * Id of the engine that the request is being migrated to; empty if it is not.
+     * </pre>
+     *
+     * <code>string migration_target = 5;</code>
+     * @return The migrationTarget.
+     */
+    public java.lang.String getMigrationTarget() {
+      java.lang.Object ref = migrationTarget_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        migrationTarget_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Id of the engine that the request is being migrated to; empty if it is not.
+     * </pre>
+     *
+     * <code>string migration_target = 5;</code>
+     * @return The bytes for migrationTarget.
+     */
+    public com.google.protobuf.ByteString
+        getMigrationTargetBytes() {
+      java.lang.Object ref = migrationTarget_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        migrationTarget_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Id of the engine that the request is being migrated to; empty if it is not.
+     * </pre>
+     *
+     * <code>string migration_target = 5;</code>
+     * @param value The migrationTarget to set.
+     * @return This builder for chaining.
+     */
+    public Builder setMigrationTarget(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      migrationTarget_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Id of the engine that the request is being migrated to; empty if it is not.
+     * </pre>
+     *
+     * <code>string migration_target = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearMigrationTarget() {
+      migrationTarget_ = getDefaultInstance().getMigrationTarget();
+      bitField0_ = (bitField0_ & ~0x00000010);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Id of the engine that the request is being migrated to; empty if it is not.
+     * </pre>
+     *
+     * <code>string migration_target = 5;</code>
+     * @param value The bytes for migrationTarget to set.
+     * @return This builder for chaining.
+     */
+    public Builder setMigrationTargetBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      migrationTarget_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object migrationBackup_ = "";
+    /**
+     * <pre>
+     * Id of the engine that keeps the backup copy after the migration; empty for none.
+     * </pre>
+     *
+     * <code>string migration_backup = 6;</code>
+     * @return The migrationBackup.
+     */
+    public java.lang.String getMigrationBackup() {
+      java.lang.Object ref = migrationBackup_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        migrationBackup_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Id of the engine that keeps the backup copy after the migration; empty for none.
+     * </pre>
+     *
+     * <code>string migration_backup = 6;</code>
+     * @return The bytes for migrationBackup.
+     */
+    public com.google.protobuf.ByteString
+        getMigrationBackupBytes() {
+      java.lang.Object ref = migrationBackup_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        migrationBackup_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Id of the engine that keeps the backup copy after the migration; empty for none.
+     * </pre>
+     *
+     * <code>string migration_backup = 6;</code>
+     * @param value The migrationBackup to set.
+     * @return This builder for chaining.
+     */
+    public Builder setMigrationBackup(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      migrationBackup_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Id of the engine that keeps the backup copy after the migration; empty for none.
+     * </pre>
+     *
+     * <code>string migration_backup = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearMigrationBackup() {
+      migrationBackup_ = getDefaultInstance().getMigrationBackup();
+      bitField0_ = (bitField0_ & ~0x00000020);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Id of the engine that keeps the backup copy after the migration; empty for none.
+     * </pre>
+     *
+     * <code>string migration_backup = 6;</code>
+     * @param value The bytes for migrationBackup to set.
+     * @return This builder for chaining.
+     */
+    public Builder setMigrationBackupBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      migrationBackup_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:curranthaven.RunningDispatch)
   }
 
--- a/src/main/java/org/curranthaven/internal/transport/wire/RunningDispatchOrBuilder.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/RunningDispatchOrBuilder.java
@@ -66,4 +66,64 @@
    * @return The outputTokens.
    */
   int getOutputTokens();
+
+  /**
+   * <pre>
+   * Id of the engine that keeps the backup copy of the request; empty for none.
+   * </pre>
+   *
+   * <code>string backup = 4;</code>
+   * @return The backup.
+   */
+  java.lang.String getBackup();
+  /**
+   * <pre>
+   * Id of the engine that keeps the backup copy of the request; empty for none.
+   * </pre>
+   *
+   * <code>string backup = 4;</code>
+   * @return The bytes for backup.
+   */
+  com.google.protobuf.ByteString
+      getBackupBytes();
+
+  /**
+   * <pre>
+   * Id of the engine that the request is being migrated to; empty if it is not.
+   * </pre>
+   *
+   * <code>string migration_target = 5;</code>
+   * @return The migrationTarget.
+   */
+  java.lang.String getMigrationTarget();
+  /**
+   * <pre>
+   * Id of the engine that the request is being migrated to; empty if it is not.
+   * </pre>
+   *
+   * <code>string migration_target = 5;</code>
+   * @return The bytes for migrationTarget.
+   */
+  com.google.protobuf.ByteString
+      getMigrationTargetBytes();
+
+  /**
+   * <pre>
+   * Id of the engine that keeps the backup copy after the migration; empty for none.
+   * </pre>
+   *
+   * <code>string migration_backup = 6;</code>
+   * @return The migrationBackup.
+   */
+  java.lang.String getMigrationBackup();
+  /**
+   * <pre>
+   * Id of the engine that keeps the backup copy after the migration; empty for none.
+   * </pre>
+   *
+   * <code>string migration_backup = 6;</code>
+   * @return The bytes for migrationBackup.
+   */
+  com.google.protobuf.ByteString
+      getMigrationBackupBytes();
 }
--- a/src/main/java/org/curranthaven/internal/transport/wire/SchedulerView.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/SchedulerView.java
@@ -254,6 +254,21 @@
     return resigned_;
   }
 
+  public static final int FULL_STATUS_REQUESTED_FIELD_NUMBER = 10;
+  private boolean fullStatusRequested_ = false;
+  /**
+   * <pre>
+   * Whether the scheduler has no full status of the gateway in this term and asks for one.
+   * </pre>
+   *
+   * <code>bool full_status_requested = 10;</code>
+   * @return The fullStatusRequested.
+   */
+  @java.lang.Override
+  public boolean getFullStatusRequested() {
+    return fullStatusRequested_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -295,6 +310,9 @@
     if (resigned_ != false) {
       output.writeBool(9, resigned_);
     }
+    if (fullStatusRequested_ != false) {
+      output.writeBool(10, fullStatusRequested_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -344,6 +362,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(9, resigned_);
     }
+    if (fullStatusRequested_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(10, fullStatusRequested_);
+    }
     return size;
   }
   @java.lang.Override
@@ -386,6 +408,8 @@
         != other.getGateways()) return false;
     if (getResigned()
         != other.getResigned()) return false;
+    if (getFullStatusRequested()
+        != other.getFullStatusRequested()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -424,6 +448,9 @@
     hash = (37 * hash) + RESIGNED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getResigned());
+    hash = (37 * hash) + FULL_STATUS_REQUESTED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getFullStatusRequested());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -576,6 +603,7 @@
       catalog_ = com.google.protobuf.ByteString.EMPTY;
       gateways_ = 0;
       resigned_ = false;
+      fullStatusRequested_ = false;
       return this;
     }
 
@@ -647,6 +675,9 @@
       if (((from_bitField0_ & 0x00000100) != 0)) {
         result.resigned_ = resigned_;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.fullStatusRequested_ = fullStatusRequested_;
+      }
     }
 
     @java.lang.Override
@@ -718,6 +749,9 @@
       if (other.getResigned() != false) {
         setResigned(other.getResigned());
       }
+      if (other.getFullStatusRequested() != false) {
+        setFullStatusRequested(other.getFullStatusRequested());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -795,6 +829,11 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 72
+            case 80: {
+              fullStatusRequested_ = input.readBool();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1495,6 +1534,50 @@
       return this;
     }
 
+    private boolean fullStatusRequested_ ;
+    /**
+     * <pre>
+     * Whether the scheduler has no full status of the gateway in this term and asks for one.
+     * </pre>
+     *
+     * <code>bool full_status_requested = 10;</code>
+     * @return The fullStatusRequested.
+     */
+    @java.lang.Override
+    public boolean getFullStatusRequested() {
+      return fullStatusRequested_;
+    }
+    /**
+     * <pre>
+     * Whether the scheduler has no full status of the gateway in this term and asks for one.
+     * </pre>
+     *
+     * <code>bool full_status_requested = 10;</code>
+     * @param value The fullStatusRequested to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFullStatusRequested(boolean value) {
+
+      fullStatusRequested_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the scheduler has no full status of the gateway in this term and asks for one.
+     * </pre>
+     *
+     * <code>bool full_status_requested = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFullStatusRequested() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      fullStatusRequested_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:curranthaven.SchedulerView)
   }
 
--- a/src/main/java/org/curranthaven/internal/transport/wire/SchedulerViewOrBuilder.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/SchedulerViewOrBuilder.java
@@ -142,4 +142,14 @@
    * @return The resigned.
    */
   boolean getResigned();
+
+  /**
+   * <pre>
+   * Whether the scheduler has no full status of the gateway in this term and asks for one.
+   * </pre>
+   *
+   * <code>bool full_status_requested = 10;</code>
+   * @return The fullStatusRequested.
+   */
+  boolean getFullStatusRequested();
 }
--- a/src/main/java/org/curranthaven/platform/BackendTranslation.java
+++ b/src/main/java/org/curranthaven/platform/BackendTranslation.java
@@ -25,6 +25,8 @@
   /** Path at which an engine copies the state of a running request to another engine. */
   private static final String TRANSFER_PATH = "/api/kv-move";
 
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
   private static final int MISDIRECTED_REQUEST = 421;
   private static final long MILLIS_PER_SECOND = 1_000;
 
@@ -125,11 +127,17 @@
   }
 
   static TransferResponse transferResponse(int status, byte[] body) {
+    TransferResponse.Outcome outcome =
+        switch (status) {
+          case OK -> TransferResponse.Outcome.COPIED;
+          case NOT_FOUND -> TransferResponse.Outcome.NOT_RUNNING;
+          default -> TransferResponse.Outcome.REJECTED;
+        };
     try {
       JsonNode json = Json.LENIENT.readTree(body);
-      return new TransferResponse(status, json == null ? "" : json.path("handle").asText(""));
+      return new TransferResponse(outcome, json == null ? "" : json.path("handle").asText(""));
     } catch (IOException e) {
-      return new TransferResponse(status, "");
+      return new TransferResponse(outcome, "");
     }
   }
 }
--- a/src/main/java/org/curranthaven/platform/ControlTranslation.java
+++ b/src/main/java/org/curranthaven/platform/ControlTranslation.java
@@ -31,14 +31,7 @@
     String method = request.method().name();
     if (path.startsWith(REGISTRATION_PATH_PREFIX)
         && path.length() > REGISTRATION_PATH_PREFIX.length()) {
-      String id =
-          URLDecoder.decode(
-              path.substring(REGISTRATION_PATH_PREFIX.length()), StandardCharsets.UTF_8);
-      return switch (method) {
-        case "PUT" -> registration(id, ByteBufUtil.getBytes(request.content()));
-        case "DELETE" -> new ControlRequest.Deregister(id);
-        default -> notFound(method, path);
-      };
+      return backendRequest(method, path, request);
     }
     if (path.equals(CATALOG_PATH)) {
       return switch (method) {
@@ -50,6 +43,24 @@
     return notFound(method, path);
   }
 
+  private static ControlRequest backendRequest(
+      String method, String path, FullHttpRequest request) {
+    String encodedId = path.substring(REGISTRATION_PATH_PREFIX.length());
+    String id;
+    try {
+      id = URLDecoder.decode(encodedId, StandardCharsets.UTF_8);
+    } catch (IllegalArgumentException e) {
+      return new ControlRequest.Invalid(
+          BAD_REQUEST,
+          "the id '" + encodedId + "' of a backend server is not percent-encoded: send % as %25");
+    }
+    return switch (method) {
+      case "PUT" -> registration(id, ByteBufUtil.getBytes(request.content()));
+      case "DELETE" -> new ControlRequest.Deregister(id);
+      default -> notFound(method, path);
+    };
+  }
+
   private static ControlRequest notFound(String method, String path) {
     return new ControlRequest.Invalid(NOT_FOUND, "no such control request: " + method + " " + path);
   }
--- a/src/main/java/org/curranthaven/platform/RequestTranslation.java
+++ b/src/main/java/org/curranthaven/platform/RequestTranslation.java
@@ -18,6 +18,9 @@
 
 /** Decodes callers' requests. */
 final class RequestTranslation {
+  /** Limit on a number of tokens, so that the sum over many requests does not overflow. */
+  private static final int MAX_TOKENS = 10_000_000;
+
   private RequestTranslation() {}
 
   static Outcome<InboundRequest> read(FullHttpRequest request) {
@@ -45,7 +48,7 @@
             headers.get(Headers.MODEL, ""),
             promptAndOutput[0],
             promptAndOutput[1],
-            (int) numberOrZero(headers.get(Headers.OUTPUT_LENGTH_HINT, "")),
+            tokensOrZero(headers.get(Headers.OUTPUT_LENGTH_HINT, "")),
             promptParts(headers.get(Headers.PROMPT_PARTS, "")),
             headers.get(Headers.LAST_EVENT_ID, ""),
             forwardedHeaders(headers),
@@ -74,12 +77,16 @@
 
   /** Returns the length of the prompt and the limit on the output. */
   private static int[] tokenCounts(String text) {
-    String[] counts = text.split(",");
-    int promptTokens = (int) numberOrZero(counts[0]);
-    int maxOutputTokens = counts.length > 1 ? (int) numberOrZero(counts[1]) : 0;
+    String[] counts = text.split(",", -1);
+    int promptTokens = tokensOrZero(counts[0]);
+    int maxOutputTokens = counts.length > 1 ? tokensOrZero(counts[1]) : 0;
     return new int[] {promptTokens, maxOutputTokens};
   }
 
+  private static int tokensOrZero(String text) {
+    return (int) Math.min(MAX_TOKENS, numberOrZero(text));
+  }
+
   /** Returns the number in the text; 0 if the text is blank, negative or not a number. */
   private static long numberOrZero(String text) {
     try {
@@ -97,7 +104,7 @@
         parts.add(
             PromptPart.newBuilder()
                 .setId(entry.substring(0, colon).strip())
-                .setTokens((int) numberOrZero(entry.substring(colon + 1)))
+                .setTokens(tokensOrZero(entry.substring(colon + 1)))
                 .build());
       }
     }
--- a/src/test/java/org/curranthaven/internal/dispatch/DispatchCoreTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/DispatchCoreTest.java
@@ -16,6 +16,7 @@
 import org.curranthaven.internal.transport.wire.BackendRecord;
 import org.curranthaven.internal.transport.wire.DispatchOutcome;
 import org.curranthaven.internal.transport.wire.PlacementRequest;
+import org.curranthaven.internal.transport.wire.RunningDispatch;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -363,7 +364,43 @@
   void a_new_scheduler_counts_requests_that_another_one_placed() {
     core.updateBackend(backend("x", "engines"), 0);
     PlacementRequest running = draftRequest(9_000, 2_000).setId(77).build();
-    core.restoreRunning(new RequestId("gateway", 77), running, "x", 40, 0);
+    restore(running, "x", "", "");
+
+    submit(draftRequest(6_000, 100), 1);
+
+    assertThat(onlyDecision()).isInstanceOf(DispatchDecision.Reject.class);
+  }
+
+  private void restore(
+      PlacementRequest running, String backend, String backup, String migrationTarget) {
+    RunningDispatch dispatch =
+        RunningDispatch.newBuilder()
+            .setAsk(running)
+            .setBackend(backend)
+            .setBackup(backup)
+            .setMigrationTarget(migrationTarget)
+            .setOutputTokens(40)
+            .build();
+    core.restoreRunning(new RequestId("gateway", running.getId()), dispatch, 0);
+  }
+
+  @Test
+  void a_new_scheduler_counts_the_backup_copies_that_another_one_assigned() {
+    core.updateBackend(backend("x", "engines"), 0);
+    core.updateBackend(backend("y", "engines"), 0);
+    restore(draftRequest(6_000, 1_000).setId(77).build(), "x", "y", "");
+
+    submit(draftRequest(6_000, 100), 1);
+
+    assertThat(onlyDecision()).isInstanceOf(DispatchDecision.Reject.class);
+  }
+
+  @Test
+  void a_new_scheduler_counts_the_targets_of_migrations_that_another_one_started() {
+    core.updateBackend(backend("y", "engines"), 0);
+    core.updateBackend(leaving("x"), 0);
+    restore(draftRequest(6_000, 1_000).setId(77).build(), "x", "", "y");
+    assertThat(core.drainDecisions()).isEmpty();
 
     submit(draftRequest(6_000, 100), 1);
 
--- a/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
@@ -63,6 +63,16 @@
     @Override
     public void onMigrate(String target, String backup) {}
 
+    @Override
+    public String backup() {
+      return "i-2";
+    }
+
+    @Override
+    public Migration migration() {
+      return new Migration("i-3", "i-4");
+    }
+
     @Override
     public PlacementRequest placementRequest() {
       return placementRequest;
@@ -209,6 +219,21 @@
     assertThat(link.backend("i-2")).isNotNull();
   }
 
+  @Test
+  void the_full_status_is_sent_again_when_the_scheduler_asks_for_it() {
+    publishView("control-1", 3, 1, "i-1");
+    sent.clear();
+    SchedulerView asking =
+        SchedulerView.newBuilder().setTerm(3).setFullStatusRequested(true).build();
+
+    link.handle("control-1", asking);
+    assertThat(sent).isEmpty();
+    time.advance(SchedulerLink.FULL_STATUS_INTERVAL_MILLIS);
+    link.handle("control-1", asking);
+
+    assertThat(lastStatus().getFull()).isTrue();
+  }
+
   @Test
   void a_new_scheduler_receives_all_running_and_all_queued_requests() {
     publishView("control-1", 3, 1, "i-1");
@@ -230,6 +255,12 @@
     assertThat(lastStatus().getOpenList())
         .extracting(dispatch -> dispatch.getAsk().getId())
         .contains(1L);
+    assertThat(lastStatus().getOpenList())
+        .allMatch(
+            dispatch ->
+                dispatch.getBackup().equals("i-2")
+                    && dispatch.getMigrationTarget().equals("i-3")
+                    && dispatch.getMigrationBackup().equals("i-4"));
     assertThat(lastStatus().getBackendsList()).hasSize(1);
     assertThat(sent.stream().filter(Envelope::hasDispatchRequests))
         .anyMatch(message -> message.getDispatchRequests().getAsks(0).getId() == 2);
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -18,6 +18,7 @@
 import org.curranthaven.internal.transport.wire.HostRecord;
 import org.curranthaven.internal.transport.wire.PlacementRequest;
 import org.curranthaven.internal.transport.wire.RunningDispatch;
+import org.curranthaven.internal.transport.wire.SchedulerView;
 import org.junit.jupiter.api.Test;
 
 class SchedulerTest {
@@ -130,6 +131,31 @@
     assertThat(result.value).isTrue();
   }
 
+  @Test
+  void a_gateway_whose_status_was_lost_is_asked_for_it_and_then_receives_the_backend_servers() {
+    scheduler.setTerm(5);
+    receiveStatus("g1", 0, 0, true);
+    time.advance(AFTER_REBUILD_MILLIS);
+    scheduler.register(backend(1, false), new RecordedResult()::accept);
+    sent.clear();
+
+    time.advance(1_000);
+    assertThat(viewsTo("g2")).isNotEmpty().allMatch(SchedulerView::getFullStatusRequested);
+    assertThat(viewsTo("g1")).isNotEmpty().noneMatch(SchedulerView::getFullStatusRequested);
+    receiveStatus("g2", 0, 0, true);
+
+    assertThat(viewsTo("g2").getLast().getBackendsList()).hasSize(1);
+  }
+
+  private List<SchedulerView> viewsTo(String gateway) {
+    return sent.stream()
+        .filter(message -> message.getKey().equals(gateway))
+        .map(Map.Entry::getValue)
+        .filter(Envelope::hasSchedulerView)
+        .map(Envelope::getSchedulerView)
+        .toList();
+  }
+
   @Test
   void a_gateway_that_connects_is_sent_the_scheduler_term_at_once() {
     startLeading();
--- a/src/test/java/org/curranthaven/internal/supervision/SupervisorTest.java
+++ b/src/test/java/org/curranthaven/internal/supervision/SupervisorTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
@@ -34,6 +35,29 @@
     assertThat(supervisor.failureReason()).isNull();
   }
 
+  @Test
+  void a_child_that_throws_an_error_is_restarted() throws InterruptedException {
+    AtomicInteger starts = new AtomicInteger();
+    CountDownLatch secondStart = new CountDownLatch(2);
+    supervisor.add(
+        "component",
+        new RestartPolicy(3, 60_000, 0),
+        () -> {
+          secondStart.countDown();
+          if (starts.incrementAndGet() == 1) {
+            throw new StackOverflowError("crash");
+          }
+          Thread.sleep(Long.MAX_VALUE);
+        });
+    Thread thread = start();
+
+    boolean restarted = secondStart.await(20, TimeUnit.SECONDS);
+    thread.interrupt();
+    thread.join();
+
+    assertThat(restarted).isTrue();
+  }
+
   @Test
   void a_child_that_exceeds_its_restart_limit_fails_its_supervisor_with_the_reason() {
     supervisor.add(
--- a/src/test/java/org/curranthaven/platform/RequestTranslationTest.java
+++ b/src/test/java/org/curranthaven/platform/RequestTranslationTest.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import org.curranthaven.api.Outcome;
 import org.curranthaven.internal.relay.BackendRequest;
+import org.curranthaven.internal.relay.ControlRequest;
 import org.curranthaven.internal.relay.InboundRequest;
 import org.curranthaven.internal.transport.wire.BackendRecord;
 import org.junit.jupiter.api.Test;
@@ -44,6 +45,31 @@
         new BackendRequest(read(request), backend, "t1", 500, 2, "", "", ""));
   }
 
+  @Test
+  void malformed_and_huge_token_counts_are_decoded_without_failure_or_overflow() {
+    FullHttpRequest separatorOnly = request();
+    separatorOnly.headers().set("Token-Count", ",");
+    FullHttpRequest huge = request();
+    huge.headers().set("Token-Count", "2147483648,9999999999").set("Length-Hint", "2147483648");
+
+    assertThat(read(separatorOnly).promptTokens()).isZero();
+    assertThat(read(huge).promptTokens()).isPositive().isLessThan(Integer.MAX_VALUE / 100);
+    assertThat(read(huge).maxOutputTokens()).isPositive().isLessThan(Integer.MAX_VALUE / 100);
+    assertThat(read(huge).hintedOutputTokens()).isPositive().isLessThan(Integer.MAX_VALUE / 100);
+  }
+
+  @Test
+  void a_registration_whose_id_is_not_percent_encoded_is_rejected() {
+    FullHttpRequest registration =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            HttpMethod.PUT,
+            "/api/runners/i-%zz",
+            Unpooled.copiedBuffer("{}", StandardCharsets.UTF_8));
+
+    assertThat(ControlTranslation.read(registration)).isInstanceOf(ControlRequest.Invalid.class);
+  }
+
   @Test
   void a_request_and_its_headers_are_decoded() {
     InboundRequest inbound = read(request());
--- a/src/test/java/org/curranthaven/platform/RoutedFleetTest.java
+++ b/src/test/java/org/curranthaven/platform/RoutedFleetTest.java
@@ -193,6 +193,40 @@
     }
   }
 
+  @Test
+  void a_stream_does_not_resume_while_its_engine_may_still_run_it() throws Exception {
+    FakeBackend.ResponseScript script =
+        (request, connection) -> {
+          if (request.line().contains("kv-move")) {
+            // Reached, but the stop is not confirmed.
+            return;
+          }
+          FakeBackend.write(
+              connection, FakeBackend.streamResponseHead(request) + FakeBackend.event(1));
+          connection.close();
+        };
+    try (FakeBackend first = new FakeBackend(script);
+        FakeBackend second = new FakeBackend(script)) {
+      register("i-1", first, "ready", 1, "engines");
+      register("i-2", second, "ready", 1, "engines");
+
+      String response = sendRawRequest("/stories/1", MODEL_HEADERS);
+
+      assertThat(response).contains("token 1").doesNotEndWith("0\r\n\r\n");
+      List<FakeBackend.ReceivedRequest> received = new ArrayList<>(first.received());
+      received.addAll(second.received());
+      assertThat(received).noneMatch(request -> !request.header("Kv-From").isEmpty());
+      assertThat(received).anyMatch(request -> request.line().contains("kv-move"));
+    }
+  }
+
+  @Test
+  void headers_above_the_limit_of_the_catalog_are_rejected() throws Exception {
+    String longHeader = "Padding: " + "x".repeat(20_000) + "\r\n";
+
+    assertThat(status(sendRawRequest("/pages/1", longHeader))).isEqualTo(431);
+  }
+
   @Test
   void a_stream_migrates_from_a_leaving_engine_without_losing_an_event() throws Exception {
     CountDownLatch started = new CountDownLatch(1);
