Use full memories and let the shortest transfers fit into a notice

On the grown form, memory binds: 5 to 12% of it was never used, and outputs still to come were counted at 0.6 although requests end at different times. A failed migration is reported before a stream resumes from its backup copy. The mechanisms of the core can be switched off one by one.

--- a/src/main/java/org/curranthaven/internal/dispatch/Backends.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/Backends.java
@@ -23,8 +23,18 @@
   private final Map<RequestId, BackendState> placements = new HashMap<>();
   private final OutlierEjector outlierEjector = new OutlierEjector();
   private final FailureRateEjector failureRateEjector = new FailureRateEjector();
+  private final boolean ejecting;
   private Catalog catalog = Catalog.empty();
 
+  /**
+   * Creates an empty set.
+   *
+   * @param ejecting whether backend servers that fail more often than their peers are not usable
+   */
+  Backends(boolean ejecting) {
+    this.ejecting = ejecting;
+  }
+
   void setCatalog(Catalog newCatalog) {
     catalog = newCatalog;
   }
@@ -61,8 +71,9 @@
   Stream<BackendState> usableFor(PlacementRequest request, long nowMillis) {
     Predicate<BackendState> notEjected =
         state ->
-            !outlierEjector.isEjected(state.id(), nowMillis)
-                && !failureRateEjector.isEjected(state.id(), nowMillis);
+            !ejecting
+                || (!outlierEjector.isEjected(state.id(), nowMillis)
+                    && !failureRateEjector.isEjected(state.id(), nowMillis));
     return notLeaving(request.getService())
         .filter(state -> !request.getExcludedList().contains(state.id()))
         .filter(notEjected);
--- a/src/main/java/org/curranthaven/internal/dispatch/CapacityRules.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/CapacityRules.java
@@ -1,7 +1,6 @@
 package org.curranthaven.internal.dispatch;
 
 import org.curranthaven.internal.catalog.EngineCapabilities;
-import org.curranthaven.internal.transport.wire.PlacementRequest;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -10,11 +9,8 @@
  * use; otherwise it would be assigned twice under load. Stateless.
  */
 final class CapacityRules {
-  /** Share of an engine's memory that may be reserved when placing the most urgent requests. */
-  static final double MOST_URGENT_MEMORY_SHARE = 0.95;
-
-  /** Same share for less urgent requests; lower, so that capacity remains for an urgent one. */
-  private static final double LESS_URGENT_MEMORY_SHARE = 0.88;
+  /** Share of an engine's memory that may be reserved when placing requests. */
+  static final double MEMORY_SHARE = 1.0;
 
   /**
    * Same share for a request that will be late, while other requests for the service are queued.
@@ -43,17 +39,6 @@
     return capacityShares;
   }
 
-  /**
-   * Returns the share of an engine's memory that may be reserved when placing the request.
-   *
-   * @param mostUrgentPriority priority of the most urgent request that runs on the service
-   */
-  static double memoryShare(PlacementRequest request, int mostUrgentPriority) {
-    return request.getPriority() <= mostUrgentPriority
-        ? MOST_URGENT_MEMORY_SHARE
-        : LESS_URGENT_MEMORY_SHARE;
-  }
-
   /**
    * Returns whether the backend server has capacity for the request.
    *
--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableSet;
+import java.util.Set;
 import java.util.SortedSet;
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
@@ -57,13 +58,15 @@
   /** Highest urgency value, which is the least urgent one. */
   private static final int MAX_URGENCY = 9;
 
+  private final Set<Mechanism> disabled;
   private final RetryLimits retryLimits;
   private final RandomGenerator random;
-  private final Backends backends = new Backends();
+  private final Backends backends;
   private final DispatchQueue queue = new DispatchQueue();
   private final Map<String, ServiceRetryBudget> retryBudgets = new HashMap<>();
   private final CapacityRules capacityRules;
   private final QueueTimeForecast forecast;
+  private final BackupPlanner backupPlanner;
   private final MigrationPlanner migrationPlanner;
   private List<DispatchDecision> decisions = new ArrayList<>();
 
@@ -74,12 +77,42 @@
    *     local fallback; 1 for the scheduler
    */
   public DispatchCore(RetryLimits retryLimits, int capacityShares, RandomGenerator random) {
+    this(retryLimits, capacityShares, random, Set.of());
+  }
+
+  /**
+   * Creates a core without some of its mechanisms.
+   *
+   * @param capacityShares number of hosts that each place requests on the same backend servers in
+   *     local fallback; 1 for the scheduler
+   * @param disabled mechanisms to switch off
+   */
+  public DispatchCore(
+      RetryLimits retryLimits,
+      int capacityShares,
+      RandomGenerator random,
+      Set<Mechanism> disabled) {
+    this.disabled = Set.copyOf(disabled);
     this.retryLimits = retryLimits.dividedAmong(capacityShares);
     this.random = random;
+    this.backends = new Backends(isEnabled(Mechanism.EJECTION));
     this.capacityRules = new CapacityRules(capacityShares);
-    this.forecast = new QueueTimeForecast(backends, capacityRules.capacityShares(), random);
+    this.forecast =
+        new QueueTimeForecast(
+            backends, capacityRules.capacityShares(), random, isEnabled(Mechanism.LEARNING));
+    TransferTargets targets = new TransferTargets(backends, capacityRules);
+    this.backupPlanner = new BackupPlanner(backends, targets, isEnabled(Mechanism.BACKUP_COPIES));
     this.migrationPlanner =
-        new MigrationPlanner(backends, capacityRules, decision -> decisions.add(decision));
+        new MigrationPlanner(
+            backends,
+            targets,
+            backupPlanner,
+            isEnabled(Mechanism.MIGRATION),
+            decision -> decisions.add(decision));
+  }
+
+  private boolean isEnabled(Mechanism mechanism) {
+    return !disabled.contains(mechanism);
   }
 
   /** Returns and clears the decisions made since the last invocation, in order. */
@@ -182,10 +215,11 @@
             : QueueTimeForecast.UNKNOWN_SERVICE_TIMEOUT_MILLIS;
     long firstReplyMillis = forecast.idleFirstReplyMillis(request);
     boolean inTime =
-        hasBackend
-            ? expectedMillis + firstReplyMillis <= targetLeftMillis
-            : targetLeftMillis > expectedMillis;
-    if (!inTime || queue.isFull()) {
+        !isEnabled(Mechanism.EARLY_REJECTION)
+            || (hasBackend
+                ? expectedMillis + firstReplyMillis <= targetLeftMillis
+                : targetLeftMillis > expectedMillis);
+    if (!inTime || queue.isFull() || !isEnabled(Mechanism.QUEUE)) {
       if (!hasBackend || !placeLate(requestId, request, nowMillis)) {
         rejectForCapacity(requestId, hasBackend, expectedMillis);
       }
@@ -199,9 +233,15 @@
         hasBackend ? maxQueueMillis : QueueTimeForecast.UNKNOWN_SERVICE_TIMEOUT_MILLIS;
     long expiresAtMillis = nowMillis + Math.min(queueMillis, request.getDeadlineLeftMillis());
     long dueAtMillis = nowMillis + request.getTargetLeftMillis();
+    long rankMillis = isEnabled(Mechanism.DUE_TIME_ORDER) ? dueAtMillis : nowMillis;
     queue.add(
         new QueuedRequest(
-            requestId, request, queue.takeSequenceNumber(), dueAtMillis, expiresAtMillis));
+            requestId,
+            request,
+            rankMillis,
+            queue.takeSequenceNumber(),
+            dueAtMillis,
+            expiresAtMillis));
   }
 
   private double expectedQueueMillis(PlacementRequest request, PlacementResult result) {
@@ -262,7 +302,7 @@
     if (running == null) {
       return;
     }
-    migrationPlanner.releaseBackup(running);
+    backupPlanner.release(running);
     if (running.migratingAway) {
       migrationPlanner.migrationFailed(requestId, backend);
     }
@@ -288,11 +328,10 @@
       return;
     }
     PlacementRequest request = dispatch.getAsk();
-    RunningRequest running =
-        new RunningRequest(requestId, request, forecast.outputTokens(request), nowMillis);
+    RunningRequest running = newRunning(requestId, request, nowMillis);
     running.outputProgressed(dispatch.getOutputTokens());
     backends.addPlacement(running, backend);
-    migrationPlanner.restoreBackup(running, dispatch.getBackup());
+    backupPlanner.restore(running, dispatch.getBackup());
     if (!dispatch.getMigrationTarget().isEmpty()) {
       migrationPlanner.restoreMigration(
           running, dispatch.getMigrationTarget(), dispatch.getMigrationBackup(), nowMillis);
@@ -355,14 +394,21 @@
     LATE
   }
 
+  private RunningRequest newRunning(RequestId requestId, PlacementRequest request, long nowMillis) {
+    return new RunningRequest(
+        requestId,
+        request,
+        forecast.outputTokens(request),
+        isEnabled(Mechanism.MEMORY_FORECAST),
+        nowMillis);
+  }
+
   /** Places a request on a backend server where it can meet its due time. */
   private PlacementResult place(
       RequestId requestId, PlacementRequest request, long targetLeftMillis, long nowMillis) {
-    double memoryShare =
-        CapacityRules.memoryShare(request, mostUrgentPriority(request.getService()));
-    RunningRequest running =
-        new RunningRequest(requestId, request, forecast.outputTokens(request), nowMillis);
-    List<BackendState> candidates = withCapacity(running, memoryShare, nowMillis).toList();
+    RunningRequest running = newRunning(requestId, request, nowMillis);
+    List<BackendState> candidates =
+        withCapacity(running, CapacityRules.MEMORY_SHARE, nowMillis).toList();
     BackendState chosen =
         cheapest(
             candidates.stream().filter(backend -> isInTime(backend, request, targetLeftMillis)),
@@ -383,13 +429,13 @@
 
   /** Places a request that cannot meet its due time, if that takes no capacity from others. */
   private boolean placeLate(RequestId requestId, PlacementRequest request, long nowMillis) {
-    RunningRequest running =
-        new RunningRequest(requestId, request, forecast.outputTokens(request), nowMillis);
+    if (!isEnabled(Mechanism.LATE_PLACEMENT)) {
+      return false;
+    }
+    RunningRequest running = newRunning(requestId, request, nowMillis);
     boolean othersQueued = !queue.requestsOf(request.getService()).isEmpty();
     double memoryShare =
-        othersQueued
-            ? CapacityRules.LATE_MEMORY_SHARE
-            : CapacityRules.memoryShare(request, mostUrgentPriority(request.getService()));
+        othersQueued ? CapacityRules.LATE_MEMORY_SHARE : CapacityRules.MEMORY_SHARE;
     Stream<BackendState> candidates = withCapacity(running, memoryShare, nowMillis);
     BackendState chosen = cheapest(candidates, request, nowMillis);
     if (chosen != null) {
@@ -420,7 +466,7 @@
         chosen.pendingPromptTokens() + running.request.getPromptTokens();
     backends.addPlacement(running, chosen);
     chosen.promptPartCache.add(running.request.getPartsList());
-    migrationPlanner.assignBackup(chosen, running, nowMillis);
+    backupPlanner.assign(chosen, running, nowMillis);
     int urgency = Math.min(MAX_URGENCY, running.request.getPriority());
     decisions.add(new DispatchDecision.Place(running.id, chosen.id(), urgency, running.backup));
   }
@@ -429,19 +475,6 @@
     return backends.usableFor(request, nowMillis).findAny().isPresent();
   }
 
-  /** Returns the lowest priority number of the requests that run on the service. */
-  private int mostUrgentPriority(String service) {
-    int mostUrgent = Integer.MAX_VALUE;
-    for (BackendState backend : backends.all()) {
-      if (backend.serves(service)) {
-        for (RunningRequest running : backend.requests.values()) {
-          mostUrgent = Math.min(mostUrgent, running.request.getPriority());
-        }
-      }
-    }
-    return mostUrgent;
-  }
-
   private double cost(
       BackendState backend,
       @Nullable EngineCapabilities engine,
@@ -465,7 +498,13 @@
         + memoryUsed * MEMORY_WEIGHT_TOKENS
         + otherDataCentre * OTHER_DATA_CENTRE_WEIGHT_TOKENS
         + warmUpCost
-        - backend.promptPartCache.cachedPrefixTokens(request.getPartsList());
+        - cachedTokens(backend, request);
+  }
+
+  private int cachedTokens(BackendState backend, PlacementRequest request) {
+    return isEnabled(Mechanism.PROMPT_AFFINITY)
+        ? backend.promptPartCache.cachedPrefixTokens(request.getPartsList())
+        : 0;
   }
 
   // ---- rejection --------------------------------------------------------------------------------
--- a/src/main/java/org/curranthaven/internal/dispatch/QueueTimeForecast.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/QueueTimeForecast.java
@@ -54,11 +54,19 @@
   private final Backends backends;
   private final int capacityShares;
   private final RandomGenerator random;
+  private final boolean learning;
   private final Map<String, OutputLengthForecast> outputLengthsByRoute = new HashMap<>();
   private final Map<String, Double> plainMillisByService = new HashMap<>();
   private final Map<String, Double> promptTokenMillisByService = new HashMap<>();
 
-  QueueTimeForecast(Backends backends, int capacityShares, RandomGenerator random) {
+  /**
+   * Creates a forecast.
+   *
+   * @param learning whether it learns from completed requests and first replies
+   */
+  QueueTimeForecast(
+      Backends backends, int capacityShares, RandomGenerator random, boolean learning) {
+    this.learning = learning;
     this.backends = backends;
     this.capacityShares = capacityShares;
     this.random = random;
@@ -76,6 +84,9 @@
 
   /** Updates the averages from a request that completed. */
   void recordCompletion(RunningRequest running, int outputTokens, long nowMillis) {
+    if (!learning) {
+      return;
+    }
     if (running.request.getEngine()) {
       outputLengthsOf(running.request).recordOutput(outputTokens);
     } else {
@@ -89,7 +100,7 @@
 
   /** Updates the time per prompt token from a request that produced its first output. */
   void recordFirstReply(RunningRequest running, long nowMillis) {
-    if (running.promptTokensToFirstReply > 0) {
+    if (learning && running.promptTokensToFirstReply > 0) {
       double millisPerToken =
           (double) (nowMillis - running.placedAtMillis) / running.promptTokensToFirstReply;
       double boundedMillisPerToken =
--- a/src/main/java/org/curranthaven/internal/dispatch/QueuedRequest.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/QueuedRequest.java
@@ -6,18 +6,20 @@
 /**
  * A request that waits for capacity.
  *
- * @param sequenceNumber arrival order, which ranks requests of equal priority and due time
+ * @param rankMillis time by which requests of equal priority are ordered
+ * @param sequenceNumber arrival order, which ranks requests of equal priority and time
  * @param dueAtMillis when its first reply is due
  * @param expiresAtMillis when it leaves the queue: placed late if capacity allows, else rejected
  */
 record QueuedRequest(
     RequestId id,
     PlacementRequest request,
+    long rankMillis,
     long sequenceNumber,
     long dueAtMillis,
     long expiresAtMillis) {
   static final Comparator<QueuedRequest> BY_RANK =
       Comparator.comparingInt((QueuedRequest queued) -> queued.request().getPriority())
-          .thenComparingLong(QueuedRequest::dueAtMillis)
+          .thenComparingLong(QueuedRequest::rankMillis)
           .thenComparingLong(QueuedRequest::sequenceNumber);
 }
--- a/src/main/java/org/curranthaven/internal/dispatch/RunningRequest.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/RunningRequest.java
@@ -8,7 +8,7 @@
    * Share of the output still forecast that counts as memory in use; below 1, since requests end at
    * different times and do not all reach their full size together.
    */
-  private static final double RESERVED_GROWTH_SHARE = 0.6;
+  private static final double RESERVED_GROWTH_SHARE = 0.4;
 
   /** Factor by which an output that exceeded its forecast is expected to grow further. */
   private static final double OVERRUN_FACTOR = 1.25;
@@ -20,6 +20,7 @@
   final PlacementRequest request;
   final long placedAtMillis;
   private final int forecastTokens;
+  private final double growthShare;
   private int outputTokens;
 
   /** Prompt tokens to process before the first output, including this request's; 0 if unknown. */
@@ -36,13 +37,33 @@
   /** Engine that keeps the backup copy; empty for none. */
   String backup = "";
 
-  RunningRequest(RequestId id, PlacementRequest request, int forecastTokens, long placedAtMillis) {
+  /**
+   * Creates a request without output.
+   *
+   * @param reservesGrowth whether memory for output still to come counts as in use
+   */
+  RunningRequest(
+      RequestId id,
+      PlacementRequest request,
+      int forecastTokens,
+      boolean reservesGrowth,
+      long placedAtMillis) {
     this.id = id;
     this.request = request;
     this.forecastTokens = forecastTokens;
+    this.growthShare = reservesGrowth ? RESERVED_GROWTH_SHARE : 0;
     this.placedAtMillis = placedAtMillis;
   }
 
+  /** Returns the same request as it will run on the target of its migration. */
+  RunningRequest migrated(long nowMillis) {
+    RunningRequest incoming =
+        new RunningRequest(id, request, remainingTokens(), growthShare > 0, nowMillis);
+    incoming.outputProgressed(outputTokens);
+    incoming.migratingIn = true;
+    return incoming;
+  }
+
   void outputProgressed(int tokens) {
     outputTokens = Math.max(outputTokens, tokens);
   }
@@ -68,6 +89,6 @@
 
   /** Returns the memory to reserve for the request, in tokens. */
   double memoryTokens() {
-    return request.getPromptTokens() + outputTokens + RESERVED_GROWTH_SHARE * remainingTokens();
+    return request.getPromptTokens() + outputTokens + growthShare * remainingTokens();
   }
 }
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/dispatch/TransferTargets.java
@@ -0,0 +1,61 @@
+package org.curranthaven.internal.dispatch;
+
+import org.curranthaven.internal.catalog.EngineCapabilities;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Chooses the engine to which the state of a running request is transferred, for a migration or a
+ * backup copy. Stateless.
+ */
+final class TransferTargets {
+  /**
+   * Cost of another data centre; 1 is a full memory. A transfer there takes twice as long, and the
+   * time of a notice is what migrations lack.
+   */
+  private static final double OTHER_DATA_CENTRE_COST = 2.5;
+
+  /** Cost of each migration that already uses the target's network link; 1 is a full memory. */
+  private static final double BUSY_LINK_COST = 0.7;
+
+  private final Backends backends;
+  private final CapacityRules capacityRules;
+
+  TransferTargets(Backends backends, CapacityRules capacityRules) {
+    this.backends = backends;
+    this.capacityRules = capacityRules;
+  }
+
+  /**
+   * Returns the engine with capacity that has the lowest cost; null if there is none.
+   *
+   * @param memoryShare share of the target's memory that may be reserved in total
+   */
+  @Nullable BackendState cheapest(
+      BackendState source, RunningRequest running, double memoryShare, long nowMillis) {
+    EngineCapabilities engine = backends.engineOf(source.service());
+    if (engine == null) {
+      return null;
+    }
+    double requestTokens = running.memoryTokens();
+    return Backends.cheapest(
+        backends
+            .usableFor(running.request, nowMillis)
+            .filter(candidate -> candidate != source)
+            .filter(
+                candidate ->
+                    capacityRules.hasCapacity(
+                        candidate, engine, requestTokens, memoryShare, nowMillis)),
+        candidate -> cost(source, candidate, engine));
+  }
+
+  private static double cost(BackendState source, BackendState target, EngineCapabilities engine) {
+    boolean sameDataCentre =
+        source.registration().getDataCentre().equals(target.registration().getDataCentre());
+    double memoryUsed = target.memoryTokens() / Math.max(1, engine.memoryTokens());
+    long incomingMigrations =
+        target.requests.values().stream().filter(running -> running.migratingIn).count();
+    return memoryUsed
+        + (sameDataCentre ? 0 : OTHER_DATA_CENTRE_COST)
+        + incomingMigrations * BUSY_LINK_COST;
+  }
+}
--- a/src/main/java/org/curranthaven/internal/relay/MigrationCoordinator.java
+++ b/src/main/java/org/curranthaven/internal/relay/MigrationCoordinator.java
@@ -193,6 +193,7 @@
           source.backend().getId(),
           running ? "the request continues there" : "its stream has ended there");
       if (!running && !backup.isEmpty()) {
+        owner.onMigrationFailed();
         resumeFromBackup(source, backup);
       } else if (!running) {
         owner.onStateLost(
