--- a/src/main/java/org/curranthaven/internal/cli/ExperimentCommand.java
+++ b/src/main/java/org/curranthaven/internal/cli/ExperimentCommand.java
@@ -47,6 +47,8 @@
         .action(Arguments.storeTrue())
         .help("also print the result as one line of JSON at the end");
     routing.setDefault(Main.COMMAND, this);
+    new ExperimentDispatchCommand().register(kinds);
+    new ExperimentRampCommand().register(kinds);
   }
 
   @Override
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/emulator/Figures.java
@@ -0,0 +1,113 @@
+package org.curranthaven.internal.emulator;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** What the requests of emulated callers were worth, by kind, cause and time. Not thread-safe. */
+public final class Figures {
+  /** Length of a window of arrivals. */
+  private static final long WINDOW_MILLIS = 2_000;
+
+  private final Map<String, Total> totalsByKind = new TreeMap<>();
+  private final Map<Long, Total> totalsByWindow = new TreeMap<>();
+  private final Map<String, Map<Cause, Double>> worthLostByKind = new TreeMap<>();
+  private final Map<String, Map<Cause, Integer>> countsByKind = new TreeMap<>();
+  private long preemptions;
+  private long outputTokensServed;
+
+  /** Worth owed and earned. */
+  private static final class Total {
+    double owed;
+    double earned;
+
+    double share() {
+      return owed == 0 ? 1 : earned / owed;
+    }
+  }
+
+  void record(Arrival arrival, Cause cause, double earned) {
+    add(totalsByKind.computeIfAbsent(arrival.kind().name(), name -> new Total()), arrival, earned);
+    long window = arrival.atMillis() / WINDOW_MILLIS;
+    add(totalsByWindow.computeIfAbsent(window, number -> new Total()), arrival, earned);
+    worthLostByKind
+        .computeIfAbsent(arrival.kind().name(), name -> new EnumMap<>(Cause.class))
+        .merge(cause, arrival.worth() - earned, Double::sum);
+    countsByKind
+        .computeIfAbsent(arrival.kind().name(), name -> new EnumMap<>(Cause.class))
+        .merge(cause, 1, Integer::sum);
+    if (earned > 0) {
+      outputTokensServed += arrival.outputTokens();
+    }
+  }
+
+  private static void add(Total total, Arrival arrival, double earned) {
+    total.owed += arrival.worth();
+    total.earned += earned;
+  }
+
+  void recordPreemption() {
+    preemptions++;
+  }
+
+  /** Returns the number of preemptions on engines. */
+  public long preemptions() {
+    return preemptions;
+  }
+
+  /** Returns the output tokens of the requests that were served. */
+  public long outputTokensServed() {
+    return outputTokensServed;
+  }
+
+  /** Returns the share of the worth owed that was earned. */
+  public double worth() {
+    Total all = new Total();
+    for (Total total : totalsByKind.values()) {
+      all.owed += total.owed;
+      all.earned += total.earned;
+    }
+    return all.share();
+  }
+
+  /** Returns the worth that was earned, in units of worth. */
+  public double earned() {
+    return totalsByKind.values().stream().mapToDouble(total -> total.earned).sum();
+  }
+
+  /** Returns the share of the worth owed that was earned, by kind. */
+  public Map<String, Double> worthByKind() {
+    Map<String, Double> worth = new TreeMap<>();
+    totalsByKind.forEach((kind, total) -> worth.put(kind, total.share()));
+    return worth;
+  }
+
+  /** Returns the lowest share among the kinds. */
+  public double worstKind() {
+    return totalsByKind.values().stream().mapToDouble(Total::share).min().orElse(1);
+  }
+
+  /** Returns the share of the worth earned in each window of arrivals, in order. */
+  public List<Double> worthByWindow() {
+    List<Double> worth = new ArrayList<>();
+    totalsByWindow.values().forEach(total -> worth.add(total.share()));
+    return worth;
+  }
+
+  /** Returns the share of a kind's worth that was lost to each cause. */
+  public Map<Cause, Double> lostShares(String kind) {
+    Map<Cause, Double> shares = new EnumMap<>(Cause.class);
+    double owed = totalsByKind.getOrDefault(kind, new Total()).owed;
+    worthLostByKind
+        .getOrDefault(kind, Map.of())
+        .forEach((cause, lost) -> shares.put(cause, owed == 0 ? 0 : lost / owed));
+    return shares;
+  }
+
+  /** Returns the number of a kind's requests by cause. */
+  public Map<Cause, Integer> counts(String kind) {
+    return new EnumMap<>(countsByKind.getOrDefault(kind, new EnumMap<>(Cause.class)));
+  }
+}
--- a/src/main/java/org/curranthaven/internal/standin/EngineModel.java
+++ b/src/main/java/org/curranthaven/internal/standin/EngineModel.java
@@ -24,10 +24,12 @@
   private final List<Sequence> running = new ArrayList<>();
   private final List<Sequence> waiting = new ArrayList<>();
   private final LinkedHashMap<Long, Boolean> prefixCache;
+  private final Map<String, Integer> reservedBlocks = new HashMap<>();
   private int blocksUsed;
   private long nextArrivalOrder;
   private long stepEndMicros;
   private long preemptionCount;
+  private double slowdown = 1;
 
   /** A generation with its progress and memory. */
   private static final class Sequence {
@@ -38,6 +40,7 @@
     final long prefixHash;
     final long arrivalOrder;
     int producedTokens;
+    int presentTokens;
     int blocks;
     int prefillTokensLeft;
     boolean inBatch;
@@ -49,6 +52,7 @@
       this.priority = request.priority();
       this.prefixHash = request.prefixHash();
       this.producedTokens = request.alreadyProducedTokens();
+      this.presentTokens = request.presentTokens();
       this.arrivalOrder = arrivalOrder;
     }
 
@@ -62,6 +66,8 @@
    *
    * @param outputTokens actual output length, which the engine's clients do not know
    * @param alreadyProducedTokens output tokens that another engine produced before
+   * @param presentTokens tokens of the request's state that this engine holds already; if above 0,
+   *     the engine computes only the others, and before those of other requests
    */
   public record EngineRequest(
       String generation,
@@ -69,7 +75,19 @@
       int outputTokens,
       int priority,
       long prefixHash,
-      int alreadyProducedTokens) {}
+      int alreadyProducedTokens,
+      int presentTokens) {
+    /** Creates a request whose state the engine does not hold. */
+    public EngineRequest(
+        String generation,
+        int promptTokens,
+        int outputTokens,
+        int priority,
+        long prefixHash,
+        int alreadyProducedTokens) {
+      this(generation, promptTokens, outputTokens, priority, prefixHash, alreadyProducedTokens, 0);
+    }
+  }
 
   /** Creates an idle engine. */
   public EngineModel(EngineOptions options) {
@@ -108,6 +126,34 @@
     }
   }
 
+  /**
+   * Reserves memory for the state of a generation that runs on another engine, or changes the size
+   * of such a reservation; returns false, and changes nothing, if there is not enough memory.
+   */
+  public boolean reserve(String key, int tokens) {
+    int blocks = blocksFor(tokens);
+    int additionalBlocks = blocks - reservedBlocks.getOrDefault(key, 0);
+    if (blocksUsed + additionalBlocks > options.blocksTotal()) {
+      return false;
+    }
+    reservedBlocks.put(key, blocks);
+    blocksUsed += additionalBlocks;
+    return true;
+  }
+
+  /** Frees reserved memory; does nothing if there is none for the key. */
+  public void release(String key) {
+    Integer blocks = reservedBlocks.remove(key);
+    if (blocks != null) {
+      blocksUsed -= blocks;
+    }
+  }
+
+  /** Makes every further step take {@code factor} times as long as the options say. */
+  public void setSlowdown(double factor) {
+    slowdown = factor;
+  }
+
   /** Returns whether the generation is running or waiting. */
   public boolean hasGeneration(String generation) {
     return sequences.containsKey(generation);
@@ -165,14 +211,15 @@
         options.stepBaseMicros()
             + decodedTokens * options.stepPerSequenceMicros()
             + prefilledTokens * options.prefillMicrosPerToken();
-    stepEndMicros += stepMicros;
+    stepEndMicros += (long) (stepMicros * slowdown);
   }
 
   /** Moves waiting sequences into the batch until the next one does not fit. */
   private void admitWaiting() {
     if (options.honoursPriority()) {
       waiting.sort(
-          Comparator.<Sequence>comparingInt(s -> s.priority)
+          Comparator.<Sequence, Boolean>comparing(s -> s.presentTokens == 0)
+              .thenComparingInt(s -> s.priority)
               .thenComparingLong(s -> s.arrivalOrder));
     }
     Iterator<Sequence> candidates = waiting.iterator();
@@ -185,9 +232,16 @@
       candidates.remove();
       sequence.blocks = blocksNeeded;
       blocksUsed += blocksNeeded;
-      sequence.prefillTokensLeft = prefillTokens(sequence);
       sequence.inBatch = true;
-      running.add(sequence);
+      if (sequence.presentTokens > 0) {
+        sequence.prefillTokensLeft = Math.max(0, sequence.totalTokens() - sequence.presentTokens);
+        // After a preemption, all of the state is computed again.
+        sequence.presentTokens = 0;
+        running.addFirst(sequence);
+      } else {
+        sequence.prefillTokensLeft = prefillTokens(sequence);
+        running.add(sequence);
+      }
     }
   }
 
