Wake up less often while nothing happens

A gateway woke up some 85 times a second: five control hosts' pings and answers to its own, each connection on a timer of its own, a dial loop every 200 ms, addresses of control hosts every second, a check of the scheduler every 100 ms. Change: no answer to a ping (each host sends its own); the connections of a process ping together, and a recent message serves as a ping; dial checks once a second while all are connected; addresses every 5 s besides at each new connection; the scheduler is checked when its loss or a progress report is due.

--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -55,6 +55,7 @@
   static final long FULL_STATUS_INTERVAL_MILLIS = 400;
 
   private static final long CHECK_INTERVAL_MILLIS = 100;
+  private static final long MIN_CHECK_INTERVAL_MILLIS = 20;
   private static final long PROGRESS_INTERVAL_MILLIS = 500;
 
   private final String self;
@@ -397,10 +398,21 @@
   private void scheduleCheck() {
     if (!checkScheduled) {
       checkScheduled = true;
-      loop.schedule(this::check, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+      loop.schedule(this::check, millisToNextCheck(clock.nowMillis()), TimeUnit.MILLISECONDS);
     }
   }
 
+  /** Returns the time until the scheduler may count as lost or progress is due. */
+  private long millisToNextCheck(long nowMillis) {
+    if (localDispatch != null || scheduler.isEmpty()) {
+      return CHECK_INTERVAL_MILLIS;
+    }
+    long lossMillis = lastMessageMillis + SCHEDULER_TIMEOUT_MILLIS + 1 - nowMillis;
+    long progressMillis = lastProgressMillis + PROGRESS_INTERVAL_MILLIS - nowMillis;
+    return Math.clamp(
+        Math.min(lossMillis, progressMillis), MIN_CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS * 5);
+  }
+
   /**
    * Detects the loss of the scheduler, advances local placement and reports progress. Repeats while
    * requests are open.
--- a/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
@@ -48,7 +48,11 @@
  * }</pre>
  */
 public final class ControlHost implements PeerListener {
-  private static final long KNOWN_HOSTS_INTERVAL_MILLIS = 1_000;
+  /**
+   * Interval of the addresses of control hosts; they are also sent at each new connection, so that
+   * this renews them only.
+   */
+  private static final long KNOWN_HOSTS_INTERVAL_MILLIS = 5_000;
 
   /** Time that a draining host leaves for the transfer of its leadership. */
   private static final long LEADERSHIP_TRANSFER_DELAY_MILLIS = 400;
--- a/src/main/java/org/curranthaven/internal/transport/PeerConnection.java
+++ b/src/main/java/org/curranthaven/internal/transport/PeerConnection.java
@@ -6,11 +6,11 @@
 import java.util.Objects;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import org.curranthaven.internal.supervision.Clock;
 import org.curranthaven.internal.transport.wire.Envelope;
 import org.curranthaven.internal.transport.wire.Hello;
 import org.curranthaven.internal.transport.wire.HostRecord;
 import org.curranthaven.internal.transport.wire.Ping;
-import org.curranthaven.internal.transport.wire.Pong;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -18,11 +18,15 @@
  * messages to the {@link PeerNetwork}.
  */
 final class PeerConnection extends SimpleChannelInboundHandler<Envelope> {
+  /** Age of the last message below which it serves as a ping. */
+  private static final long MIN_WRITE_AGE_MILLIS = PeerNetwork.PING_INTERVAL_MILLIS / 2;
+
   private final PeerNetwork network;
   private final String dialledAddress;
   private volatile @Nullable Channel channel;
   private volatile @Nullable HostRecord remote;
   private volatile @Nullable ScheduledFuture<?> pingTask;
+  private volatile long lastWriteMillis = Long.MIN_VALUE / 2;
   private long lastPingNonce;
 
   /** Creates the handler; {@code dialledAddress} is empty for an accepted connection. */
@@ -61,6 +65,7 @@
   void write(Envelope message) {
     Channel current = channel;
     if (current != null) {
+      lastWriteMillis = nowMillis();
       current.writeAndFlush(message, current.voidPromise());
     }
   }
@@ -81,7 +86,7 @@
             .executor()
             .scheduleAtFixedRate(
                 this::sendPing,
-                PeerNetwork.PING_INTERVAL_MILLIS,
+                millisToNextPing(nowMillis()),
                 PeerNetwork.PING_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
   }
@@ -96,8 +101,22 @@
             .build());
   }
 
+  /**
+   * Returns the time to the next common ping time. The connections of a process ping together, so
+   * that an idle process wakes up once for all of them.
+   */
+  static long millisToNextPing(long nowMillis) {
+    return PeerNetwork.PING_INTERVAL_MILLIS
+        - Math.floorMod(nowMillis, PeerNetwork.PING_INTERVAL_MILLIS);
+  }
+
+  private static long nowMillis() {
+    return Clock.system().nowMillis();
+  }
+
   private void sendPing() {
-    if (isActive()) {
+    boolean recentlyWritten = nowMillis() - lastWriteMillis < MIN_WRITE_AGE_MILLIS;
+    if (isActive() && !recentlyWritten) {
       write(Envelope.newBuilder().setPing(Ping.newBuilder().setNonce(++lastPingNonce)).build());
     }
   }
@@ -111,12 +130,9 @@
           context.close();
         }
       }
-      case PING ->
-          write(
-              Envelope.newBuilder()
-                  .setPong(Pong.newBuilder().setNonce(message.getPing().getNonce()))
-                  .build());
-      case PONG -> {}
+      case PING, PONG -> {
+        // Its arrival is what counts; the other host sends pings of its own.
+      }
       default -> network.received(this, message);
     }
   }
--- a/src/main/java/org/curranthaven/internal/transport/PeerNetwork.java
+++ b/src/main/java/org/curranthaven/internal/transport/PeerNetwork.java
@@ -52,6 +52,9 @@
 
   private static final long DIAL_INTERVAL_MILLIS = 200;
 
+  /** Time between two checks for missing connections while all hosts are connected. */
+  private static final long CONNECTED_CHECK_INTERVAL_MILLIS = 1_000;
+
   /** Time after which a discovered address that is not discovered again is no longer dialled. */
   private static final long DISCOVERED_ADDRESS_TTL_MILLIS = 20_000;
 
@@ -212,9 +215,11 @@
     try {
       bindFuture.sync();
       while (true) {
-        dialMissing(group);
-        // A newly discovered address ends the wait, so that it is dialled at once.
-        newAddressSignal.tryAcquire(DIAL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        boolean allConnected = dialMissing(group);
+        // A discovered address or a lost connection ends the wait, so that it is dialled at once.
+        newAddressSignal.tryAcquire(
+            allConnected ? CONNECTED_CHECK_INTERVAL_MILLIS : DIAL_INTERVAL_MILLIS,
+            TimeUnit.MILLISECONDS);
         newAddressSignal.drainPermits();
       }
     } finally {
@@ -244,7 +249,9 @@
     }
   }
 
-  private void dialMissing(EventLoopGroup group) {
+  /** Dials the hosts without a connection; returns whether all are connected. */
+  private boolean dialMissing(EventLoopGroup group) {
+    boolean allConnected = true;
     long nowMillis = Clock.system().nowMillis();
     discoveredAtMillis
         .values()
@@ -256,10 +263,12 @@
       String host = hostByAddress.get(address);
       boolean connected = host != null && connectionsByHost.containsKey(host);
       boolean isOwnAddress = address.equals(self.get().getPeerAddress());
+      allConnected &= connected || isOwnAddress;
       if (!connected && !isOwnAddress && diallingAddresses.add(address)) {
         dial(group, address);
       }
     }
+    return allConnected;
   }
 
   private void dial(EventLoopGroup group, String address) {
@@ -349,6 +358,7 @@
     if (remote != null && connectionsByHost.remove(remote.getName(), connection)) {
       listener.disconnected(remote);
     }
+    newAddressSignal.release();
   }
 
   void received(PeerConnection connection, Envelope message) {
