--- a/src/main/java/org/curranthaven/internal/dispatch/BackupPlanner.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/BackupPlanner.java
@@ -13,11 +13,13 @@
 
   private final Backends backends;
   private final TransferTargets targets;
+  private final EngineSpeeds speeds;
   private final boolean enabled;
 
-  BackupPlanner(Backends backends, TransferTargets targets, boolean enabled) {
+  BackupPlanner(Backends backends, TransferTargets targets, EngineSpeeds speeds, boolean enabled) {
     this.backends = backends;
     this.targets = targets;
+    this.speeds = speeds;
     this.enabled = enabled;
   }
 
@@ -35,7 +37,8 @@
       return;
     }
     boolean endsSoon =
-        running.remainingTokens() * QueueTimeForecast.MILLIS_PER_OUTPUT_TOKEN < MIN_DURATION_MILLIS;
+        running.remainingTokens() * speeds.millisPerOutputToken(primary.service())
+            < MIN_DURATION_MILLIS;
     double utilization = memoryUtilization(primary.service(), engine);
     if (endsSoon || utilization >= CapacityRules.BACKUP_MEMORY_SHARE) {
       return;
--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -65,7 +65,9 @@
   private final DispatchQueue queue = new DispatchQueue();
   private final Map<String, ServiceRetryBudget> retryBudgets = new HashMap<>();
   private final CapacityRules capacityRules;
+  private final EngineSpeeds speeds;
   private final QueueTimeForecast forecast;
+  private final OverloadGauge overloadGauge = new OverloadGauge();
   private final BackupPlanner backupPlanner;
   private final MigrationPlanner migrationPlanner;
   private List<DispatchDecision> decisions = new ArrayList<>();
@@ -97,16 +99,23 @@
     this.random = random;
     this.backends = new Backends(isEnabled(Mechanism.EJECTION));
     this.capacityRules = new CapacityRules(capacityShares);
+    this.speeds = new EngineSpeeds(isEnabled(Mechanism.LEARNING));
     this.forecast =
         new QueueTimeForecast(
-            backends, capacityRules.capacityShares(), random, isEnabled(Mechanism.LEARNING));
+            backends,
+            speeds,
+            capacityRules.capacityShares(),
+            random,
+            isEnabled(Mechanism.LEARNING));
     TransferTargets targets = new TransferTargets(backends, capacityRules);
-    this.backupPlanner = new BackupPlanner(backends, targets, isEnabled(Mechanism.BACKUP_COPIES));
+    this.backupPlanner =
+        new BackupPlanner(backends, targets, speeds, isEnabled(Mechanism.BACKUP_COPIES));
     this.migrationPlanner =
         new MigrationPlanner(
             backends,
             targets,
             backupPlanner,
+            speeds,
             isEnabled(Mechanism.MIGRATION),
             decision -> decisions.add(decision));
   }
@@ -260,10 +269,9 @@
       return;
     }
     boolean isFirstOutput = running.outputTokens() == 0 && outputTokens > 0;
-    running.outputProgressed(outputTokens);
+    running.outputProgressed(outputTokens, nowMillis, speeds);
     if (isFirstOutput) {
       backends.recordFirstReply(backend);
-      forecast.recordFirstReply(running, nowMillis);
       migrationPlanner.migrateFrom(backend, nowMillis);
       serveQueue(backend.service(), nowMillis);
     }
@@ -415,6 +423,7 @@
             request,
             nowMillis);
     if (chosen != null) {
+      overloadGauge.recordPlacedInTime(request.getService());
       commitPlacement(running, chosen, nowMillis);
       return PlacementResult.PLACED;
     }
@@ -427,9 +436,14 @@
         || forecast.firstReplyMillis(request, promptTokens) <= targetLeftMillis;
   }
 
-  /** Places a request that cannot meet its due time, if that takes no capacity from others. */
+  /**
+   * Places a request that cannot meet its due time, if that takes no capacity from others: none
+   * while the engines are overloaded, since a late request would keep others from being in time.
+   */
   private boolean placeLate(RequestId requestId, PlacementRequest request, long nowMillis) {
-    if (!isEnabled(Mechanism.LATE_PLACEMENT)) {
+    overloadGauge.recordMissed(request.getService());
+    if (!isEnabled(Mechanism.LATE_PLACEMENT)
+        || (request.getEngine() && overloadGauge.isOverloaded(request.getService()))) {
       return false;
     }
     RunningRequest running = newRunning(requestId, request, nowMillis);
--- a/src/main/java/org/curranthaven/internal/dispatch/MigrationPlanner.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/MigrationPlanner.java
@@ -24,6 +24,7 @@
   private final Backends backends;
   private final TransferTargets targets;
   private final BackupPlanner backups;
+  private final EngineSpeeds speeds;
   private final boolean enabled;
   private final Consumer<DispatchDecision> decisions;
 
@@ -31,11 +32,13 @@
       Backends backends,
       TransferTargets targets,
       BackupPlanner backups,
+      EngineSpeeds speeds,
       boolean enabled,
       Consumer<DispatchDecision> decisions) {
     this.backends = backends;
     this.targets = targets;
     this.backups = backups;
+    this.speeds = speeds;
     this.enabled = enabled;
     this.decisions = decisions;
   }
@@ -55,7 +58,7 @@
     }
     List<RunningRequest> unprotectedFirst =
         source.requests.values().stream()
-            .filter(MigrationPlanner::isWorthMigrating)
+            .filter(this::isWorthMigrating)
             .sorted(
                 Comparator.comparing(backups::isProtected)
                     .thenComparingDouble(RunningRequest::memoryTokens))
@@ -67,9 +70,9 @@
     }
   }
 
-  private static boolean isWorthMigrating(RunningRequest running) {
+  private boolean isWorthMigrating(RunningRequest running) {
     boolean endsSoon =
-        running.remainingTokens() * QueueTimeForecast.MILLIS_PER_OUTPUT_TOKEN
+        running.remainingTokens() * speeds.millisPerOutputToken(running.request.getService())
             < MIN_REMAINING_MILLIS;
     return running.outputTokens() > 0
         && !endsSoon
--- a/src/main/java/org/curranthaven/internal/dispatch/QueueTimeForecast.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/QueueTimeForecast.java
@@ -15,23 +15,6 @@
  * thread-safe.
  */
 final class QueueTimeForecast {
-  /** Assumed time per output token of an engine. */
-  static final double MILLIS_PER_OUTPUT_TOKEN = 10;
-
-  /** Time per prompt token of an engine, used until first replies have been observed. */
-  private static final double INITIAL_MILLIS_PER_PROMPT_TOKEN = 0.16;
-
-  /** Weight of the latest first reply in the moving average. */
-  private static final double LATEST_FIRST_REPLY_WEIGHT = 0.05;
-
-  /**
-   * Lower and upper bound of an observed time per prompt token, so that one outlier does not cause
-   * rejections.
-   */
-  private static final double MIN_MILLIS_PER_PROMPT_TOKEN = 0.07;
-
-  private static final double MAX_MILLIS_PER_PROMPT_TOKEN = 0.5;
-
   /** Factor on the forecast first-reply time, to allow for deviations from the average. */
   private static final double FIRST_REPLY_MARGIN = 1.1;
 
@@ -57,15 +40,20 @@
   private final boolean learning;
   private final Map<String, OutputLengthForecast> outputLengthsByRoute = new HashMap<>();
   private final Map<String, Double> plainMillisByService = new HashMap<>();
-  private final Map<String, Double> promptTokenMillisByService = new HashMap<>();
+  private final EngineSpeeds speeds;
 
   /**
    * Creates a forecast.
    *
-   * @param learning whether it learns from completed requests and first replies
+   * @param learning whether it learns from completed requests
    */
   QueueTimeForecast(
-      Backends backends, int capacityShares, RandomGenerator random, boolean learning) {
+      Backends backends,
+      EngineSpeeds speeds,
+      int capacityShares,
+      RandomGenerator random,
+      boolean learning) {
+    this.speeds = speeds;
     this.learning = learning;
     this.backends = backends;
     this.capacityShares = capacityShares;
@@ -98,24 +86,6 @@
     }
   }
 
-  /** Updates the time per prompt token from a request that produced its first output. */
-  void recordFirstReply(RunningRequest running, long nowMillis) {
-    if (learning && running.promptTokensToFirstReply > 0) {
-      double millisPerToken =
-          (double) (nowMillis - running.placedAtMillis) / running.promptTokensToFirstReply;
-      double boundedMillisPerToken =
-          Math.clamp(millisPerToken, MIN_MILLIS_PER_PROMPT_TOKEN, MAX_MILLIS_PER_PROMPT_TOKEN);
-      String service = running.request.getService();
-      double average = millisPerPromptToken(service);
-      promptTokenMillisByService.put(
-          service, average + LATEST_FIRST_REPLY_WEIGHT * (boundedMillisPerToken - average));
-    }
-  }
-
-  private double millisPerPromptToken(String service) {
-    return promptTokenMillisByService.getOrDefault(service, INITIAL_MILLIS_PER_PROMPT_TOKEN);
-  }
-
   /** Returns the time from placement on an idle engine to the first reply; 0 for plain services. */
   long idleFirstReplyMillis(PlacementRequest request) {
     return request.getEngine() ? firstReplyMillis(request, request.getPromptTokens()) : 0;
@@ -127,7 +97,8 @@
    * @param promptTokens prompt tokens to process until then, including the request's own
    */
   long firstReplyMillis(PlacementRequest request, int promptTokens) {
-    return (long) (promptTokens * millisPerPromptToken(request.getService()) * FIRST_REPLY_MARGIN);
+    return (long)
+        (promptTokens * speeds.millisPerPromptToken(request.getService()) * FIRST_REPLY_MARGIN);
   }
 
   /**
@@ -179,21 +150,19 @@
         .notLeaving(service)
         .flatMap(backend -> backend.requests.values().stream())
         .forEach(
-            running ->
-                releases.add(
-                    new Release(
-                        remainingMillis(running, millisPerPromptToken(service)),
-                        running.memoryTokens())));
+            running -> releases.add(new Release(remainingMillis(running), running.memoryTokens())));
     releases.sort(Comparator.comparingDouble(Release::afterMillis));
     return releases;
   }
 
-  private static double remainingMillis(RunningRequest running, double millisPerPromptToken) {
-    return running.remainingTokens() * MILLIS_PER_OUTPUT_TOKEN
-        + running.pendingPromptTokens() * millisPerPromptToken;
+  private double remainingMillis(RunningRequest running) {
+    String service = running.request.getService();
+    return running.remainingTokens() * speeds.millisPerOutputToken(service)
+        + running.pendingPromptTokens() * speeds.millisPerPromptToken(service);
   }
 
+  /** Returns the memory that a request must find free to be placed. */
   private double neededMemoryTokens(PlacementRequest request) {
-    return request.getPromptTokens() + outputTokens(request);
+    return RunningRequest.memoryTokens(request.getPromptTokens(), outputTokens(request));
   }
 }
--- a/src/main/java/org/curranthaven/internal/dispatch/RunningRequest.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/RunningRequest.java
@@ -23,6 +23,9 @@
   private final double growthShare;
   private int outputTokens;
 
+  /** When output was last reported; 0 if not yet. */
+  private long progressedAtMillis;
+
   /** Prompt tokens to process before the first output, including this request's; 0 if unknown. */
   int promptTokensToFirstReply;
 
@@ -68,6 +71,21 @@
     outputTokens = Math.max(outputTokens, tokens);
   }
 
+  /** Records output, and what it tells about the speed of the engine. */
+  void outputProgressed(int tokens, long nowMillis, EngineSpeeds speeds) {
+    if (tokens <= outputTokens) {
+      return;
+    }
+    String service = request.getService();
+    if (outputTokens == 0) {
+      speeds.recordPrompts(service, promptTokensToFirstReply, nowMillis - placedAtMillis);
+    } else if (progressedAtMillis > 0) {
+      speeds.recordOutput(service, tokens - outputTokens, nowMillis - progressedAtMillis);
+    }
+    progressedAtMillis = nowMillis;
+    outputTokens = tokens;
+  }
+
   int outputTokens() {
     return outputTokens;
   }
@@ -87,6 +105,11 @@
     return Math.max(0, Math.min(expected, limit) - outputTokens);
   }
 
+  /** Returns the memory to reserve for a request without output, in tokens. */
+  static double memoryTokens(int promptTokens, int forecastTokens) {
+    return promptTokens + RESERVED_GROWTH_SHARE * forecastTokens;
+  }
+
   /** Returns the memory to reserve for the request, in tokens. */
   double memoryTokens() {
     return request.getPromptTokens() + outputTokens + growthShare * remainingTokens();
--- a/src/test/java/org/curranthaven/internal/dispatch/DispatchCoreTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/DispatchCoreTest.java
@@ -212,6 +212,20 @@
     assertThat(onlyDecision()).isInstanceOf(DispatchDecision.Reject.class);
   }
 
+  @Test
+  void no_request_is_placed_late_while_the_engines_are_overloaded() {
+    core.updateBackend(backend("x", "engines"), 0);
+    for (int i = 0; i < 10; i++) {
+      submit(draftRequest(9_500, 100).setTargetLeftMillis(100), 0);
+    }
+    core.drainDecisions();
+    core.removeGateway("gateway", 10);
+
+    submit(draftRequest(1_000, 100).setTargetLeftMillis(100), 20);
+
+    assertThat(onlyDecision()).isInstanceOf(DispatchDecision.Reject.class);
+  }
+
   @Test
   void slow_first_replies_lead_to_earlier_rejections() {
     core.updateBackend(backend("x", "engines"), 0);
--- a/src/test/java/org/curranthaven/internal/emulator/DispatchSimulationTest.java
+++ b/src/test/java/org/curranthaven/internal/emulator/DispatchSimulationTest.java
@@ -100,6 +100,11 @@
     assertServedHolds(DRIVE);
   }
 
+  @Test
+  void the_worth_served_does_not_collapse_on_engines_half_as_fast() {
+    assertServedHolds(DRIVE.withEnginesSlowedBy(2));
+  }
+
   private static void assertServedHolds(Deployment deployment) {
     Deployment.Day quiet = deployment.day("quiet");
     List<Double> served = new ArrayList<>();
