Prefer engines that output faster for long streams

Hypothesis: a stream on a slower engine is longer exposed to the loss of its engine and holds its memory longer. Change: the time per output token is learnt by engine; its relative slowness counts 5 prompt tokens for each forecast output token when a request is placed.

--- a/src/main/java/org/curranthaven/internal/dispatch/BackendState.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/BackendState.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.curranthaven.internal.transport.wire.BackendRecord;
+import org.jspecify.annotations.Nullable;
 
 /** A backend server and the requests that run on it. Not thread-safe. */
 final class BackendState {
@@ -16,6 +17,9 @@
 
   final PromptPartCache promptPartCache = new PromptPartCache();
 
+  /** Time per output token on this engine; null until it has produced output. */
+  @Nullable LearntAverage millisPerOutputToken;
+
   BackendState(BackendRecord registration, long nowMillis) {
     this.registration = registration;
     updateRegistration(registration, nowMillis);
--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -37,6 +37,12 @@
   /** Cost of a backend server that is still warming up, in prompt tokens. */
   private static final double WARM_UP_WEIGHT_TOKENS = 4_000;
 
+  /**
+   * Cost of each forecast output token on an engine that takes twice the average time for it, in
+   * prompt tokens. A stream that ends earlier is exposed to fewer losses and frees its memory.
+   */
+  private static final double SLOWNESS_WEIGHT = 5;
+
   /** Cost of another data centre, in prompt tokens. */
   private static final double OTHER_DATA_CENTRE_WEIGHT_TOKENS = 30;
 
@@ -269,7 +275,7 @@
       return;
     }
     boolean isFirstOutput = running.outputTokens() == 0 && outputTokens > 0;
-    running.outputProgressed(outputTokens, nowMillis, speeds);
+    running.outputProgressed(outputTokens, backend, nowMillis, speeds);
     if (isFirstOutput) {
       backends.recordFirstReply(backend);
       migrationPlanner.migrateFrom(backend, nowMillis);
@@ -512,6 +518,7 @@
         + memoryUsed * MEMORY_WEIGHT_TOKENS
         + otherDataCentre * OTHER_DATA_CENTRE_WEIGHT_TOKENS
         + warmUpCost
+        + SLOWNESS_WEIGHT * forecast.outputTokens(request) * speeds.relativeSlowness(backend)
         - cachedTokens(backend, request);
   }
 
--- a/src/main/java/org/curranthaven/internal/dispatch/EngineSpeeds.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/EngineSpeeds.java
@@ -15,6 +15,7 @@
   private static final double START_MILLIS_PER_PROMPT_TOKEN = 0.16;
 
   private static final double LATEST_OUTPUT_WEIGHT = 0.02;
+  private static final double LATEST_ENGINE_OUTPUT_WEIGHT = 0.05;
   private static final double LATEST_PROMPT_WEIGHT = 0.05;
 
   private final boolean learning;
@@ -30,13 +31,30 @@
     this.learning = learning;
   }
 
-  /** Records output that a running request produced. */
-  void recordOutput(String service, int tokens, long elapsedMillis) {
+  /** Records output that a running request produced on the engine. */
+  void recordOutput(BackendState engine, int tokens, long elapsedMillis) {
     if (learning && tokens > 0 && elapsedMillis > 0) {
-      output(service).record((double) elapsedMillis / tokens);
+      double millisPerToken = (double) elapsedMillis / tokens;
+      LearntAverage ofService = output(engine.service());
+      ofService.record(millisPerToken);
+      LearntAverage ofEngine = engine.millisPerOutputToken;
+      if (ofEngine == null) {
+        ofEngine = new LearntAverage(ofService.value(), LATEST_ENGINE_OUTPUT_WEIGHT);
+        engine.millisPerOutputToken = ofEngine;
+      }
+      ofEngine.record(millisPerToken);
     }
   }
 
+  /**
+   * Returns by how much longer the engine takes for an output token than the service's engines on
+   * average, as a share of the average; negative for a faster one, 0 if unknown.
+   */
+  double relativeSlowness(BackendState engine) {
+    LearntAverage ofEngine = engine.millisPerOutputToken;
+    return ofEngine == null ? 0 : ofEngine.value() / output(engine.service()).value() - 1;
+  }
+
   /** Records the prompt tokens that an engine processed up to a request's first output. */
   void recordPrompts(String service, int tokens, long elapsedMillis) {
     if (learning && tokens > 0 && elapsedMillis > 0) {
--- a/src/main/java/org/curranthaven/internal/dispatch/LearntAverage.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/LearntAverage.java
@@ -42,8 +42,4 @@
   double value() {
     return average;
   }
-
-  boolean hasSamples() {
-    return samples > 0;
-  }
 }
--- a/src/main/java/org/curranthaven/internal/dispatch/RunningRequest.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/RunningRequest.java
@@ -72,7 +72,7 @@
   }
 
   /** Records output, and what it tells about the speed of the engine. */
-  void outputProgressed(int tokens, long nowMillis, EngineSpeeds speeds) {
+  void outputProgressed(int tokens, BackendState engine, long nowMillis, EngineSpeeds speeds) {
     if (tokens <= outputTokens) {
       return;
     }
@@ -80,7 +80,7 @@
     if (outputTokens == 0) {
       speeds.recordPrompts(service, promptTokensToFirstReply, nowMillis - placedAtMillis);
     } else if (progressedAtMillis > 0) {
-      speeds.recordOutput(service, tokens - outputTokens, nowMillis - progressedAtMillis);
+      speeds.recordOutput(engine, tokens - outputTokens, nowMillis - progressedAtMillis);
     }
     progressedAtMillis = nowMillis;
     outputTokens = tokens;
--- a/src/test/java/org/curranthaven/internal/dispatch/DispatchCoreTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/DispatchCoreTest.java
@@ -226,6 +226,29 @@
     assertThat(onlyDecision()).isInstanceOf(DispatchDecision.Reject.class);
   }
 
+  @Test
+  void a_long_output_goes_to_the_faster_of_two_engines() {
+    core.updateBackend(backend("slow", "engines"), 0);
+    core.updateBackend(backend("fast", "engines"), 0);
+    for (int i = 0; i < 20; i++) {
+      report("slow", 100 + i, 3_000);
+      report("fast", 200 + i, 800);
+    }
+
+    submit(draftRequest(1_000, 2_000), 20_000);
+
+    assertThat(((DispatchDecision.Place) onlyDecision()).backend()).isEqualTo("fast");
+  }
+
+  /** Runs a request that outputs 100 tokens on an engine within the given time. */
+  private void report(String engine, long id, long elapsedMillis) {
+    RequestId requestId = new RequestId("gateway", id);
+    restore(draftRequest(100, 500).setId(id).build(), engine, "", "");
+    core.outputProgressed(requestId, 44, 1_000);
+    core.outputProgressed(requestId, 144, 1_000 + elapsedMillis);
+    core.requestEnded(requestId, DispatchOutcome.DISPATCH_OUTCOME_ANSWERED, 144, 5_000);
+  }
+
   @Test
   void slow_first_replies_lead_to_earlier_rejections() {
     core.updateBackend(backend("x", "engines"), 0);
