Reject at once what fits no engine; take the rating of placements out of the core

A prompt as large as an engine's memory waited at the head of the queue, and held up every request behind it, until its time was up. It is rejected when it arrives. PlacementCost holds the weights and the rating that DispatchCore had.

--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -31,30 +31,9 @@
  * <p>Not thread-safe.
  */
 public final class DispatchCore {
-  /** Cost of a fully used memory or of a fully loaded plain backend server, in prompt tokens. */
-  private static final double MEMORY_WEIGHT_TOKENS = 2_500;
-
-  /** Cost of a backend server that is still warming up, in prompt tokens. */
-  private static final double WARM_UP_WEIGHT_TOKENS = 4_000;
-
-  /**
-   * Cost of each forecast output token on an engine that takes twice the average time for it, in
-   * prompt tokens. A stream that ends earlier is exposed to fewer losses and frees its memory.
-   */
-  private static final double SLOWNESS_WEIGHT = 5;
-
-  /** Cost of another data centre, in prompt tokens. */
-  private static final double OTHER_DATA_CENTRE_WEIGHT_TOKENS = 30;
-
   /** Time for which a backend server that rejected a request receives none. */
   private static final long FULL_BACKOFF_MILLIS = 150;
 
-  /**
-   * Maximum random cost of an engine in local fallback, in prompt tokens. Hosts do not know each
-   * other's placements then, and would otherwise all choose the same engine.
-   */
-  private static final double LOCAL_JITTER_TOKENS = 3_000;
-
   /**
    * Time past its due time for which a request to a plain service stays queued; such requests are
    * short.
@@ -66,13 +45,13 @@
 
   private final Set<Mechanism> disabled;
   private final RetryLimits retryLimits;
-  private final RandomGenerator random;
   private final Backends backends;
   private final DispatchQueue queue = new DispatchQueue();
   private final Map<String, ServiceRetryBudget> retryBudgets = new HashMap<>();
   private final CapacityRules capacityRules;
   private final EngineSpeeds speeds;
   private final QueueTimeForecast forecast;
+  private final PlacementCost placementCost;
   private final OverloadGauge overloadGauge = new OverloadGauge();
   private final BackupPlanner backupPlanner;
   private final MigrationPlanner migrationPlanner;
@@ -102,7 +81,6 @@
       Set<Mechanism> disabled) {
     this.disabled = Set.copyOf(disabled);
     this.retryLimits = retryLimits.dividedAmong(capacityShares);
-    this.random = random;
     this.backends = new Backends(isEnabled(Mechanism.EJECTION));
     this.capacityRules = new CapacityRules(capacityShares);
     this.speeds = new EngineSpeeds(isEnabled(Mechanism.LEARNING));
@@ -113,6 +91,8 @@
             capacityRules.capacityShares(),
             random,
             isEnabled(Mechanism.LEARNING));
+    this.placementCost =
+        new PlacementCost(speeds, random, capacityShares > 1, isEnabled(Mechanism.PROMPT_AFFINITY));
     TransferTargets targets = new TransferTargets(backends, capacityRules);
     this.backupPlanner =
         new BackupPlanner(backends, targets, speeds, isEnabled(Mechanism.BACKUP_COPIES));
@@ -217,6 +197,10 @@
 
   private void queueOrReject(
       RequestId requestId, PlacementRequest request, PlacementResult result, long nowMillis) {
+    if (isTooLarge(request)) {
+      reject(requestId, forecast.retryAfterMillis(Double.MAX_VALUE), RejectionReason.TOO_LARGE);
+      return;
+    }
     long targetLeftMillis =
         Math.min(request.getTargetLeftMillis(), request.getDeadlineLeftMillis());
     boolean hasBackend = hasCandidates(request, nowMillis);
@@ -259,6 +243,12 @@
             expiresAtMillis));
   }
 
+  /** Returns whether no engine of the service can ever hold the request. */
+  private boolean isTooLarge(PlacementRequest request) {
+    EngineCapabilities engine = backends.engineOf(request.getService());
+    return engine != null && request.getPromptTokens() >= engine.memoryTokens();
+  }
+
   private double expectedQueueMillis(PlacementRequest request, PlacementResult result) {
     // A backend server has capacity but must process too many prompt tokens first. Processing them
     // brings the start of this request nearer all the time, so nothing needs to be freed for it.
@@ -478,7 +468,9 @@
   private @Nullable BackendState cheapest(
       Stream<BackendState> candidates, PlacementRequest request, long nowMillis) {
     EngineCapabilities engine = backends.engineOf(request.getService());
-    return Backends.cheapest(candidates, backend -> cost(backend, engine, request, nowMillis));
+    int outputTokens = engine == null ? 0 : forecast.outputTokens(request);
+    return Backends.cheapest(
+        candidates, backend -> placementCost.of(backend, engine, request, outputTokens, nowMillis));
   }
 
   private void commitPlacement(RunningRequest running, BackendState chosen, long nowMillis) {
@@ -495,39 +487,6 @@
     return backends.usableFor(request, nowMillis).findAny().isPresent();
   }
 
-  private double cost(
-      BackendState backend,
-      @Nullable EngineCapabilities engine,
-      PlacementRequest request,
-      long nowMillis) {
-    double otherDataCentre =
-        request.getDataCentre().equals(backend.registration().getDataCentre()) ? 0 : 1;
-    double warmUpCost = backend.isWarmingUp(nowMillis) ? WARM_UP_WEIGHT_TOKENS : 0;
-    if (engine == null) {
-      double load = (double) backend.requests.size() / backend.slots();
-      return load * MEMORY_WEIGHT_TOKENS
-          + otherDataCentre * OTHER_DATA_CENTRE_WEIGHT_TOKENS
-          + warmUpCost
-          + random.nextDouble();
-    }
-    double memoryUsed = backend.memoryTokens() / Math.max(1, engine.memoryTokens());
-    double jitter =
-        capacityRules.capacityShares() > 1 ? LOCAL_JITTER_TOKENS * random.nextDouble() : 0;
-    return backend.pendingPromptTokens()
-        + jitter
-        + memoryUsed * MEMORY_WEIGHT_TOKENS
-        + otherDataCentre * OTHER_DATA_CENTRE_WEIGHT_TOKENS
-        + warmUpCost
-        + SLOWNESS_WEIGHT * forecast.outputTokens(request) * speeds.relativeSlowness(backend)
-        - cachedTokens(backend, request);
-  }
-
-  private int cachedTokens(BackendState backend, PlacementRequest request) {
-    return isEnabled(Mechanism.PROMPT_AFFINITY)
-        ? backend.promptPartCache.cachedPrefixTokens(request.getPartsList())
-        : 0;
-  }
-
   // ---- rejection --------------------------------------------------------------------------------
 
   private void rejectForCapacity(RequestId requestId, boolean hasBackend, double expectedMillis) {
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/dispatch/PlacementCost.java
@@ -0,0 +1,92 @@
+package org.curranthaven.internal.dispatch;
+
+import java.util.random.RandomGenerator;
+import org.curranthaven.internal.catalog.EngineCapabilities;
+import org.curranthaven.internal.transport.wire.PlacementRequest;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Rates the backend servers that have capacity for a request, in prompt tokens that the request
+ * would wait for; the lowest cost is chosen. Not thread-safe.
+ */
+final class PlacementCost {
+  /** Cost of a fully used memory or of a fully loaded plain backend server, in prompt tokens. */
+  private static final double MEMORY_WEIGHT_TOKENS = 2_500;
+
+  /** Cost of a backend server that is still warming up, in prompt tokens. */
+  private static final double WARM_UP_WEIGHT_TOKENS = 4_000;
+
+  /**
+   * Cost of each forecast output token on an engine that takes twice the average time for it, in
+   * prompt tokens. A stream that ends earlier is exposed to fewer losses and frees its memory.
+   */
+  private static final double SLOWNESS_WEIGHT = 5;
+
+  /** Cost of another data centre, in prompt tokens. */
+  private static final double OTHER_DATA_CENTRE_WEIGHT_TOKENS = 30;
+
+  /**
+   * Maximum random cost of an engine in local fallback, in prompt tokens. Hosts do not know each
+   * other's placements then, and would otherwise all choose the same engine.
+   */
+  private static final double LOCAL_JITTER_TOKENS = 3_000;
+
+  private final EngineSpeeds speeds;
+  private final RandomGenerator random;
+  private final boolean localFallback;
+  private final boolean prefersCachedPrompts;
+
+  /**
+   * Creates a rating.
+   *
+   * @param localFallback whether other hosts place requests on the same engines unknown to this one
+   * @param prefersCachedPrompts whether engines that may have cached the prompt's parts cost less
+   */
+  PlacementCost(
+      EngineSpeeds speeds,
+      RandomGenerator random,
+      boolean localFallback,
+      boolean prefersCachedPrompts) {
+    this.speeds = speeds;
+    this.random = random;
+    this.localFallback = localFallback;
+    this.prefersCachedPrompts = prefersCachedPrompts;
+  }
+
+  /**
+   * Returns the cost of running the request on the backend server.
+   *
+   * @param engine capabilities of the service's engines; null for a plain service
+   * @param outputTokens forecast output length; 0 for a plain service
+   */
+  double of(
+      BackendState backend,
+      @Nullable EngineCapabilities engine,
+      PlacementRequest request,
+      int outputTokens,
+      long nowMillis) {
+    boolean sameDataCentre = request.getDataCentre().equals(backend.registration().getDataCentre());
+    double commonCost =
+        (sameDataCentre ? 0 : OTHER_DATA_CENTRE_WEIGHT_TOKENS)
+            + (backend.isWarmingUp(nowMillis) ? WARM_UP_WEIGHT_TOKENS : 0);
+    if (engine == null) {
+      double load = (double) backend.requests.size() / backend.slots();
+      return commonCost + load * MEMORY_WEIGHT_TOKENS + random.nextDouble();
+    }
+    double memoryUsed = backend.memoryTokens() / Math.max(1, engine.memoryTokens());
+    double slownessCost = SLOWNESS_WEIGHT * outputTokens * speeds.relativeSlowness(backend);
+    double jitter = localFallback ? LOCAL_JITTER_TOKENS * random.nextDouble() : 0;
+    return commonCost
+        + backend.pendingPromptTokens()
+        + memoryUsed * MEMORY_WEIGHT_TOKENS
+        + slownessCost
+        + jitter
+        - cachedTokens(backend, request);
+  }
+
+  private int cachedTokens(BackendState backend, PlacementRequest request) {
+    return prefersCachedPrompts
+        ? backend.promptPartCache.cachedPrefixTokens(request.getPartsList())
+        : 0;
+  }
+}
--- a/src/main/java/org/curranthaven/internal/dispatch/RejectionReason.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/RejectionReason.java
@@ -9,5 +9,7 @@
   /** The request is a retry, and the service's retry budget is exhausted. */
   RETRIES_USED_UP,
   /** Every usable backend server of the service was tried. */
-  ALL_TRIED
+  ALL_TRIED,
+  /** The prompt does not fit into the memory of any engine of the service. */
+  TOO_LARGE
 }
--- a/src/test/java/org/curranthaven/internal/dispatch/DispatchCoreTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/DispatchCoreTest.java
@@ -249,6 +249,20 @@
     core.requestEnded(requestId, DispatchOutcome.DISPATCH_OUTCOME_ANSWERED, 144, 5_000);
   }
 
+  @Test
+  void a_request_that_fits_no_engine_is_rejected_at_once_and_holds_up_no_other() {
+    core.updateBackend(backend("x", "engines"), 0);
+    submit(draftRequest(6_000, 100), 0);
+    core.drainDecisions();
+
+    submit(draftRequest(MEMORY_TOKENS, 100).setTargetLeftMillis(9_000), 1);
+    DispatchDecision.Reject rejection = (DispatchDecision.Reject) onlyDecision();
+    RequestId next = submit(draftRequest(1_000, 100).setTargetLeftMillis(9_000), 2);
+
+    assertThat(rejection.reason()).isEqualTo(RejectionReason.TOO_LARGE);
+    assertThat(((DispatchDecision.Place) onlyDecision()).requestId()).isEqualTo(next);
+  }
+
   @Test
   void slow_first_replies_lead_to_earlier_rejections() {
     core.updateBackend(backend("x", "engines"), 0);
