--- a/src/main/java/org/curranthaven/internal/dispatch/QueueTimeForecast.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/QueueTimeForecast.java
@@ -15,8 +15,11 @@
  * thread-safe.
  */
 final class QueueTimeForecast {
-  /** Factor on the forecast first-reply time, to allow for deviations from the average. */
-  private static final double FIRST_REPLY_MARGIN = 1.1;
+  /**
+   * Factor on the forecast first-reply time. A request placed at the edge of its time is late half
+   * of the time, and then takes the capacity of one that would have been in time.
+   */
+  private static final double FIRST_REPLY_MARGIN = 1.8;
 
   /** Duration of a request to a plain service, used until completions have been observed. */
   private static final double INITIAL_PLAIN_MILLIS = 100;
