Try a rejected migration at another engine

Change: the target of a failed migration gets nothing for 150 ms. Test fails before (both attempts went to one engine).

--- a/src/main/java/org/curranthaven/internal/dispatch/CapacityRules.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/CapacityRules.java
@@ -20,6 +20,9 @@
   /** Memory utilization up to which backup copies are placed, per engine and over the service. */
   static final double BACKUP_MEMORY_SHARE = 0.5;
 
+  /** Time for which a backend server that rejected a request or a migration receives none. */
+  static final long FULL_BACKOFF_MILLIS = 150;
+
   /** Requests per slot of a plain backend server; above 1, since a short queue keeps it busy. */
   private static final double PLAIN_REQUESTS_PER_SLOT = 1.5;
 
--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -31,9 +31,6 @@
  * <p>Not thread-safe.
  */
 public final class DispatchCore {
-  /** Time for which a backend server that rejected a request receives none. */
-  private static final long FULL_BACKOFF_MILLIS = 150;
-
   /**
    * Time past its due time for which a request to a plain service stays queued; such requests are
    * short.
@@ -288,7 +285,8 @@
     }
     switch (outcome) {
       case DISPATCH_OUTCOME_MOVED -> migrationPlanner.leftSource(requestId, backend);
-      case DISPATCH_OUTCOME_MOVE_FAILED -> migrationPlanner.migrationFailed(requestId, backend);
+      case DISPATCH_OUTCOME_MOVE_FAILED ->
+          migrationPlanner.migrationFailed(requestId, backend, nowMillis);
       default -> finishRunning(requestId, backend, outcome, outputTokens, nowMillis);
     }
     migrationPlanner.migrateFrom(backend, nowMillis);
@@ -308,7 +306,7 @@
     }
     backupPlanner.release(running);
     if (running.migratingAway) {
-      migrationPlanner.migrationFailed(requestId, backend);
+      migrationPlanner.migrationFailed(requestId, backend, nowMillis);
     }
     switch (outcome) {
       case DISPATCH_OUTCOME_ANSWERED -> {
@@ -317,7 +315,8 @@
       }
       case DISPATCH_OUTCOME_FAILED, DISPATCH_OUTCOME_UNREACHABLE ->
           backends.recordFailure(backend, nowMillis);
-      case DISPATCH_OUTCOME_REJECTED -> backend.markFull(nowMillis + FULL_BACKOFF_MILLIS);
+      case DISPATCH_OUTCOME_REJECTED ->
+          backend.markFull(nowMillis + CapacityRules.FULL_BACKOFF_MILLIS);
       default -> {}
     }
     backends.removeIfDrained(backend);
--- a/src/main/java/org/curranthaven/internal/dispatch/MigrationPlanner.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/MigrationPlanner.java
@@ -134,8 +134,11 @@
     backends.removePlacement(requestId);
   }
 
-  /** Handles a failed migration: the request continues on the source or has ended there. */
-  void migrationFailed(RequestId requestId, BackendState source) {
+  /**
+   * Handles a failed migration: the request continues on the source or has ended there. Its target
+   * gets no request for a moment, so that the next attempt goes to another one.
+   */
+  void migrationFailed(RequestId requestId, BackendState source, long nowMillis) {
     RunningRequest running = source.requests.get(requestId);
     if (running != null) {
       running.migratingAway = false;
@@ -144,6 +147,7 @@
       RunningRequest incoming = other == source ? null : other.requests.remove(requestId);
       if (incoming != null) {
         backups.release(incoming);
+        other.markFull(nowMillis + CapacityRules.FULL_BACKOFF_MILLIS);
       }
     }
   }
--- a/src/test/java/org/curranthaven/internal/dispatch/DispatchCoreTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/DispatchCoreTest.java
@@ -343,6 +343,23 @@
     assertThat(second).isEqualTo(new DispatchDecision.Migrate(larger, "y", ""));
   }
 
+  @Test
+  void a_migration_that_its_target_rejected_is_tried_at_another_engine() {
+    core.updateBackend(backend("x", "engines"), 0);
+    RequestId running = submit(draftRequest(1_000, 2_000), 0);
+    core.outputProgressed(running, 4, 100);
+    core.updateBackend(backend("y", "engines"), 150);
+    core.updateBackend(backend("z", "engines"), 150);
+    core.drainDecisions();
+
+    core.updateBackend(leaving("x"), 200);
+    String first = ((DispatchDecision.Migrate) onlyDecision()).target();
+    core.requestEnded(running, DispatchOutcome.DISPATCH_OUTCOME_MOVE_FAILED, 0, 210);
+    String second = ((DispatchDecision.Migrate) onlyDecision()).target();
+
+    assertThat(List.of(first, second)).containsExactlyInAnyOrder("y", "z");
+  }
+
   @Test
   void an_irreplaceable_request_gets_a_backup_copy_on_another_engine_with_free_memory() {
     core.updateBackend(backend("x", "engines"), 0);
