--- a/src/main/java/org/curranthaven/internal/cli/ExperimentDispatchCommand.java
+++ b/src/main/java/org/curranthaven/internal/cli/ExperimentDispatchCommand.java
@@ -1,6 +1,5 @@
 package org.curranthaven.internal.cli;
 
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -10,7 +9,6 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
-import org.curranthaven.api.Outcome;
 import org.curranthaven.internal.dispatch.Mechanism;
 import org.curranthaven.internal.emulator.Cause;
 import org.curranthaven.internal.emulator.Deployment;
@@ -31,7 +29,7 @@
             .description(
                 "Emulates a deployment in simulated time; the same seed gives the same arrivals"
                     + " to every policy. Differences are paired, with a 95% interval.");
-    addDeploymentArguments(parser);
+    DeploymentArguments.addTo(parser);
     parser.addArgument("--day").setDefault("").help("play only this day; default: all");
     parser
         .addArgument("--without")
@@ -53,35 +51,13 @@
     parser.setDefault(Main.COMMAND, this);
   }
 
-  static void addDeploymentArguments(Subparser parser) {
-    parser
-        .addArgument("--deployment")
-        .metavar("FILE")
-        .required(true)
-        .help("deployment to emulate, such as deploy/deployments/drive.jsonc");
-    parser
-        .addArgument("--seeds")
-        .type(Integer.class)
-        .setDefault(5)
-        .help("number of seeds, starting at 1");
-    parser
-        .addArgument("--slowdown")
-        .type(Double.class)
-        .setDefault(1.0)
-        .help("factor on the duration of every step of the engines");
-  }
-
   @Override
   public int run(Namespace arguments) {
-    Outcome<Deployment> outcome = Deployment.read(Path.of(arguments.getString("deployment")));
-    if (outcome instanceof Outcome.Failed<Deployment> failed) {
-      System.err.println(failed.failure().message());
-      return failed.failure().code().exitCode();
-    }
-    Deployment deployment =
-        ((Outcome.Success<Deployment>) outcome)
-            .value()
-            .withEnginesSlowedBy(arguments.getDouble("slowdown"));
+    return DeploymentArguments.runWithDeployment(
+        arguments, deployment -> play(deployment, arguments));
+  }
+
+  private static int play(Deployment deployment, Namespace arguments) {
     String dayName = arguments.getString("day");
     List<Deployment.Day> days =
         dayName.isEmpty() ? deployment.days() : List.of(deployment.day(dayName));
@@ -104,8 +80,7 @@
         List.of(Mechanism.values())
             .forEach(mechanism -> variants.add(PolicyVariant.without(mechanism)));
       } else {
-        String constant = name.toUpperCase(Locale.ROOT).replace('-', '_');
-        variants.add(PolicyVariant.without(Mechanism.valueOf(constant)));
+        variants.add(PolicyVariant.without(mechanism(name)));
       }
     }
     for (String name : arguments.<String>getList("against")) {
@@ -114,6 +89,18 @@
     return variants;
   }
 
+  private static Mechanism mechanism(String name) {
+    List<String> known = new ArrayList<>();
+    for (Mechanism mechanism : Mechanism.values()) {
+      String knownName = mechanism.name().toLowerCase(Locale.ROOT).replace('_', '-');
+      if (knownName.equals(name)) {
+        return mechanism;
+      }
+      known.add(knownName);
+    }
+    throw new IllegalArgumentException("unknown mechanism '" + name + "'; known: " + known);
+  }
+
   private static void print(Deployment deployment, List<Comparison> comparisons) {
     String day = "";
     for (Comparison comparison : comparisons) {
--- a/src/main/java/org/curranthaven/internal/cli/ExperimentRampCommand.java
+++ b/src/main/java/org/curranthaven/internal/cli/ExperimentRampCommand.java
@@ -1,12 +1,10 @@
 package org.curranthaven.internal.cli;
 
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
-import org.curranthaven.api.Outcome;
 import org.curranthaven.api.ResultCode;
 import org.curranthaven.internal.emulator.Deployment;
 import org.curranthaven.internal.emulator.DispatchExperiment;
@@ -33,22 +31,18 @@
             .description(
                 "Plays a day at 0.5 to 3 times its load. Exits with 2 if the worth served falls"
                     + " below 0.95 of its highest at a higher load.");
-    ExperimentDispatchCommand.addDeploymentArguments(parser);
+    DeploymentArguments.addTo(parser);
     parser.addArgument("--day").required(true).help("day to play");
     parser.setDefault(Main.COMMAND, this);
   }
 
   @Override
   public int run(Namespace arguments) {
-    Outcome<Deployment> outcome = Deployment.read(Path.of(arguments.getString("deployment")));
-    if (outcome instanceof Outcome.Failed<Deployment> failed) {
-      System.err.println(failed.failure().message());
-      return failed.failure().code().exitCode();
-    }
-    Deployment deployment =
-        ((Outcome.Success<Deployment>) outcome)
-            .value()
-            .withEnginesSlowedBy(arguments.getDouble("slowdown"));
+    return DeploymentArguments.runWithDeployment(
+        arguments, deployment -> play(deployment, arguments));
+  }
+
+  private static int play(Deployment deployment, Namespace arguments) {
     Deployment.Day day = deployment.day(arguments.getString("day"));
     List<Deployment.Day> days = new ArrayList<>();
     for (double factor : LOAD_FACTORS) {
--- a/src/test/java/org/curranthaven/internal/supervision/SupervisorTest.java
+++ b/src/test/java/org/curranthaven/internal/supervision/SupervisorTest.java
@@ -13,30 +13,22 @@
 
   @Test
   void a_failed_child_is_restarted() throws InterruptedException {
-    AtomicInteger starts = new AtomicInteger();
-    CountDownLatch secondStart = new CountDownLatch(2);
-    supervisor.add(
-        "component",
-        new RestartPolicy(3, 60_000, 0),
+    assertRestartedAfter(
         () -> {
-          secondStart.countDown();
-          if (starts.incrementAndGet() == 1) {
-            throw new IllegalStateException("crash");
-          }
-          Thread.sleep(Long.MAX_VALUE);
+          throw new IllegalStateException("crash");
         });
-    Thread thread = start();
-
-    secondStart.await();
-    thread.interrupt();
-    thread.join();
-
-    assertThat(starts).hasValue(2);
-    assertThat(supervisor.failureReason()).isNull();
   }
 
   @Test
   void a_child_that_throws_an_error_is_restarted() throws InterruptedException {
+    assertRestartedAfter(
+        () -> {
+          throw new StackOverflowError("crash");
+        });
+  }
+
+  /** Runs a child that fails at its first start, and checks that it is started once more. */
+  private void assertRestartedAfter(Child failure) throws InterruptedException {
     AtomicInteger starts = new AtomicInteger();
     CountDownLatch secondStart = new CountDownLatch(2);
     supervisor.add(
@@ -45,7 +37,7 @@
         () -> {
           secondStart.countDown();
           if (starts.incrementAndGet() == 1) {
-            throw new StackOverflowError("crash");
+            failure.run();
           }
           Thread.sleep(Long.MAX_VALUE);
         });
@@ -56,6 +48,8 @@
     thread.join();
 
     assertThat(restarted).isTrue();
+    assertThat(starts).hasValue(2);
+    assertThat(supervisor.failureReason()).isNull();
   }
 
   @Test
