One forecast of a request's remaining output time; drop what nothing reads

Found by reading the change: three places multiplied the remaining output by the learnt time per token; a short request had all engines' memory summed before it was told to need no copy; Figures counted output tokens that nothing read; two accessors only repeated a field or a library call; Deployment.gateways claimed a use that it does not have yet. Behaviour as before.

--- a/src/main/java/org/curranthaven/internal/dispatch/BackupPlanner.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/BackupPlanner.java
@@ -36,11 +36,9 @@
         || !running.request.getIrreplaceable()) {
       return;
     }
-    boolean endsSoon =
-        running.remainingTokens() * speeds.millisPerOutputToken(primary.service())
-            < MIN_DURATION_MILLIS;
-    double utilization = memoryUtilization(primary.service(), engine);
-    if (endsSoon || utilization >= CapacityRules.BACKUP_MEMORY_SHARE) {
+    boolean endsSoon = speeds.remainingOutputMillis(running) < MIN_DURATION_MILLIS;
+    if (endsSoon
+        || memoryUtilization(primary.service(), engine) >= CapacityRules.BACKUP_MEMORY_SHARE) {
       return;
     }
     BackendState backupEngine =
--- a/src/main/java/org/curranthaven/internal/dispatch/EngineSpeeds.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/EngineSpeeds.java
@@ -62,6 +62,11 @@
     }
   }
 
+  /** Returns the forecast time for the rest of the request's output. */
+  double remainingOutputMillis(RunningRequest running) {
+    return running.remainingTokens() * millisPerOutputToken(running.request.getService());
+  }
+
   double millisPerOutputToken(String service) {
     return output(service).value();
   }
--- a/src/main/java/org/curranthaven/internal/dispatch/MigrationPlanner.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/MigrationPlanner.java
@@ -71,9 +71,7 @@
   }
 
   private boolean isWorthMigrating(RunningRequest running) {
-    boolean endsSoon =
-        running.remainingTokens() * speeds.millisPerOutputToken(running.request.getService())
-            < MIN_REMAINING_MILLIS;
+    boolean endsSoon = speeds.remainingOutputMillis(running) < MIN_REMAINING_MILLIS;
     return running.outputTokens() > 0
         && !endsSoon
         && running.migrationAttempts < MAX_MIGRATION_ATTEMPTS;
--- a/src/main/java/org/curranthaven/internal/dispatch/QueueTimeForecast.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/QueueTimeForecast.java
@@ -159,9 +159,8 @@
   }
 
   private double remainingMillis(RunningRequest running) {
-    String service = running.request.getService();
-    return running.remainingTokens() * speeds.millisPerOutputToken(service)
-        + running.pendingPromptTokens() * speeds.millisPerPromptToken(service);
+    return speeds.remainingOutputMillis(running)
+        + running.pendingPromptTokens() * speeds.millisPerPromptToken(running.request.getService());
   }
 
   /** Returns the memory that a request must find free to be placed. */
--- a/src/main/java/org/curranthaven/internal/emulator/Arrival.java
+++ b/src/main/java/org/curranthaven/internal/emulator/Arrival.java
@@ -101,7 +101,7 @@
       Deployment deployment, Deployment.RequestKind kind, long atMillis, SplittableRandom random) {
     int promptTokens = (int) draw(kind.prompt(), random);
     int outputTokens = (int) draw(kind.output(), random);
-    double hint = outputTokens * Math.exp(HINT_SPREAD * gaussian(random));
+    double hint = outputTokens * Math.exp(HINT_SPREAD * random.nextGaussian());
     double sizeFactor =
         kind.engine()
             ? (promptTokens + OUTPUT_TOKEN_WEIGHT * outputTokens)
@@ -124,11 +124,7 @@
   /** Draws a size from a log-normal distribution with the given mean, up to its limit. */
   static double draw(Deployment.Size size, SplittableRandom random) {
     double logMean = Math.log(size.mean()) - size.spread() * size.spread() / 2;
-    double value = Math.exp(logMean + size.spread() * gaussian(random));
+    double value = Math.exp(logMean + size.spread() * random.nextGaussian());
     return Math.clamp(value, 1, size.max());
   }
-
-  private static double gaussian(SplittableRandom random) {
-    return random.nextGaussian();
-  }
 }
--- a/src/main/java/org/curranthaven/internal/emulator/Deployment.java
+++ b/src/main/java/org/curranthaven/internal/emulator/Deployment.java
@@ -17,7 +17,7 @@
  * }</pre>
  *
  * @param name name for reports
- * @param gateways number of gateways; each places requests on its share while it has no scheduler
+ * @param gateways number of gateways; not used yet, since one scheduler places all requests
  * @param placementMillis time from the arrival of a request to its arrival at a backend server, if
  *     it is not queued
  * @param dataCentres names of the data centres; engines and callers are distributed evenly
--- a/src/main/java/org/curranthaven/internal/emulator/EmulatedEngine.java
+++ b/src/main/java/org/curranthaven/internal/emulator/EmulatedEngine.java
@@ -67,7 +67,7 @@
             request.generation(),
             request.arrival().promptTokens(),
             request.arrival().outputTokens(),
-            request.urgency(),
+            request.urgency,
             0,
             request.outputTokens(),
             presentTokens),
--- a/src/main/java/org/curranthaven/internal/emulator/Figures.java
+++ b/src/main/java/org/curranthaven/internal/emulator/Figures.java
@@ -16,7 +16,6 @@
   private final Map<String, Map<Cause, Double>> worthLostByKind = new TreeMap<>();
   private final Map<String, Map<Cause, Integer>> countsByKind = new TreeMap<>();
   private long preemptions;
-  private long outputTokensServed;
 
   /** Worth owed and earned. */
   private static final class Total {
@@ -38,9 +37,6 @@
     countsByKind
         .computeIfAbsent(arrival.kind().name(), name -> new EnumMap<>(Cause.class))
         .merge(cause, 1, Integer::sum);
-    if (earned > 0) {
-      outputTokensServed += arrival.outputTokens();
-    }
   }
 
   private static void add(Total total, Arrival arrival, double earned) {
@@ -57,11 +53,6 @@
     return preemptions;
   }
 
-  /** Returns the output tokens of the requests that were served. */
-  public long outputTokensServed() {
-    return outputTokensServed;
-  }
-
   /** Returns the share of the worth owed that was earned. */
   public double worth() {
     Total all = new Total();
--- a/src/main/java/org/curranthaven/internal/emulator/SimulatedRequest.java
+++ b/src/main/java/org/curranthaven/internal/emulator/SimulatedRequest.java
@@ -63,10 +63,6 @@
     return name;
   }
 
-  int urgency() {
-    return urgency;
-  }
-
   Set<String> excluded() {
     return excluded;
   }
