Log how a stream ended whose framing does not mark its end

Whether an answer ended with its connection, or our side ended it, could not be told from the lines: complete attempts write none. The line names what ended the stream, its events, and the bytes left of an unfinished event; none is written for a stream that ended with its length or last chunk after a whole event.

--- a/src/main/java/org/curranthaven/internal/relay/Attempt.java
+++ b/src/main/java/org/curranthaven/internal/relay/Attempt.java
@@ -2,10 +2,12 @@
 
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import java.io.ByteArrayOutputStream;
 import java.util.List;
 import org.curranthaven.internal.transport.wire.BackendRecord;
 import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
 
 /**
  * One transmission of a request to one backend server. Reports each event of a stream as soon as it
@@ -26,6 +28,8 @@
   private boolean sent;
   private boolean ended;
   private boolean responseReceived;
+  private String requestId = "";
+  private int eventCount;
 
   /** Receives the events and the result of an attempt. */
   interface Listener {
@@ -50,7 +54,8 @@
     return sent;
   }
 
-  void start(BackendPool pool, FullHttpRequest request, String requestId, long maxIdleMillis) {
+  void start(BackendPool pool, FullHttpRequest request, String newRequestId, long maxIdleMillis) {
+    requestId = newRequestId;
     pool.acquire(
         backend.getAddress(),
         maxIdleMillis,
@@ -146,6 +151,7 @@
     }
     if (streaming) {
       List<EventSplitter.Event> events = splitter.add(bytes);
+      eventCount += events.size();
       if (!events.isEmpty()) {
         listener.onEvents(this, streamResponse, events);
       }
@@ -163,8 +169,29 @@
     end(new AttemptResult.Interrupted(reason));
   }
 
+  /** Logs the end of a stream whose completeness cannot be seen from its framing. */
+  private void logUnprovenEnd(HttpResponse streamResponse) {
+    int remainderBytes = splitter.remainder().length;
+    boolean untilClose =
+        !HttpUtil.isTransferEncodingChunked(streamResponse)
+            && !HttpUtil.isContentLengthSet(streamResponse);
+    if (untilClose || remainderBytes > 0) {
+      Logger.info(
+          "request {}: stream of backend server {} ended with {}, {} events and {} bytes of an"
+              + " incomplete event",
+          requestId,
+          backend.getId(),
+          untilClose ? "its connection" : "its length or last chunk",
+          eventCount,
+          remainderBytes);
+    }
+  }
+
   @Override
   public void onComplete() {
+    if (streaming && response != null) {
+      logUnprovenEnd(response);
+    }
     ResponseHead receivedHead = head;
     HttpResponse receivedResponse = response;
     if (receivedHead == null || receivedResponse == null) {
