--- a/src/test/java/org/curranthaven/platform/FakeBackend.java
+++ b/src/test/java/org/curranthaven/platform/FakeBackend.java
@@ -134,6 +134,11 @@
         .formatted(request.header("Attempt-Id"));
   }
 
+  /** Returns the head of a stream without length or chunks, which ends with its connection. */
+  static String unframedStreamResponseHead(ReceivedRequest request) {
+    return streamResponseHead(request).replace("Transfer-Encoding: chunked\r\n", "");
+  }
+
   /** Returns one chunk of a chunked body; an empty text gives the final chunk. */
   static String chunk(String text) {
     return "%x\r\n%s\r\n".formatted(text.getBytes(StandardCharsets.UTF_8).length, text);
@@ -141,7 +146,12 @@
 
   /** Returns a chunk with one event, which holds one token. */
   static String event(int id) {
-    return chunk("id: %d\ndata: token %d\n\n".formatted(id, id));
+    return chunk(plainEvent(id));
+  }
+
+  /** Returns one event, which holds one token, as it is sent without chunks. */
+  static String plainEvent(int id) {
+    return "id: %d\ndata: token %d\n\n".formatted(id, id);
   }
 
   @Override
--- /dev/null
+++ b/src/test/java/org/curranthaven/platform/StreamEndingTest.java
@@ -0,0 +1,163 @@
+package org.curranthaven.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * Guards against a broken-off stream that reaches its caller as complete: engines may send streams
+ * without length or chunks, which end with their connection.
+ */
+@Timeout(120)
+class StreamEndingTest extends RoutedFleetFixture {
+  private static final String MODEL_HEADERS = "Model: m\r\nToken-Count: 1000,4000\r\n";
+  private static final String LAST_CHUNK = "0\r\n\r\n";
+  private static final String UNFINISHED_EVENT = "id: 3\ndata: tok";
+
+  private static FakeBackend.ResponseScript unframedStream(String body) {
+    return (request, connection) -> {
+      FakeBackend.write(connection, FakeBackend.unframedStreamResponseHead(request) + body);
+      connection.close();
+    };
+  }
+
+  @Test
+  void a_stream_that_ends_with_its_connection_after_an_event_is_complete() throws Exception {
+    String events = FakeBackend.plainEvent(1) + FakeBackend.plainEvent(2);
+    try (FakeBackend backend = new FakeBackend(unframedStream(events))) {
+      register("i-1", backend, "ready", 1);
+
+      String response = sendRawRequest("/drafts/1", "");
+
+      assertThat(response).contains("token 1", "token 2").endsWith(LAST_CHUNK);
+      assertThat(backend.received()).hasSize(1);
+    }
+  }
+
+  @Test
+  @Tag("known-red")
+  void a_stream_whose_connection_ends_inside_an_event_is_incomplete_to_the_caller()
+      throws Exception {
+    String events = FakeBackend.plainEvent(1) + FakeBackend.plainEvent(2);
+    try (FakeBackend backend = new FakeBackend(unframedStream(events + UNFINISHED_EVENT))) {
+      register("i-1", backend, "ready", 1);
+
+      String response = sendRawRequest("/drafts/1", "");
+
+      assertThat(response).contains("token 1", "token 2").doesNotContain("id: 3");
+      assertThat(response).doesNotEndWith(LAST_CHUNK);
+      assertThat(backend.received()).hasSize(1);
+    }
+  }
+
+  @Test
+  @Tag("known-red")
+  void a_stream_whose_connection_ends_inside_its_first_event_is_not_delivered() throws Exception {
+    try (FakeBackend backend = new FakeBackend(unframedStream("id: 1\ndata: tok"))) {
+      register("i-1", backend, "ready", 1);
+
+      assertThat(status(sendRawRequest("/drafts/1", ""))).isEqualTo(502);
+      assertThat(backend.received()).hasSize(1);
+    }
+  }
+
+  @Test
+  @Tag("known-red")
+  void a_chunked_stream_that_ends_inside_an_event_is_incomplete_to_the_caller() throws Exception {
+    try (FakeBackend backend =
+        new FakeBackend(
+            (request, connection) ->
+                FakeBackend.write(
+                    connection,
+                    FakeBackend.streamResponseHead(request)
+                        + FakeBackend.event(1)
+                        + FakeBackend.chunk(UNFINISHED_EVENT)
+                        + FakeBackend.chunk("")))) {
+      register("i-1", backend, "ready", 1);
+
+      String response = sendRawRequest("/drafts/1", "");
+
+      assertThat(response).contains("token 1").doesNotContain("id: 3").doesNotEndWith(LAST_CHUNK);
+    }
+  }
+
+  @Test
+  @Tag("known-red")
+  void a_resumable_stream_resumes_elsewhere_when_its_connection_ends_inside_an_event()
+      throws Exception {
+    AtomicInteger attempts = new AtomicInteger();
+    FakeBackend.ResponseScript script =
+        (request, connection) -> {
+          boolean first = attempts.getAndIncrement() == 0;
+          String events =
+              first
+                  ? FakeBackend.plainEvent(1) + FakeBackend.plainEvent(2) + UNFINISHED_EVENT
+                  : FakeBackend.plainEvent(3) + FakeBackend.plainEvent(4);
+          unframedStream(events).respond(request, connection);
+        };
+    try (FakeBackend first = new FakeBackend(script);
+        FakeBackend second = new FakeBackend(script)) {
+      register("i-1", first, "ready", 1);
+      register("i-2", second, "ready", 1);
+
+      String response = sendRawRequest("/tags/1", "");
+
+      assertThat(response.split("data: token ", -1)).hasSize(5);
+      assertThat(response).endsWith(LAST_CHUNK);
+      assertThat(attempts).hasValue(2);
+    }
+  }
+
+  @Test
+  @Tag("known-red")
+  void a_migrating_stream_that_is_stopped_between_events_continues_at_its_target()
+      throws Exception {
+    CountDownLatch started = new CountDownLatch(1);
+    AtomicReference<Socket> streamConnection = new AtomicReference<>();
+    FakeBackend.ResponseScript sourceScript =
+        (request, connection) -> {
+          if (request.line().contains("kv-move")) {
+            if (request.body().contains("\"last\":true")) {
+              Objects.requireNonNull(streamConnection.get()).close();
+            }
+            FakeBackend.write(
+                connection,
+                "HTTP/1.1 200 OK\r\nContent-Length: 24\r\n\r\n{\"handle\":\"h7\",\"made\":2}");
+          } else {
+            streamConnection.set(connection);
+            FakeBackend.write(
+                connection,
+                FakeBackend.unframedStreamResponseHead(request)
+                    + FakeBackend.plainEvent(1)
+                    + FakeBackend.plainEvent(2));
+            started.countDown();
+          }
+        };
+    try (FakeBackend source = new FakeBackend(sourceScript);
+        FakeBackend target = new FakeBackend(unframedStream(FakeBackend.plainEvent(3)))) {
+      register("i-1", source, "ready", 1, "engines");
+      try (Socket caller = openRawRequest("/stories/1", MODEL_HEADERS)) {
+        assertThat(started.await(20, TimeUnit.SECONDS)).isTrue();
+        register("i-2", target, "ready", 1, "engines");
+
+        register("i-1", source, "draining", 2, "engines");
+
+        String response =
+            new String(caller.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertThat(response.split("data: token ", -1)).hasSize(4);
+        assertThat(response).endsWith(LAST_CHUNK);
+        assertThat(List.copyOf(target.received())).hasSize(1);
+      }
+    }
+  }
+}
