A confirmation of a state transfer that is cut off is no confirmation

What callers would see: a migration goes on to its stop although nothing shows that the first copy was made.

Cause: a 200 whose body cannot be read counted as a copy without a handle. An answer without length or chunks may be cut off and end in order.

Fix: a 200 without a handle counts as no response, which fails the migration; the request goes on where it is.

--- a/src/main/java/org/curranthaven/platform/BackendTranslation.java
+++ b/src/main/java/org/curranthaven/platform/BackendTranslation.java
@@ -133,11 +133,20 @@
           case NOT_FOUND -> TransferResponse.Outcome.NOT_RUNNING;
           default -> TransferResponse.Outcome.REJECTED;
         };
+    String handle = handleOf(body);
+    // Every copy has a handle; without one, the body is not what the engine sent.
+    return outcome == TransferResponse.Outcome.COPIED && handle.isEmpty()
+        ? new TransferResponse(TransferResponse.Outcome.NO_RESPONSE, "")
+        : new TransferResponse(outcome, handle);
+  }
+
+  /** Returns the handle in the body of a transfer response; empty if it has none or is cut off. */
+  private static String handleOf(byte[] body) {
     try {
       JsonNode json = Json.LENIENT.readTree(body);
-      return new TransferResponse(outcome, json == null ? "" : json.path("handle").asText(""));
+      return json == null ? "" : json.path("handle").asText("");
     } catch (IOException e) {
-      return new TransferResponse(outcome, "");
+      return "";
     }
   }
 }
