Log the parts of a prompt whose attempt failed

Whether requests that crash engines share a part of their prompts, or come from one gateway, route or workspace, could not be told from the lines.

--- a/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
@@ -15,6 +15,7 @@
 import org.curranthaven.internal.transport.wire.BackendRecord;
 import org.curranthaven.internal.transport.wire.DispatchOutcome;
 import org.curranthaven.internal.transport.wire.PlacementRequest;
+import org.curranthaven.internal.transport.wire.PromptPart;
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
 
@@ -381,13 +382,15 @@
     context.placer().reportEnd(placementId, outcome, outputTokens());
     if (!(result instanceof AttemptResult.Completed) || decision instanceof RetryDecision.Retry) {
       Logger.info(
-          "request {} on route {}: attempt {} at backend server {} ended: {}; next step: {}",
+          "request {} on route {}: attempt {} at backend server {} ended: {}; next step: {};"
+              + " prompt parts {}",
           request.id(),
           route.name(),
           history.attempts(),
           backend,
           describe(result),
-          decision.getClass().getSimpleName());
+          decision.getClass().getSimpleName(),
+          request.parts().stream().map(PromptPart::getId).toList());
     }
   }
 
