Block the part that the fewest requests have; do not resume a blocked request

A part that many requests share met the same three crashes as the one that caused them when no other request had output in between, and was blocked with it (EngineCrashesTest.a_part_that_other_requests_share_is_not_blocked_although_none_of_them_had_output). Of equally suspicious parts only the one with the fewest requests is blocked now.

A blocked request that was to resume from its backup copy was reported as failed by the engine with the copy; it ends before that engine counts as its own.

--- a/src/main/java/org/curranthaven/internal/dispatch/CrashEvidence.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/CrashEvidence.java
@@ -63,6 +63,9 @@
     /** Time of each crash that the part may explain, by engine. */
     final Map<String, Long> crashMillis = new LinkedHashMap<>();
 
+    /** Requests with the part that were to be placed since the record was created. */
+    int requests;
+
     int blocks;
     long blockedAtMillis = NEVER;
     long blockedUntilMillis = NEVER;
@@ -172,8 +175,9 @@
   }
 
   /**
-   * Blocks those of the suspects that explain enough crashes, and the most of all. The crashes that
-   * they explain no longer count against other parts, whose requests were only there by chance.
+   * Blocks those of the suspects that explain enough crashes, and the most of all; of several, the
+   * one that the fewest requests have, since a part that many share meets crashes by chance. The
+   * crashes that it explains no longer count against other parts.
    */
   private boolean blockMostSuspicious(Set<PartKey> suspects, long nowMillis) {
     int most =
@@ -186,12 +190,16 @@
     if (most == 0) {
       return false;
     }
-    List<PartRecord> blocked =
+    List<PartRecord> mostSuspicious =
         suspects.stream()
             .map(records::get)
             .filter(record -> record.crashMillis.size() == most)
             .filter(record -> most >= record.crashesToBlock())
             .toList();
+    int fewestRequests =
+        mostSuspicious.stream().mapToInt(record -> record.requests).min().orElse(0);
+    List<PartRecord> blocked =
+        mostSuspicious.stream().filter(record -> record.requests == fewestRequests).toList();
     for (PartRecord record : blocked) {
       Set<String> explainedEngines = Set.copyOf(record.crashMillis.keySet());
       record.blockedAtMillis = nowMillis;
@@ -206,6 +214,19 @@
     return true;
   }
 
+  /** Counts a request that is to be placed. */
+  void recordRequest(PlacementRequest request) {
+    if (records.isEmpty()) {
+      return;
+    }
+    for (PartKey key : attributableParts(request)) {
+      PartRecord record = records.get(key);
+      if (record != null) {
+        record.requests++;
+      }
+    }
+  }
+
   /** Records that output continued on a request's prompt: no part of it crashes engines. */
   void recordOutput(PlacementRequest request, long nowMillis) {
     if (records.isEmpty()) {
@@ -291,6 +312,7 @@
             .setService(key.service())
             .setPart(key.part())
             .setBlocks(record.blocks)
+            .setRequests(record.requests)
             .setHadOutput(record.outputMillis != NEVER);
     if (record.outputMillis != NEVER) {
       builder.setOutputAgeMillis(nowMillis - record.outputMillis);
@@ -319,6 +341,7 @@
   }
 
   private static void merge(PartRecord record, PartCrashes other, long nowMillis) {
+    record.requests = Math.max(record.requests, other.getRequests());
     if (other.getHadOutput()) {
       record.outputMillis = Math.max(record.outputMillis, nowMillis - other.getOutputAgeMillis());
     }
--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -213,6 +213,7 @@
   /** Places, queues or rejects a request; replaces an earlier one with the same id. */
   public void submit(RequestId requestId, PlacementRequest request, long nowMillis) {
     requestEnded(requestId, DispatchOutcome.DISPATCH_OUTCOME_CANCELLED, 0, nowMillis);
+    crashEvidence.recordRequest(request);
     long blockedMillis = crashEvidence.blockedMillis(request, nowMillis);
     if (blockedMillis > 0) {
       reject(requestId, blockedMillis, RejectionReason.CRASHES_ENGINES);
--- a/src/main/java/org/curranthaven/internal/relay/CrashProbe.java
+++ b/src/main/java/org/curranthaven/internal/relay/CrashProbe.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.curranthaven.internal.transport.wire.BackendRecord;
 import org.tinylog.Logger;
 
@@ -15,7 +16,7 @@
 final class CrashProbe {
   private final BackendPool pool;
   private final RequestPlacer placer;
-  private final Map<String, List<Runnable>> pendingActions = new HashMap<>();
+  private final Map<String, List<Consumer<Boolean>>> pendingActions = new HashMap<>();
 
   CrashProbe(BackendPool pool, RequestPlacer placer) {
     this.pool = pool;
@@ -23,23 +24,23 @@
   }
 
   /**
-   * Opens a connection to the engine, reports the crash if it refuses that, and then runs the
-   * action. Probes of one engine that overlap share a connection.
+   * Opens a connection to the engine, reports the crash if it refuses that, and then passes on
+   * whether it has crashed. Probes of one engine that overlap share a connection.
    */
-  void check(BackendRecord engine, Runnable action) {
-    List<Runnable> pending = pendingActions.get(engine.getId());
+  void check(BackendRecord engine, Consumer<Boolean> action) {
+    List<Consumer<Boolean>> pending = pendingActions.get(engine.getId());
     if (pending != null) {
       pending.add(action);
       return;
     }
-    List<Runnable> actions = new ArrayList<>();
+    List<Consumer<Boolean>> actions = new ArrayList<>();
     actions.add(action);
     pendingActions.put(engine.getId(), actions);
     pool.probe(engine.getAddress(), refused -> finish(engine, refused));
   }
 
   private void finish(BackendRecord engine, boolean refused) {
-    List<Runnable> actions = pendingActions.remove(engine.getId());
+    List<Consumer<Boolean>> actions = pendingActions.remove(engine.getId());
     if (refused) {
       Logger.info(
           "backend server {} at {} crashed: it closed a connection before the end of a response"
@@ -49,7 +50,7 @@
       placer.reportCrash(engine.getId());
     }
     if (actions != null) {
-      actions.forEach(Runnable::run);
+      actions.forEach(action -> action.accept(refused));
     }
   }
 }
--- a/src/main/java/org/curranthaven/internal/relay/MigrationCoordinator.java
+++ b/src/main/java/org/curranthaven/internal/relay/MigrationCoordinator.java
@@ -41,6 +41,9 @@
     /** Returns whether the request has finished, so that it must not be resumed. */
     boolean isFinished();
 
+    /** Returns whether engines crash on a part of the request's prompt, so that none may run it. */
+    boolean isBlocked();
+
     /** Handles a failed migration: the request continues on its present engine. */
     void onMigrationFailed();
 
@@ -300,6 +303,10 @@
     if (owner.isFinished()) {
       return;
     }
+    if (owner.isBlocked()) {
+      owner.onStateLost("engines crash on a part of its prompt, so it is not resumed");
+      return;
+    }
     source.cancel();
     stopUnanswered = false;
     unconfirmedResult = null;
--- a/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
@@ -346,7 +346,7 @@
             && !migration.isMigrating();
     if (mayHaveCrashed) {
       // The scheduler hears of a crash before the request leaves the engine's list.
-      context.crashProbe().check(source.backend(), () -> handleEnd(source, result));
+      context.crashProbe().check(source.backend(), crashed -> handleEnd(source, result));
     } else {
       handleEnd(source, result);
     }
@@ -538,6 +538,11 @@
     return finished;
   }
 
+  @Override
+  public boolean isBlocked() {
+    return context.placer().blockedMillis(placementRequest()) > 0;
+  }
+
   @Override
   public void onMigrationFailed() {
     context.placer().reportEnd(placementId, DispatchOutcome.DISPATCH_OUTCOME_MOVE_FAILED, 0);
@@ -557,11 +562,7 @@
 
   @Override
   public void resumeAt(BackendRecord target, String stateReference) {
-    if (context.placer().blockedMillis(placementRequest()) > 0) {
-      onStateLost("engines crash on a part of its prompt, so it is not resumed");
-    } else {
-      send(target, stateReference);
-    }
+    send(target, stateReference);
   }
 
   @Override
--- a/src/main/java/org/curranthaven/internal/transport/wire/Curranthaven.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/Curranthaven.java
@@ -453,79 +453,79 @@
       "ion\030\006 \001(\004\022\017\n\007catalog\030\007 \001(\014\022\020\n\010gateways\030\010" +
       " \001(\r\022\020\n\010resigned\030\t \001(\010\022\035\n\025full_status_re" +
       "quested\030\n \001(\010\022/\n\014part_crashes\030\013 \003(\0132\031.cu" +
-      "rranthaven.PartCrashes\"\320\001\n\013PartCrashes\022\017" +
+      "rranthaven.PartCrashes\"\342\001\n\013PartCrashes\022\017" +
       "\n\007service\030\001 \001(\t\022\014\n\004part\030\002 \001(\t\022*\n\007crashes" +
       "\030\003 \003(\0132\031.curranthaven.EngineCrash\022\016\n\006blo" +
       "cks\030\004 \001(\r\022\032\n\022blocked_age_millis\030\005 \001(\004\022\033\n" +
       "\023blocked_left_millis\030\006 \001(\004\022\022\n\nhad_output" +
-      "\030\007 \001(\010\022\031\n\021output_age_millis\030\010 \001(\004\"2\n\013Eng" +
-      "ineCrash\022\017\n\007backend\030\001 \001(\t\022\022\n\nage_millis\030" +
-      "\002 \001(\004\"\262\001\n\rBackendRecord\022\n\n\002id\030\001 \001(\t\022\017\n\007s" +
-      "ervice\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\023\n\013data_ce" +
-      "ntre\030\004 \001(\t\022\r\n\005slots\030\005 \001(\r\022\017\n\007leaving\030\006 \001" +
-      "(\010\022\020\n\010sequence\030\007 \001(\004\022\030\n\020cold_left_millis" +
-      "\030\010 \001(\004\022\022\n\nfirst_seen\030\t \001(\004\"\361\001\n\rGatewaySt" +
-      "atus\022\014\n\004term\030\001 \001(\004\022\017\n\007version\030\002 \001(\004\022\030\n\020c" +
-      "atalog_revision\030\003 \001(\004\022\014\n\004full\030\004 \001(\010\022+\n\004o" +
-      "pen\030\005 \003(\0132\035.curranthaven.RunningDispatch" +
-      "\022-\n\010backends\030\006 \003(\0132\033.curranthaven.Backen" +
-      "dRecord\022\014\n\004gone\030\007 \003(\t\022/\n\014part_crashes\030\010 " +
-      "\003(\0132\031.curranthaven.PartCrashes\"\252\001\n\017Runni" +
-      "ngDispatch\022+\n\003ask\030\001 \001(\0132\036.curranthaven.P" +
-      "lacementRequest\022\017\n\007backend\030\002 \001(\t\022\025\n\routp" +
-      "ut_tokens\030\003 \001(\r\022\016\n\006backup\030\004 \001(\t\022\030\n\020migra" +
-      "tion_target\030\005 \001(\t\022\030\n\020migration_backup\030\006 " +
-      "\001(\t\"\364\002\n\020PlacementRequest\022\n\n\002id\030\001 \001(\004\022\017\n\007" +
-      "service\030\002 \001(\t\022\r\n\005route\030\003 \001(\t\022\021\n\tworkspac" +
-      "e\030\004 \001(\t\022\020\n\010priority\030\005 \001(\r\022\025\n\rprompt_toke" +
-      "ns\030\006 \001(\r\022\031\n\021max_output_tokens\030\007 \001(\r\022\034\n\024h" +
-      "inted_output_tokens\030\010 \001(\r\022\032\n\022target_left" +
-      "_millis\030\t \001(\003\022\034\n\024deadline_left_millis\030\n " +
-      "\001(\003\022\020\n\010excluded\030\013 \003(\t\022\016\n\006repeat\030\014 \001(\010\022\'\n" +
-      "\005parts\030\r \003(\0132\030.curranthaven.PromptPart\022\023" +
-      "\n\013data_centre\030\016 \001(\t\022\016\n\006engine\030\017 \001(\010\022\025\n\ri" +
-      "rreplaceable\030\020 \001(\010\"(\n\nPromptPart\022\n\n\002id\030\001" +
-      " \001(\t\022\016\n\006tokens\030\002 \001(\r\"\303\001\n\020DispatchRequest" +
-      "s\022\014\n\004term\030\001 \001(\004\022,\n\004asks\030\002 \003(\0132\036.curranth" +
-      "aven.PlacementRequest\0220\n\010progress\030\003 \003(\0132" +
-      "\036.curranthaven.DispatchProgress\022\'\n\004ends\030" +
-      "\004 \003(\0132\031.curranthaven.DispatchEnd\022\030\n\020cras" +
-      "hed_backends\030\005 \003(\t\"5\n\020DispatchProgress\022\n" +
-      "\n\002id\030\001 \001(\004\022\025\n\routput_tokens\030\002 \001(\r\"`\n\013Dis" +
-      "patchEnd\022\n\n\002id\030\001 \001(\004\022.\n\007outcome\030\002 \001(\0162\035." +
-      "curranthaven.DispatchOutcome\022\025\n\routput_t" +
-      "okens\030\003 \001(\r\"\334\001\n\016DispatchOrders\022\014\n\004term\030\001" +
-      " \001(\004\022+\n\nplacements\030\002 \003(\0132\027.curranthaven." +
-      "Placement\022)\n\010refusals\030\003 \003(\0132\027.curranthav" +
-      "en.Rejection\022+\n\005moves\030\004 \003(\0132\034.curranthav" +
-      "en.MigrationOrder\022\017\n\007waiting\030\005 \003(\004\022&\n\005st" +
-      "ops\030\006 \003(\0132\027.curranthaven.Rejection\"I\n\tPl" +
-      "acement\022\n\n\002id\030\001 \001(\004\022\017\n\007backend\030\002 \001(\t\022\017\n\007" +
-      "urgency\030\003 \001(\r\022\016\n\006backup\030\004 \001(\t\"C\n\tRejecti" +
-      "on\022\n\n\002id\030\001 \001(\004\022\032\n\022retry_after_millis\030\002 \001" +
-      "(\004\022\016\n\006reason\030\003 \001(\t\"<\n\016MigrationOrder\022\n\n\002" +
-      "id\030\001 \001(\004\022\016\n\006target\030\002 \001(\t\022\016\n\006backup\030\003 \001(\t" +
-      "*O\n\tEntryKind\022\023\n\017ENTRY_KIND_NOOP\020\000\022\026\n\022EN" +
-      "TRY_KIND_COMMAND\020\001\022\025\n\021ENTRY_KIND_VOTERS\020" +
-      "\002*\246\001\n\rCommandStatus\022\036\n\032COMMAND_STATUS_UN" +
-      "SPECIFIED\020\000\022\032\n\026COMMAND_STATUS_APPLIED\020\001\022" +
-      "\035\n\031COMMAND_STATUS_NOT_LEADER\020\002\022\032\n\026COMMAN" +
-      "D_STATUS_UNKNOWN\020\003\022\036\n\032COMMAND_STATUS_UNA" +
-      "VAILABLE\020\004*\353\001\n\014ClaimVerdict\022\035\n\031CLAIM_VER" +
-      "DICT_UNSPECIFIED\020\000\022\031\n\025CLAIM_VERDICT_GRAN" +
-      "TED\020\001\022\031\n\025CLAIM_VERDICT_RUNNING\020\002\022\026\n\022CLAI" +
-      "M_VERDICT_DONE\020\003\022\034\n\030CLAIM_VERDICT_KEY_RE" +
-      "USED\020\004\022\031\n\025CLAIM_VERDICT_TOO_OLD\020\005\022\035\n\031CLA" +
-      "IM_VERDICT_FROM_FUTURE\020\006\022\026\n\022CLAIM_VERDIC" +
-      "T_FULL\020\007*\216\002\n\017DispatchOutcome\022 \n\034DISPATCH" +
-      "_OUTCOME_UNSPECIFIED\020\000\022\035\n\031DISPATCH_OUTCO" +
-      "ME_ANSWERED\020\001\022\033\n\027DISPATCH_OUTCOME_FAILED" +
-      "\020\002\022\035\n\031DISPATCH_OUTCOME_REJECTED\020\003\022 \n\034DIS" +
-      "PATCH_OUTCOME_UNREACHABLE\020\004\022\036\n\032DISPATCH_" +
-      "OUTCOME_CANCELLED\020\005\022\032\n\026DISPATCH_OUTCOME_" +
-      "MOVED\020\006\022 \n\034DISPATCH_OUTCOME_MOVE_FAILED\020" +
-      "\007B,\n(org.curranthaven.internal.transport" +
-      ".wireP\001b\006proto3"
+      "\030\007 \001(\010\022\031\n\021output_age_millis\030\010 \001(\004\022\020\n\010req" +
+      "uests\030\t \001(\r\"2\n\013EngineCrash\022\017\n\007backend\030\001 " +
+      "\001(\t\022\022\n\nage_millis\030\002 \001(\004\"\262\001\n\rBackendRecor" +
+      "d\022\n\n\002id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007addres" +
+      "s\030\003 \001(\t\022\023\n\013data_centre\030\004 \001(\t\022\r\n\005slots\030\005 " +
+      "\001(\r\022\017\n\007leaving\030\006 \001(\010\022\020\n\010sequence\030\007 \001(\004\022\030" +
+      "\n\020cold_left_millis\030\010 \001(\004\022\022\n\nfirst_seen\030\t" +
+      " \001(\004\"\361\001\n\rGatewayStatus\022\014\n\004term\030\001 \001(\004\022\017\n\007" +
+      "version\030\002 \001(\004\022\030\n\020catalog_revision\030\003 \001(\004\022" +
+      "\014\n\004full\030\004 \001(\010\022+\n\004open\030\005 \003(\0132\035.curranthav" +
+      "en.RunningDispatch\022-\n\010backends\030\006 \003(\0132\033.c" +
+      "urranthaven.BackendRecord\022\014\n\004gone\030\007 \003(\t\022" +
+      "/\n\014part_crashes\030\010 \003(\0132\031.curranthaven.Par" +
+      "tCrashes\"\252\001\n\017RunningDispatch\022+\n\003ask\030\001 \001(" +
+      "\0132\036.curranthaven.PlacementRequest\022\017\n\007bac" +
+      "kend\030\002 \001(\t\022\025\n\routput_tokens\030\003 \001(\r\022\016\n\006bac" +
+      "kup\030\004 \001(\t\022\030\n\020migration_target\030\005 \001(\t\022\030\n\020m" +
+      "igration_backup\030\006 \001(\t\"\364\002\n\020PlacementReque" +
+      "st\022\n\n\002id\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022\r\n\005route" +
+      "\030\003 \001(\t\022\021\n\tworkspace\030\004 \001(\t\022\020\n\010priority\030\005 " +
+      "\001(\r\022\025\n\rprompt_tokens\030\006 \001(\r\022\031\n\021max_output" +
+      "_tokens\030\007 \001(\r\022\034\n\024hinted_output_tokens\030\010 " +
+      "\001(\r\022\032\n\022target_left_millis\030\t \001(\003\022\034\n\024deadl" +
+      "ine_left_millis\030\n \001(\003\022\020\n\010excluded\030\013 \003(\t\022" +
+      "\016\n\006repeat\030\014 \001(\010\022\'\n\005parts\030\r \003(\0132\030.currant" +
+      "haven.PromptPart\022\023\n\013data_centre\030\016 \001(\t\022\016\n" +
+      "\006engine\030\017 \001(\010\022\025\n\rirreplaceable\030\020 \001(\010\"(\n\n" +
+      "PromptPart\022\n\n\002id\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\r\"\303" +
+      "\001\n\020DispatchRequests\022\014\n\004term\030\001 \001(\004\022,\n\004ask" +
+      "s\030\002 \003(\0132\036.curranthaven.PlacementRequest\022" +
+      "0\n\010progress\030\003 \003(\0132\036.curranthaven.Dispatc" +
+      "hProgress\022\'\n\004ends\030\004 \003(\0132\031.curranthaven.D" +
+      "ispatchEnd\022\030\n\020crashed_backends\030\005 \003(\t\"5\n\020" +
+      "DispatchProgress\022\n\n\002id\030\001 \001(\004\022\025\n\routput_t" +
+      "okens\030\002 \001(\r\"`\n\013DispatchEnd\022\n\n\002id\030\001 \001(\004\022." +
+      "\n\007outcome\030\002 \001(\0162\035.curranthaven.DispatchO" +
+      "utcome\022\025\n\routput_tokens\030\003 \001(\r\"\334\001\n\016Dispat" +
+      "chOrders\022\014\n\004term\030\001 \001(\004\022+\n\nplacements\030\002 \003" +
+      "(\0132\027.curranthaven.Placement\022)\n\010refusals\030" +
+      "\003 \003(\0132\027.curranthaven.Rejection\022+\n\005moves\030" +
+      "\004 \003(\0132\034.curranthaven.MigrationOrder\022\017\n\007w" +
+      "aiting\030\005 \003(\004\022&\n\005stops\030\006 \003(\0132\027.curranthav" +
+      "en.Rejection\"I\n\tPlacement\022\n\n\002id\030\001 \001(\004\022\017\n" +
+      "\007backend\030\002 \001(\t\022\017\n\007urgency\030\003 \001(\r\022\016\n\006backu" +
+      "p\030\004 \001(\t\"C\n\tRejection\022\n\n\002id\030\001 \001(\004\022\032\n\022retr" +
+      "y_after_millis\030\002 \001(\004\022\016\n\006reason\030\003 \001(\t\"<\n\016" +
+      "MigrationOrder\022\n\n\002id\030\001 \001(\004\022\016\n\006target\030\002 \001" +
+      "(\t\022\016\n\006backup\030\003 \001(\t*O\n\tEntryKind\022\023\n\017ENTRY" +
+      "_KIND_NOOP\020\000\022\026\n\022ENTRY_KIND_COMMAND\020\001\022\025\n\021" +
+      "ENTRY_KIND_VOTERS\020\002*\246\001\n\rCommandStatus\022\036\n" +
+      "\032COMMAND_STATUS_UNSPECIFIED\020\000\022\032\n\026COMMAND" +
+      "_STATUS_APPLIED\020\001\022\035\n\031COMMAND_STATUS_NOT_" +
+      "LEADER\020\002\022\032\n\026COMMAND_STATUS_UNKNOWN\020\003\022\036\n\032" +
+      "COMMAND_STATUS_UNAVAILABLE\020\004*\353\001\n\014ClaimVe" +
+      "rdict\022\035\n\031CLAIM_VERDICT_UNSPECIFIED\020\000\022\031\n\025" +
+      "CLAIM_VERDICT_GRANTED\020\001\022\031\n\025CLAIM_VERDICT" +
+      "_RUNNING\020\002\022\026\n\022CLAIM_VERDICT_DONE\020\003\022\034\n\030CL" +
+      "AIM_VERDICT_KEY_REUSED\020\004\022\031\n\025CLAIM_VERDIC" +
+      "T_TOO_OLD\020\005\022\035\n\031CLAIM_VERDICT_FROM_FUTURE" +
+      "\020\006\022\026\n\022CLAIM_VERDICT_FULL\020\007*\216\002\n\017DispatchO" +
+      "utcome\022 \n\034DISPATCH_OUTCOME_UNSPECIFIED\020\000" +
+      "\022\035\n\031DISPATCH_OUTCOME_ANSWERED\020\001\022\033\n\027DISPA" +
+      "TCH_OUTCOME_FAILED\020\002\022\035\n\031DISPATCH_OUTCOME" +
+      "_REJECTED\020\003\022 \n\034DISPATCH_OUTCOME_UNREACHA" +
+      "BLE\020\004\022\036\n\032DISPATCH_OUTCOME_CANCELLED\020\005\022\032\n" +
+      "\026DISPATCH_OUTCOME_MOVED\020\006\022 \n\034DISPATCH_OU" +
+      "TCOME_MOVE_FAILED\020\007B,\n(org.curranthaven." +
+      "internal.transport.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -788,7 +788,7 @@
     internal_static_curranthaven_PartCrashes_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_curranthaven_PartCrashes_descriptor,
-        new java.lang.String[] { "Service", "Part", "Crashes", "Blocks", "BlockedAgeMillis", "BlockedLeftMillis", "HadOutput", "OutputAgeMillis", });
+        new java.lang.String[] { "Service", "Part", "Crashes", "Blocks", "BlockedAgeMillis", "BlockedLeftMillis", "HadOutput", "OutputAgeMillis", "Requests", });
     internal_static_curranthaven_EngineCrash_descriptor =
       getDescriptor().getMessageType(43);
     internal_static_curranthaven_EngineCrash_fieldAccessorTable = new
--- a/src/main/java/org/curranthaven/internal/transport/wire/PartCrashes.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/PartCrashes.java
@@ -278,6 +278,21 @@
     return outputAgeMillis_;
   }
 
+  public static final int REQUESTS_FIELD_NUMBER = 9;
+  private int requests_ = 0;
+  /**
+   * <pre>
+   * Requests with the part since its first crash.
+   * </pre>
+   *
+   * <code>uint32 requests = 9;</code>
+   * @return The requests.
+   */
+  @java.lang.Override
+  public int getRequests() {
+    return requests_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -316,6 +331,9 @@
     if (outputAgeMillis_ != 0L) {
       output.writeUInt64(8, outputAgeMillis_);
     }
+    if (requests_ != 0) {
+      output.writeUInt32(9, requests_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -355,6 +373,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(8, outputAgeMillis_);
     }
+    if (requests_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(9, requests_);
+    }
     return size;
   }
   @java.lang.Override
@@ -395,6 +417,8 @@
         != other.getHadOutput()) return false;
     if (getOutputAgeMillis()
         != other.getOutputAgeMillis()) return false;
+    if (getRequests()
+        != other.getRequests()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -428,6 +452,8 @@
     hash = (37 * hash) + OUTPUT_AGE_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getOutputAgeMillis());
+    hash = (37 * hash) + REQUESTS_FIELD_NUMBER;
+    hash = (53 * hash) + getRequests();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -578,6 +604,7 @@
       blockedLeftMillis_ = 0L;
       hadOutput_ = false;
       outputAgeMillis_ = 0L;
+      requests_ = 0;
       return this;
     }
 
@@ -645,6 +672,9 @@
       if (((from_bitField0_ & 0x00000080) != 0)) {
         result.outputAgeMillis_ = outputAgeMillis_;
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.requests_ = requests_;
+      }
     }
 
     @java.lang.Override
@@ -710,6 +740,9 @@
       if (other.getOutputAgeMillis() != 0L) {
         setOutputAgeMillis(other.getOutputAgeMillis());
       }
+      if (other.getRequests() != 0) {
+        setRequests(other.getRequests());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -782,6 +815,11 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 64
+            case 72: {
+              requests_ = input.readUInt32();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1489,6 +1527,50 @@
       return this;
     }
 
+    private int requests_ ;
+    /**
+     * <pre>
+     * Requests with the part since its first crash.
+     * </pre>
+     *
+     * <code>uint32 requests = 9;</code>
+     * @return The requests.
+     */
+    @java.lang.Override
+    public int getRequests() {
+      return requests_;
+    }
+    /**
+     * <pre>
+     * Requests with the part since its first crash.
+     * </pre>
+     *
+     * <code>uint32 requests = 9;</code>
+     * @param value The requests to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRequests(int value) {
+
+      requests_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Requests with the part since its first crash.
+     * </pre>
+     *
+     * <code>uint32 requests = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRequests() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      requests_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:curranthaven.PartCrashes)
   }
 
--- a/src/main/java/org/curranthaven/internal/transport/wire/PartCrashesOrBuilder.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/PartCrashesOrBuilder.java
@@ -135,4 +135,14 @@
    * @return The outputAgeMillis.
    */
   long getOutputAgeMillis();
+
+  /**
+   * <pre>
+   * Requests with the part since its first crash.
+   * </pre>
+   *
+   * <code>uint32 requests = 9;</code>
+   * @return The requests.
+   */
+  int getRequests();
 }
--- a/src/test/java/org/curranthaven/internal/dispatch/EngineCrashesTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/EngineCrashesTest.java
@@ -134,6 +134,20 @@
     assertThat(evidence.blockedParts(nowMillis)).containsExactly("bad");
   }
 
+  @Test
+  void a_part_that_other_requests_share_is_not_blocked_although_none_of_them_had_output() {
+    registerEngines(1, 8);
+    for (int i = 0; i < 3; i++) {
+      Placed crashing = place("first", "bad", "own" + i);
+      place("first", "good" + i, "other" + i);
+      crash(crashing.engine());
+    }
+    core.drainDecisions();
+
+    assertThat(evidence.blockedParts(nowMillis)).containsExactly("bad");
+    assertThat(place("first", "good", "own").engine()).isNotEmpty();
+  }
+
   @Test
   void running_requests_without_output_are_stopped_when_their_part_is_blocked() {
     registerEngines(1, 6);
