A response that ends with its connection as its backend server crashes is broken off

What callers would see: a stream without length or chunks that is cut between two events because its engine crashed, framed as complete.

Cause: the kernel closes the connections of a process that ends in order, so an orderly close after a whole event says nothing about why it came.

Fix: where only the close marks the end of a response, the gateway first opens another connection.

--- a/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
@@ -339,19 +339,40 @@
     if (finished || source != attempt) {
       return;
     }
-    boolean mayHaveCrashed =
-        service.engine() != null
-            && result instanceof AttemptResult.Interrupted interrupted
-            && interrupted.connectionLost()
-            && !migration.isMigrating();
-    if (mayHaveCrashed) {
+    if (mayShowCrash(result)) {
       // The scheduler hears of a crash before the request leaves the engine's list.
-      context.crashProbe().check(source.backend(), crashed -> handleEnd(source, result));
+      context
+          .crashProbe()
+          .check(source.backend(), crashed -> handleEnd(source, afterProbe(result, crashed)));
     } else {
       handleEnd(source, result);
     }
   }
 
+  /** Returns whether the end of the response may have come about by a crash. */
+  private boolean mayShowCrash(AttemptResult result) {
+    if (migration.isMigrating()) {
+      return false;
+    }
+    return switch (result) {
+      case AttemptResult.Interrupted interrupted ->
+          interrupted.connectionLost() && service.engine() != null;
+      case AttemptResult.Completed completed -> completed.response().endedWithConnection();
+      case AttemptResult.NotRun ignored -> false;
+      case AttemptResult.Unreachable ignored -> false;
+    };
+  }
+
+  /**
+   * Returns the result of an attempt whose backend server was probed. If it has crashed, the close
+   * of the connection does not mark the end of the response.
+   */
+  private static AttemptResult afterProbe(AttemptResult result, boolean crashed) {
+    return crashed && result instanceof AttemptResult.Completed
+        ? new AttemptResult.Interrupted("the backend server crashed during the response", true)
+        : result;
+  }
+
   private void handleEnd(Attempt source, AttemptResult result) {
     if (finished || source != attempt) {
       return;
--- a/src/test/java/org/curranthaven/platform/StreamEndingTest.java
+++ b/src/test/java/org/curranthaven/platform/StreamEndingTest.java
@@ -43,6 +43,30 @@
     }
   }
 
+  @Test
+  void a_stream_that_ends_with_its_connection_because_its_server_crashed_is_incomplete()
+      throws Exception {
+    AtomicReference<FakeBackend> crashing = new AtomicReference<>();
+    try (FakeBackend backend =
+        new FakeBackend(
+            (request, connection) -> {
+              FakeBackend.write(
+                  connection,
+                  FakeBackend.unframedStreamResponseHead(request)
+                      + FakeBackend.plainEvent(1)
+                      + FakeBackend.plainEvent(2));
+              Objects.requireNonNull(crashing.get()).close();
+            })) {
+      crashing.set(backend);
+      register("i-1", backend, "ready", 1);
+
+      String response = sendRawRequest("/drafts/1", "");
+
+      assertThat(response).contains("token 1", "token 2").doesNotEndWith(LAST_CHUNK);
+      assertThat(backend.received()).hasSize(1);
+    }
+  }
+
   @Test
   void a_stream_whose_connection_ends_inside_an_event_is_incomplete_to_the_caller()
       throws Exception {
