--- a/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
@@ -38,15 +38,6 @@
    */
   private static final long UNREPEATABLE_MAX_IDLE_MILLIS = 250;
 
-  /** Shortest time without a response after which a repeatable attempt is abandoned. */
-  private static final long MIN_RESPONSE_TIMEOUT_MILLIS = 600;
-
-  /**
-   * Pause of a stream after which its engine counts as lost; many times longer than a normal pause.
-   */
-  private static final long STREAM_STALL_TIMEOUT_MILLIS = 1_500;
-
-  private static final long MIN_CHECK_INTERVAL_MILLIS = 100;
   private static final int DEFAULT_TOKENS_PER_EVENT = 1;
 
   private final RelayContext context;
@@ -220,57 +211,48 @@
         request.id(),
         route.isRepeatable() ? Long.MAX_VALUE : UNREPEATABLE_MAX_IDLE_MILLIS);
     progress.recordSent(context.clock().nowMillis());
-    scheduleResponseCheck(newAttempt);
+    watchResponse(newAttempt);
   }
 
   /**
-   * Schedules the detection of a backend server that fails without closing its connection. An
-   * attempt that may be repeated is abandoned if no response is received within the first-reply
-   * target or {@link #MIN_RESPONSE_TIMEOUT_MILLIS}, whichever is longer; an attempt with a backup
-   * copy, if its stream pauses for {@link #STREAM_STALL_TIMEOUT_MILLIS}.
+   * Detects a backend server that fails without closing its connection: by the missing response to
+   * an attempt that may be repeated, by the pause of a stream that has a backup copy.
    */
-  private void scheduleResponseCheck(Attempt watchedAttempt) {
+  private void watchResponse(Attempt watched) {
+    ResponseWatch watch = new ResponseWatch(context, new WatchedRequest(), watched);
     if (route.isRepeatable() && history.executions() + 1 < route.attempts()) {
-      long timeoutMillis = Math.max(MIN_RESPONSE_TIMEOUT_MILLIS, route.targetMillis());
-      context
-          .loop()
-          .schedule(
-              () -> abandonIfUnresponsive(watchedAttempt, timeoutMillis),
-              timeoutMillis,
-              TimeUnit.MILLISECONDS);
+      watch.awaitResponse(route.targetMillis());
     } else if (migration.mayHaveBackup(backup)) {
-      context
-          .loop()
-          .schedule(
-              () -> abandonIfStalled(watchedAttempt),
-              STREAM_STALL_TIMEOUT_MILLIS,
-              TimeUnit.MILLISECONDS);
+      watch.awaitEvents();
     }
   }
 
-  private void abandonIfUnresponsive(Attempt watchedAttempt, long timeoutMillis) {
-    if (!finished && watchedAttempt == attempt && !watchedAttempt.hasReceivedResponse()) {
-      watchedAttempt.abandonUnresponsive(timeoutMillis);
+  /** What the watch over an attempt needs to know of the request. */
+  private final class WatchedRequest implements ResponseWatch.Request {
+    @Override
+    public boolean isCurrent(Attempt watched) {
+      return !finished && watched == attempt;
     }
-  }
 
-  private void abandonIfStalled(Attempt watchedAttempt) {
-    if (finished || watchedAttempt != attempt || migration.isMigrating()) {
-      return;
+    @Override
+    public boolean isMigrating() {
+      return migration.isMigrating();
     }
-    long pauseMillis = progress.pauseMillis(context.clock().nowMillis());
-    if (streamStarted && caller.isWritable() && pauseMillis >= STREAM_STALL_TIMEOUT_MILLIS) {
-      watchedAttempt.abandonUnresponsive(pauseMillis);
-      return;
+
+    @Override
+    public boolean hasStreamStarted() {
+      return streamStarted;
+    }
+
+    @Override
+    public boolean isCallerReading() {
+      return caller.isWritable();
+    }
+
+    @Override
+    public long pauseMillis(long nowMillis) {
+      return progress.pauseMillis(nowMillis);
     }
-    long nextCheckMillis =
-        streamStarted ? STREAM_STALL_TIMEOUT_MILLIS - pauseMillis : STREAM_STALL_TIMEOUT_MILLIS;
-    context
-        .loop()
-        .schedule(
-            () -> abandonIfStalled(watchedAttempt),
-            Math.max(MIN_CHECK_INTERVAL_MILLIS, nextCheckMillis),
-            TimeUnit.MILLISECONDS);
   }
 
   @Override
