--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -12,11 +12,16 @@
 import org.curranthaven.internal.dispatch.RetryLimits;
 import org.curranthaven.internal.relay.ManualTime;
 import org.curranthaven.internal.transport.wire.BackendRecord;
+import org.curranthaven.internal.transport.wire.DispatchEnd;
+import org.curranthaven.internal.transport.wire.DispatchOutcome;
 import org.curranthaven.internal.transport.wire.DispatchRequests;
 import org.curranthaven.internal.transport.wire.Envelope;
 import org.curranthaven.internal.transport.wire.GatewayStatus;
 import org.curranthaven.internal.transport.wire.HostRecord;
+import org.curranthaven.internal.transport.wire.PartCrashes;
 import org.curranthaven.internal.transport.wire.PlacementRequest;
+import org.curranthaven.internal.transport.wire.PromptPart;
+import org.curranthaven.internal.transport.wire.Rejection;
 import org.curranthaven.internal.transport.wire.RunningDispatch;
 import org.curranthaven.internal.transport.wire.SchedulerView;
 import org.junit.jupiter.api.Test;
@@ -253,4 +258,87 @@
     assertThat(result.value).isFalse();
     assertThat(sent.getLast().getValue().getSchedulerView().getResigned()).isTrue();
   }
+
+  // ---- crashes of engines -----------------------------------------------------------------------
+
+  private static PlacementRequest requestWithPart(long id, String part) {
+    return PlacementRequest.newBuilder()
+        .setId(id)
+        .setService("plain")
+        .addParts(PromptPart.newBuilder().setId(part))
+        .addParts(PromptPart.newBuilder().setId("own" + id))
+        .setTargetLeftMillis(500)
+        .setDeadlineLeftMillis(3_000)
+        .build();
+  }
+
+  private void receiveRequests(String gateway, DispatchRequests.Builder requests) {
+    scheduler.handleRequests(host(gateway), requests.setTerm(5).build());
+  }
+
+  /** Has each of three gateways in turn lose an engine under a request with the part. */
+  private void crashThreeEnginesOn(String part) {
+    for (int i = 1; i <= 3; i++) {
+      String engine = "i-" + (10 + i);
+      String gateway = "g" + (1 + i % 2);
+      scheduler.register(
+          backend(1, false).toBuilder().setId(engine).build(), new RecordedResult()::accept);
+      receiveRequests(gateway, DispatchRequests.newBuilder().addAsks(requestWithPart(i, part)));
+      time.advance(200);
+      receiveRequests(
+          gateway,
+          DispatchRequests.newBuilder()
+              .addCrashedBackends(engine)
+              .addEnds(
+                  DispatchEnd.newBuilder()
+                      .setId(i)
+                      .setOutcome(DispatchOutcome.DISPATCH_OUTCOME_FAILED)));
+    }
+  }
+
+  @Test
+  void a_part_that_crashed_engines_under_several_gateways_is_blocked_at_all_of_them() {
+    startLeading();
+    crashThreeEnginesOn("bad");
+
+    for (String gateway : List.of("g1", "g2")) {
+      assertThat(sent)
+          .filteredOn(message -> message.getKey().equals(gateway))
+          .extracting(message -> message.getValue().getSchedulerView())
+          .flatExtracting(SchedulerView::getPartCrashesList)
+          .anyMatch(part -> part.getPart().equals("bad") && part.getBlockedLeftMillis() > 0);
+    }
+    sent.clear();
+    receiveRequests("g1", DispatchRequests.newBuilder().addAsks(requestWithPart(9, "bad")));
+    assertThat(sent)
+        .flatExtracting(message -> message.getValue().getDispatchOrders().getRefusalsList())
+        .extracting(Rejection::getReason)
+        .containsExactly("CRASHES_ENGINES");
+  }
+
+  @Test
+  void a_new_leader_goes_on_from_the_crashes_that_the_gateways_know() {
+    startLeading();
+    crashThreeEnginesOn("bad");
+    List<PartCrashes> known =
+        sent.stream()
+            .map(message -> message.getValue().getSchedulerView().getPartCrashesList())
+            .filter(list -> !list.isEmpty())
+            .reduce((first, second) -> second)
+            .orElseThrow();
+    scheduler.setTerm(0);
+    sent.clear();
+
+    scheduler.setTerm(5);
+    scheduler.handleStatus(
+        host("g1"),
+        GatewayStatus.newBuilder().setTerm(5).setFull(true).addAllPartCrashes(known).build());
+    time.advance(AFTER_REBUILD_MILLIS);
+    receiveRequests("g2", DispatchRequests.newBuilder().addAsks(requestWithPart(9, "bad")));
+
+    assertThat(sent)
+        .flatExtracting(message -> message.getValue().getDispatchOrders().getRefusalsList())
+        .extracting(Rejection::getReason)
+        .containsExactly("CRASHES_ENGINES");
+  }
 }
