The response to a HEAD request ends with its headers

What callers would see: no response to a HEAD request until its deadline.

Cause: the decoder of a connection to a backend server did not know the request's method, and waited for the length that the headers announce.

Evidence: BackendConnectionTest.the_response_to_a_head_request_ends_with_its_headers fails without the decoder's check and passes with it.

--- a/src/main/java/org/curranthaven/internal/relay/BackendConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/BackendConnection.java
@@ -1,12 +1,17 @@
 package org.curranthaven.internal.relay;
 
 import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -27,6 +32,7 @@
   private String expectedRequestId = "";
   private @Nullable ResponseHead head;
   private ResponseEnding markedEnding = new ResponseEnding.ConnectionClosed();
+  private boolean headRequest;
   private boolean skippingResponse;
   private boolean unusable;
   private boolean readFailed;
@@ -46,12 +52,25 @@
     void onEnded(ResponseEnding ending);
   }
 
+  /** Decodes responses; the response to a HEAD request has no body, whatever its headers say. */
+  private final class ResponseDecoder extends HttpResponseDecoder {
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+      return headRequest || super.isContentAlwaysEmpty(message);
+    }
+  }
+
   BackendConnection(BackendPool pool, String address) {
     super(HttpObject.class);
     this.pool = pool;
     this.address = address;
   }
 
+  /** Returns the handlers of the connection, in order. */
+  ChannelHandler[] handlers() {
+    return new ChannelHandler[] {new ResponseDecoder(), new HttpRequestEncoder(), this};
+  }
+
   String address() {
     return address;
   }
@@ -77,6 +96,7 @@
     }
     listener = responseListener;
     expectedRequestId = requestId;
+    headRequest = request.method().equals(HttpMethod.HEAD);
     head = null;
     releasePending = false;
     openContext.writeAndFlush(request);
@@ -151,12 +171,13 @@
   }
 
   /** Returns how a response with these headers ends unless it is broken off. */
-  private static ResponseEnding markedEnding(HttpResponse response) {
+  private ResponseEnding markedEnding(HttpResponse response) {
     int status = response.status().code();
     boolean hasNoBody =
-        status == HttpResponseStatus.NO_CONTENT.code()
+        headRequest
+            || status == HttpResponseStatus.NO_CONTENT.code()
             || status == HttpResponseStatus.NOT_MODIFIED.code();
-    if (HttpUtil.isTransferEncodingChunked(response)) {
+    if (!hasNoBody && HttpUtil.isTransferEncodingChunked(response)) {
       return new ResponseEnding.LastChunk();
     }
     return hasNoBody || HttpUtil.isContentLengthSet(response)
--- a/src/main/java/org/curranthaven/internal/relay/BackendPool.java
+++ b/src/main/java/org/curranthaven/internal/relay/BackendPool.java
@@ -8,8 +8,6 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -140,9 +138,7 @@
             new ChannelInitializer<Channel>() {
               @Override
               protected void initChannel(Channel channel) {
-                channel
-                    .pipeline()
-                    .addLast(new HttpResponseDecoder(), new HttpRequestEncoder(), connection);
+                channel.pipeline().addLast(connection.handlers());
               }
             })
         .connect(Addresses.parse(address));
--- a/src/test/java/org/curranthaven/internal/relay/BackendConnectionTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/BackendConnectionTest.java
@@ -6,9 +6,7 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -28,8 +26,7 @@
   private final List<ResponseEnding> endings = new ArrayList<>();
   private final StringBuilder content = new StringBuilder();
   private final BackendConnection connection = new BackendConnection(pool, "127.0.0.1:1");
-  private final EmbeddedChannel backend =
-      new EmbeddedChannel(new HttpResponseDecoder(), new HttpRequestEncoder(), connection);
+  private final EmbeddedChannel backend = new EmbeddedChannel(connection.handlers());
 
   private final class RecordingListener implements BackendConnection.ResponseListener {
     @Override
@@ -47,8 +44,12 @@
   }
 
   private void sendRequest() {
+    sendRequest(HttpMethod.GET);
+  }
+
+  private void sendRequest(HttpMethod method) {
     connection.send(
-        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
+        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/"),
         "r",
         new RecordingListener());
   }
@@ -56,6 +57,10 @@
   /** Sends a request and receives the head of its response and the given bytes of the body. */
   private void receive(int status, String framing, String bodyBytes) {
     sendRequest();
+    receiveHead(status, framing, bodyBytes);
+  }
+
+  private void receiveHead(int status, String framing, String bodyBytes) {
     String head = "HTTP/1.1 " + status + " X\r\nAttempt-Id: r\r\n" + framing + "\r\n";
     backend.writeInbound(Unpooled.copiedBuffer(head + bodyBytes, StandardCharsets.UTF_8));
   }
@@ -98,6 +103,16 @@
     assertThat(endings).containsExactly(new ResponseEnding.LengthReached());
   }
 
+  @Test
+  void the_response_to_a_head_request_ends_with_its_headers() {
+    for (String framing : List.of(LENGTH, CHUNKS, NEITHER)) {
+      BackendConnectionTest fresh = new BackendConnectionTest();
+      fresh.sendRequest(HttpMethod.HEAD);
+      fresh.receiveHead(200, framing, "");
+      assertThat(fresh.endings).as(framing).containsExactly(new ResponseEnding.LengthReached());
+    }
+  }
+
   @Test
   void a_response_without_length_or_chunks_ends_with_its_connection() {
     receive(200, NEITHER, "four");
