--- a/src/main/java/org/curranthaven/internal/cli/BenchCommand.java
+++ b/src/main/java/org/curranthaven/internal/cli/BenchCommand.java
@@ -7,6 +7,7 @@
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.curranthaven.api.Outcome;
 import org.curranthaven.internal.bench.ClaimsBench;
+import org.curranthaven.internal.bench.CrashesBench;
 import org.curranthaven.internal.bench.OverheadBench;
 import org.curranthaven.internal.bench.RestartBench;
 import org.curranthaven.internal.bench.SlopesBench;
@@ -25,6 +26,7 @@
             .help("measure how costs grow with size, and ratios to baselines");
     Subparsers kinds = parser.addSubparsers().metavar("KIND");
     addKind(kinds, "slopes", "cost of the work of each role at several sizes, with a fitted line");
+    addKind(kinds, "crashes", "crashes of engines at several sizes, with a fitted line");
     addKind(kinds, "claims", "ledger claims through three voters compared with synced disk writes");
     addKind(kinds, "restart", "time to load the state after 100, 1,000 and 100,000 changes");
     addKind(
@@ -48,6 +50,7 @@
     Logging.configureErrorsOnly();
     switch (arguments.getString("kind")) {
       case "slopes" -> new SlopesBench(System.out::println).run();
+      case "crashes" -> new CrashesBench(System.out::println).run();
       case "claims" -> new ClaimsBench(System.out::println).run();
       case "restart" -> new RestartBench(System.out::println).run();
       default ->
