A crash under more parts than are remembered does not end the scheduler's work

What callers would see: no placements while the scheduler's event loop handles an exception.

Cause: with more than 256 suspect parts at one crash, the first were evicted before the parts to block were chosen from them.

Fix: parts that were evicted are not among those to choose from.

--- a/src/main/java/org/curranthaven/internal/dispatch/CrashEvidence.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/CrashEvidence.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import org.curranthaven.internal.transport.wire.EngineCrash;
 import org.curranthaven.internal.transport.wire.PartCrashes;
@@ -180,22 +181,19 @@
    * crashes that it explains no longer count against other parts.
    */
   private boolean blockMostSuspicious(Set<PartKey> suspects, long nowMillis) {
-    int most =
+    // Of many suspects, the first ones may have been forgotten already.
+    List<PartRecord> suspicious =
         suspects.stream()
             .map(records::get)
+            .filter(Objects::nonNull)
             .filter(record -> record.crashMillis.size() >= record.crashesToBlock())
-            .mapToInt(record -> record.crashMillis.size())
-            .max()
-            .orElse(0);
+            .toList();
+    int most = suspicious.stream().mapToInt(record -> record.crashMillis.size()).max().orElse(0);
     if (most == 0) {
       return false;
     }
     List<PartRecord> mostSuspicious =
-        suspects.stream()
-            .map(records::get)
-            .filter(record -> record.crashMillis.size() == most)
-            .filter(record -> most >= record.crashesToBlock())
-            .toList();
+        suspicious.stream().filter(record -> record.crashMillis.size() == most).toList();
     int fewestRequests =
         mostSuspicious.stream().mapToInt(record -> record.requests).min().orElse(0);
     List<PartRecord> blocked =
--- a/src/test/java/org/curranthaven/internal/dispatch/CrashEvidenceTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/CrashEvidenceTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.curranthaven.internal.dispatch.CrashEvidence.PartKey;
@@ -188,6 +189,16 @@
     assertThat(isBlocked("bad")).isTrue();
   }
 
+  @Test
+  void a_crash_under_more_parts_than_are_remembered_is_counted_for_some() {
+    String[] parts = new String[2 * CrashEvidence.MAX_PARTS];
+    Arrays.setAll(parts, i -> "p" + i);
+
+    assertThat(crash("i-1", parts)).isFalse();
+
+    assertThat(evidence.export(nowMillis)).hasSize(CrashEvidence.MAX_PARTS);
+  }
+
   @Test
   void another_host_continues_to_count_from_what_it_is_told() {
     crash("i-1", "bad");
