A stream whose engine is taken away while its state is copied is broken off

What callers would see: a stream without length or chunks that is cut between two events, framed as complete, when its engine ends during the first copy of a migration.

Cause: the check whether the engine still accepts connections was left out for every migration; only the stop of one settles how its stream ended.

Evidence: StreamEndingTest.a_stream_whose_engine_is_taken_away_while_its_state_is _copied_is_incomplete failed before and passes now. Fix: it is left out only once the engine was told to stop the request.

--- a/src/main/java/org/curranthaven/internal/relay/MigrationCoordinator.java
+++ b/src/main/java/org/curranthaven/internal/relay/MigrationCoordinator.java
@@ -82,6 +82,11 @@
     return transfer != null;
   }
 
+  /** Returns whether the engine has been told to stop the request for its migration. */
+  boolean isStopping() {
+    return transfer != null && transfer.isStopping();
+  }
+
   /** Returns the migration in progress; {@link Migration#NONE} if there is none. */
   Migration migration() {
     return migration;
--- a/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
@@ -333,13 +333,11 @@
 
   /** Returns whether the end of the response may have come about by a crash. */
   private boolean mayShowCrash(AttemptResult result) {
-    if (migration.isMigrating()) {
-      return false;
-    }
     return switch (result) {
       case AttemptResult.Interrupted interrupted ->
-          interrupted.connectionLost() && service.engine() != null;
-      case AttemptResult.Completed completed -> completed.response().endedWithConnection();
+          interrupted.connectionLost() && service.engine() != null && !migration.isMigrating();
+      case AttemptResult.Completed completed ->
+          completed.response().endedWithConnection() && !migration.isStopping();
       case AttemptResult.NotRun ignored -> false;
       case AttemptResult.Unreachable ignored -> false;
     };
--- a/src/test/java/org/curranthaven/platform/StreamEndingTest.java
+++ b/src/test/java/org/curranthaven/platform/StreamEndingTest.java
@@ -226,4 +226,36 @@
       assertThat(List.copyOf(target.received())).isEmpty();
     }
   }
+
+  @Test
+  void a_stream_whose_engine_is_taken_away_while_its_state_is_copied_is_incomplete()
+      throws Exception {
+    AtomicReference<FakeBackend> source = new AtomicReference<>();
+    CountDownLatch started = new CountDownLatch(1);
+    FakeBackend.ResponseScript script =
+        (request, connection) -> {
+          if (request.line().contains("kv-move")) {
+            Objects.requireNonNull(source.get()).close();
+          } else {
+            String events = FakeBackend.plainEvent(1) + FakeBackend.plainEvent(2);
+            FakeBackend.write(connection, FakeBackend.unframedStreamResponseHead(request) + events);
+            started.countDown();
+          }
+        };
+    try (FakeBackend leaving = new FakeBackend(script);
+        FakeBackend target = new FakeBackend(unframedStream(FakeBackend.plainEvent(3)))) {
+      source.set(leaving);
+      register("i-1", leaving, "ready", 1, "engines");
+      try (Socket caller = openRawRequest("/stories/1", MODEL_HEADERS)) {
+        assertThat(started.await(20, TimeUnit.SECONDS)).isTrue();
+        register("i-2", target, "ready", 1, "engines");
+        register("i-1", leaving, "draining", 2, "engines");
+
+        String response =
+            new String(caller.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertThat(response).contains("token 2").doesNotEndWith(LAST_CHUNK);
+        assertThat(List.copyOf(target.received())).isEmpty();
+      }
+    }
+  }
 }
