--- a/src/main/java/org/curranthaven/internal/relay/Gateway.java
+++ b/src/main/java/org/curranthaven/internal/relay/Gateway.java
@@ -347,6 +347,8 @@
    * State of a gateway, for operators.
    *
    * @param scheduler host of the current scheduler; empty during local fallback
+   * @param blockedPromptParts parts of prompts on which engines crashed, so that requests with them
+   *     are rejected
    */
   public record Dump(
       String name,
@@ -357,6 +359,7 @@
       int openCalls,
       long backendConnectionsOpened,
       List<String> backends,
+      List<String> blockedPromptParts,
       List<String> hosts) {}
 
   /** Returns the state of the gateway, read on its event loop. */
@@ -372,6 +375,7 @@
                 openRequestCount,
                 pool.connectionsOpened(),
                 link.backendNames(),
+                link.blockedPromptParts(),
                 connectedHosts()));
   }
 
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -125,6 +125,11 @@
     return backends.keySet().stream().sorted().toList();
   }
 
+  /** Returns the ids of the parts of prompts that are blocked, sorted. */
+  List<String> blockedPromptParts() {
+    return crashEvidence.blockedParts(clock.nowMillis());
+  }
+
   /** Returns whether a scheduler's view has been received at least once. */
   boolean hasReceivedView() {
     return viewReceived;
--- a/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
@@ -319,6 +319,7 @@
         SchedulerView.newBuilder().setTerm(3).addPartCrashes(blockedPart("bad")).build());
     assertThat(link.blockedMillis(requestWithPart(1, "bad"))).isPositive();
     assertThat(link.blockedMillis(requestWithPart(2, "good"))).isZero();
+    assertThat(link.blockedPromptParts()).containsExactly("bad");
 
     time.advance(SchedulerLink.SCHEDULER_TIMEOUT_MILLIS + 200);
     assertThat(link.blockedMillis(requestWithPart(3, "bad"))).isPositive();
