--- a/src/main/java/org/curranthaven/internal/dispatch/CrashEvidence.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/CrashEvidence.java
@@ -101,10 +101,6 @@
     return version;
   }
 
-  boolean isEmpty() {
-    return records.isEmpty();
-  }
-
   /** Returns the parts of a request that crashes may be attributed to. */
   static List<PartKey> attributableParts(PlacementRequest request) {
     List<PromptPart> parts = request.getPartsList();
