Decode the limit on requests that a backend server states, and log it

The response's head now has the limit, a number, nothing, or a text that is none, and each attempt whose response states one writes a line with the request, the backend server and the number. Nothing obeys it yet. Server-Limit of a caller is not forwarded: it is the backend servers' to set.

--- a/src/main/java/org/curranthaven/internal/relay/Attempt.java
+++ b/src/main/java/org/curranthaven/internal/relay/Attempt.java
@@ -31,6 +31,9 @@
 
   /** Receives the events and the result of an attempt. */
   interface Listener {
+    /** Handles the status and headers of the response. */
+    void onHead(Attempt attempt, ResponseHead head);
+
     /** Handles complete events of a stream. */
     void onEvents(Attempt attempt, HttpResponse response, List<EventSplitter.Event> events);
 
@@ -133,6 +136,7 @@
     head = responseHead;
     response = newResponse;
     responseReceived = true;
+    listener.onHead(this, responseHead);
     boolean unproven = !responseHead.sealed() || responseHead.requestId().isEmpty();
     if (responseHead.isSuccess() && unproven) {
       abandon(
--- a/src/main/java/org/curranthaven/internal/relay/ResponseHead.java
+++ b/src/main/java/org/curranthaven/internal/relay/ResponseHead.java
@@ -1,5 +1,7 @@
 package org.curranthaven.internal.relay;
 
+import org.curranthaven.internal.dispatch.StatedRateLimit;
+
 /**
  * Status and headers of a backend server's response, decoded.
  *
@@ -12,6 +14,7 @@
  * @param eventStream whether the body is an event stream
  * @param keepAliveMillis how long the connection may stay idle; 0 if not stated
  * @param closesConnection whether the connection closes after the response
+ * @param rateLimit limit on the requests that the backend server accepts
  */
 public record ResponseHead(
     int status,
@@ -21,9 +24,15 @@
     boolean misdirected,
     boolean eventStream,
     long keepAliveMillis,
-    boolean closesConnection) {
+    boolean closesConnection,
+    StatedRateLimit rateLimit) {
   /** Returns whether the status is a success (2xx). */
   public boolean isSuccess() {
     return status >= 200 && status < 300;
   }
+
+  /** Returns whether the response comes from the backend server that the request was meant for. */
+  public boolean isFromExpectedBackend() {
+    return !requestId.isEmpty() && !misdirected;
+  }
 }
--- a/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
@@ -13,6 +13,7 @@
 import org.curranthaven.internal.catalog.Route;
 import org.curranthaven.internal.catalog.ServiceSpec;
 import org.curranthaven.internal.dispatch.RejectionReason;
+import org.curranthaven.internal.dispatch.StatedRateLimit;
 import org.curranthaven.internal.transport.wire.BackendRecord;
 import org.curranthaven.internal.transport.wire.DispatchOutcome;
 import org.curranthaven.internal.transport.wire.PlacementRequest;
@@ -283,6 +284,19 @@
 
   // ---- responses --------------------------------------------------------------------------------
 
+  @Override
+  public void onHead(Attempt source, ResponseHead head) {
+    if (head.isFromExpectedBackend()
+        && head.rateLimit() instanceof StatedRateLimit.RequestsPerSecond limit) {
+      Logger.info(
+          "request {} on route {}: backend server {} states a limit of {} requests/s",
+          request.id(),
+          route.name(),
+          source.backend().getId(),
+          limit.value());
+    }
+  }
+
   @Override
   public void onEvents(Attempt source, HttpResponse response, List<EventSplitter.Event> newEvents) {
     if (finished || source != attempt) {
--- a/src/main/java/org/curranthaven/platform/BackendTranslation.java
+++ b/src/main/java/org/curranthaven/platform/BackendTranslation.java
@@ -12,7 +12,10 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
+import java.util.List;
 import java.util.Locale;
+import java.util.regex.Pattern;
+import org.curranthaven.internal.dispatch.StatedRateLimit;
 import org.curranthaven.internal.relay.BackendRequest;
 import org.curranthaven.internal.relay.InboundRequest;
 import org.curranthaven.internal.relay.ResponseHead;
@@ -30,6 +33,12 @@
   private static final int MISDIRECTED_REQUEST = 421;
   private static final long MILLIS_PER_SECOND = 1_000;
 
+  /** A number without sign or exponent, of at most seven digits before the decimal point. */
+  private static final Pattern DECIMAL_NUMBER = Pattern.compile("\\d{1,7}(\\.\\d{1,9})?");
+
+  /** Characters of a malformed header value that are kept for the log. */
+  private static final int MAX_QUOTED_LENGTH = 40;
+
   private BackendTranslation() {}
 
   static FullHttpRequest backendRequest(BackendRequest backendRequest) {
@@ -87,7 +96,19 @@
             .toLowerCase(Locale.ROOT)
             .startsWith("text/event-stream"),
         keepAliveMillis(headers.get("Keep-Alive", "")),
-        headers.containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true));
+        headers.containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true),
+        rateLimit(headers.getAll(Headers.RATE_LIMIT)));
+  }
+
+  private static StatedRateLimit rateLimit(List<String> values) {
+    if (values.isEmpty()) {
+      return new StatedRateLimit.None();
+    }
+    String text = String.join(",", values).strip();
+    return DECIMAL_NUMBER.matcher(text).matches()
+        ? new StatedRateLimit.RequestsPerSecond(Double.parseDouble(text))
+        : new StatedRateLimit.Malformed(
+            text.substring(0, Math.min(text.length(), MAX_QUOTED_LENGTH)));
   }
 
   private static long keepAliveMillis(String keepAlive) {
--- a/src/main/java/org/curranthaven/platform/Headers.java
+++ b/src/main/java/org/curranthaven/platform/Headers.java
@@ -28,6 +28,9 @@
   /** States that the request did not run and will not run. */
   static final String NOT_RUN = "Not-Executed";
 
+  /** Requests a second that a backend server accepts from all hosts together. */
+  static final String RATE_LIMIT = "Server-Limit";
+
   static final String MODEL = "Model";
 
   /** Length of the prompt and limit on the output, separated by a comma. */
@@ -68,7 +71,8 @@
           "not-executed",
           "response-seal",
           "runner-id",
-          "runner-load");
+          "runner-load",
+          "server-limit");
 
   private Headers() {}
 }
--- a/src/test/java/org/curranthaven/platform/BackendTranslationTest.java
+++ b/src/test/java/org/curranthaven/platform/BackendTranslationTest.java
@@ -2,16 +2,48 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.curranthaven.internal.dispatch.StatedRateLimit;
 import org.curranthaven.internal.relay.TransferResponse;
 import org.junit.jupiter.api.Test;
 
-/** Guards against a response to a state transfer that is cut off and counts as a copy. */
+/**
+ * Guards against a response to a state transfer that is cut off and counts as a copy, and against
+ * limits of backend servers that are not heard, or are none.
+ */
 class BackendTranslationTest {
   private static TransferResponse read(int status, String body) {
     return BackendTranslation.transferResponse(status, body.getBytes(StandardCharsets.UTF_8));
   }
 
+  private static StatedRateLimit statedRateLimit(String... values) {
+    HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+    response.headers().add("Server-Limit", List.of(values));
+    return BackendTranslation.responseHead(response).rateLimit();
+  }
+
+  @Test
+  void a_stated_limit_is_a_decimal_number_of_requests_a_second() {
+    assertThat(statedRateLimit("3.6")).isEqualTo(new StatedRateLimit.RequestsPerSecond(3.6));
+    assertThat(statedRateLimit("12")).isEqualTo(new StatedRateLimit.RequestsPerSecond(12));
+    assertThat(statedRateLimit("0")).isEqualTo(new StatedRateLimit.RequestsPerSecond(0));
+    assertThat(statedRateLimit()).isEqualTo(new StatedRateLimit.None());
+  }
+
+  @Test
+  void what_is_no_decimal_number_is_no_limit() {
+    for (String value :
+        new String[] {"", "NaN", "-1", "1,2", "1e9", "Infinity", "99999999999", "0x1p3", "3f"}) {
+      assertThat(statedRateLimit(value)).as(value).isEqualTo(new StatedRateLimit.Malformed(value));
+    }
+    assertThat(statedRateLimit("1", "2")).isEqualTo(new StatedRateLimit.Malformed("1,2"));
+  }
+
   @Test
   void a_copy_has_a_handle() {
     assertThat(read(200, "{\"handle\":\"h7\",\"made\":3}"))
--- a/src/test/java/org/curranthaven/platform/RoutedFleetFixture.java
+++ b/src/test/java/org/curranthaven/platform/RoutedFleetFixture.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.curranthaven.api.Outcome;
 import org.curranthaven.internal.consensus.DataFolder;
 import org.curranthaven.internal.relay.Gateway;
@@ -48,14 +49,15 @@
   @TempDir Path folder;
 
   private final HttpClient client = HttpClient.newHttpClient();
+  private String controlPeerAddress = "";
   String controlAddress = "";
   String callerAddress = "";
-  private int nextRequestNumber;
+  private final AtomicInteger nextRequestNumber = new AtomicInteger();
 
   @BeforeEach
   void startFleet() throws Exception {
     List<String> addresses = LocalFleet.freeAddresses(3);
-    String controlPeerAddress = addresses.get(0);
+    controlPeerAddress = addresses.get(0);
     controlAddress = addresses.get(1);
     callerAddress = addresses.get(2);
     PlatformProtocol protocol = new PlatformProtocol();
@@ -67,20 +69,36 @@
             dataFolder,
             Clock.system())
         .start();
+    startGateway(1, callerAddress);
+    putCatalog(CATALOG.formatted(1));
+    awaitReady(callerAddress);
+  }
+
+  /** Starts another gateway and returns its address for callers. */
+  String startGateway(int number) throws Exception {
+    String address = LocalFleet.freeAddresses(1).getFirst();
+    startGateway(number, address);
+    awaitReady(address);
+    return address;
+  }
+
+  private void startGateway(int number, String address) throws Exception {
     new Gateway(
-            // All hosts use the same peer port, so the gateway needs a separate IP address.
+            // All hosts use the same peer port, so each gateway needs a separate IP address.
             settings(
-                "gateway-1",
-                controlPeerAddress.replace("127.0.0.1", "127.0.0.2"),
+                "gateway-" + number,
+                controlPeerAddress.replace("127.0.0.1", "127.0.0." + (number + 1)),
                 controlPeerAddress,
-                callerAddress,
+                address,
                 null,
                 null),
-            protocol,
+            new PlatformProtocol(),
             Clock.system())
         .start();
-    putCatalog(CATALOG.formatted(1));
-    while (status(sendRawRequest("/nowhere/", "")) != 404) {
+  }
+
+  private void awaitReady(String address) throws Exception {
+    while (status(sendRawRequest(address, "/nowhere/", "")) != 404) {
       Thread.sleep(50);
     }
   }
@@ -153,7 +171,7 @@
 
   private HttpRequest buildRequest(String path) {
     return HttpRequest.newBuilder(URI.create("http://" + callerAddress + path))
-        .header("Attempt-Id", "request-" + nextRequestNumber++)
+        .header("Attempt-Id", "request-" + nextRequestNumber.getAndIncrement())
         .header("Deadline-Ms", "60000")
         .header("X-Api-Key", "k1")
         .POST(HttpRequest.BodyPublishers.ofString("question"))
@@ -165,18 +183,28 @@
    * set, and returns the response.
    */
   String sendRawRequest(String path, String headers) throws Exception {
-    try (Socket socket = openRawRequest(path, headers)) {
+    return sendRawRequest(callerAddress, path, headers);
+  }
+
+  /** Sends the same request to the gateway at the given address. */
+  String sendRawRequest(String gatewayAddress, String path, String headers) throws Exception {
+    try (Socket socket = openRawRequest(gatewayAddress, path, headers)) {
       return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
     }
   }
 
   /** Sends a request with the host name of the catalog's routes; the caller reads the response. */
   Socket openRawRequest(String path, String headers) throws Exception {
-    int port = Integer.parseInt(callerAddress.substring(callerAddress.indexOf(':') + 1));
+    return openRawRequest(callerAddress, path, headers);
+  }
+
+  private Socket openRawRequest(String gatewayAddress, String path, String headers)
+      throws Exception {
+    int port = Integer.parseInt(gatewayAddress.substring(gatewayAddress.indexOf(':') + 1));
     Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
     String head =
         "POST %s HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: request-%d\r\n"
-            .formatted(path, nextRequestNumber++);
+            .formatted(path, nextRequestNumber.getAndIncrement());
     String rawRequest =
         head
             + "Deadline-Ms: 60000\r\n"
