Bound responses without end, each and all together

What callers would have seen: a stream that never ends its event grew a buffer of the gateway until its heap ended, and with it every request there; interim responses, and a response to another request, kept a request open until its deadline.

Cause: EventSplitter buffered an incomplete event without a limit, skipped responses were not counted, and the limit of 8 MiB a body held for each attempt alone, in a heap of 96 MB.

Change: 256 KiB an event, 16 skipped responses and 1 MiB of them, 64 KiB for the response to a state transfer; all incomplete responses of a gateway together hold 16 MiB, beyond which the largest is discarded. A failed connection to a backend server is logged with its cause.

Evidence: EndlessResponseTest on: the endless event, the interim responses and the response to another request fail (61 to 81 s each), endless heads, bodies and trailers pass, as before; all six pass now.

--- a/src/main/java/org/curranthaven/internal/relay/Attempt.java
+++ b/src/main/java/org/curranthaven/internal/relay/Attempt.java
@@ -12,11 +12,15 @@
  * One transmission of a request to one backend server. Reports each event of a stream as soon as it
  * is complete, and any other response once it is complete. Confined to the event loop.
  */
-final class Attempt implements BackendConnection.ResponseListener {
+final class Attempt implements BackendConnection.ResponseListener, ResponseBuffers.Holder {
   private static final int MAX_BUFFERED_BODY_BYTES = 8 * 1024 * 1024;
 
+  /** Limit on an incomplete event; many times the size of an event with some tokens. */
+  static final int MAX_EVENT_BYTES = 256 * 1024;
+
   private final BackendRecord backend;
   private final Listener listener;
+  private final ResponseBuffers buffers;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private final EventSplitter splitter = new EventSplitter();
   private @Nullable BackendConnection connection;
@@ -42,8 +46,9 @@
     void onEnded(Attempt attempt, AttemptResult result);
   }
 
-  Attempt(BackendRecord backend, Listener listener) {
+  Attempt(BackendRecord backend, ResponseBuffers buffers, Listener listener) {
     this.backend = backend;
+    this.buffers = buffers;
     this.listener = listener;
   }
 
@@ -112,6 +117,7 @@
   void cancel() {
     cancelled = true;
     ended = true;
+    buffers.update(this, 0);
     if (connection != null) {
       connection.cancel();
     }
@@ -131,6 +137,7 @@
   private void end(AttemptResult result) {
     if (!ended) {
       ended = true;
+      buffers.update(this, 0);
       if (connection != null) {
         connection.setReading(true);
       }
@@ -164,15 +171,38 @@
       return;
     }
     if (streaming) {
-      List<EventSplitter.Event> events = splitter.add(bytes);
-      if (!events.isEmpty()) {
-        listener.onEvents(this, streamResponse, events);
-      }
+      addToStream(streamResponse, bytes);
     } else if (body.size() + bytes.length > MAX_BUFFERED_BODY_BYTES) {
       abandon("the response exceeds the limit of " + MAX_BUFFERED_BODY_BYTES + " bytes");
     } else {
       body.writeBytes(bytes);
+      buffers.update(this, body.size());
+    }
+  }
+
+  private void addToStream(HttpResponse streamResponse, byte[] bytes) {
+    List<EventSplitter.Event> events = splitter.add(bytes);
+    if (!events.isEmpty()) {
+      listener.onEvents(this, streamResponse, events);
+    }
+    if (ended) {
+      return;
     }
+    if (splitter.remainderBytes() > MAX_EVENT_BYTES) {
+      abandon("an event of the stream exceeds the limit of " + MAX_EVENT_BYTES + " bytes");
+    } else {
+      buffers.update(this, splitter.remainderBytes());
+    }
+  }
+
+  @Override
+  public void discardBuffered(int bytes) {
+    abandon(
+        "its incomplete response of "
+            + bytes
+            + " bytes was the largest when all together exceeded "
+            + ResponseBuffers.MAX_TOTAL_BYTES
+            + " bytes");
   }
 
   private void abandon(String reason) {
--- a/src/main/java/org/curranthaven/internal/relay/BackendConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/BackendConnection.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
 
 /**
  * One connection to a backend server. Carries one request at a time and returns to its pool only
@@ -25,6 +26,14 @@
 final class BackendConnection extends SimpleChannelInboundHandler<HttpObject> {
   private static final int FIRST_FINAL_STATUS = 200;
 
+  /**
+   * Limit on the interim responses (status 1xx) and the responses to others before the final one.
+   */
+  static final int MAX_SKIPPED_RESPONSES = 16;
+
+  /** Limit on the bytes of those responses. */
+  static final int MAX_SKIPPED_BYTES = 1024 * 1024;
+
   private final BackendPool pool;
   private final String address;
   private @Nullable ChannelHandlerContext channelContext;
@@ -34,6 +43,8 @@
   private ResponseEnding markedEnding = new ResponseEnding.ConnectionClosed();
   private boolean headRequest;
   private boolean skippingResponse;
+  private int skippedResponses;
+  private int skippedBytes;
   private boolean unusable;
   private boolean readFailed;
   private boolean releasePending;
@@ -99,6 +110,8 @@
     headRequest = request.method().equals(HttpMethod.HEAD);
     head = null;
     releasePending = false;
+    skippedResponses = 0;
+    skippedBytes = 0;
     openContext.writeAndFlush(request);
   }
 
@@ -155,14 +168,14 @@
       return;
     }
     if (response.status().code() < FIRST_FINAL_STATUS) {
-      skippingResponse = true;
+      skipResponse();
       return;
     }
     ResponseHead responseHead = pool.protocol().readResponseHead(response);
     if (!responseHead.requestId().isEmpty()
         && !responseHead.requestId().equals(expectedRequestId)) {
-      skippingResponse = true;
       unusable = true;
+      skipResponse();
       return;
     }
     head = responseHead;
@@ -170,6 +183,34 @@
     listener.onHead(responseHead, response);
   }
 
+  private void skipResponse() {
+    skippingResponse = true;
+    skippedResponses++;
+    if (skippedResponses > MAX_SKIPPED_RESPONSES) {
+      fail(
+          "the backend server at "
+              + address
+              + " sent more than "
+              + MAX_SKIPPED_RESPONSES
+              + " responses before the final one",
+          false);
+    }
+  }
+
+  private void skipContent(HttpContent content) {
+    skippingResponse = !(content instanceof LastHttpContent);
+    skippedBytes += content.content().readableBytes();
+    if (skippedBytes > MAX_SKIPPED_BYTES) {
+      fail(
+          "the backend server at "
+              + address
+              + " sent a response to another request, of more than "
+              + MAX_SKIPPED_BYTES
+              + " bytes",
+          false);
+    }
+  }
+
   /** Returns how a response with these headers ends unless it is broken off. */
   private ResponseEnding markedEnding(HttpResponse response) {
     int status = response.status().code();
@@ -188,7 +229,7 @@
   private void handleContent(HttpContent content) {
     ResponseListener currentListener = listener;
     if (skippingResponse) {
-      skippingResponse = !(content instanceof LastHttpContent);
+      skipContent(content);
       return;
     }
     if (currentListener == null || head == null) {
@@ -238,6 +279,7 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext handlerContext, Throwable cause) {
+    Logger.info("connection to backend server at {} failed: {}", address, cause.toString());
     readFailed = true;
     unusable = true;
     handlerContext.close();
--- a/src/main/java/org/curranthaven/internal/relay/EventSplitter.java
+++ b/src/main/java/org/curranthaven/internal/relay/EventSplitter.java
@@ -50,6 +50,11 @@
     return events;
   }
 
+  /** Returns the number of bytes after the last complete event. */
+  int remainderBytes() {
+    return length;
+  }
+
   /** Returns the number of complete events so far. */
   int eventCount() {
     return eventCount;
--- a/src/main/java/org/curranthaven/internal/relay/Gateway.java
+++ b/src/main/java/org/curranthaven/internal/relay/Gateway.java
@@ -60,6 +60,7 @@
   private final SchedulerLink link;
   private final BackendPool pool;
   private final CrashProbe crashProbe;
+  private final ResponseBuffers responseBuffers = new ResponseBuffers();
   private final RelayServer server;
   private final RandomGenerator random;
   private final HostRecord self;
@@ -270,6 +271,11 @@
     return crashProbe;
   }
 
+  @Override
+  public ResponseBuffers responseBuffers() {
+    return responseBuffers;
+  }
+
   @Override
   public String dataCentre() {
     return settings.dataCentre();
--- a/src/main/java/org/curranthaven/internal/relay/RelayContext.java
+++ b/src/main/java/org/curranthaven/internal/relay/RelayContext.java
@@ -22,6 +22,8 @@
 
   CrashProbe crashProbe();
 
+  ResponseBuffers responseBuffers();
+
   String dataCentre();
 
   /** Returns the active catalog. */
--- a/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
@@ -193,7 +193,7 @@
   private void send(BackendRecord target, String stateReference) {
     history.recordStart();
     BackendRecord backupRecord = context.backend(backup);
-    Attempt newAttempt = new Attempt(target, this);
+    Attempt newAttempt = new Attempt(target, context.responseBuffers(), this);
     attempt = newAttempt;
     BackendRequest backendRequest =
         new BackendRequest(
--- a/src/main/java/org/curranthaven/internal/relay/StateTransfer.java
+++ b/src/main/java/org/curranthaven/internal/relay/StateTransfer.java
@@ -13,6 +13,9 @@
  * then stops the request and copies what has been added. Confined to the event loop.
  */
 final class StateTransfer {
+  /** Limit on the body of a response, which holds a handle and a few numbers. */
+  private static final int MAX_RESPONSE_BYTES = 64 * 1024;
+
   /**
    * Longest idle time of a connection that is reused for a copy. A longer idle connection may be
    * closed already, and the transfer would then fail.
@@ -235,14 +238,12 @@
                     TransferResponse.withoutHandle(TransferResponse.Outcome.NO_CONNECTION));
                 return;
               }
-              CopyResponseListener responseListener = new CopyResponseListener(consumer);
+              CopyResponseListener responseListener =
+                  new CopyResponseListener(connection, consumer);
               connection.send(copyRequest, request.id(), responseListener);
               context
                   .loop()
-                  .schedule(
-                      () -> responseListener.onTimeout(connection),
-                      copyTimeoutMillis,
-                      TimeUnit.MILLISECONDS);
+                  .schedule(responseListener::abandon, copyTimeoutMillis, TimeUnit.MILLISECONDS);
             });
   }
 
@@ -251,12 +252,14 @@
    * or timeout.
    */
   private final class CopyResponseListener implements BackendConnection.ResponseListener {
+    private final BackendConnection connection;
     private final Consumer<TransferResponse> consumer;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private int status;
     private boolean completed;
 
-    CopyResponseListener(Consumer<TransferResponse> consumer) {
+    CopyResponseListener(BackendConnection connection, Consumer<TransferResponse> consumer) {
+      this.connection = connection;
       this.consumer = consumer;
     }
 
@@ -267,7 +270,11 @@
 
     @Override
     public void onContent(byte[] bytes) {
-      body.writeBytes(bytes);
+      if (body.size() + bytes.length <= MAX_RESPONSE_BYTES) {
+        body.writeBytes(bytes);
+      } else {
+        abandon();
+      }
     }
 
     @Override
@@ -278,7 +285,8 @@
               : context.protocol().readTransferResponse(status, body.toByteArray()));
     }
 
-    void onTimeout(BackendConnection connection) {
+    /** Gives up on a response that does not arrive in time or is larger than any can be. */
+    void abandon() {
       if (!completed) {
         connection.cancel();
         complete(TransferResponse.withoutHandle(TransferResponse.Outcome.NO_RESPONSE));
