An unexpected error does not end a control host's work

Looked for after the report that one malformed message or unexpected error took a whole process down.

What callers would have seen: after one exception in the scheduler's periodic work its next tick was never scheduled; the leader went on leading, sent no heartbeats and served no queue, and all gateways stayed in local fallback until leadership changed. An Error in the consensus thread (a stack overflow, say) ended that thread and left the process running without it.

Change: the next tick is scheduled whatever happens in this one, and the failure is logged; the consensus loop restarts after such an Error too, 100 ms later, so that one that recurs does not take the processor.

Evidence: SchedulerTest.an_unexpected_error_in_periodic_work_does_not_end_the_heartbeats failed with the catch taken out. No test brings an Error about in the consensus thread.

--- a/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
@@ -48,6 +48,11 @@
  * }</pre>
  */
 public final class ControlHost implements PeerListener {
+  /**
+   * Pause before the consensus loop restarts; a failure that recurs must not take the processor.
+   */
+  private static final long CONSENSUS_RESTART_DELAY_MILLIS = 100;
+
   /**
    * Interval of the addresses of control hosts; they are also sent at each new connection, so that
    * this renews them only.
@@ -139,12 +144,21 @@
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
         return;
-      } catch (Exception e) {
+      } catch (Exception | StackOverflowError | LinkageError | AssertionError e) {
         Logger.error(e, "consensus loop of control host {} failed, restarting it", settings.name());
+        pauseBeforeRestart();
       }
     }
   }
 
+  private static void pauseBeforeRestart() {
+    try {
+      Thread.sleep(CONSENSUS_RESTART_DELAY_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /**
    * Prepares a planned stop: transfers leadership of every group that this host leads, and waits
    * for {@link #LEADERSHIP_TRANSFER_DELAY_MILLIS}.
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -105,6 +105,12 @@
   private record PendingAcknowledgement(
       long version, long catalogRevision, Consumer<Boolean> callback) {}
 
+  /**
+   * Creates a scheduler, which {@link #setTerm} starts.
+   *
+   * @param gateways supplies the connected gateways
+   * @param sender sends a message to the host with the given name, best effort
+   */
   Scheduler(
       EventLoop loop,
       Clock clock,
@@ -175,11 +181,15 @@
     for (HostRecord gateway : gateways.get()) {
       sender.accept(gateway.getName(), Envelope.newBuilder().setSchedulerView(view));
     }
+    failPendingAcknowledgements();
+    deferredActions.clear();
+    rebuilding = false;
+  }
+
+  private void failPendingAcknowledgements() {
     List<PendingAcknowledgement> unacknowledged = List.copyOf(pendingAcknowledgements);
     pendingAcknowledgements.clear();
     unacknowledged.forEach(pending -> pending.callback().accept(false));
-    deferredActions.clear();
-    rebuilding = false;
   }
 
   /**
@@ -226,7 +236,18 @@
       tickScheduled = false;
       return;
     }
-    long nowMillis = clock.nowMillis();
+    try {
+      doPeriodicWork(clock.nowMillis());
+    } catch (RuntimeException e) {
+      // Without the next tick the leader would schedule nothing and send no heartbeats.
+      Logger.error(e, "periodic work of the scheduler in term {} failed; it goes on", term);
+    }
+    long delayMillis =
+        core.queuedRequests() > 0 ? QUEUED_TICK_INTERVAL_MILLIS : HEARTBEAT_INTERVAL_MILLIS;
+    loop.schedule(this::tick, delayMillis, TimeUnit.MILLISECONDS);
+  }
+
+  private void doPeriodicWork(long nowMillis) {
     if (nowMillis - lastHeartbeatMillis >= HEARTBEAT_INTERVAL_MILLIS) {
       heartbeat(nowMillis);
       removeUnresponsiveBackends(nowMillis);
@@ -234,9 +255,6 @@
     core.tick(nowMillis);
     sendDecisions();
     completeAcknowledged();
-    long delayMillis =
-        core.queuedRequests() > 0 ? QUEUED_TICK_INTERVAL_MILLIS : HEARTBEAT_INTERVAL_MILLIS;
-    loop.schedule(this::tick, delayMillis, TimeUnit.MILLISECONDS);
   }
 
   private void heartbeat(long nowMillis) {
@@ -339,8 +357,8 @@
     view.version = status.getVersion();
     view.catalogRevision = Math.max(view.catalogRevision, status.getCatalogRevision());
     if (status.getFull()) {
-      restore(from, status, nowMillis);
       view.rateLimitsVersion = 0;
+      restore(from, status, nowMillis);
       view.hasReportedState = true;
       if (rebuilding) {
         endRebuildIfComplete();
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -35,6 +35,7 @@
   private final ManualTime time = new ManualTime();
   private final List<Map.Entry<String, Envelope>> sent = new ArrayList<>();
   private final List<HostRecord> gateways = new ArrayList<>(List.of(host("g1"), host("g2")));
+  private int sendFailures;
   private final Scheduler scheduler =
       new Scheduler(
           time.loop(),
@@ -43,7 +44,15 @@
           new RetryLimits(0.2, 10, 10_000),
           6_000,
           () -> gateways,
-          (host, message) -> sent.add(Map.entry(host, message.build())));
+          this::send);
+
+  private void send(String host, Envelope.Builder message) {
+    if (sendFailures > 0) {
+      sendFailures--;
+      throw new IllegalStateException("unexpected failure");
+    }
+    sent.add(Map.entry(host, message.build()));
+  }
 
   private static HostRecord host(String name) {
     return HostRecord.newBuilder().setName(name).setIncarnation(1).build();
@@ -442,4 +451,19 @@
 
     assertThat(placementsSent()).isBetween(3L, 5L);
   }
+
+  // ---- failures and suspended processes
+  // ----------------------------------------------------------
+
+  @Test
+  void an_unexpected_error_in_periodic_work_does_not_end_the_heartbeats() {
+    startLeading();
+    sendFailures = 1;
+    time.advance(500);
+    sent.clear();
+
+    time.advance(500);
+
+    assertThat(viewsTo("g1")).isNotEmpty();
+  }
 }
