A leader that was suspended acknowledges nothing after its lease has run out

Looked for after the report that a paused process acted on a permission that had run out meanwhile.

What could have happened: a leader that was suspended for some seconds runs again before its consensus thread steps down. Its connections to the gateways have timed out, none is left to wait for, and it acknowledged that a backend server leaves, while the gateways, which follow another scheduler by then, still sent it requests.

Change: the time at which the lease ends is published with each tick of the consensus thread, and the scheduler checks it by the clock before it acknowledges anything; without a lease it answers 'not the leader', and the request is forwarded to the next one.

Evidence: SchedulerTest.a_leader_that_was_suspended_does_not_acknowledge_that_a_backend_server_leaves failed with the check taken out.

--- a/src/main/java/org/curranthaven/internal/consensus/RaftCore.java
+++ b/src/main/java/org/curranthaven/internal/consensus/RaftCore.java
@@ -193,7 +193,12 @@
     return role == RaftRole.LEADER
         && !transferring
         && commitIndex >= termStartIndex
-        && nowMillis < quorumAcknowledgedMillis(nowMillis) + timing.leaseMillis();
+        && nowMillis < leaseEndMillis(nowMillis);
+  }
+
+  /** Returns when the lease ends that the acknowledgements received so far give to a leader. */
+  public long leaseEndMillis(long nowMillis) {
+    return quorumAcknowledgedMillis(nowMillis) + timing.leaseMillis();
   }
 
   // ---- timers -----------------------------------------------------------------------------------
--- a/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
@@ -115,6 +115,7 @@
             new RetryLimits(
                 settings.retryRatio(), settings.retrySlack(), settings.retryWindowMillis()),
             settings.backendTimeoutMillis(),
+            () -> leadership.hasLease(clock.nowMillis()),
             this::connectedGateways,
             network::send);
     this.leaderClient = new LeaderClient(eventLoop, clock, network, leadership::leaderHost);
--- a/src/main/java/org/curranthaven/internal/scheduler/LeadershipTracker.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/LeadershipTracker.java
@@ -27,6 +27,7 @@
   private final Listener listener;
   private volatile String leaderHost = "";
   private volatile boolean canAcceptCatalogs;
+  private volatile long leaseEndMillis = Long.MIN_VALUE;
   private long leadingTerm;
   private long leadingSinceMillis;
   private long publishedRevision;
@@ -51,6 +52,14 @@
     return leaderHost;
   }
 
+  /**
+   * Returns whether this host leads and no other can lead now. Unlike {@link Listener}, this takes
+   * into account that the consensus thread may have been suspended. Thread-safe.
+   */
+  boolean hasLease(long nowMillis) {
+    return nowMillis < leaseEndMillis;
+  }
+
   /**
    * Returns whether this host, as the leader, accepts new catalogs: either enough hosts vote to
    * survive the tolerated losses, or {@link #MISSING_VOTERS_GRACE_MILLIS} has passed. Thread-safe.
@@ -80,6 +89,7 @@
   public void tick(long nowMillis) {
     RaftCore core = consensus.core(CONTROL_GROUP_ID);
     boolean hasLease = core != null && core.hasLease(nowMillis);
+    leaseEndMillis = core != null && hasLease ? core.leaseEndMillis(nowMillis) : Long.MIN_VALUE;
     leaderHost = consensus.leaderHost(CONTROL_GROUP_ID);
     updateLeadership(core != null && hasLease ? core.term() : 0, nowMillis);
     boolean enoughVoters =
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -66,6 +67,7 @@
   private final RandomGenerator random;
   private final RetryLimits retryLimits;
   private final long backendTimeoutMillis;
+  private final BooleanSupplier hasLease;
   private final Supplier<Collection<HostRecord>> gateways;
   private final BiConsumer<String, Envelope.Builder> sender;
   private final Map<String, GatewayView> gatewayViews = new HashMap<>();
@@ -108,6 +110,8 @@
   /**
    * Creates a scheduler, which {@link #setTerm} starts.
    *
+   * @param hasLease whether no other host can lead now, by the clock; a process that was suspended
+   *     learns of its lost leadership only some time after it runs again
    * @param gateways supplies the connected gateways
    * @param sender sends a message to the host with the given name, best effort
    */
@@ -117,6 +121,7 @@
       RandomGenerator random,
       RetryLimits retryLimits,
       long backendTimeoutMillis,
+      BooleanSupplier hasLease,
       Supplier<Collection<HostRecord>> gateways,
       BiConsumer<String, Envelope.Builder> sender) {
     this.loop = loop;
@@ -124,6 +129,7 @@
     this.random = random;
     this.retryLimits = retryLimits;
     this.backendTimeoutMillis = backendTimeoutMillis;
+    this.hasLease = hasLease;
     this.gateways = gateways;
     this.sender = sender;
     this.core = newCore();
@@ -615,6 +621,11 @@
     if (pendingAcknowledgements.isEmpty()) {
       return;
     }
+    if (!hasLease.getAsBoolean()) {
+      // Gateways may follow another scheduler by now, and only seem to be gone.
+      failPendingAcknowledgements();
+      return;
+    }
     long leastVersion = Long.MAX_VALUE;
     long leastRevision = Long.MAX_VALUE;
     for (HostRecord gateway : gateways.get()) {
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -35,6 +35,7 @@
   private final ManualTime time = new ManualTime();
   private final List<Map.Entry<String, Envelope>> sent = new ArrayList<>();
   private final List<HostRecord> gateways = new ArrayList<>(List.of(host("g1"), host("g2")));
+  private boolean hasLease = true;
   private int sendFailures;
   private final Scheduler scheduler =
       new Scheduler(
@@ -43,6 +44,7 @@
           new SplittableRandom(1),
           new RetryLimits(0.2, 10, 10_000),
           6_000,
+          () -> hasLease,
           () -> gateways,
           this::send);
 
@@ -466,4 +468,20 @@
 
     assertThat(viewsTo("g1")).isNotEmpty();
   }
+
+  @Test
+  void a_leader_that_was_suspended_does_not_acknowledge_that_a_backend_server_leaves() {
+    startLeading();
+    scheduler.register(backend(1, false), new RecordedResult()::accept);
+    RecordedResult result = new RecordedResult();
+    scheduler.register(backend(2, true), result::accept);
+    assertThat(result.value).isNull();
+
+    hasLease = false;
+    gateways.clear();
+    scheduler.gatewayDisconnected(host("g1"));
+    scheduler.gatewayDisconnected(host("g2"));
+
+    assertThat(result.value).isFalse();
+  }
 }
