A gateway that was suspended carries out no placement from before

A gateway that was suspended for some seconds reads what arrived meanwhile: it took a heartbeat for a sign that it is connected, and then a placement from before for a valid one, although the scheduler had discarded the gateway's requests and acknowledged that the backend server leaves. The same could happen, shorter, with each full status: a placement that was on its way was carried out, and the scheduler did not count it.

Change: a full status has a number, decisions state the number that they are based on, and a gateway ignores those based on an earlier one; what it asked for it asks again. Decisions that are read after the scheduler counts as lost start local fallback. A scheduler of an earlier build states 0, which is accepted.

Evidence: SchedulerLinkTest.a_placement_from_before_a_suspension_is_not_carried_out and a_placement_that_is_read_first_after_a_suspension_is_not_carried_out failed with the checks taken out.

--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -108,6 +108,7 @@
   private @Nullable DispatchCore localDispatch;
   private boolean checkScheduled;
   private long lastProgressMillis;
+  private long statusNumber;
   private long fullStatusSentMillis = Long.MIN_VALUE / 2;
 
   /** Receives the catalogs and backend servers that a scheduler publishes. */
@@ -300,6 +301,8 @@
             .setCatalogRevision(catalog.revision())
             .setFull(full);
     if (full) {
+      statusNumber++;
+      status.setNumber(statusNumber);
       fullStatusSentMillis = clock.nowMillis();
       status
           .addAllBackends(backends.values())
@@ -504,6 +507,14 @@
     if (orders.getTerm() != term || !host.equals(scheduler)) {
       return;
     }
+    if (!isConnected()) {
+      loseScheduler("its decisions arrived after its time was up");
+      return;
+    }
+    if (orders.getStatusNumber() > 0 && orders.getStatusNumber() != statusNumber) {
+      // Decisions from before the latest full status: the scheduler has revoked them since.
+      return;
+    }
     lastMessageMillis = clock.nowMillis();
     orders.getWaitingList().forEach(unacknowledged::remove);
     for (Placement placement : orders.getPlacementsList()) {
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -98,6 +98,7 @@
     long incarnation;
     long crashEvidenceVersion;
     long rateLimitsVersion;
+    long statusNumber;
   }
 
   /**
@@ -363,6 +364,7 @@
     view.version = status.getVersion();
     view.catalogRevision = Math.max(view.catalogRevision, status.getCatalogRevision());
     if (status.getFull()) {
+      view.statusNumber = status.getNumber();
       view.rateLimitsVersion = 0;
       restore(from, status, nowMillis);
       view.hasReportedState = true;
@@ -414,7 +416,7 @@
       core.outputProgressed(
           new RequestId(gateway, progress.getId()), progress.getOutputTokens(), nowMillis);
     }
-    DispatchOrders.Builder queuedOrders = DispatchOrders.newBuilder().setTerm(term);
+    DispatchOrders.Builder queuedOrders = newOrders(gateway);
     for (PlacementRequest placementRequest : requests.getAsksList()) {
       RequestId key = new RequestId(gateway, placementRequest.getId());
       core.submit(key, placementRequest, nowMillis);
@@ -476,12 +478,18 @@
     }
   }
 
+  private DispatchOrders.Builder newOrders(String gateway) {
+    GatewayView view = gatewayViews.get(gateway);
+    return DispatchOrders.newBuilder()
+        .setTerm(term)
+        .setStatusNumber(view == null ? 0 : view.statusNumber);
+  }
+
   private void sendDecisions() {
     Map<String, DispatchOrders.Builder> ordersByGateway = new LinkedHashMap<>();
     for (DispatchDecision decision : core.drainDecisions()) {
       DispatchOrders.Builder orders =
-          ordersByGateway.computeIfAbsent(
-              decision.requestId().gateway(), name -> DispatchOrders.newBuilder().setTerm(term));
+          ordersByGateway.computeIfAbsent(decision.requestId().gateway(), this::newOrders);
       switch (decision) {
         case DispatchDecision.Place placement ->
             orders.addPlacements(
--- a/src/main/java/org/curranthaven/internal/transport/wire/Curranthaven.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/Curranthaven.java
@@ -485,73 +485,74 @@
       "address\030\003 \001(\t\022\023\n\013data_centre\030\004 \001(\t\022\r\n\005sl" +
       "ots\030\005 \001(\r\022\017\n\007leaving\030\006 \001(\010\022\020\n\010sequence\030\007" +
       " \001(\004\022\030\n\020cold_left_millis\030\010 \001(\004\022\022\n\nfirst_" +
-      "seen\030\t \001(\004\"\245\002\n\rGatewayStatus\022\014\n\004term\030\001 \001" +
+      "seen\030\t \001(\004\"\265\002\n\rGatewayStatus\022\014\n\004term\030\001 \001" +
       "(\004\022\017\n\007version\030\002 \001(\004\022\030\n\020catalog_revision\030" +
       "\003 \001(\004\022\014\n\004full\030\004 \001(\010\022+\n\004open\030\005 \003(\0132\035.curr" +
       "anthaven.RunningDispatch\022-\n\010backends\030\006 \003" +
       "(\0132\033.curranthaven.BackendRecord\022\014\n\004gone\030" +
       "\007 \003(\t\022/\n\014part_crashes\030\010 \003(\0132\031.curranthav" +
       "en.PartCrashes\0222\n\013rate_limits\030\t \003(\0132\035.cu" +
-      "rranthaven.RateLimitRecord\"\252\001\n\017RunningDi" +
-      "spatch\022+\n\003ask\030\001 \001(\0132\036.curranthaven.Place" +
-      "mentRequest\022\017\n\007backend\030\002 \001(\t\022\025\n\routput_t" +
-      "okens\030\003 \001(\r\022\016\n\006backup\030\004 \001(\t\022\030\n\020migration" +
-      "_target\030\005 \001(\t\022\030\n\020migration_backup\030\006 \001(\t\"" +
-      "\364\002\n\020PlacementRequest\022\n\n\002id\030\001 \001(\004\022\017\n\007serv" +
-      "ice\030\002 \001(\t\022\r\n\005route\030\003 \001(\t\022\021\n\tworkspace\030\004 " +
-      "\001(\t\022\020\n\010priority\030\005 \001(\r\022\025\n\rprompt_tokens\030\006" +
-      " \001(\r\022\031\n\021max_output_tokens\030\007 \001(\r\022\034\n\024hinte" +
-      "d_output_tokens\030\010 \001(\r\022\032\n\022target_left_mil" +
-      "lis\030\t \001(\003\022\034\n\024deadline_left_millis\030\n \001(\003\022" +
-      "\020\n\010excluded\030\013 \003(\t\022\016\n\006repeat\030\014 \001(\010\022\'\n\005par" +
-      "ts\030\r \003(\0132\030.curranthaven.PromptPart\022\023\n\013da" +
-      "ta_centre\030\016 \001(\t\022\016\n\006engine\030\017 \001(\010\022\025\n\rirrep" +
-      "laceable\030\020 \001(\010\"(\n\nPromptPart\022\n\n\002id\030\001 \001(\t" +
-      "\022\016\n\006tokens\030\002 \001(\r\"\372\001\n\020DispatchRequests\022\014\n" +
-      "\004term\030\001 \001(\004\022,\n\004asks\030\002 \003(\0132\036.curranthaven" +
-      ".PlacementRequest\0220\n\010progress\030\003 \003(\0132\036.cu" +
-      "rranthaven.DispatchProgress\022\'\n\004ends\030\004 \003(" +
-      "\0132\031.curranthaven.DispatchEnd\022\030\n\020crashed_" +
-      "backends\030\005 \003(\t\0225\n\013rate_limits\030\006 \003(\0132 .cu" +
-      "rranthaven.RateLimitStatement\"_\n\022RateLim" +
-      "itStatement\022\n\n\002id\030\001 \001(\004\022\017\n\007backend\030\002 \001(\t" +
-      "\022\017\n\007limited\030\003 \001(\010\022\033\n\023requests_per_second" +
-      "\030\004 \001(\001\"5\n\020DispatchProgress\022\n\n\002id\030\001 \001(\004\022\025" +
-      "\n\routput_tokens\030\002 \001(\r\"`\n\013DispatchEnd\022\n\n\002" +
-      "id\030\001 \001(\004\022.\n\007outcome\030\002 \001(\0162\035.curranthaven" +
-      ".DispatchOutcome\022\025\n\routput_tokens\030\003 \001(\r\"" +
-      "\334\001\n\016DispatchOrders\022\014\n\004term\030\001 \001(\004\022+\n\nplac" +
-      "ements\030\002 \003(\0132\027.curranthaven.Placement\022)\n" +
-      "\010refusals\030\003 \003(\0132\027.curranthaven.Rejection" +
-      "\022+\n\005moves\030\004 \003(\0132\034.curranthaven.Migration" +
-      "Order\022\017\n\007waiting\030\005 \003(\004\022&\n\005stops\030\006 \003(\0132\027." +
-      "curranthaven.Rejection\"I\n\tPlacement\022\n\n\002i" +
-      "d\030\001 \001(\004\022\017\n\007backend\030\002 \001(\t\022\017\n\007urgency\030\003 \001(" +
-      "\r\022\016\n\006backup\030\004 \001(\t\"C\n\tRejection\022\n\n\002id\030\001 \001" +
-      "(\004\022\032\n\022retry_after_millis\030\002 \001(\004\022\016\n\006reason" +
-      "\030\003 \001(\t\"<\n\016MigrationOrder\022\n\n\002id\030\001 \001(\004\022\016\n\006" +
-      "target\030\002 \001(\t\022\016\n\006backup\030\003 \001(\t*O\n\tEntryKin" +
-      "d\022\023\n\017ENTRY_KIND_NOOP\020\000\022\026\n\022ENTRY_KIND_COM" +
-      "MAND\020\001\022\025\n\021ENTRY_KIND_VOTERS\020\002*\246\001\n\rComman" +
-      "dStatus\022\036\n\032COMMAND_STATUS_UNSPECIFIED\020\000\022" +
-      "\032\n\026COMMAND_STATUS_APPLIED\020\001\022\035\n\031COMMAND_S" +
-      "TATUS_NOT_LEADER\020\002\022\032\n\026COMMAND_STATUS_UNK" +
-      "NOWN\020\003\022\036\n\032COMMAND_STATUS_UNAVAILABLE\020\004*\353" +
-      "\001\n\014ClaimVerdict\022\035\n\031CLAIM_VERDICT_UNSPECI" +
-      "FIED\020\000\022\031\n\025CLAIM_VERDICT_GRANTED\020\001\022\031\n\025CLA" +
-      "IM_VERDICT_RUNNING\020\002\022\026\n\022CLAIM_VERDICT_DO" +
-      "NE\020\003\022\034\n\030CLAIM_VERDICT_KEY_REUSED\020\004\022\031\n\025CL" +
-      "AIM_VERDICT_TOO_OLD\020\005\022\035\n\031CLAIM_VERDICT_F" +
-      "ROM_FUTURE\020\006\022\026\n\022CLAIM_VERDICT_FULL\020\007*\216\002\n" +
-      "\017DispatchOutcome\022 \n\034DISPATCH_OUTCOME_UNS" +
-      "PECIFIED\020\000\022\035\n\031DISPATCH_OUTCOME_ANSWERED\020" +
-      "\001\022\033\n\027DISPATCH_OUTCOME_FAILED\020\002\022\035\n\031DISPAT" +
-      "CH_OUTCOME_REJECTED\020\003\022 \n\034DISPATCH_OUTCOM" +
-      "E_UNREACHABLE\020\004\022\036\n\032DISPATCH_OUTCOME_CANC" +
-      "ELLED\020\005\022\032\n\026DISPATCH_OUTCOME_MOVED\020\006\022 \n\034D" +
-      "ISPATCH_OUTCOME_MOVE_FAILED\020\007B,\n(org.cur" +
-      "ranthaven.internal.transport.wireP\001b\006pro" +
-      "to3"
+      "rranthaven.RateLimitRecord\022\016\n\006number\030\n \001" +
+      "(\004\"\252\001\n\017RunningDispatch\022+\n\003ask\030\001 \001(\0132\036.cu" +
+      "rranthaven.PlacementRequest\022\017\n\007backend\030\002" +
+      " \001(\t\022\025\n\routput_tokens\030\003 \001(\r\022\016\n\006backup\030\004 " +
+      "\001(\t\022\030\n\020migration_target\030\005 \001(\t\022\030\n\020migrati" +
+      "on_backup\030\006 \001(\t\"\364\002\n\020PlacementRequest\022\n\n\002" +
+      "id\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022\r\n\005route\030\003 \001(\t" +
+      "\022\021\n\tworkspace\030\004 \001(\t\022\020\n\010priority\030\005 \001(\r\022\025\n" +
+      "\rprompt_tokens\030\006 \001(\r\022\031\n\021max_output_token" +
+      "s\030\007 \001(\r\022\034\n\024hinted_output_tokens\030\010 \001(\r\022\032\n" +
+      "\022target_left_millis\030\t \001(\003\022\034\n\024deadline_le" +
+      "ft_millis\030\n \001(\003\022\020\n\010excluded\030\013 \003(\t\022\016\n\006rep" +
+      "eat\030\014 \001(\010\022\'\n\005parts\030\r \003(\0132\030.curranthaven." +
+      "PromptPart\022\023\n\013data_centre\030\016 \001(\t\022\016\n\006engin" +
+      "e\030\017 \001(\010\022\025\n\rirreplaceable\030\020 \001(\010\"(\n\nPrompt" +
+      "Part\022\n\n\002id\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\r\"\372\001\n\020Dis" +
+      "patchRequests\022\014\n\004term\030\001 \001(\004\022,\n\004asks\030\002 \003(" +
+      "\0132\036.curranthaven.PlacementRequest\0220\n\010pro" +
+      "gress\030\003 \003(\0132\036.curranthaven.DispatchProgr" +
+      "ess\022\'\n\004ends\030\004 \003(\0132\031.curranthaven.Dispatc" +
+      "hEnd\022\030\n\020crashed_backends\030\005 \003(\t\0225\n\013rate_l" +
+      "imits\030\006 \003(\0132 .curranthaven.RateLimitStat" +
+      "ement\"_\n\022RateLimitStatement\022\n\n\002id\030\001 \001(\004\022" +
+      "\017\n\007backend\030\002 \001(\t\022\017\n\007limited\030\003 \001(\010\022\033\n\023req" +
+      "uests_per_second\030\004 \001(\001\"5\n\020DispatchProgre" +
+      "ss\022\n\n\002id\030\001 \001(\004\022\025\n\routput_tokens\030\002 \001(\r\"`\n" +
+      "\013DispatchEnd\022\n\n\002id\030\001 \001(\004\022.\n\007outcome\030\002 \001(" +
+      "\0162\035.curranthaven.DispatchOutcome\022\025\n\routp" +
+      "ut_tokens\030\003 \001(\r\"\363\001\n\016DispatchOrders\022\014\n\004te" +
+      "rm\030\001 \001(\004\022+\n\nplacements\030\002 \003(\0132\027.currantha" +
+      "ven.Placement\022)\n\010refusals\030\003 \003(\0132\027.curran" +
+      "thaven.Rejection\022+\n\005moves\030\004 \003(\0132\034.curran" +
+      "thaven.MigrationOrder\022\017\n\007waiting\030\005 \003(\004\022&" +
+      "\n\005stops\030\006 \003(\0132\027.curranthaven.Rejection\022\025" +
+      "\n\rstatus_number\030\007 \001(\004\"I\n\tPlacement\022\n\n\002id" +
+      "\030\001 \001(\004\022\017\n\007backend\030\002 \001(\t\022\017\n\007urgency\030\003 \001(\r" +
+      "\022\016\n\006backup\030\004 \001(\t\"C\n\tRejection\022\n\n\002id\030\001 \001(" +
+      "\004\022\032\n\022retry_after_millis\030\002 \001(\004\022\016\n\006reason\030" +
+      "\003 \001(\t\"<\n\016MigrationOrder\022\n\n\002id\030\001 \001(\004\022\016\n\006t" +
+      "arget\030\002 \001(\t\022\016\n\006backup\030\003 \001(\t*O\n\tEntryKind" +
+      "\022\023\n\017ENTRY_KIND_NOOP\020\000\022\026\n\022ENTRY_KIND_COMM" +
+      "AND\020\001\022\025\n\021ENTRY_KIND_VOTERS\020\002*\246\001\n\rCommand" +
+      "Status\022\036\n\032COMMAND_STATUS_UNSPECIFIED\020\000\022\032" +
+      "\n\026COMMAND_STATUS_APPLIED\020\001\022\035\n\031COMMAND_ST" +
+      "ATUS_NOT_LEADER\020\002\022\032\n\026COMMAND_STATUS_UNKN" +
+      "OWN\020\003\022\036\n\032COMMAND_STATUS_UNAVAILABLE\020\004*\353\001" +
+      "\n\014ClaimVerdict\022\035\n\031CLAIM_VERDICT_UNSPECIF" +
+      "IED\020\000\022\031\n\025CLAIM_VERDICT_GRANTED\020\001\022\031\n\025CLAI" +
+      "M_VERDICT_RUNNING\020\002\022\026\n\022CLAIM_VERDICT_DON" +
+      "E\020\003\022\034\n\030CLAIM_VERDICT_KEY_REUSED\020\004\022\031\n\025CLA" +
+      "IM_VERDICT_TOO_OLD\020\005\022\035\n\031CLAIM_VERDICT_FR" +
+      "OM_FUTURE\020\006\022\026\n\022CLAIM_VERDICT_FULL\020\007*\216\002\n\017" +
+      "DispatchOutcome\022 \n\034DISPATCH_OUTCOME_UNSP" +
+      "ECIFIED\020\000\022\035\n\031DISPATCH_OUTCOME_ANSWERED\020\001" +
+      "\022\033\n\027DISPATCH_OUTCOME_FAILED\020\002\022\035\n\031DISPATC" +
+      "H_OUTCOME_REJECTED\020\003\022 \n\034DISPATCH_OUTCOME" +
+      "_UNREACHABLE\020\004\022\036\n\032DISPATCH_OUTCOME_CANCE" +
+      "LLED\020\005\022\032\n\026DISPATCH_OUTCOME_MOVED\020\006\022 \n\034DI" +
+      "SPATCH_OUTCOME_MOVE_FAILED\020\007B,\n(org.curr" +
+      "anthaven.internal.transport.wireP\001b\006prot" +
+      "o3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -844,7 +845,7 @@
     internal_static_curranthaven_GatewayStatus_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_curranthaven_GatewayStatus_descriptor,
-        new java.lang.String[] { "Term", "Version", "CatalogRevision", "Full", "Open", "Backends", "Gone", "PartCrashes", "RateLimits", });
+        new java.lang.String[] { "Term", "Version", "CatalogRevision", "Full", "Open", "Backends", "Gone", "PartCrashes", "RateLimits", "Number", });
     internal_static_curranthaven_RunningDispatch_descriptor =
       getDescriptor().getMessageType(48);
     internal_static_curranthaven_RunningDispatch_fieldAccessorTable = new
@@ -892,7 +893,7 @@
     internal_static_curranthaven_DispatchOrders_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_curranthaven_DispatchOrders_descriptor,
-        new java.lang.String[] { "Term", "Placements", "Refusals", "Moves", "Waiting", "Stops", });
+        new java.lang.String[] { "Term", "Placements", "Refusals", "Moves", "Waiting", "Stops", "StatusNumber", });
     internal_static_curranthaven_Placement_descriptor =
       getDescriptor().getMessageType(56);
     internal_static_curranthaven_Placement_fieldAccessorTable = new
--- a/src/main/java/org/curranthaven/internal/transport/wire/DispatchOrders.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/DispatchOrders.java
@@ -334,6 +334,22 @@
     return stops_.get(index);
   }
 
+  public static final int STATUS_NUMBER_FIELD_NUMBER = 7;
+  private long statusNumber_ = 0L;
+  /**
+   * <pre>
+   * Number of the gateway's latest full status that the decisions are based on; a gateway that has
+   * sent a later one ignores them.
+   * </pre>
+   *
+   * <code>uint64 status_number = 7;</code>
+   * @return The statusNumber.
+   */
+  @java.lang.Override
+  public long getStatusNumber() {
+    return statusNumber_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -371,6 +387,9 @@
     for (int i = 0; i < stops_.size(); i++) {
       output.writeMessage(6, stops_.get(i));
     }
+    if (statusNumber_ != 0L) {
+      output.writeUInt64(7, statusNumber_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -429,6 +448,10 @@
           }
           size += 1 * count;
         }
+    if (statusNumber_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(7, statusNumber_);
+    }
     return size;
   }
   @java.lang.Override
@@ -465,6 +488,8 @@
         .equals(other.getWaitingList())) return false;
     if (!getStopsList()
         .equals(other.getStopsList())) return false;
+    if (getStatusNumber()
+        != other.getStatusNumber()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -499,6 +524,9 @@
       hash = (37 * hash) + STOPS_FIELD_NUMBER;
       hash = (53 * hash) + getStopsList().hashCode();
     }
+    hash = (37 * hash) + STATUS_NUMBER_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getStatusNumber());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -664,6 +692,7 @@
         stopsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000020);
+      statusNumber_ = 0L;
       return this;
     }
 
@@ -744,6 +773,9 @@
         waiting_.makeImmutable();
         result.waiting_ = waiting_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.statusNumber_ = statusNumber_;
+      }
     }
 
     @java.lang.Override
@@ -876,6 +908,9 @@
           }
         }
       }
+      if (other.getStatusNumber() != 0L) {
+        setStatusNumber(other.getStatusNumber());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -973,6 +1008,11 @@
               }
               break;
             } // case 50
+            case 56: {
+              statusNumber_ = input.readUInt64();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2286,6 +2326,53 @@
       return stopsBuilder_;
     }
 
+    private long statusNumber_ ;
+    /**
+     * <pre>
+     * Number of the gateway's latest full status that the decisions are based on; a gateway that has
+     * sent a later one ignores them.
+     * </pre>
+     *
+     * <code>uint64 status_number = 7;</code>
+     * @return The statusNumber.
+     */
+    @java.lang.Override
+    public long getStatusNumber() {
+      return statusNumber_;
+    }
+    /**
+     * <pre>
+     * Number of the gateway's latest full status that the decisions are based on; a gateway that has
+     * sent a later one ignores them.
+     * </pre>
+     *
+     * <code>uint64 status_number = 7;</code>
+     * @param value The statusNumber to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStatusNumber(long value) {
+
+      statusNumber_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Number of the gateway's latest full status that the decisions are based on; a gateway that has
+     * sent a later one ignores them.
+     * </pre>
+     *
+     * <code>uint64 status_number = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStatusNumber() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      statusNumber_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:curranthaven.DispatchOrders)
   }
 
--- a/src/main/java/org/curranthaven/internal/transport/wire/DispatchOrdersOrBuilder.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/DispatchOrdersOrBuilder.java
@@ -200,4 +200,15 @@
    */
   org.curranthaven.internal.transport.wire.RejectionOrBuilder getStopsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Number of the gateway's latest full status that the decisions are based on; a gateway that has
+   * sent a later one ignores them.
+   * </pre>
+   *
+   * <code>uint64 status_number = 7;</code>
+   * @return The statusNumber.
+   */
+  long getStatusNumber();
 }
--- a/src/main/java/org/curranthaven/internal/transport/wire/GatewayStatus.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/GatewayStatus.java
@@ -392,6 +392,21 @@
     return rateLimits_.get(index);
   }
 
+  public static final int NUMBER_FIELD_NUMBER = 10;
+  private long number_ = 0L;
+  /**
+   * <pre>
+   * Number of this full status on the gateway; 0 if the status is not full.
+   * </pre>
+   *
+   * <code>uint64 number = 10;</code>
+   * @return The number.
+   */
+  @java.lang.Override
+  public long getNumber() {
+    return number_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -433,6 +448,9 @@
     for (int i = 0; i < rateLimits_.size(); i++) {
       output.writeMessage(9, rateLimits_.get(i));
     }
+    if (number_ != 0L) {
+      output.writeUInt64(10, number_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -497,6 +515,10 @@
           }
           size += 1 * count;
         }
+    if (number_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(10, number_);
+    }
     return size;
   }
   @java.lang.Override
@@ -539,6 +561,8 @@
         .equals(other.getPartCrashesList())) return false;
     if (!getRateLimitsList()
         .equals(other.getRateLimitsList())) return false;
+    if (getNumber()
+        != other.getNumber()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -582,6 +606,9 @@
       hash = (37 * hash) + RATE_LIMITS_FIELD_NUMBER;
       hash = (53 * hash) + getRateLimitsList().hashCode();
     }
+    hash = (37 * hash) + NUMBER_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getNumber());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -751,6 +778,7 @@
         rateLimitsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000100);
+      number_ = 0L;
       return this;
     }
 
@@ -840,6 +868,9 @@
         gone_.makeImmutable();
         result.gone_ = gone_;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.number_ = number_;
+      }
     }
 
     @java.lang.Override
@@ -980,6 +1011,9 @@
           }
         }
       }
+      if (other.getNumber() != 0L) {
+        setNumber(other.getNumber());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1081,6 +1115,11 @@
               }
               break;
             } // case 74
+            case 80: {
+              number_ = input.readUInt64();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2564,6 +2603,50 @@
       return rateLimitsBuilder_;
     }
 
+    private long number_ ;
+    /**
+     * <pre>
+     * Number of this full status on the gateway; 0 if the status is not full.
+     * </pre>
+     *
+     * <code>uint64 number = 10;</code>
+     * @return The number.
+     */
+    @java.lang.Override
+    public long getNumber() {
+      return number_;
+    }
+    /**
+     * <pre>
+     * Number of this full status on the gateway; 0 if the status is not full.
+     * </pre>
+     *
+     * <code>uint64 number = 10;</code>
+     * @param value The number to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNumber(long value) {
+
+      number_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Number of this full status on the gateway; 0 if the status is not full.
+     * </pre>
+     *
+     * <code>uint64 number = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearNumber() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      number_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:curranthaven.GatewayStatus)
   }
 
--- a/src/main/java/org/curranthaven/internal/transport/wire/GatewayStatusOrBuilder.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/GatewayStatusOrBuilder.java
@@ -243,4 +243,14 @@
    */
   org.curranthaven.internal.transport.wire.RateLimitRecordOrBuilder getRateLimitsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Number of this full status on the gateway; 0 if the status is not full.
+   * </pre>
+   *
+   * <code>uint64 number = 10;</code>
+   * @return The number.
+   */
+  long getNumber();
 }
--- a/src/test/java/org/curranthaven/internal/relay/ManualTime.java
+++ b/src/test/java/org/curranthaven/internal/relay/ManualTime.java
@@ -32,6 +32,11 @@
     }
   }
 
+  /** Moves the clock on without running any task, as while a process is suspended. */
+  public void suspend(long millis) {
+    nowMillis += millis;
+  }
+
   @Override
   public long nowMillis() {
     return nowMillis;
--- a/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
@@ -454,4 +454,43 @@
         .extracting(RateLimitRecord::getRequestsPerSecond)
         .containsExactly(3.0);
   }
+
+  // ---- suspended processes
+  // -----------------------------------------------------------------------
+
+  private static DispatchOrders placement(long id, String backend, long statusNumber) {
+    return DispatchOrders.newBuilder()
+        .setTerm(3)
+        .setStatusNumber(statusNumber)
+        .addPlacements(Placement.newBuilder().setId(id).setBackend(backend))
+        .build();
+  }
+
+  @Test
+  void a_placement_from_before_a_suspension_is_not_carried_out() {
+    publishView("control-1", 3, 1, "i-1", "i-2");
+    RecordingListener request = new RecordingListener(7);
+    requestPlacement(request);
+
+    time.suspend(5_000);
+    link.handle("control-1", SchedulerView.newBuilder().setTerm(3).build());
+    link.handle("control-1", placement(7, "i-1", 1));
+    assertThat(request.backend()).isEmpty();
+
+    link.handle("control-1", placement(7, "i-2", lastStatus().getNumber()));
+    assertThat(request.backend()).isEqualTo("i-2");
+  }
+
+  @Test
+  void a_placement_that_is_read_first_after_a_suspension_is_not_carried_out() {
+    publishView("control-1", 3, 1, "i-1");
+    RecordingListener request = new RecordingListener(7);
+    requestPlacement(request);
+
+    time.suspend(5_000);
+    link.handle("control-1", placement(7, "i-9", 1));
+
+    assertThat(request.backend()).isNotEqualTo("i-9");
+    assertThat(link.scheduler()).isEmpty();
+  }
 }
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -484,4 +484,17 @@
 
     assertThat(result.value).isFalse();
   }
+
+  @Test
+  void decisions_state_the_full_status_that_they_are_based_on() {
+    startLeading();
+    scheduler.register(backend(1, false), new RecordedResult()::accept);
+    scheduler.handleStatus(
+        host("g1"), GatewayStatus.newBuilder().setTerm(5).setFull(true).setNumber(7).build());
+    sent.clear();
+
+    receiveRequests("g1", DispatchRequests.newBuilder().addAsks(placementRequest(1)));
+
+    assertThat(sent.getLast().getValue().getDispatchOrders().getStatusNumber()).isEqualTo(7);
+  }
 }
