A late response without an id is not the next caller's

Looked for after the report that a server sent a second copy of an answer, late, on a connection that was in use again, and the next caller got it.

A second copy with its request's id was skipped here already, and one on an idle connection closed it (two tests now show both). One without an id, an error such as 404, 500 or 503, was taken for the response to the next request; with the header that says 'not run' it even told the next caller that what was running had not run.

Change: on a connection that has carried a request before, a response must state the id of the present one; otherwise it is broken off, and its connection closed. The first response of a connection needs none. Responses to state transfers state none, and hold a handle instead.

Evidence: BackendConnectionTest.a_late_response_without_a_request_id_is_not_the_response_to_the_next_request failed before.

--- a/src/main/java/org/curranthaven/internal/relay/BackendConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/BackendConnection.java
@@ -41,6 +41,8 @@
   private String expectedRequestId = "";
   private @Nullable ResponseHead head;
   private ResponseEnding markedEnding = new ResponseEnding.ConnectionClosed();
+  private boolean reused;
+  private boolean requestIdRequired;
   private boolean headRequest;
   private boolean skippingResponse;
   private int skippedResponses;
@@ -96,8 +98,24 @@
     return channelContext != null && channelContext.channel().isActive();
   }
 
-  /** Sends a request. The listener is called until the response has ended. */
+  /**
+   * Sends a request whose response states the request's id. The listener is called until the
+   * response has ended.
+   */
   void send(FullHttpRequest request, String requestId, ResponseListener responseListener) {
+    // Without an id, the first response of a connection can only belong to its first request.
+    requestIdRequired = reused && !requestId.isEmpty();
+    sendAny(request, requestId, responseListener);
+  }
+
+  /** Sends a control request about a request with the given id; its response may state no id. */
+  void sendControl(FullHttpRequest request, String requestId, ResponseListener responseListener) {
+    requestIdRequired = false;
+    sendAny(request, requestId, responseListener);
+  }
+
+  private void sendAny(
+      FullHttpRequest request, String requestId, ResponseListener responseListener) {
     ChannelHandlerContext openContext = channelContext;
     if (openContext == null || !openContext.channel().isActive()) {
       responseListener.onEnded(
@@ -112,6 +130,7 @@
     releasePending = false;
     skippedResponses = 0;
     skippedBytes = 0;
+    reused = true;
     openContext.writeAndFlush(request);
   }
 
@@ -178,6 +197,17 @@
       skipResponse();
       return;
     }
+    if (responseHead.requestId().isEmpty() && requestIdRequired) {
+      fail(
+          "the backend server at "
+              + address
+              + " sent status "
+              + responseHead.status()
+              + " without a request id on a connection in use again, so that it may belong to an"
+              + " earlier request",
+          false);
+      return;
+    }
     head = responseHead;
     markedEnding = markedEnding(response);
     listener.onHead(responseHead, response);
--- a/src/main/java/org/curranthaven/internal/relay/StateTransfer.java
+++ b/src/main/java/org/curranthaven/internal/relay/StateTransfer.java
@@ -240,7 +240,7 @@
               }
               CopyResponseListener responseListener =
                   new CopyResponseListener(connection, consumer);
-              connection.send(copyRequest, request.id(), responseListener);
+              connection.sendControl(copyRequest, request.id(), responseListener);
               context
                   .loop()
                   .schedule(responseListener::abandon, copyTimeoutMillis, TimeUnit.MILLISECONDS);
--- a/src/test/java/org/curranthaven/internal/relay/BackendConnectionTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/BackendConnectionTest.java
@@ -170,6 +170,72 @@
     assertBrokenOff();
   }
 
+  private void receiveText(String text) {
+    backend.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+  }
+
+  /** Completes a request whose connection then is in use again for the next one. */
+  private void completeFirstRequest() {
+    receive(200, LENGTH, "four");
+    endings.clear();
+    content.setLength(0);
+  }
+
+  private void sendNextRequest() {
+    connection.send(
+        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/next"),
+        "next",
+        new RecordingListener());
+  }
+
+  @Test
+  void a_second_copy_of_a_response_is_not_the_response_to_the_next_request() {
+    completeFirstRequest();
+    sendNextRequest();
+
+    receiveText("HTTP/1.1 200 X\r\nAttempt-Id: r\r\n" + LENGTH + "\r\nfour");
+    assertThat(endings).isEmpty();
+    receiveText("HTTP/1.1 200 X\r\nAttempt-Id: next\r\n" + LENGTH + "\r\nnext");
+
+    assertThat(endings).containsExactly(new ResponseEnding.LengthReached());
+    assertThat(content.toString()).isEqualTo("next");
+    assertThat(connection.isOpen()).isFalse();
+  }
+
+  @Test
+  void a_late_response_without_a_request_id_is_not_the_response_to_the_next_request() {
+    for (int status : new int[] {200, 404, 500, 503}) {
+      BackendConnectionTest fresh = new BackendConnectionTest();
+      fresh.completeFirstRequest();
+      fresh.sendNextRequest();
+
+      fresh.receiveText("HTTP/1.1 " + status + " X\r\nNot-Executed: 1\r\n" + LENGTH + "\r\nfour");
+
+      fresh.assertBrokenOff();
+      assertThat(fresh.content.toString()).as("status %d", status).isEmpty();
+      assertThat(fresh.connection.isOpen()).isFalse();
+    }
+  }
+
+  @Test
+  void the_response_to_the_first_request_of_a_connection_needs_no_request_id() {
+    sendRequest();
+
+    receiveText("HTTP/1.1 503 X\r\nNot-Executed: 1\r\n" + LENGTH + "\r\nfour");
+
+    assertThat(endings).containsExactly(new ResponseEnding.LengthReached());
+  }
+
+  @Test
+  void bytes_after_a_complete_response_close_its_connection() {
+    completeFirstRequest();
+
+    receiveText("HTTP/1.1 200 X\r\nAttempt-Id: r\r\n" + LENGTH + "\r\nfour");
+
+    assertThat(connection.isOpen()).isFalse();
+    assertThat(endings).isEmpty();
+  }
+
   @Test
   void a_cancelled_response_reports_no_ending() {
     receive(200, NEITHER, "four");
