A planned stop cuts off no request that was just accepted, and no response that is still read

Looked for after the report that during a planned stop under load requests that had just been accepted were cut off without an answer.

What callers would have seen: a gateway that found no open request ended its process while it still accepted connections, so a request read in between was cut off; and 3.5 s into the stop it closed connections whose response was written but not yet read, so that a slow reader got part of it.

Cause: 'no request is open' was asked on another thread than the one that accepts them, with the listener open; a connection that closes after its response counted as idle.

Change: on the event loop, where no request arrives meanwhile, the gateway stops listening, closes idle connections, and is done when no connection of a caller is left; connections that close after their response close by themselves. The end of the drain time bounds it as before.

--- a/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
@@ -478,9 +478,12 @@
 
   // ---- closing ----------------------------------------------------------------------------------
 
-  /** Closes the connection if no request is being processed or received. */
+  /**
+   * Closes the connection if no request is being processed or received. One that closes after its
+   * response is left alone: the caller may not have read all of it yet.
+   */
   void closeIfIdle() {
-    if (!responding && incompleteRequest == null && partialRequestSinceMillis < 0) {
+    if (!closing && !responding && incompleteRequest == null && partialRequestSinceMillis < 0) {
       close();
     }
   }
--- a/src/main/java/org/curranthaven/internal/relay/Gateway.java
+++ b/src/main/java/org/curranthaven/internal/relay/Gateway.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.SortedMap;
 import java.util.SplittableRandom;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
@@ -169,7 +170,7 @@
       if (lateConnectionsOver && !idleConnectionsClosed) {
         idleConnectionsClosed = true;
         loop.execute(server::closeIdleConnections);
-      } else if (lateConnectionsOver && openRequestCount == 0) {
+      } else if (lateConnectionsOver && openRequestCount == 0 && isClosedToCallers()) {
         break;
       }
       Thread.sleep(DRAIN_POLL_MILLIS);
@@ -177,6 +178,19 @@
     return openRequestCount;
   }
 
+  /**
+   * Closes the gateway to callers unless a request has just been accepted; returns whether no
+   * caller is left. Runs on the event loop, on which no request arrives meanwhile.
+   */
+  private boolean isClosedToCallers() throws InterruptedException {
+    try {
+      return loop.submit(() -> openRequests.isEmpty() && server.closeToCallers()).get();
+    } catch (ExecutionException e) {
+      Logger.error(e, "gateway {} could not be closed to callers", settings.name());
+      return false;
+    }
+  }
+
   /** Handles the catalogs and backend servers that the scheduler publishes. */
   private final class SchedulerViewListener implements SchedulerLink.ViewListener {
     @Override
--- a/src/main/java/org/curranthaven/internal/relay/RelayServer.java
+++ b/src/main/java/org/curranthaven/internal/relay/RelayServer.java
@@ -23,6 +23,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Listens for callers and for the readiness checks of load balancers. Connections are handled on
@@ -38,6 +39,7 @@
   private final EventLoopGroup group;
   private final RelayContext context;
   private final Set<CallerConnection> connections = new HashSet<>();
+  private volatile @Nullable Channel callerListener;
 
   RelayServer(EventLoopGroup group, RelayContext context) {
     this.group = group;
@@ -45,14 +47,15 @@
   }
 
   void listenForCallers(InetSocketAddress address) throws InterruptedException {
-    listen(
-        address,
-        new ChannelInitializer<Channel>() {
-          @Override
-          protected void initChannel(Channel channel) {
-            addCaller(channel);
-          }
-        });
+    callerListener =
+        listen(
+            address,
+            new ChannelInitializer<Channel>() {
+              @Override
+              protected void initChannel(Channel channel) {
+                addCaller(channel);
+              }
+            });
   }
 
   private void addCaller(Channel channel) {
@@ -82,9 +85,9 @@
         });
   }
 
-  private void listen(InetSocketAddress address, ChannelInitializer<Channel> initializer)
+  private Channel listen(InetSocketAddress address, ChannelInitializer<Channel> initializer)
       throws InterruptedException {
-    new ServerBootstrap()
+    return new ServerBootstrap()
         .group(group)
         .channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_BACKLOG, BACKLOG)
@@ -92,7 +95,21 @@
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childHandler(initializer)
         .bind(address)
-        .sync();
+        .sync()
+        .channel();
+  }
+
+  /**
+   * Stops accepting connections and closes the idle ones; returns whether no connection of a caller
+   * is left, so that nothing is cut off when the process ends.
+   */
+  boolean closeToCallers() {
+    Channel listener = callerListener;
+    if (listener != null) {
+      listener.close();
+    }
+    closeIdleConnections();
+    return connections.isEmpty();
   }
 
   /** Closes the connections on which no request is being processed or received. */
--- a/src/test/java/org/curranthaven/platform/RoutedFleetFixture.java
+++ b/src/test/java/org/curranthaven/platform/RoutedFleetFixture.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.curranthaven.api.Outcome;
 import org.curranthaven.internal.consensus.DataFolder;
@@ -51,6 +52,7 @@
   @TempDir Path folder;
 
   private final HttpClient client = HttpClient.newHttpClient();
+  private @Nullable Gateway gateway;
   private String controlPeerAddress = "";
   String controlAddress = "";
   String callerAddress = "";
@@ -85,7 +87,8 @@
   }
 
   private void startGateway(int number, String address) throws Exception {
-    new Gateway(
+    gateway =
+        new Gateway(
             // All hosts use the same peer port, so each gateway needs a separate IP address.
             settings(
                 "gateway-" + number,
@@ -95,8 +98,13 @@
                 null,
                 null),
             new PlatformProtocol(),
-            Clock.system())
-        .start();
+            Clock.system());
+    gateway.start();
+  }
+
+  /** Returns the gateway that was started last. */
+  Gateway gateway() {
+    return Objects.requireNonNull(gateway);
   }
 
   private void awaitReady(String address) throws Exception {
@@ -124,7 +132,7 @@
         List.of(contact),
         dataFolder != null,
         0,
-        1,
+        8,
         0.2,
         10,
         10,
