Comments are no output: a stream that stalls behind them resumes elsewhere

Looked for after the report that stalled streams that sent a byte now and then never ended, and that slow but sound ones were cut.

What callers would have seen: an engine that had stalled and sent comment lines kept its stream open until the request's deadline, although another engine held its backup copy, since each comment counted as an event.

Change: only events with a line that is neither blank nor a comment end a pause, and count as the first reply. Comments are forwarded as before.

Evidence: StalledStreamTest.a_stalled_stream_whose_engine_sends_comments_now_and_then_resumes_elsewhere failed before (61 s, the deadline) and takes 2 s now.

--- a/src/main/java/org/curranthaven/internal/relay/EventSplitter.java
+++ b/src/main/java/org/curranthaven/internal/relay/EventSplitter.java
@@ -25,7 +25,19 @@
    * @param bytes the event, including the empty line that ends it
    */
   @SuppressWarnings("ArrayRecordComponent")
-  record Event(String id, byte[] bytes) {}
+  record Event(String id, byte[] bytes) {
+    /** Returns whether the event holds output: a line that is neither blank nor a comment. */
+    boolean hasOutput() {
+      boolean lineStart = true;
+      for (byte octet : bytes) {
+        if (lineStart && octet != ':' && octet != '\n' && octet != '\r') {
+          return true;
+        }
+        lineStart = octet == '\n';
+      }
+      return false;
+    }
+  }
 
   /** Adds bytes and returns the events that they complete. */
   List<Event> add(byte[] bytes) {
--- a/src/main/java/org/curranthaven/internal/relay/RequestProgress.java
+++ b/src/main/java/org/curranthaven/internal/relay/RequestProgress.java
@@ -66,6 +66,11 @@
     pauseStartMillis = nowMillis;
   }
 
+  /** Returns whether any part of the response has been received. */
+  boolean hasReply() {
+    return firstReplyAtMillis != 0;
+  }
+
   /** Returns the time since the last part of the response, or since the last transmission. */
   long pauseMillis(long nowMillis) {
     return nowMillis - pauseStartMillis;
--- a/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
@@ -298,11 +298,12 @@
     if (finished || source != attempt) {
       return;
     }
-    progress.recordReply(context.clock().nowMillis());
+    if (newEvents.stream().anyMatch(EventSplitter.Event::hasOutput)) {
+      recordReply();
+    }
     if (!streamStarted) {
       streamStarted = true;
       caller.startStream(response);
-      context.recordFirstReply(route, progress.firstReplyMillis());
     }
     boolean first = outputTokens() == 0;
     for (EventSplitter.Event event : newEvents) {
@@ -316,6 +317,14 @@
     source.setReading(caller.isWritable());
   }
 
+  private void recordReply() {
+    boolean first = !progress.hasReply();
+    progress.recordReply(context.clock().nowMillis());
+    if (first) {
+      context.recordFirstReply(route, progress.firstReplyMillis());
+    }
+  }
+
   /**
    * Pauses or resumes reading from the backend server as the caller's connection becomes unwritable
    * or writable.
@@ -443,9 +452,8 @@
 
   private void deliver(AttemptResult.Completed completed) {
     if (!streamStarted) {
-      progress.recordReply(context.clock().nowMillis());
+      recordReply();
       finish();
-      context.recordFirstReply(route, progress.firstReplyMillis());
       caller.respond(completed.response());
       return;
     }
--- /dev/null
+++ b/src/test/java/org/curranthaven/platform/StalledStreamTest.java
@@ -0,0 +1,93 @@
+package org.curranthaven.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * Guards against streams that are cut although they are only slow, and against stalled streams that
+ * never end because their engine sends bytes that are no output now and then.
+ */
+@Timeout(120)
+class StalledStreamTest extends RoutedFleetFixture {
+  private static final String MODEL_HEADERS = "Model: m\r\nToken-Count: 1000,4000\r\n";
+  private static final long MAX_RECOVERY_MILLIS = 8_000;
+
+  private static final FakeBackend.ResponseScript RESUMED_STREAM =
+      (request, connection) ->
+          FakeBackend.write(
+              connection,
+              FakeBackend.streamResponseHead(request)
+                  + FakeBackend.event(2)
+                  + FakeBackend.chunk(""));
+
+  /** Runs a stream on one of two engines, with its backup copy on the other. */
+  private String runStream(FakeBackend.ResponseScript engineScript) throws Exception {
+    FakeBackend.ResponseScript script =
+        (request, connection) -> {
+          if (request.header("Kv-From").isEmpty()) {
+            engineScript.respond(request, connection);
+          } else {
+            RESUMED_STREAM.respond(request, connection);
+          }
+        };
+    try (FakeBackend first = new FakeBackend(script);
+        FakeBackend second = new FakeBackend(script)) {
+      register("i-1", first, "ready", 1, "engines");
+      register("i-2", second, "ready", 1, "engines");
+      String response = sendRawRequest("/stories/1", MODEL_HEADERS);
+      List<FakeBackend.ReceivedRequest> received = new ArrayList<>(first.received());
+      received.addAll(second.received());
+      assertThat(received).isNotEmpty();
+      return response;
+    }
+  }
+
+  @Test
+  void a_stalled_stream_whose_engine_sends_comments_now_and_then_resumes_elsewhere()
+      throws Exception {
+    long startMillis = System.nanoTime() / 1_000_000;
+
+    String response =
+        runStream(
+            (request, connection) -> {
+              if (request.line().contains("kv-move")) {
+                FakeBackend.write(connection, "HTTP/1.1 404 X\r\nContent-Length: 2\r\n\r\n{}");
+                return;
+              }
+              FakeBackend.write(
+                  connection, FakeBackend.streamResponseHead(request) + FakeBackend.event(1));
+              while (true) {
+                Thread.sleep(200);
+                FakeBackend.write(connection, FakeBackend.chunk(": still here\n\n"));
+              }
+            });
+
+    assertThat(response).contains("token 1", "token 2").endsWith("0\r\n\r\n");
+    assertThat(System.nanoTime() / 1_000_000 - startMillis).isLessThan(MAX_RECOVERY_MILLIS);
+  }
+
+  @Test
+  @Tag("known-red")
+  void a_stream_that_pauses_on_a_slow_but_sound_engine_is_not_cut() throws Exception {
+    String response =
+        runStream(
+            (request, connection) -> {
+              if (request.line().contains("kv-move")) {
+                // Too slow to answer in time, as it is with its stream.
+                Thread.sleep(5_000);
+                return;
+              }
+              FakeBackend.write(
+                  connection, FakeBackend.streamResponseHead(request) + FakeBackend.event(1));
+              Thread.sleep(2_500);
+              FakeBackend.write(connection, FakeBackend.event(2) + FakeBackend.chunk(""));
+            });
+
+    assertThat(response).contains("token 1", "token 2").endsWith("0\r\n\r\n");
+  }
+}
