Control requests on one connection get their responses in order

A read of the catalog followed by an unknown path got 404 as the response to the read.

Change: a request is handled once the response to the one before it is written; 32 may wait.

SchedulerTest shows that a backend server that is silent for 7 s keeps its requests and is used again, which held before.

--- a/src/main/java/org/curranthaven/internal/scheduler/ControlServer.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/ControlServer.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.curranthaven.internal.relay.ControlRequest;
@@ -32,6 +33,9 @@
   private static final int MAX_BODY_BYTES = 8 * 1024 * 1024;
   private static final int READ_TIMEOUT_SECONDS = 30;
 
+  /** Limit on the requests of a connection that wait for the response to an earlier one. */
+  private static final int MAX_PIPELINED_REQUESTS = 32;
+
   private final EventLoopGroup eventLoopGroup;
   private final WireProtocol protocol;
   private final BiConsumer<ControlRequest, Consumer<ControlResponse>> handler;
@@ -67,14 +71,29 @@
         .sync();
   }
 
-  /** Handles the requests of one connection. */
+  /** Handles the requests of one connection, one after the other. */
   private final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private final ArrayDeque<FullHttpRequest> pipelinedRequests = new ArrayDeque<>();
+    private boolean responding;
+
     RequestHandler() {
       super(FullHttpRequest.class);
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+      if (!responding) {
+        handle(context, request);
+      } else if (pipelinedRequests.size() < MAX_PIPELINED_REQUESTS) {
+        // A response goes to the earliest request that has none, whichever is ready first.
+        pipelinedRequests.add(request.retain());
+      } else {
+        context.close();
+      }
+    }
+
+    private void handle(ChannelHandlerContext context, FullHttpRequest request) {
+      responding = true;
       boolean keepAlive = HttpUtil.isKeepAlive(request);
       if (request.decoderResult().isFailure()) {
         write(
@@ -85,7 +104,29 @@
         return;
       }
       handler.accept(
-          protocol.readControlRequest(request), response -> write(context, response, keepAlive));
+          protocol.readControlRequest(request),
+          response -> {
+            write(context, response, keepAlive);
+            handleNext(context);
+          });
+    }
+
+    private void handleNext(ChannelHandlerContext context) {
+      responding = false;
+      FullHttpRequest next = pipelinedRequests.poll();
+      if (next != null) {
+        try {
+          handle(context, next);
+        } finally {
+          next.release();
+        }
+      }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+      pipelinedRequests.forEach(FullHttpRequest::release);
+      pipelinedRequests.clear();
     }
 
     private static void write(
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -497,4 +497,23 @@
 
     assertThat(sent.getLast().getValue().getDispatchOrders().getStatusNumber()).isEqualTo(7);
   }
+
+  @Test
+  void a_backend_server_that_was_silent_for_a_while_keeps_its_requests_and_is_used_again() {
+    startLeading();
+    scheduler.register(backend(1, false), new RecordedResult()::accept);
+    receiveRequests("g1", DispatchRequests.newBuilder().addAsks(placementRequest(1)));
+    sent.clear();
+
+    time.advance(7_000);
+    assertThat(sent)
+        .extracting(message -> message.getValue().getDispatchOrders())
+        .allMatch(
+            orders ->
+                orders.getStopsCount() + orders.getMovesCount() + orders.getPlacementsCount() == 0);
+    scheduler.register(backend(2, false), new RecordedResult()::accept);
+    receiveRequests("g1", DispatchRequests.newBuilder().addAsks(placementRequest(2)));
+
+    assertThat(placementsSent()).isEqualTo(1);
+  }
 }
