A planned stop does not close connections that were just opened

They counted as idle.

Change: only connections on which nothing has happened for 150 ms are idle; the stop waits for the others, with the listener closed.

--- a/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
@@ -55,6 +55,10 @@
 
   private static final long MILLIS_PER_SECOND = 1_000;
   private static final long MIN_IDLE_CHECK_DELAY_MILLIS = 50;
+
+  /** Time after a connection was opened, or a response sent, in which a request usually follows. */
+  private static final long MIN_IDLE_MILLIS = 150;
+
   private static final long DRAINING_RETRY_AFTER_MILLIS = 50;
   private static final long NOT_INITIALIZED_RETRY_AFTER_MILLIS = 1_000;
 
@@ -479,11 +483,14 @@
   // ---- closing ----------------------------------------------------------------------------------
 
   /**
-   * Closes the connection if no request is being processed or received. One that closes after its
-   * response is left alone: the caller may not have read all of it yet.
+   * Closes the connection if no request is being processed or received, and none is likely to be on
+   * its way. One that closes after its response is left alone: the caller may not have read all of
+   * it yet.
    */
   void closeIfIdle() {
-    if (!closing && !responding && incompleteRequest == null && partialRequestSinceMillis < 0) {
+    boolean idle = !responding && incompleteRequest == null && partialRequestSinceMillis < 0;
+    long idleMillis = context.clock().nowMillis() - lastActivityMillis;
+    if (!closing && idle && idleMillis >= MIN_IDLE_MILLIS) {
       close();
     }
   }
