A retry that only a stated limit holds back does not hold up the requests behind it

Change: such a retry keeps its place in the queue, and others are placed past it. Where no backend server is excluded the queue keeps its order, since what one request cannot use no other can.

Evidence: RequestRateLimitsTest.a_retry_that_only_a_limit_holds_back_does_not_hold_up_the_requests_behind_it failed before.

--- a/src/main/java/org/curranthaven/internal/dispatch/CapacityRules.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/CapacityRules.java
@@ -64,6 +64,11 @@
         && hasRoom(backend, engine, requestTokens, memoryShare);
   }
 
+  /** Returns whether the backend server accepts no request now because of its stated limit. */
+  boolean isHeldByLimit(BackendState backend, long nowMillis) {
+    return !backend.isFull(nowMillis) && !rateLimits.allows(backend.id(), nowMillis);
+  }
+
   /** Returns whether the backend server has slots and memory for the request. */
   boolean hasRoom(
       BackendState backend,
--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -274,7 +274,8 @@
     SortedSet<QueuedRequest> serviceQueue = queue.requestsOf(request.getService());
     boolean ranksFirst =
         serviceQueue.isEmpty()
-            || request.getPriority() < serviceQueue.first().request().getPriority();
+            || request.getPriority() < serviceQueue.first().request().getPriority()
+            || isRetryHeldByLimit(serviceQueue.first().request(), nowMillis);
     PlacementResult result =
         ranksFirst
             ? place(requestId, request, request.getTargetLeftMillis(), nowMillis)
@@ -485,7 +486,8 @@
           place(queued.id(), queued.request(), queued.dueAtMillis() - nowMillis, nowMillis);
       if (result == PlacementResult.PLACED) {
         queue.remove(queued.id());
-      } else if (result == PlacementResult.NO_CAPACITY) {
+      } else if (result == PlacementResult.NO_CAPACITY
+          && !isRetryHeldByLimit(queued.request(), nowMillis)) {
         // Requests behind it would take the capacity that a large request waits for.
         return;
       }
@@ -493,6 +495,26 @@
     }
   }
 
+  /**
+   * Returns whether the backend servers that are left to a retry have capacity but for their stated
+   * limits. Others may then be placed before it, on backend servers that it must not use.
+   */
+  private boolean isRetryHeldByLimit(PlacementRequest request, long nowMillis) {
+    if (request.getExcludedCount() == 0) {
+      return false;
+    }
+    EngineCapabilities engine = backends.engineOf(request.getService());
+    double requestTokens =
+        RunningRequest.memoryTokens(request.getPromptTokens(), forecast.outputTokens(request));
+    return backends
+        .usableFor(request, nowMillis)
+        .anyMatch(
+            backend ->
+                capacityRules.isHeldByLimit(backend, nowMillis)
+                    && capacityRules.hasRoom(
+                        backend, engine, requestTokens, CapacityRules.MEMORY_SHARE));
+  }
+
   /** Outcome of trying to place a request. */
   private enum PlacementResult {
     PLACED,
--- a/src/test/java/org/curranthaven/internal/dispatch/RequestRateLimitsTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/RequestRateLimitsTest.java
@@ -209,6 +209,20 @@
     assertThat(reject.retryAfterMillis()).isBetween(1_500L, 2_000L);
   }
 
+  @Test
+  void a_retry_that_only_a_limit_holds_back_does_not_hold_up_the_requests_behind_it() {
+    core.updateBackend(backend("i-1", "plain"), 0);
+    core.updateBackend(backend("i-2", "plain"), 0);
+    core.rateLimitStated(new RequestId("gateway", 0), "i-2", 0.2, 10);
+    RequestId retry = submit(plainRequest().addExcluded("i-1").setTargetLeftMillis(20_000), 20);
+    assertThat(core.isQueued(retry)).isTrue();
+
+    RequestId next = submit(plainRequest(), 30);
+
+    assertThat(core.drainDecisions())
+        .containsExactly(new DispatchDecision.Place(next, "i-1", 0, ""));
+  }
+
   @Test
   void engines_with_free_memory_but_a_limit_are_forecast_by_their_rate() {
     core.updateBackend(backend("e-1", "engines"), 0);
