--- a/src/main/java/org/curranthaven/internal/dispatch/CapacityRules.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/CapacityRules.java
@@ -6,8 +6,8 @@
 /**
  * Decides whether a backend server has capacity for a request. An engine's memory fills only while
  * outputs grow, so the memory that running requests are forecast to need is counted before it is in
- * use; otherwise it would be assigned twice under load. A backend server in need has capacity only
- * for as many requests a second as it states. Not thread-safe.
+ * use; otherwise it would be assigned twice under load. A backend server that states a limit has
+ * capacity only for as many requests a second. Not thread-safe.
  */
 final class CapacityRules {
   /** Share of an engine's memory that may be reserved when placing requests. */
--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -411,7 +411,7 @@
         backends.recordSuccess(backend);
         engineCrashes.recordCompletion(running, outputTokens, nowMillis);
         if (running.request.getEngine() || !rateLimits.isLimited(backend.id())) {
-          // A plain backend server in need takes longer than its service usually does.
+          // A plain backend server with a limit takes longer than its service usually does.
           forecast.recordCompletion(running, outputTokens, nowMillis);
         }
       }
--- a/src/main/java/org/curranthaven/internal/dispatch/RequestRateLimits.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/RequestRateLimits.java
@@ -15,9 +15,9 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Limits on requests that backend servers in need state in their responses, and the requests placed
- * under them. A limit holds for one incarnation of a backend server until a response without limit
- * shows that it has ended.
+ * Limits on requests that backend servers state in their responses, and the requests placed under
+ * them. A limit holds for one incarnation of a backend server until a response without limit shows
+ * that it has ended.
  *
  * <pre>{@code
  * limits.state("i-7", 3.6, placedAtMillis, nowMillis);
--- a/src/main/java/org/curranthaven/internal/relay/ResponseBuffers.java
+++ b/src/main/java/org/curranthaven/internal/relay/ResponseBuffers.java
@@ -4,8 +4,8 @@
 import java.util.Map;
 
 /**
- * Bounds the bytes of incomplete responses that a gateway holds for all attempts together. Backend
- * servers in trouble may send bytes without end, also many of them at once. Confined to the event
+ * Bounds the bytes of incomplete responses that a gateway holds for all attempts together. Faulty
+ * backend servers may send bytes without end, also many of them at once. Confined to the event
  * loop.
  */
 final class ResponseBuffers {
--- a/src/test/java/org/curranthaven/internal/dispatch/RequestRateLimitsTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/RequestRateLimitsTest.java
@@ -15,7 +15,7 @@
 import org.curranthaven.internal.transport.wire.PlacementRequest;
 import org.junit.jupiter.api.Test;
 
-/** Guards against backend servers in need that get more requests than they state. */
+/** Guards against backend servers that get more requests than the limit that they state. */
 class RequestRateLimitsTest {
   private static final long WINDOW_MILLIS = 4_000;
   private static final long TICK_MILLIS = 40;
--- a/src/test/java/org/curranthaven/platform/EndlessResponseTest.java
+++ b/src/test/java/org/curranthaven/platform/EndlessResponseTest.java
@@ -10,9 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-/**
- * Guards against backend servers in trouble that send bytes without end until the caller closes.
- */
+/** Guards against backend servers that send bytes without end until the caller closes. */
 @Timeout(120)
 class EndlessResponseTest extends RoutedFleetFixture {
   /** What the buffers of both ends' sockets may hold, beyond what the gateway takes in. */
