Ask a source to stop in one place; one forecast of the memory that a request needs

startWithEndedSource and startAtStalledSource set the same five fields, and a retry held by a limit worked out the needed memory a second time. Behaviour stays as it is.

--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -504,8 +504,7 @@
       return false;
     }
     EngineCapabilities engine = backends.engineOf(request.getService());
-    double requestTokens =
-        RunningRequest.memoryTokens(request.getPromptTokens(), forecast.outputTokens(request));
+    double requestTokens = forecast.neededMemoryTokens(request);
     return backends
         .usableFor(request, nowMillis)
         .anyMatch(
--- a/src/main/java/org/curranthaven/internal/dispatch/QueueTimeForecast.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/QueueTimeForecast.java
@@ -231,7 +231,7 @@
   }
 
   /** Returns the memory that a request must find free to be placed. */
-  private double neededMemoryTokens(PlacementRequest request) {
+  double neededMemoryTokens(PlacementRequest request) {
     return RunningRequest.memoryTokens(request.getPromptTokens(), outputTokens(request));
   }
 }
--- a/src/main/java/org/curranthaven/internal/relay/StateTransfer.java
+++ b/src/main/java/org/curranthaven/internal/relay/StateTransfer.java
@@ -106,13 +106,8 @@
    * confirmed the stop.
    */
   void startWithEndedSource() {
-    copyTimeoutMillis = STOP_TIMEOUT_MILLIS;
-    maxConnectionIdleMillis = NEW_CONNECTION_ONLY;
-    startedAtMillis = context.clock().nowMillis();
     sourceEnded = true;
-    stopping = true;
-    stopRequestedAtMillis = context.clock().nowMillis();
-    requestCopy(true, this::onStopResponse);
+    requestStop(this::onStopResponse);
   }
 
   /**
@@ -120,12 +115,17 @@
    * stays open, and copy its state.
    */
   void startAtStalledSource() {
+    requestStop(this::onStalledResponse);
+  }
+
+  /** Has the source stop the request at once and copy its state, over a new connection. */
+  private void requestStop(Consumer<TransferResponse> consumer) {
     copyTimeoutMillis = STOP_TIMEOUT_MILLIS;
     maxConnectionIdleMillis = NEW_CONNECTION_ONLY;
     startedAtMillis = context.clock().nowMillis();
     stopping = true;
     stopRequestedAtMillis = startedAtMillis;
-    requestCopy(true, this::onStalledResponse);
+    requestCopy(true, consumer);
   }
 
   private void onStalledResponse(TransferResponse response) {
