--- a/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
@@ -50,6 +50,7 @@
   private final long deadlineAtMillis;
   private final ScheduledFuture<?> deadlineTimer;
   private final RequestProgress progress;
+  private final long fingerprint;
   private final MigrationCoordinator migration;
   private final AttemptHistory history = new AttemptHistory();
   private final Set<String> excludedBackends = new LinkedHashSet<>();
@@ -86,6 +87,7 @@
     this.migration = new MigrationCoordinator(context, request, route, engine, this);
     this.progress =
         new RequestProgress(route, tokensPerEvent, request.lastEventId(), arrivedAtMillis);
+    this.fingerprint = RequestFingerprint.of(request);
     this.deadlineAtMillis = arrivedAtMillis + timeoutMillis;
     long leftMillis = Math.max(0, deadlineAtMillis - context.clock().nowMillis());
     this.deadlineTimer =
@@ -432,13 +434,14 @@
     if (!(result instanceof AttemptResult.Completed) || decision instanceof RetryDecision.Retry) {
       Logger.info(
           "request {} on route {}: attempt {} at backend server {} ended: {}; next step: {};"
-              + " prompt parts {}",
+              + " fingerprint {}, prompt parts {}",
           request.id(),
           route.name(),
           history.attempts(),
           backend,
           describe(result),
           decision.getClass().getSimpleName(),
+          Long.toHexString(fingerprint),
           request.parts().stream().map(PromptPart::getId).toList());
     }
   }
