--- a/src/main/java/org/curranthaven/internal/bench/CrashesBench.java
+++ b/src/main/java/org/curranthaven/internal/bench/CrashesBench.java
@@ -10,6 +10,7 @@
 import org.curranthaven.internal.dispatch.RequestId;
 import org.curranthaven.internal.dispatch.RequestRateLimits;
 import org.curranthaven.internal.dispatch.RetryLimits;
+import org.curranthaven.internal.relay.RequestFingerprint;
 import org.curranthaven.internal.transport.wire.BackendRecord;
 import org.curranthaven.internal.transport.wire.PlacementRequest;
 import org.curranthaven.internal.transport.wire.PromptPart;
@@ -20,11 +21,14 @@
 public final class CrashesBench {
   private static final int[] ENGINE_COUNTS = {13, 90, 270, 810};
   private static final int[] PART_COUNTS = {16, 64, 256};
+  private static final int[] BODY_KILOBYTES = {0, 1, 10, 100, 1_000};
+  private static final int FINGERPRINTS = 200;
   private static final int REQUESTS_PER_ENGINE = 20;
   private static final int CRASHES = 10;
   private static final int REPEATS = 5;
   private static final String SERVICE = "engines";
   private static final RetryLimits RETRY_LIMITS = new RetryLimits(0.2, 100, 10_000);
+  private static final int BYTES_PER_KILOBYTE = 1_000;
   private static final double NANOS_PER_MICRO = 1e3;
 
   private final Consumer<String> out;
@@ -47,6 +51,11 @@
       bytes.add(new LineFit.Point(parts, evidenceBytes(parts)));
     }
     report("evidence on the wire, by parts", "bytes", bytes);
+    List<LineFit.Point> fingerprintMicros = new ArrayList<>();
+    for (int kilobytes : BODY_KILOBYTES) {
+      fingerprintMicros.add(new LineFit.Point(kilobytes, fingerprintMicros(kilobytes)));
+    }
+    report("fingerprint of a request, by kB", "us", fingerprintMicros);
   }
 
   private void report(String name, String unit, List<LineFit.Point> points) {
@@ -77,6 +86,27 @@
     return bestMicros;
   }
 
+  /** Returns the shortest mean time that the fingerprint of a request takes. */
+  private static double fingerprintMicros(int kilobytes) {
+    byte[] body = new byte[kilobytes * BYTES_PER_KILOBYTE];
+    double bestMicros = Double.MAX_VALUE;
+    for (int repeat = 0; repeat < REPEATS; repeat++) {
+      long startNanos = System.nanoTime();
+      for (int i = 0; i < FINGERPRINTS; i++) {
+        body = body.length == 0 ? body : varied(body, i);
+        RequestFingerprint.of("POST", "/stories/" + i, body);
+      }
+      double micros = (System.nanoTime() - startNanos) / NANOS_PER_MICRO / FINGERPRINTS;
+      bestMicros = Math.min(bestMicros, micros);
+    }
+    return bestMicros;
+  }
+
+  private static byte[] varied(byte[] body, int value) {
+    body[0] = (byte) value;
+    return body;
+  }
+
   /** Returns a core with engines that run requests of which half have no output yet. */
   private static DispatchCore newCore(int engines, CrashEvidence evidence) {
     DispatchCore core =
--- a/src/main/java/org/curranthaven/internal/relay/RequestFingerprint.java
+++ b/src/main/java/org/curranthaven/internal/relay/RequestFingerprint.java
@@ -14,17 +14,22 @@
  * long fingerprint = RequestFingerprint.of(request);
  * }</pre>
  */
-final class RequestFingerprint {
+public final class RequestFingerprint {
   private static final String DIGEST = "SHA-256";
 
   private RequestFingerprint() {}
 
   /** Returns the fingerprint of a request; never 0. */
   static long of(InboundRequest request) {
+    return of(request.method().name(), request.uri(), request.body());
+  }
+
+  /** Returns the fingerprint of the request with the given path and query; never 0. */
+  public static long of(String method, String uri, byte[] body) {
     MessageDigest digest = newDigest();
-    digest.update((request.method().name() + " " + request.uri()).getBytes(StandardCharsets.UTF_8));
+    digest.update((method + " " + uri).getBytes(StandardCharsets.UTF_8));
     digest.update((byte) '\n');
-    long start = ByteBuffer.wrap(digest.digest(request.body())).getLong();
+    long start = ByteBuffer.wrap(digest.digest(body)).getLong();
     return start == 0 ? 1 : start;
   }
 
