--- a/src/main/java/org/curranthaven/internal/dispatch/BackendRegistry.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/BackendRegistry.java
@@ -53,6 +53,7 @@
     return first.getAddress().equals(second.getAddress())
         && first.getService().equals(second.getService())
         && first.getSlots() == second.getSlots()
+        && first.getSoftwareVersion().equals(second.getSoftwareVersion())
         && first.getLeaving() == second.getLeaving();
   }
 
--- a/src/main/java/org/curranthaven/internal/relay/InboundRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/InboundRequest.java
@@ -21,6 +21,8 @@
  * @param parts parts of the prompt, in order
  * @param lastEventId id of the event after which the caller wants a stream to resume; empty for the
  *     whole stream
+ * @param resumedRequestId id of the request that began a stream which the caller takes up; empty if
+ *     it is not stated
  * @param headers headers that are forwarded to the backend server
  * @param body complete body
  * @param keepAlive whether the caller's connection may be reused
@@ -40,6 +42,7 @@
     int hintedOutputTokens,
     List<PromptPart> parts,
     String lastEventId,
+    String resumedRequestId,
     HttpHeaders headers,
     byte[] body,
     boolean keepAlive) {}
--- a/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
@@ -95,6 +95,14 @@
   }
 
   void start() {
+    if (!request.lastEventId().isEmpty()) {
+      Logger.info(
+          "request {} on route {} takes up the stream of request \"{}\" after event {}",
+          request.id(),
+          route.name(),
+          request.resumedRequestId(),
+          request.lastEventId());
+    }
     requestPlacement(false);
   }
 
@@ -182,12 +190,13 @@
       return;
     }
     Logger.info(
-        "request {} on route {}: attempt {} at backend server {} (backup copy at {}),"
-            + " {} ms to deadline",
+        "request {} on route {}: attempt {} at backend server {} with software version \"{}\""
+            + " (backup copy at {}), {} ms to deadline",
         request.id(),
         route.name(),
         history.attempts() + 1,
         backendId,
+        target.getSoftwareVersion(),
         backupId.isEmpty() ? "none" : backupId,
         leftMillis);
     send(target, "");
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -543,9 +543,10 @@
           BackendRecord changed = registry.register(registration, nowMillis);
           if (changed != null) {
             Logger.info(
-                "backend server {} of service {} {}",
+                "backend server {} of service {} with software version \"{}\" {}",
                 changed.getId(),
                 changed.getService(),
+                changed.getSoftwareVersion(),
                 changed.getLeaving() ? "is leaving" : "registered");
             core.updateBackend(changed, nowMillis);
             pushBackendChange(List.of(changed), List.of());
--- a/src/main/java/org/curranthaven/internal/transport/wire/BackendRecord.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/BackendRecord.java
@@ -36,6 +36,7 @@
     service_ = "";
     address_ = "";
     dataCentre_ = "";
+    softwareVersion_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -288,6 +289,53 @@
     return firstSeen_;
   }
 
+  public static final int SOFTWARE_VERSION_FIELD_NUMBER = 10;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object softwareVersion_ = "";
+  /**
+   * <pre>
+   * Version of its software, not of its model; empty if it states none.
+   * </pre>
+   *
+   * <code>string software_version = 10;</code>
+   * @return The softwareVersion.
+   */
+  @java.lang.Override
+  public java.lang.String getSoftwareVersion() {
+    java.lang.Object ref = softwareVersion_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      softwareVersion_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Version of its software, not of its model; empty if it states none.
+   * </pre>
+   *
+   * <code>string software_version = 10;</code>
+   * @return The bytes for softwareVersion.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getSoftwareVersionBytes() {
+    java.lang.Object ref = softwareVersion_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      softwareVersion_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -329,6 +377,9 @@
     if (firstSeen_ != 0L) {
       output.writeUInt64(9, firstSeen_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(softwareVersion_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 10, softwareVersion_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -365,6 +416,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(9, firstSeen_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(softwareVersion_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(10, softwareVersion_);
+    }
     return size;
   }
   @java.lang.Override
@@ -407,6 +461,8 @@
         != other.getColdLeftMillis()) return false;
     if (getFirstSeen()
         != other.getFirstSeen()) return false;
+    if (!getSoftwareVersion()
+        .equals(other.getSoftwareVersion())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -440,6 +496,8 @@
     hash = (37 * hash) + FIRST_SEEN_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getFirstSeen());
+    hash = (37 * hash) + SOFTWARE_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + getSoftwareVersion().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -584,6 +642,7 @@
       sequence_ = 0L;
       coldLeftMillis_ = 0L;
       firstSeen_ = 0L;
+      softwareVersion_ = "";
       return this;
     }
 
@@ -644,6 +703,9 @@
       if (((from_bitField0_ & 0x00000100) != 0)) {
         result.firstSeen_ = firstSeen_;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.softwareVersion_ = softwareVersion_;
+      }
     }
 
     @java.lang.Override
@@ -693,6 +755,11 @@
       if (other.getFirstSeen() != 0L) {
         setFirstSeen(other.getFirstSeen());
       }
+      if (!other.getSoftwareVersion().isEmpty()) {
+        softwareVersion_ = other.softwareVersion_;
+        bitField0_ |= 0x00000200;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -762,6 +829,11 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 72
+            case 82: {
+              softwareVersion_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 82
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1290,6 +1362,98 @@
       return this;
     }
 
+    private java.lang.Object softwareVersion_ = "";
+    /**
+     * <pre>
+     * Version of its software, not of its model; empty if it states none.
+     * </pre>
+     *
+     * <code>string software_version = 10;</code>
+     * @return The softwareVersion.
+     */
+    public java.lang.String getSoftwareVersion() {
+      java.lang.Object ref = softwareVersion_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        softwareVersion_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Version of its software, not of its model; empty if it states none.
+     * </pre>
+     *
+     * <code>string software_version = 10;</code>
+     * @return The bytes for softwareVersion.
+     */
+    public com.google.protobuf.ByteString
+        getSoftwareVersionBytes() {
+      java.lang.Object ref = softwareVersion_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        softwareVersion_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Version of its software, not of its model; empty if it states none.
+     * </pre>
+     *
+     * <code>string software_version = 10;</code>
+     * @param value The softwareVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSoftwareVersion(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      softwareVersion_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Version of its software, not of its model; empty if it states none.
+     * </pre>
+     *
+     * <code>string software_version = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSoftwareVersion() {
+      softwareVersion_ = getDefaultInstance().getSoftwareVersion();
+      bitField0_ = (bitField0_ & ~0x00000200);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Version of its software, not of its model; empty if it states none.
+     * </pre>
+     *
+     * <code>string software_version = 10;</code>
+     * @param value The bytes for softwareVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSoftwareVersionBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      softwareVersion_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:curranthaven.BackendRecord)
   }
 
--- a/src/main/java/org/curranthaven/internal/transport/wire/BackendRecordOrBuilder.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/BackendRecordOrBuilder.java
@@ -108,4 +108,24 @@
    * @return The firstSeen.
    */
   long getFirstSeen();
+
+  /**
+   * <pre>
+   * Version of its software, not of its model; empty if it states none.
+   * </pre>
+   *
+   * <code>string software_version = 10;</code>
+   * @return The softwareVersion.
+   */
+  java.lang.String getSoftwareVersion();
+  /**
+   * <pre>
+   * Version of its software, not of its model; empty if it states none.
+   * </pre>
+   *
+   * <code>string software_version = 10;</code>
+   * @return The bytes for softwareVersion.
+   */
+  com.google.protobuf.ByteString
+      getSoftwareVersionBytes();
 }
--- a/src/main/java/org/curranthaven/internal/transport/wire/Curranthaven.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/Curranthaven.java
@@ -481,80 +481,81 @@
       "\022\n\nhad_output\030\007 \001(\010\022\031\n\021output_age_millis" +
       "\030\010 \001(\004\022\020\n\010requests\030\t \001(\r\022\021\n\tworkspace\030\n " +
       "\001(\t\022\023\n\013fingerprint\030\013 \001(\006\"3\n\014BackendCrash" +
-      "\022\017\n\007backend\030\001 \001(\t\022\022\n\nage_millis\030\002 \001(\004\"\262\001" +
+      "\022\017\n\007backend\030\001 \001(\t\022\022\n\nage_millis\030\002 \001(\004\"\314\001" +
       "\n\rBackendRecord\022\n\n\002id\030\001 \001(\t\022\017\n\007service\030\002" +
       " \001(\t\022\017\n\007address\030\003 \001(\t\022\023\n\013data_centre\030\004 \001" +
       "(\t\022\r\n\005slots\030\005 \001(\r\022\017\n\007leaving\030\006 \001(\010\022\020\n\010se" +
       "quence\030\007 \001(\004\022\030\n\020cold_left_millis\030\010 \001(\004\022\022" +
-      "\n\nfirst_seen\030\t \001(\004\"\271\002\n\rGatewayStatus\022\014\n\004" +
-      "term\030\001 \001(\004\022\017\n\007version\030\002 \001(\004\022\030\n\020catalog_r" +
-      "evision\030\003 \001(\004\022\014\n\004full\030\004 \001(\010\022+\n\004open\030\005 \003(" +
-      "\0132\035.curranthaven.RunningDispatch\022-\n\010back" +
-      "ends\030\006 \003(\0132\033.curranthaven.BackendRecord\022" +
-      "\014\n\004gone\030\007 \003(\t\0223\n\016crash_suspects\030\010 \003(\0132\033." +
-      "curranthaven.SuspectRecord\0222\n\013rate_limit" +
-      "s\030\t \003(\0132\035.curranthaven.RateLimitRecord\022\016" +
-      "\n\006number\030\n \001(\004\"\252\001\n\017RunningDispatch\022+\n\003as" +
-      "k\030\001 \001(\0132\036.curranthaven.PlacementRequest\022" +
-      "\017\n\007backend\030\002 \001(\t\022\025\n\routput_tokens\030\003 \001(\r\022" +
-      "\016\n\006backup\030\004 \001(\t\022\030\n\020migration_target\030\005 \001(" +
-      "\t\022\030\n\020migration_backup\030\006 \001(\t\"\211\003\n\020Placemen" +
-      "tRequest\022\n\n\002id\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022\r\n" +
-      "\005route\030\003 \001(\t\022\021\n\tworkspace\030\004 \001(\t\022\020\n\010prior" +
-      "ity\030\005 \001(\r\022\025\n\rprompt_tokens\030\006 \001(\r\022\031\n\021max_" +
-      "output_tokens\030\007 \001(\r\022\034\n\024hinted_output_tok" +
-      "ens\030\010 \001(\r\022\032\n\022target_left_millis\030\t \001(\003\022\034\n" +
-      "\024deadline_left_millis\030\n \001(\003\022\020\n\010excluded\030" +
-      "\013 \003(\t\022\016\n\006repeat\030\014 \001(\010\022\'\n\005parts\030\r \003(\0132\030.c" +
-      "urranthaven.PromptPart\022\023\n\013data_centre\030\016 " +
-      "\001(\t\022\016\n\006engine\030\017 \001(\010\022\025\n\rirreplaceable\030\020 \001" +
-      "(\010\022\023\n\013fingerprint\030\021 \001(\006\"(\n\nPromptPart\022\n\n" +
-      "\002id\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\r\"\372\001\n\020DispatchRe" +
-      "quests\022\014\n\004term\030\001 \001(\004\022,\n\004asks\030\002 \003(\0132\036.cur" +
-      "ranthaven.PlacementRequest\0220\n\010progress\030\003" +
-      " \003(\0132\036.curranthaven.DispatchProgress\022\'\n\004" +
-      "ends\030\004 \003(\0132\031.curranthaven.DispatchEnd\022\030\n" +
-      "\020crashed_backends\030\005 \003(\t\0225\n\013rate_limits\030\006" +
-      " \003(\0132 .curranthaven.RateLimitStatement\"_" +
-      "\n\022RateLimitStatement\022\n\n\002id\030\001 \001(\004\022\017\n\007back" +
-      "end\030\002 \001(\t\022\017\n\007limited\030\003 \001(\010\022\033\n\023requests_p" +
-      "er_second\030\004 \001(\001\"5\n\020DispatchProgress\022\n\n\002i" +
-      "d\030\001 \001(\004\022\025\n\routput_tokens\030\002 \001(\r\"`\n\013Dispat" +
-      "chEnd\022\n\n\002id\030\001 \001(\004\022.\n\007outcome\030\002 \001(\0162\035.cur" +
-      "ranthaven.DispatchOutcome\022\025\n\routput_toke" +
-      "ns\030\003 \001(\r\"\363\001\n\016DispatchOrders\022\014\n\004term\030\001 \001(" +
-      "\004\022+\n\nplacements\030\002 \003(\0132\027.curranthaven.Pla" +
-      "cement\022)\n\010refusals\030\003 \003(\0132\027.curranthaven." +
-      "Rejection\022+\n\005moves\030\004 \003(\0132\034.curranthaven." +
-      "MigrationOrder\022\017\n\007waiting\030\005 \003(\004\022&\n\005stops" +
-      "\030\006 \003(\0132\027.curranthaven.Rejection\022\025\n\rstatu" +
-      "s_number\030\007 \001(\004\"I\n\tPlacement\022\n\n\002id\030\001 \001(\004\022" +
-      "\017\n\007backend\030\002 \001(\t\022\017\n\007urgency\030\003 \001(\r\022\016\n\006bac" +
-      "kup\030\004 \001(\t\"C\n\tRejection\022\n\n\002id\030\001 \001(\004\022\032\n\022re" +
-      "try_after_millis\030\002 \001(\004\022\016\n\006reason\030\003 \001(\t\"<" +
-      "\n\016MigrationOrder\022\n\n\002id\030\001 \001(\004\022\016\n\006target\030\002" +
-      " \001(\t\022\016\n\006backup\030\003 \001(\t*O\n\tEntryKind\022\023\n\017ENT" +
-      "RY_KIND_NOOP\020\000\022\026\n\022ENTRY_KIND_COMMAND\020\001\022\025" +
-      "\n\021ENTRY_KIND_VOTERS\020\002*\246\001\n\rCommandStatus\022" +
-      "\036\n\032COMMAND_STATUS_UNSPECIFIED\020\000\022\032\n\026COMMA" +
-      "ND_STATUS_APPLIED\020\001\022\035\n\031COMMAND_STATUS_NO" +
-      "T_LEADER\020\002\022\032\n\026COMMAND_STATUS_UNKNOWN\020\003\022\036" +
-      "\n\032COMMAND_STATUS_UNAVAILABLE\020\004*\353\001\n\014Claim" +
-      "Verdict\022\035\n\031CLAIM_VERDICT_UNSPECIFIED\020\000\022\031" +
-      "\n\025CLAIM_VERDICT_GRANTED\020\001\022\031\n\025CLAIM_VERDI" +
-      "CT_RUNNING\020\002\022\026\n\022CLAIM_VERDICT_DONE\020\003\022\034\n\030" +
-      "CLAIM_VERDICT_KEY_REUSED\020\004\022\031\n\025CLAIM_VERD" +
-      "ICT_TOO_OLD\020\005\022\035\n\031CLAIM_VERDICT_FROM_FUTU" +
-      "RE\020\006\022\026\n\022CLAIM_VERDICT_FULL\020\007*\264\002\n\017Dispatc" +
-      "hOutcome\022 \n\034DISPATCH_OUTCOME_UNSPECIFIED" +
-      "\020\000\022\035\n\031DISPATCH_OUTCOME_ANSWERED\020\001\022\033\n\027DIS" +
-      "PATCH_OUTCOME_FAILED\020\002\022\035\n\031DISPATCH_OUTCO" +
-      "ME_REJECTED\020\003\022 \n\034DISPATCH_OUTCOME_UNREAC" +
-      "HABLE\020\004\022\036\n\032DISPATCH_OUTCOME_CANCELLED\020\005\022" +
-      "\032\n\026DISPATCH_OUTCOME_MOVED\020\006\022 \n\034DISPATCH_" +
-      "OUTCOME_MOVE_FAILED\020\007\022$\n DISPATCH_OUTCOM" +
-      "E_CONNECTION_LOST\020\010B,\n(org.curranthaven." +
-      "internal.transport.wireP\001b\006proto3"
+      "\n\nfirst_seen\030\t \001(\004\022\030\n\020software_version\030\n" +
+      " \001(\t\"\271\002\n\rGatewayStatus\022\014\n\004term\030\001 \001(\004\022\017\n\007" +
+      "version\030\002 \001(\004\022\030\n\020catalog_revision\030\003 \001(\004\022" +
+      "\014\n\004full\030\004 \001(\010\022+\n\004open\030\005 \003(\0132\035.curranthav" +
+      "en.RunningDispatch\022-\n\010backends\030\006 \003(\0132\033.c" +
+      "urranthaven.BackendRecord\022\014\n\004gone\030\007 \003(\t\022" +
+      "3\n\016crash_suspects\030\010 \003(\0132\033.curranthaven.S" +
+      "uspectRecord\0222\n\013rate_limits\030\t \003(\0132\035.curr" +
+      "anthaven.RateLimitRecord\022\016\n\006number\030\n \001(\004" +
+      "\"\252\001\n\017RunningDispatch\022+\n\003ask\030\001 \001(\0132\036.curr" +
+      "anthaven.PlacementRequest\022\017\n\007backend\030\002 \001" +
+      "(\t\022\025\n\routput_tokens\030\003 \001(\r\022\016\n\006backup\030\004 \001(" +
+      "\t\022\030\n\020migration_target\030\005 \001(\t\022\030\n\020migration" +
+      "_backup\030\006 \001(\t\"\211\003\n\020PlacementRequest\022\n\n\002id" +
+      "\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022\r\n\005route\030\003 \001(\t\022\021" +
+      "\n\tworkspace\030\004 \001(\t\022\020\n\010priority\030\005 \001(\r\022\025\n\rp" +
+      "rompt_tokens\030\006 \001(\r\022\031\n\021max_output_tokens\030" +
+      "\007 \001(\r\022\034\n\024hinted_output_tokens\030\010 \001(\r\022\032\n\022t" +
+      "arget_left_millis\030\t \001(\003\022\034\n\024deadline_left" +
+      "_millis\030\n \001(\003\022\020\n\010excluded\030\013 \003(\t\022\016\n\006repea" +
+      "t\030\014 \001(\010\022\'\n\005parts\030\r \003(\0132\030.curranthaven.Pr" +
+      "omptPart\022\023\n\013data_centre\030\016 \001(\t\022\016\n\006engine\030" +
+      "\017 \001(\010\022\025\n\rirreplaceable\030\020 \001(\010\022\023\n\013fingerpr" +
+      "int\030\021 \001(\006\"(\n\nPromptPart\022\n\n\002id\030\001 \001(\t\022\016\n\006t" +
+      "okens\030\002 \001(\r\"\372\001\n\020DispatchRequests\022\014\n\004term" +
+      "\030\001 \001(\004\022,\n\004asks\030\002 \003(\0132\036.curranthaven.Plac" +
+      "ementRequest\0220\n\010progress\030\003 \003(\0132\036.currant" +
+      "haven.DispatchProgress\022\'\n\004ends\030\004 \003(\0132\031.c" +
+      "urranthaven.DispatchEnd\022\030\n\020crashed_backe" +
+      "nds\030\005 \003(\t\0225\n\013rate_limits\030\006 \003(\0132 .currant" +
+      "haven.RateLimitStatement\"_\n\022RateLimitSta" +
+      "tement\022\n\n\002id\030\001 \001(\004\022\017\n\007backend\030\002 \001(\t\022\017\n\007l" +
+      "imited\030\003 \001(\010\022\033\n\023requests_per_second\030\004 \001(" +
+      "\001\"5\n\020DispatchProgress\022\n\n\002id\030\001 \001(\004\022\025\n\rout" +
+      "put_tokens\030\002 \001(\r\"`\n\013DispatchEnd\022\n\n\002id\030\001 " +
+      "\001(\004\022.\n\007outcome\030\002 \001(\0162\035.curranthaven.Disp" +
+      "atchOutcome\022\025\n\routput_tokens\030\003 \001(\r\"\363\001\n\016D" +
+      "ispatchOrders\022\014\n\004term\030\001 \001(\004\022+\n\nplacement" +
+      "s\030\002 \003(\0132\027.curranthaven.Placement\022)\n\010refu" +
+      "sals\030\003 \003(\0132\027.curranthaven.Rejection\022+\n\005m" +
+      "oves\030\004 \003(\0132\034.curranthaven.MigrationOrder" +
+      "\022\017\n\007waiting\030\005 \003(\004\022&\n\005stops\030\006 \003(\0132\027.curra" +
+      "nthaven.Rejection\022\025\n\rstatus_number\030\007 \001(\004" +
+      "\"I\n\tPlacement\022\n\n\002id\030\001 \001(\004\022\017\n\007backend\030\002 \001" +
+      "(\t\022\017\n\007urgency\030\003 \001(\r\022\016\n\006backup\030\004 \001(\t\"C\n\tR" +
+      "ejection\022\n\n\002id\030\001 \001(\004\022\032\n\022retry_after_mill" +
+      "is\030\002 \001(\004\022\016\n\006reason\030\003 \001(\t\"<\n\016MigrationOrd" +
+      "er\022\n\n\002id\030\001 \001(\004\022\016\n\006target\030\002 \001(\t\022\016\n\006backup" +
+      "\030\003 \001(\t*O\n\tEntryKind\022\023\n\017ENTRY_KIND_NOOP\020\000" +
+      "\022\026\n\022ENTRY_KIND_COMMAND\020\001\022\025\n\021ENTRY_KIND_V" +
+      "OTERS\020\002*\246\001\n\rCommandStatus\022\036\n\032COMMAND_STA" +
+      "TUS_UNSPECIFIED\020\000\022\032\n\026COMMAND_STATUS_APPL" +
+      "IED\020\001\022\035\n\031COMMAND_STATUS_NOT_LEADER\020\002\022\032\n\026" +
+      "COMMAND_STATUS_UNKNOWN\020\003\022\036\n\032COMMAND_STAT" +
+      "US_UNAVAILABLE\020\004*\353\001\n\014ClaimVerdict\022\035\n\031CLA" +
+      "IM_VERDICT_UNSPECIFIED\020\000\022\031\n\025CLAIM_VERDIC" +
+      "T_GRANTED\020\001\022\031\n\025CLAIM_VERDICT_RUNNING\020\002\022\026" +
+      "\n\022CLAIM_VERDICT_DONE\020\003\022\034\n\030CLAIM_VERDICT_" +
+      "KEY_REUSED\020\004\022\031\n\025CLAIM_VERDICT_TOO_OLD\020\005\022" +
+      "\035\n\031CLAIM_VERDICT_FROM_FUTURE\020\006\022\026\n\022CLAIM_" +
+      "VERDICT_FULL\020\007*\264\002\n\017DispatchOutcome\022 \n\034DI" +
+      "SPATCH_OUTCOME_UNSPECIFIED\020\000\022\035\n\031DISPATCH" +
+      "_OUTCOME_ANSWERED\020\001\022\033\n\027DISPATCH_OUTCOME_" +
+      "FAILED\020\002\022\035\n\031DISPATCH_OUTCOME_REJECTED\020\003\022" +
+      " \n\034DISPATCH_OUTCOME_UNREACHABLE\020\004\022\036\n\032DIS" +
+      "PATCH_OUTCOME_CANCELLED\020\005\022\032\n\026DISPATCH_OU" +
+      "TCOME_MOVED\020\006\022 \n\034DISPATCH_OUTCOME_MOVE_F" +
+      "AILED\020\007\022$\n DISPATCH_OUTCOME_CONNECTION_L" +
+      "OST\020\010B,\n(org.curranthaven.internal.trans" +
+      "port.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -841,7 +842,7 @@
     internal_static_curranthaven_BackendRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_curranthaven_BackendRecord_descriptor,
-        new java.lang.String[] { "Id", "Service", "Address", "DataCentre", "Slots", "Leaving", "Sequence", "ColdLeftMillis", "FirstSeen", });
+        new java.lang.String[] { "Id", "Service", "Address", "DataCentre", "Slots", "Leaving", "Sequence", "ColdLeftMillis", "FirstSeen", "SoftwareVersion", });
     internal_static_curranthaven_GatewayStatus_descriptor =
       getDescriptor().getMessageType(47);
     internal_static_curranthaven_GatewayStatus_fieldAccessorTable = new
--- a/src/main/java/org/curranthaven/platform/ControlTranslation.java
+++ b/src/main/java/org/curranthaven/platform/ControlTranslation.java
@@ -19,6 +19,7 @@
   /** Path of the configuration document, which holds the catalog. */
   private static final String CATALOG_PATH = "/api/config";
 
+  private static final int MAX_VERSION_LENGTH = 128;
   private static final int BAD_REQUEST = 400;
   private static final int NOT_FOUND = 404;
 
@@ -61,6 +62,13 @@
     };
   }
 
+  /** Returns the version; empty, as if there were none, if it is no text of a usual length. */
+  private static String softwareVersion(JsonNode version) {
+    return version.isTextual() && version.textValue().length() <= MAX_VERSION_LENGTH
+        ? version.textValue()
+        : "";
+  }
+
   private static ControlRequest notFound(String method, String path) {
     return new ControlRequest.Invalid(NOT_FOUND, "no such control request: " + method + " " + path);
   }
@@ -91,6 +99,8 @@
               .setSequence(sequence.asLong())
               // Time until the backend server has warmed up.
               .setColdLeftMillis(Math.max(0, node.path("coldLeftMs").asLong(0)))
+              // Version of the software, not of the models.
+              .setSoftwareVersion(softwareVersion(node.path("version")))
               .build());
     } catch (IOException | IllegalArgumentException e) {
       return new ControlRequest.Invalid(
--- a/src/main/java/org/curranthaven/platform/Headers.java
+++ b/src/main/java/org/curranthaven/platform/Headers.java
@@ -16,6 +16,9 @@
   /** Id of the event after which a stream resumes. */
   static final String LAST_EVENT_ID = "Last-Event-Id";
 
+  /** Id of the request whose response brought the first event of a stream that is taken up. */
+  static final String RESUMED_REQUEST_ID = "Resumes";
+
   /** Marks a response as coming from the backend server itself. */
   static final String RESPONSE_SEAL = "Response-Seal";
 
--- a/src/main/java/org/curranthaven/platform/RequestTranslation.java
+++ b/src/main/java/org/curranthaven/platform/RequestTranslation.java
@@ -51,11 +51,19 @@
             tokensOrZero(headers.get(Headers.OUTPUT_LENGTH_HINT, "")),
             promptParts(headers.get(Headers.PROMPT_PARTS, "")),
             headers.get(Headers.LAST_EVENT_ID, ""),
+            resumedRequestId(headers.getAll(Headers.RESUMED_REQUEST_ID)),
             forwardedHeaders(headers),
             ByteBufUtil.getBytes(request.content()),
             HttpUtil.isKeepAlive(request)));
   }
 
+  /** Returns the id if it is stated, and not with several values; else an empty string. */
+  private static String resumedRequestId(List<String> values) {
+    return values.stream().map(String::strip).distinct().count() == 1
+        ? values.getFirst().strip()
+        : "";
+  }
+
   private static String hostName(String host) {
     int colon = host.indexOf(':');
     return (colon < 0 ? host : host.substring(0, colon)).toLowerCase(Locale.ROOT);
--- a/src/test/java/org/curranthaven/internal/relay/CallerConnectionTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/CallerConnectionTest.java
@@ -80,6 +80,7 @@
         0,
         List.of(),
         "",
+        "",
         new DefaultHttpHeaders(),
         new byte[0],
         true);
--- a/src/test/java/org/curranthaven/internal/relay/RequestFingerprintTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/RequestFingerprintTest.java
@@ -25,6 +25,7 @@
         0,
         List.of(),
         "",
+        "",
         new DefaultHttpHeaders(),
         body.getBytes(StandardCharsets.UTF_8),
         true);
--- a/src/test/java/org/curranthaven/platform/RequestTranslationTest.java
+++ b/src/test/java/org/curranthaven/platform/RequestTranslationTest.java
@@ -70,6 +70,42 @@
     assertThat(ControlTranslation.read(registration)).isInstanceOf(ControlRequest.Invalid.class);
   }
 
+  private static String softwareVersion(String statement) {
+    FullHttpRequest registration =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            HttpMethod.PUT,
+            "/api/runners/i-1",
+            Unpooled.copiedBuffer(
+                "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"seq\":1" + statement + "}",
+                StandardCharsets.UTF_8));
+    ControlRequest request = ControlTranslation.read(registration);
+    return ((ControlRequest.Register) request).backend().getSoftwareVersion();
+  }
+
+  @Test
+  void the_software_version_of_a_registration_is_decoded_and_a_malformed_one_is_none() {
+    assertThat(softwareVersion(",\"version\":\"v1.2\"")).isEqualTo("v1.2");
+    assertThat(softwareVersion("")).isEmpty();
+    assertThat(softwareVersion(",\"version\":7")).isEmpty();
+    assertThat(softwareVersion(",\"version\":\"" + "v".repeat(1_000) + "\"")).isEmpty();
+  }
+
+  @Test
+  void the_request_that_began_a_stream_is_decoded_unless_several_are_named() {
+    FullHttpRequest named = request();
+    named.headers().add("Resumes", " id-0 ");
+    FullHttpRequest twiceTheSame = request();
+    twiceTheSame.headers().add("Resumes", "id-0").add("Resumes", "id-0");
+    FullHttpRequest two = request();
+    two.headers().add("Resumes", "id-0").add("Resumes", "id-9");
+
+    assertThat(read(named).resumedRequestId()).isEqualTo("id-0");
+    assertThat(read(twiceTheSame).resumedRequestId()).isEqualTo("id-0");
+    assertThat(read(two).resumedRequestId()).isEmpty();
+    assertThat(read(request()).resumedRequestId()).isEmpty();
+  }
+
   @Test
   void a_request_and_its_headers_are_decoded() {
     InboundRequest inbound = read(request());
--- a/src/test/java/org/curranthaven/platform/RoutedFleetFixture.java
+++ b/src/test/java/org/curranthaven/platform/RoutedFleetFixture.java
@@ -161,14 +161,21 @@
     register(id, backend, state, seq, "plain");
   }
 
-  /** Sends a registration repeatedly until the control host accepts it. */
+  /** Registers a backend server whose software has no version. */
   void register(String id, FakeBackend backend, String state, long seq, String service)
       throws Exception {
+    register(id, backend, state, seq, service, "");
+  }
+
+  /** Sends a registration repeatedly until the control host accepts it. */
+  void register(
+      String id, FakeBackend backend, String state, long seq, String service, String version)
+      throws Exception {
     String body =
         """
-        {"service":"%s","address":"%s","zone":"here","slots":4,"state":"%s","seq":%d}
+        {"service":"%s","address":"%s","zone":"here","version":"%s","slots":4,"state":"%s","seq":%d}
         """
-            .formatted(service, backend.address(), state, seq);
+            .formatted(service, backend.address(), version, state, seq);
     while (sendControlRequest("PUT", "/api/runners/" + id, body).statusCode() != 200) {
       Thread.sleep(100);
     }
@@ -210,11 +217,17 @@
 
   private Socket openRawRequest(String gatewayAddress, String path, String headers)
       throws Exception {
+    String id = "request-" + nextRequestNumber.getAndIncrement();
+    return openRawRequest(gatewayAddress, id, path, headers);
+  }
+
+  /** Sends a request with the given id; the caller reads the response. */
+  Socket openRawRequest(String gatewayAddress, String id, String path, String headers)
+      throws Exception {
     int port = Integer.parseInt(gatewayAddress.substring(gatewayAddress.indexOf(':') + 1));
     Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
     String head =
-        "POST %s HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: request-%d\r\n"
-            .formatted(path, nextRequestNumber.getAndIncrement());
+        "POST %s HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: %s\r\n".formatted(path, id);
     String rawRequest =
         head
             + "Deadline-Ms: 60000\r\n"
