--- a/src/test/java/org/curranthaven/platform/RequestTranslationTest.java
+++ b/src/test/java/org/curranthaven/platform/RequestTranslationTest.java
@@ -94,7 +94,7 @@
   @Test
   void the_request_that_began_a_stream_is_decoded_unless_several_are_named() {
     FullHttpRequest named = request();
-    named.headers().add("Resumes", " id-0 ");
+    named.headers().add("Resumes", "id-0");
     FullHttpRequest twiceTheSame = request();
     twiceTheSame.headers().add("Resumes", "id-0").add("Resumes", "id-0");
     FullHttpRequest two = request();
