--- a/src/main/java/org/curranthaven/internal/dispatch/BackendState.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/BackendState.java
@@ -56,6 +56,11 @@
     return registration.getService();
   }
 
+  /** Returns the version of its software; empty if it states none. */
+  String softwareVersion() {
+    return registration.getSoftwareVersion();
+  }
+
   boolean serves(String service) {
     return registration.getService().equals(service);
   }
--- a/src/main/java/org/curranthaven/internal/dispatch/Backends.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/Backends.java
@@ -2,10 +2,12 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.Stream;
@@ -24,6 +26,7 @@
   private final OutlierEjector outlierEjector = new OutlierEjector();
   private final FailureRateEjector failureRateEjector = new FailureRateEjector();
   private final boolean ejecting;
+  private final Set<String> servicesWithSeveralVersions = new HashSet<>();
   private Catalog catalog = Catalog.empty();
 
   /**
@@ -52,6 +55,23 @@
     } else {
       existing.updateRegistration(registration, nowMillis);
     }
+    findServicesWithSeveralVersions();
+  }
+
+  private void findServicesWithSeveralVersions() {
+    servicesWithSeveralVersions.clear();
+    Map<String, String> versions = new HashMap<>();
+    for (BackendState state : byId.values()) {
+      String known = versions.putIfAbsent(state.service(), state.softwareVersion());
+      if (known != null && !known.equals(state.softwareVersion())) {
+        servicesWithSeveralVersions.add(state.service());
+      }
+    }
+  }
+
+  /** Returns whether the service's backend servers have several software versions. */
+  boolean hasSeveralVersions(String service) {
+    return servicesWithSeveralVersions.contains(service);
   }
 
   @Nullable BackendState get(String id) {
@@ -75,6 +95,7 @@
                 || (!outlierEjector.isEjected(state.id(), nowMillis)
                     && !failureRateEjector.isEjected(state.id(), nowMillis));
     return notLeaving(request.getService())
+        .filter(state -> VersionBinding.allows(state, request))
         .filter(state -> !request.getExcludedList().contains(state.id()))
         .filter(notEjected);
   }
@@ -151,6 +172,7 @@
       byId.remove(state.id());
       outlierEjector.remove(state.id());
       failureRateEjector.remove(state.id());
+      findServicesWithSeveralVersions();
     }
   }
 
--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -16,6 +16,8 @@
 import org.curranthaven.internal.transport.wire.DispatchOutcome;
 import org.curranthaven.internal.transport.wire.PlacementRequest;
 import org.curranthaven.internal.transport.wire.RunningDispatch;
+import org.curranthaven.internal.transport.wire.ServedVersion;
+import org.curranthaven.internal.transport.wire.StreamOrigin;
 import org.curranthaven.internal.transport.wire.SuspectRecord;
 import org.jspecify.annotations.Nullable;
 
@@ -39,6 +41,9 @@
    */
   private static final long MAX_PLAIN_LATENESS_MILLIS = 300;
 
+  /** Retry delay of a rejection that waiting does not end. */
+  private static final long NO_RETRY_HELPS = 0;
+
   /** Highest urgency value, which is the least urgent one. */
   private static final int MAX_URGENCY = 9;
 
@@ -57,6 +62,8 @@
   private final CrashEvidence crashEvidence;
   private final BackendCrashes backendCrashes;
   private final RequestRateLimits rateLimits;
+  private final StreamOrigins streamOrigins;
+  private final VersionBinding versions;
   private List<DispatchDecision> decisions = new ArrayList<>();
 
   /**
@@ -66,13 +73,7 @@
    *     local fallback; 1 for the scheduler
    */
   public DispatchCore(RetryLimits retryLimits, int capacityShares, RandomGenerator random) {
-    this(
-        retryLimits,
-        capacityShares,
-        random,
-        Set.of(),
-        new CrashEvidence(),
-        RequestRateLimits.ofScheduler());
+    this(retryLimits, capacityShares, random, Set.of(), SharedKnowledge.ofScheduler());
   }
 
   /**
@@ -81,20 +82,18 @@
    * @param capacityShares number of hosts that each place requests on the same backend servers in
    *     local fallback; 1 for the scheduler
    * @param disabled mechanisms to switch off
-   * @param crashEvidence crashes known so far; the core adds those that are reported to it
-   * @param rateLimits limits on requests known so far; the core adds the requests that it places
+   * @param knowledge what is known so far; the core adds what is reported to it
    */
   public DispatchCore(
       RetryLimits retryLimits,
       int capacityShares,
       RandomGenerator random,
       Set<Mechanism> disabled,
-      CrashEvidence crashEvidence,
-      RequestRateLimits rateLimits) {
+      SharedKnowledge knowledge) {
     this.disabled = Set.copyOf(disabled);
     this.retryLimits = retryLimits.dividedAmong(capacityShares);
     this.backends = new Backends(isEnabled(Mechanism.EJECTION));
-    this.rateLimits = rateLimits;
+    this.rateLimits = knowledge.rateLimits();
     this.capacityRules = new CapacityRules(capacityShares, rateLimits);
     this.speeds = new EngineSpeeds(isEnabled(Mechanism.LEARNING));
     this.forecast =
@@ -114,8 +113,10 @@
             rateLimits,
             isEnabled(Mechanism.MIGRATION),
             decision -> decisions.add(decision));
-    this.crashEvidence = crashEvidence;
+    this.crashEvidence = knowledge.crashes();
     this.backendCrashes = new BackendCrashes(backends, crashEvidence);
+    this.streamOrigins = knowledge.streamOrigins();
+    this.versions = new VersionBinding(backends, streamOrigins);
   }
 
   private boolean isEnabled(Mechanism mechanism) {
@@ -160,6 +161,8 @@
       enforceBlocks(nowMillis);
     }
     backends.register(registration, nowMillis);
+    streamOrigins.recordServing(
+        registration.getService(), registration.getSoftwareVersion(), nowMillis);
     migrateFrom(registration.getId(), nowMillis);
     serveQueue(registration.getService(), nowMillis);
   }
@@ -170,6 +173,7 @@
     if (backend == null) {
       return;
     }
+    versions.recordServing(backend, nowMillis);
     backend.updateRegistration(
         backend.registration().toBuilder().setLeaving(true).build(), nowMillis);
     migrationPlanner.migrateFrom(backend, nowMillis);
@@ -194,6 +198,17 @@
     enforceBlocks(nowMillis);
   }
 
+  /** Adds what another host knows of the software versions of streams. */
+  public void restoreStreams(
+      Collection<StreamOrigin> origins, Collection<ServedVersion> served, long nowMillis) {
+    streamOrigins.merge(origins, served, nowMillis);
+  }
+
+  /** Returns the software versions that serve or have served lately, for other hosts. */
+  public List<ServedVersion> servedVersions(long nowMillis) {
+    return versions.exportServed(nowMillis);
+  }
+
   private void enforceBlocks(long nowMillis) {
     for (RequestId requestId : queue.ids()) {
       long blockedMillis = crashEvidence.blockedMillis(queue.requestOf(requestId), nowMillis);
@@ -266,6 +281,17 @@
       reject(requestId, blockedMillis, RejectionReason.CRASHES_BACKENDS);
       return;
     }
+    PlacementRequest bound = versions.bind(request, nowMillis);
+    if (bound == null) {
+      reject(requestId, NO_RETRY_HELPS, RejectionReason.STREAM_ORIGIN_UNKNOWN);
+    } else if (versions.isVersionGone(bound)) {
+      reject(requestId, NO_RETRY_HELPS, RejectionReason.STREAM_VERSION_GONE);
+    } else {
+      submitBound(requestId, bound, nowMillis);
+    }
+  }
+
+  private void submitBound(RequestId requestId, PlacementRequest request, long nowMillis) {
     ServiceRetryBudget retryBudget =
         retryBudgets.computeIfAbsent(
             request.getService(), service -> new ServiceRetryBudget(retryLimits));
@@ -364,6 +390,7 @@
     running.outputProgressed(outputTokens, backend, nowMillis, speeds);
     if (progressed) {
       backendCrashes.recordOutput(running, backend, nowMillis);
+      versions.recordOutput(running, backend, nowMillis);
     }
     if (isFirstOutput) {
       backends.recordFirstReply(backend);
@@ -406,6 +433,9 @@
     if (running == null) {
       return;
     }
+    if (outputTokens > 0) {
+      versions.recordOutput(running, backend, nowMillis);
+    }
     backupPlanner.release(running);
     if (running.migratingAway) {
       migrationPlanner.migrationFailed(requestId, backend, nowMillis);
@@ -504,7 +534,8 @@
 
   /** Returns whether the request waits for something that keeps no request behind it waiting. */
   private boolean isHeldApart(QueuedRequest queued, long nowMillis) {
-    return backendCrashes.isHeld(queued.id(), queued.request())
+    return versions.waitsApart(queued.request())
+        || backendCrashes.isHeld(queued.id(), queued.request())
         || isRetryHeldByLimit(queued.request(), nowMillis);
   }
 
@@ -552,13 +583,14 @@
       return PlacementResult.NO_CAPACITY;
     }
     RunningRequest running = newRunning(requestId, request, nowMillis);
-    List<BackendState> candidates =
-        withCapacity(running, CapacityRules.MEMORY_SHARE, nowMillis).toList();
+    List<BackendState> candidates = withCapacity(running, CapacityRules.MEMORY_SHARE, nowMillis);
+    BackendState preferred =
+        cheapestInTime(
+            versions.withoutReplaced(candidates, request), request, targetLeftMillis, nowMillis);
     BackendState chosen =
-        cheapest(
-            candidates.stream().filter(backend -> isInTime(backend, request, targetLeftMillis)),
-            request,
-            nowMillis);
+        preferred == null
+            ? cheapestInTime(candidates, request, targetLeftMillis, nowMillis)
+            : preferred;
     if (chosen != null) {
       overloadGauge.recordPlacedInTime(request.getService());
       commitPlacement(running, chosen, nowMillis);
@@ -567,6 +599,17 @@
     return candidates.isEmpty() ? PlacementResult.NO_CAPACITY : PlacementResult.LATE;
   }
 
+  private @Nullable BackendState cheapestInTime(
+      List<BackendState> candidates,
+      PlacementRequest request,
+      long targetLeftMillis,
+      long nowMillis) {
+    return cheapest(
+        candidates.stream().filter(backend -> isInTime(backend, request, targetLeftMillis)),
+        request,
+        nowMillis);
+  }
+
   private boolean isInTime(BackendState backend, PlacementRequest request, long targetLeftMillis) {
     int promptTokens = backend.pendingPromptTokens() + request.getPromptTokens();
     return !request.getEngine()
@@ -588,23 +631,28 @@
     boolean othersQueued = !queue.requestsOf(request.getService()).isEmpty();
     double memoryShare =
         othersQueued ? CapacityRules.LATE_MEMORY_SHARE : CapacityRules.MEMORY_SHARE;
-    Stream<BackendState> candidates = withCapacity(running, memoryShare, nowMillis);
-    BackendState chosen = cheapest(candidates, request, nowMillis);
+    List<BackendState> candidates = withCapacity(running, memoryShare, nowMillis);
+    BackendState chosen = cheapest(candidates.stream(), request, nowMillis);
     if (chosen != null) {
       commitPlacement(running, chosen, nowMillis);
     }
     return chosen != null;
   }
 
-  private Stream<BackendState> withCapacity(
+  private List<BackendState> withCapacity(
       RunningRequest running, double memoryShare, long nowMillis) {
-    EngineCapabilities engine = backends.engineOf(running.request.getService());
+    PlacementRequest request = running.request;
+    EngineCapabilities engine = backends.engineOf(request.getService());
     double requestTokens = running.memoryTokens();
-    return backends
-        .usableFor(running.request, nowMillis)
-        .filter(
-            backend ->
-                capacityRules.hasCapacity(backend, engine, requestTokens, memoryShare, nowMillis));
+    List<BackendState> candidates =
+        backends
+            .usableFor(request, nowMillis)
+            .filter(
+                backend ->
+                    capacityRules.hasCapacity(
+                        backend, engine, requestTokens, memoryShare, nowMillis))
+            .toList();
+    return versions.withoutAwaited(candidates, request, queue.requestsOf(request.getService()));
   }
 
   private @Nullable BackendState cheapest(
--- a/src/main/java/org/curranthaven/internal/dispatch/QueueTimeForecast.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/QueueTimeForecast.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.curranthaven.internal.catalog.EngineCapabilities;
 import org.curranthaven.internal.transport.wire.PlacementRequest;
 
@@ -131,7 +132,7 @@
       PlacementRequest request, Collection<QueuedRequest> queue, long nowMillis) {
     double millisPerRequest =
         plainMillisByService.getOrDefault(request.getService(), INITIAL_PLAIN_MILLIS);
-    List<BackendState> servers = backends.notLeaving(request.getService()).toList();
+    List<BackendState> servers = serversFor(request).toList();
     double requestsPerMilli =
         servers.stream()
             .mapToDouble(
@@ -145,6 +146,12 @@
         : Math.max(0, queue.size() + 1 - accruedRequests(servers, nowMillis)) / requestsPerMilli;
   }
 
+  private Stream<BackendState> serversFor(PlacementRequest request) {
+    return backends
+        .notLeaving(request.getService())
+        .filter(backend -> VersionBinding.allows(backend, request));
+  }
+
   private double accruedRequests(List<BackendState> servers, long nowMillis) {
     return servers.stream()
         .mapToDouble(backend -> rateLimits.accruedRequests(backend.id(), nowMillis))
@@ -170,8 +177,7 @@
       }
     }
     Map<Boolean, List<BackendState>> byLimited =
-        backends
-            .notLeaving(request.getService())
+        serversFor(request)
             .collect(
                 Collectors.partitioningBy(
                     backend -> Double.isFinite(limitPerMilli(backend, nowMillis))));
--- a/src/main/java/org/curranthaven/internal/dispatch/RejectionReason.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/RejectionReason.java
@@ -13,5 +13,11 @@
   /** The prompt does not fit into the memory of any engine of the service. */
   TOO_LARGE,
   /** Backend servers crashed on the request, or engines on a part of its prompt. */
-  CRASHES_BACKENDS
+  CRASHES_BACKENDS,
+  /**
+   * The request takes up a stream, and nobody knows which of several software versions began it.
+   */
+  STREAM_ORIGIN_UNKNOWN,
+  /** The request takes up a stream, and no backend server has the software version of it. */
+  STREAM_VERSION_GONE
 }
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/dispatch/SharedKnowledge.java
@@ -0,0 +1,26 @@
+package org.curranthaven.internal.dispatch;
+
+import java.util.random.RandomGenerator;
+
+/**
+ * What a host has learnt of requests and backend servers that outlives a {@link DispatchCore} and
+ * is exchanged between hosts.
+ *
+ * @param crashes what may crash backend servers
+ * @param rateLimits limits on requests that backend servers have stated
+ * @param streamOrigins software versions that began streams
+ */
+public record SharedKnowledge(
+    CrashEvidence crashes, RequestRateLimits rateLimits, StreamOrigins streamOrigins) {
+  /** Returns the empty knowledge of a host that places the requests of all gateways. */
+  public static SharedKnowledge ofScheduler() {
+    return new SharedKnowledge(
+        new CrashEvidence(), RequestRateLimits.ofScheduler(), new StreamOrigins());
+  }
+
+  /** Returns the empty knowledge of a gateway, which shares stated limits with others. */
+  public static SharedKnowledge ofGateway(RandomGenerator random) {
+    return new SharedKnowledge(
+        new CrashEvidence(), RequestRateLimits.ofGateway(random), new StreamOrigins());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/dispatch/StreamOrigins.java
@@ -0,0 +1,165 @@
+package org.curranthaven.internal.dispatch;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.curranthaven.internal.transport.wire.PlacementRequest;
+import org.curranthaven.internal.transport.wire.ServedVersion;
+import org.curranthaven.internal.transport.wire.StreamOrigin;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Remembers which software version began each resumable stream, since no other may continue it, and
+ * which versions have served lately. Not thread-safe.
+ *
+ * <pre>{@code
+ * origins.recordOutput(request, "v1.2", nowMillis);
+ * String version = origins.versionOf(resumedStream);
+ * }</pre>
+ */
+public final class StreamOrigins {
+  /**
+   * Time after its latest output for which the origin of a stream is remembered; longer than
+   * callers wait before they take it up. For as long, streams of a version that no longer serves
+   * may be taken up.
+   */
+  static final long RETENTION_MILLIS = 120_000;
+
+  /** Streams remembered at most; the one with the oldest output is forgotten first. */
+  static final int MAX_STREAMS = 200_000;
+
+  /** Origins in order of their latest output. */
+  private final Map<Long, Origin> origins = new LinkedHashMap<>();
+
+  /** When each version was last seen to serve, by service. */
+  private final Map<String, Map<String, Long>> servedMillis = new HashMap<>();
+
+  /** Time until which no backend server can have begun streams without being known here. */
+  private long completeUntilMillis = Long.MAX_VALUE;
+
+  private record Origin(String version, long outputAtMillis) {}
+
+  /**
+   * Sets until when the known versions are complete: a host that hears nothing of new backend
+   * servers knows only those from before.
+   */
+  public void setCompleteUntil(long untilMillis) {
+    completeUntilMillis = untilMillis;
+  }
+
+  /**
+   * Records output of a request at a software version, which also began its stream. Does nothing if
+   * callers cannot take the stream up.
+   */
+  public void recordOutput(PlacementRequest request, String version, long nowMillis) {
+    // Callers name the request that began the stream, also after they have taken it up before.
+    long stream =
+        request.getResumedStream() == 0 ? request.getStream() : request.getResumedStream();
+    if (stream != 0) {
+      record(stream, version, nowMillis);
+      discardOld(nowMillis);
+    }
+  }
+
+  private void record(long stream, String version, long outputAtMillis) {
+    Origin known = origins.remove(stream);
+    origins.put(stream, new Origin(known == null ? version : known.version(), outputAtMillis));
+  }
+
+  private void discardOld(long nowMillis) {
+    Iterator<Origin> oldestFirst = origins.values().iterator();
+    while (oldestFirst.hasNext()) {
+      boolean old = nowMillis - oldestFirst.next().outputAtMillis() > RETENTION_MILLIS;
+      if (!old && origins.size() <= MAX_STREAMS) {
+        return;
+      }
+      oldestFirst.remove();
+    }
+  }
+
+  /** Returns the software version that began a stream; null if it is unknown. */
+  public @Nullable String versionOf(long stream) {
+    Origin origin = origins.get(stream);
+    return origin == null ? null : origin.version();
+  }
+
+  /** Records that backend servers with a software version serve a service. */
+  public void recordServing(String service, String version, long nowMillis) {
+    servedMillis
+        .computeIfAbsent(service, key -> new HashMap<>())
+        .merge(version, nowMillis, Math::max);
+  }
+
+  /**
+   * Returns the only version that can have begun a stream whose origin is unknown; null if there
+   * were several lately, or others may have come that are not known here.
+   */
+  @Nullable String onlyVersion(String service, long nowMillis) {
+    Map<String, Long> served = servedMillis.getOrDefault(service, Map.of());
+    Set<String> recent = new TreeSet<>();
+    served.forEach(
+        (version, atMillis) -> {
+          if (nowMillis - atMillis <= RETENTION_MILLIS) {
+            recent.add(version);
+          }
+        });
+    return nowMillis <= completeUntilMillis && recent.size() == 1 ? recent.iterator().next() : null;
+  }
+
+  // ---- exchange between hosts -------------------------------------------------------------------
+
+  /** Returns the known origins, with times as ages. */
+  public List<StreamOrigin> exportOrigins(long nowMillis) {
+    discardOld(nowMillis);
+    return origins.entrySet().stream()
+        .map(
+            entry ->
+                StreamOrigin.newBuilder()
+                    .setStream(entry.getKey())
+                    .setSoftwareVersion(entry.getValue().version())
+                    .setOutputAgeMillis(Math.max(0, nowMillis - entry.getValue().outputAtMillis()))
+                    .build())
+        .toList();
+  }
+
+  /** Returns the versions that have served lately, with times as ages. */
+  public List<ServedVersion> exportServed(long nowMillis) {
+    return servedMillis.entrySet().stream()
+        .flatMap(
+            service ->
+                service.getValue().entrySet().stream()
+                    .filter(version -> nowMillis - version.getValue() <= RETENTION_MILLIS)
+                    .map(
+                        version ->
+                            ServedVersion.newBuilder()
+                                .setService(service.getKey())
+                                .setSoftwareVersion(version.getKey())
+                                .setAgeMillis(Math.max(0, nowMillis - version.getValue()))
+                                .build()))
+        .toList();
+  }
+
+  /** Adds what another host knows. */
+  public void merge(
+      Collection<StreamOrigin> otherOrigins,
+      Collection<ServedVersion> otherServed,
+      long nowMillis) {
+    for (StreamOrigin other : otherOrigins) {
+      long outputAtMillis = nowMillis - other.getOutputAgeMillis();
+      Origin known = origins.get(other.getStream());
+      if (known == null || known.outputAtMillis() < outputAtMillis) {
+        record(other.getStream(), other.getSoftwareVersion(), outputAtMillis);
+      }
+    }
+    for (ServedVersion other : otherServed) {
+      recordServing(
+          other.getService(), other.getSoftwareVersion(), nowMillis - other.getAgeMillis());
+    }
+    discardOld(nowMillis);
+  }
+}
--- a/src/main/java/org/curranthaven/internal/dispatch/TransferTargets.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/TransferTargets.java
@@ -26,7 +26,8 @@
   }
 
   /**
-   * Returns the engine with capacity that has the lowest cost; null if there is none.
+   * Returns the engine with capacity and the software version of the source that has the lowest
+   * cost; null if there is none. Another version cannot continue the request.
    *
    * @param memoryShare share of the target's memory that may be reserved in total
    */
@@ -41,6 +42,7 @@
         backends
             .usableFor(running.request, nowMillis)
             .filter(candidate -> candidate != source)
+            .filter(candidate -> candidate.softwareVersion().equals(source.softwareVersion()))
             .filter(
                 candidate ->
                     capacityRules.hasCapacity(
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/dispatch/VersionBinding.java
@@ -0,0 +1,115 @@
+package org.curranthaven.internal.dispatch;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.curranthaven.internal.transport.wire.PlacementRequest;
+import org.curranthaven.internal.transport.wire.ServedVersion;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Keeps streams at the software version that began them, and leaves them room there while the
+ * versions of a service change. Not thread-safe.
+ */
+final class VersionBinding {
+  private final Backends backends;
+  private final StreamOrigins origins;
+
+  VersionBinding(Backends backends, StreamOrigins origins) {
+    this.backends = backends;
+    this.origins = origins;
+  }
+
+  /**
+   * Returns the request with the software version that may run it: for one that takes up a stream,
+   * the version that began it. Returns null if that is unknown.
+   */
+  @Nullable PlacementRequest bind(PlacementRequest request, long nowMillis) {
+    if (request.getVersionBound() || !request.getResumes()) {
+      return request;
+    }
+    String known = origins.versionOf(request.getResumedStream());
+    if (known == null) {
+      recordServing(nowMillis);
+      known = origins.onlyVersion(request.getService(), nowMillis);
+    }
+    return known == null
+        ? null
+        : request.toBuilder().setVersionBound(true).setSoftwareVersion(known).build();
+  }
+
+  /** Returns whether a backend server may run the request, by its software version. */
+  static boolean allows(BackendState backend, PlacementRequest request) {
+    return !request.getVersionBound()
+        || backend.softwareVersion().equals(request.getSoftwareVersion());
+  }
+
+  /** Returns whether a version is required that no backend server has which takes requests. */
+  boolean isVersionGone(PlacementRequest request) {
+    return request.getVersionBound()
+        && backends.notLeaving(request.getService()).noneMatch(backend -> allows(backend, request));
+  }
+
+  /** Returns whether the request waits for backend servers that others need not wait for. */
+  boolean waitsApart(PlacementRequest request) {
+    return request.getVersionBound() && backends.hasSeveralVersions(request.getService());
+  }
+
+  /**
+   * Returns the candidates for a request that may begin at any version, without those of versions
+   * that queued streams wait for.
+   */
+  List<BackendState> withoutAwaited(
+      List<BackendState> candidates, PlacementRequest request, Collection<QueuedRequest> queue) {
+    if (request.getVersionBound() || !backends.hasSeveralVersions(request.getService())) {
+      return candidates;
+    }
+    Set<String> awaited =
+        queue.stream()
+            .filter(queued -> queued.request().getVersionBound())
+            .map(queued -> queued.request().getSoftwareVersion())
+            .collect(Collectors.toSet());
+    return candidates.stream()
+        .filter(backend -> !awaited.contains(backend.softwareVersion()))
+        .toList();
+  }
+
+  /**
+   * Returns the candidates whose versions lose no backend servers at present: on the others, the
+   * streams of those that leave need the room.
+   */
+  List<BackendState> withoutReplaced(List<BackendState> candidates, PlacementRequest request) {
+    if (request.getVersionBound() || !backends.hasSeveralVersions(request.getService())) {
+      return candidates;
+    }
+    Set<String> replaced =
+        backends.all().stream()
+            .filter(backend -> backend.serves(request.getService()))
+            .filter(BackendState::hasAnnouncedLeaving)
+            .map(BackendState::softwareVersion)
+            .collect(Collectors.toSet());
+    return candidates.stream()
+        .filter(backend -> !replaced.contains(backend.softwareVersion()))
+        .toList();
+  }
+
+  /** Records output of a request, which shows the version of its stream. */
+  void recordOutput(RunningRequest running, BackendState backend, long nowMillis) {
+    origins.recordOutput(running.request, backend.softwareVersion(), nowMillis);
+  }
+
+  void recordServing(BackendState backend, long nowMillis) {
+    origins.recordServing(backend.service(), backend.softwareVersion(), nowMillis);
+  }
+
+  private void recordServing(long nowMillis) {
+    backends.all().forEach(backend -> recordServing(backend, nowMillis));
+  }
+
+  /** Returns the versions that serve or have served lately, for other hosts. */
+  List<ServedVersion> exportServed(long nowMillis) {
+    recordServing(nowMillis);
+    return origins.exportServed(nowMillis);
+  }
+}
--- a/src/main/java/org/curranthaven/internal/emulator/PolicyVariant.java
+++ b/src/main/java/org/curranthaven/internal/emulator/PolicyVariant.java
@@ -4,11 +4,10 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.SplittableRandom;
-import org.curranthaven.internal.dispatch.CrashEvidence;
 import org.curranthaven.internal.dispatch.DispatchCore;
 import org.curranthaven.internal.dispatch.Mechanism;
-import org.curranthaven.internal.dispatch.RequestRateLimits;
 import org.curranthaven.internal.dispatch.RetryLimits;
+import org.curranthaven.internal.dispatch.SharedKnowledge;
 
 /**
  * A policy to compare.
@@ -56,12 +55,6 @@
     return leastOutstanding
         ? new LeastOutstandingPolicy()
         : new CorePolicy(
-            new DispatchCore(
-                RETRY_LIMITS,
-                1,
-                random,
-                disabled,
-                new CrashEvidence(),
-                RequestRateLimits.ofScheduler()));
+            new DispatchCore(RETRY_LIMITS, 1, random, disabled, SharedKnowledge.ofScheduler()));
   }
 }
--- a/src/main/java/org/curranthaven/internal/relay/RequestFingerprint.java
+++ b/src/main/java/org/curranthaven/internal/relay/RequestFingerprint.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.List;
 
 /**
  * Recognizes a request that is sent again under another id: requests with the same method, path,
@@ -29,7 +30,24 @@
     MessageDigest digest = newDigest();
     digest.update((method + " " + uri).getBytes(StandardCharsets.UTF_8));
     digest.update((byte) '\n');
-    long start = ByteBuffer.wrap(digest.digest(body)).getLong();
+    return nonZero(digest.digest(body));
+  }
+
+  /**
+   * Identifies the stream that a request began, for callers that take it up: a request of another
+   * workspace or to another service with the same id is another one. Never 0.
+   */
+  static long ofStream(String workspace, String service, String requestId) {
+    MessageDigest digest = newDigest();
+    for (String text : List.of(workspace, service)) {
+      digest.update(text.getBytes(StandardCharsets.UTF_8));
+      digest.update((byte) '\n');
+    }
+    return nonZero(digest.digest(requestId.getBytes(StandardCharsets.UTF_8)));
+  }
+
+  private static long nonZero(byte[] hash) {
+    long start = ByteBuffer.wrap(hash).getLong();
     return start == 0 ? 1 : start;
   }
 
--- a/src/main/java/org/curranthaven/internal/relay/RequestPlacer.java
+++ b/src/main/java/org/curranthaven/internal/relay/RequestPlacer.java
@@ -3,6 +3,7 @@
 import org.curranthaven.internal.dispatch.StatedRateLimit;
 import org.curranthaven.internal.transport.wire.DispatchOutcome;
 import org.curranthaven.internal.transport.wire.PlacementRequest;
+import org.jspecify.annotations.Nullable;
 
 /** Requests the placement of requests on backend servers. Confined to the event loop. */
 public interface RequestPlacer {
@@ -39,6 +40,9 @@
     /** Returns the backend server that keeps its backup copy; empty for none. */
     String backup();
 
+    /** Returns the software version that began the stream of the response; null until then. */
+    @Nullable String streamVersion();
+
     /** Returns the migration in progress; {@link Migration#NONE} if there is none. */
     Migration migration();
   }
--- a/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
@@ -62,6 +62,10 @@
   private String backup = "";
   private int urgency;
   private boolean streamStarted;
+
+  /** Software version that began the stream of the response, the only one that may continue it. */
+  private @Nullable String streamVersion;
+
   private boolean placed;
   private boolean finished;
 
@@ -130,6 +134,7 @@
             .setEngine(engine != null)
             .setIrreplaceable(engine != null && !route.isRepeatable())
             .setFingerprint(fingerprint);
+    addStream(builder);
     if (engine != null) {
       builder.addAllParts(request.parts());
     }
@@ -140,6 +145,29 @@
     context.placer().requestPlacement(newPlacement, this);
   }
 
+  /** Adds which stream a request begins or takes up, and the version that has to continue it. */
+  private void addStream(PlacementRequest.Builder builder) {
+    String version = streamVersion;
+    if (version != null) {
+      builder.setVersionBound(true).setSoftwareVersion(version);
+    }
+    if (route.kind() != Repeatability.STREAM || !route.isRepeatable()) {
+      return;
+    }
+    builder
+        .setStream(RequestFingerprint.ofStream(workspace, service.name(), request.id()))
+        .setResumes(!request.lastEventId().isEmpty());
+    if (!request.resumedRequestId().isEmpty()) {
+      builder.setResumedStream(
+          RequestFingerprint.ofStream(workspace, service.name(), request.resumedRequestId()));
+    }
+  }
+
+  @Override
+  public @Nullable String streamVersion() {
+    return streamVersion;
+  }
+
   @Override
   public PlacementRequest placementRequest() {
     return pendingPlacement == null ? PlacementRequest.getDefaultInstance() : pendingPlacement;
@@ -203,6 +231,18 @@
   }
 
   private void send(BackendRecord target, String stateReference) {
+    if (streamVersion != null && !streamVersion.equals(target.getSoftwareVersion())) {
+      handleResult(
+          new AttemptResult.Interrupted(
+              "software version \""
+                  + target.getSoftwareVersion()
+                  + "\" of backend server "
+                  + target.getId()
+                  + " cannot continue a stream of version \""
+                  + streamVersion
+                  + "\""));
+      return;
+    }
     history.recordStart();
     BackendRecord backupRecord = context.backend(backup);
     Attempt newAttempt = new Attempt(target, context.responseBuffers(), this);
@@ -294,7 +334,9 @@
     }
     fail(
         ResultCode.SHED,
-        "the request was rejected before it ran (reason " + reason + "); retry later",
+        "the request was rejected before it ran (reason "
+            + reason
+            + (retryAfterMillis > 0 ? "); retry later" : "); the same request cannot be served"),
         retryAfterMillis);
   }
 
@@ -320,6 +362,7 @@
     }
     if (!streamStarted) {
       streamStarted = true;
+      streamVersion = source.backend().getSoftwareVersion();
       caller.startStream(response);
     }
     boolean first = outputTokens() == 0;
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -14,13 +14,13 @@
 import java.util.function.BiConsumer;
 import java.util.random.RandomGenerator;
 import org.curranthaven.internal.catalog.Catalog;
-import org.curranthaven.internal.dispatch.CrashEvidence;
 import org.curranthaven.internal.dispatch.DispatchCore;
 import org.curranthaven.internal.dispatch.DispatchDecision;
 import org.curranthaven.internal.dispatch.RequestId;
-import org.curranthaven.internal.dispatch.RequestRateLimits;
 import org.curranthaven.internal.dispatch.RetryLimits;
+import org.curranthaven.internal.dispatch.SharedKnowledge;
 import org.curranthaven.internal.dispatch.StatedRateLimit;
+import org.curranthaven.internal.dispatch.StreamOrigins;
 import org.curranthaven.internal.supervision.Clock;
 import org.curranthaven.internal.transport.wire.BackendRecord;
 import org.curranthaven.internal.transport.wire.DispatchEnd;
@@ -65,6 +65,12 @@
    */
   private static final long MOST_GATEWAYS_MILLIS = 10_000;
 
+  /**
+   * Time after the scheduler's last message in which no backend server can have registered with a
+   * version unknown here, begun a stream and lost it, so that its caller takes it up here.
+   */
+  private static final long VERSIONS_COMPLETE_MILLIS = 1_000;
+
   private static final long CHECK_INTERVAL_MILLIS = 100;
   private static final long MIN_CHECK_INTERVAL_MILLIS = 20;
   private static final long PROGRESS_INTERVAL_MILLIS = 500;
@@ -81,11 +87,8 @@
   private final Set<String> removedBackends = new HashSet<>();
   private final Map<Long, Integer> reportedTokens = new HashMap<>();
 
-  /** Crashes as the scheduler published them, and those reported during local fallback. */
-  private final CrashEvidence crashEvidence = new CrashEvidence();
-
-  /** Limits on requests as the scheduler published them, and those that this gateway heard. */
-  private final RequestRateLimits rateLimits;
+  /** What the scheduler published, and what this gateway learnt itself. */
+  private final SharedKnowledge knowledge;
 
   /** Backend servers that stated something that is no limit. */
   private final Set<String> malformedRateLimits = new HashSet<>();
@@ -135,7 +138,7 @@
     this.retryLimits = retryLimits;
     this.sender = sender;
     this.listener = listener;
-    this.rateLimits = RequestRateLimits.ofGateway(random);
+    this.knowledge = SharedKnowledge.ofGateway(random);
   }
 
   /** Returns the backend server with the given id, or null if it is unknown or removed. */
@@ -150,17 +153,17 @@
 
   /** Returns the ids of the parts of prompts that are blocked, sorted. */
   List<String> blockedPromptParts() {
-    return crashEvidence.blockedParts(clock.nowMillis());
+    return knowledge.crashes().blockedParts(clock.nowMillis());
   }
 
   /** Returns the fingerprints of the requests that are blocked, sorted. */
   List<String> blockedRequests() {
-    return crashEvidence.blockedRequests(clock.nowMillis());
+    return knowledge.crashes().blockedRequests(clock.nowMillis());
   }
 
   /** Returns the limits on requests that backend servers have stated, by backend server. */
   SortedMap<String, Double> statedRateLimits() {
-    return rateLimits.stated();
+    return knowledge.rateLimits().stated();
   }
 
   /** Returns whether a scheduler's view has been received at least once. */
@@ -203,10 +206,12 @@
     if (!view.getCatalog().isEmpty()) {
       listener.catalogReceived(view.getCatalog().toByteArray());
     }
-    crashEvidence.merge(view.getCrashSuspectsList(), clock.nowMillis());
+    knowledge.crashes().merge(view.getCrashSuspectsList(), clock.nowMillis());
     if (view.hasRateLimits()) {
-      rateLimits.replace(view.getRateLimits().getLimitsList(), clock.nowMillis());
+      knowledge.rateLimits().replace(view.getRateLimits().getLimitsList(), clock.nowMillis());
     }
+    knowledge.streamOrigins().merge(List.of(), view.getServedVersionsList(), clock.nowMillis());
+    knowledge.streamOrigins().setCompleteUntil(lastMessageMillis + VERSIONS_COMPLETE_MILLIS);
     boolean updated = applyBackendUpdate(view);
     if (schedulerChanged || reconnected || isFullStatusDue(view)) {
       followScheduler();
@@ -243,7 +248,7 @@
     }
     viewVersion = view.getVersion();
     viewReceived = true;
-    rateLimits.discard(backends::containsKey, clock.nowMillis());
+    knowledge.rateLimits().discard(backends::containsKey, clock.nowMillis());
     malformedRateLimits.retainAll(backends.keySet());
     listener.backendsChanged(backends.values());
     return true;
@@ -257,7 +262,7 @@
     records.forEach(record -> listed.add(record.getId()));
     List.copyOf(backends.keySet()).stream()
         .filter(id -> !listed.contains(id))
-        .forEach(backends::remove);
+        .forEach(this::forgetBackend);
     records.forEach(this::putBackend);
   }
 
@@ -269,7 +274,20 @@
 
   private void removeBackend(String id) {
     removedBackends.add(id);
-    backends.remove(id);
+    forgetBackend(id);
+  }
+
+  private void forgetBackend(String id) {
+    BackendRecord record = backends.remove(id);
+    if (record != null) {
+      recordServing(record);
+    }
+  }
+
+  private void recordServing(BackendRecord record) {
+    knowledge
+        .streamOrigins()
+        .recordServing(record.getService(), record.getSoftwareVersion(), clock.nowMillis());
   }
 
   /**
@@ -309,11 +327,15 @@
       statusNumber++;
       status.setNumber(statusNumber);
       fullStatusSentMillis = clock.nowMillis();
+      backends.values().forEach(this::recordServing);
+      StreamOrigins origins = knowledge.streamOrigins();
       status
           .addAllBackends(backends.values())
           .addAllGone(removedBackends)
-          .addAllCrashSuspects(crashEvidence.export(clock.nowMillis()))
-          .addAllRateLimits(rateLimits.export(clock.nowMillis()));
+          .addAllCrashSuspects(knowledge.crashes().export(clock.nowMillis()))
+          .addAllRateLimits(knowledge.rateLimits().export(clock.nowMillis()))
+          .addAllStreamOrigins(origins.exportOrigins(clock.nowMillis()))
+          .addAllServedVersions(origins.exportServed(clock.nowMillis()));
       for (PlacementListener request : openRequests.values()) {
         if (!request.backend().isEmpty()) {
           status.addOpen(runningDispatch(request));
@@ -390,6 +412,7 @@
 
   @Override
   public void reportProgress(long id, int outputTokens) {
+    recordStreamOutput(id);
     reportedTokens.put(id, outputTokens);
     if (isConnected()) {
       send(DispatchRequests.newBuilder().addProgress(progress(id, outputTokens)));
@@ -399,6 +422,17 @@
     }
   }
 
+  /** Remembers which software version a stream has, for callers that take it up at this gateway. */
+  private void recordStreamOutput(long id) {
+    PlacementListener request = openRequests.get(id);
+    String version = request == null ? null : request.streamVersion();
+    if (request != null && version != null) {
+      knowledge
+          .streamOrigins()
+          .recordOutput(request.placementRequest(), version, clock.nowMillis());
+    }
+  }
+
   private static DispatchProgress progress(long id, int outputTokens) {
     return DispatchProgress.newBuilder().setId(id).setOutputTokens(outputTokens).build();
   }
@@ -423,7 +457,7 @@
       case StatedRateLimit.RequestsPerSecond limit ->
           handleStatedLimit(id, backend, limit.value(), attemptStartedAtMillis);
       case StatedRateLimit.None ignored -> {
-        if (rateLimits.isLimited(backend)) {
+        if (knowledge.rateLimits().isLimited(backend)) {
           handleNoStatedLimit(id, backend, attemptStartedAtMillis);
         }
       }
@@ -442,7 +476,9 @@
   private void handleStatedLimit(
       long id, String backend, double requestsPerSecond, long attemptStartedAtMillis) {
     long nowMillis = clock.nowMillis();
-    if (rateLimits.state(backend, requestsPerSecond, attemptStartedAtMillis, nowMillis)) {
+    if (knowledge
+        .rateLimits()
+        .state(backend, requestsPerSecond, attemptStartedAtMillis, nowMillis)) {
       Logger.info(
           "backend server {} states a limit of {} requests/s (placement request {})",
           backend,
@@ -466,7 +502,7 @@
   private void handleNoStatedLimit(long id, String backend, long attemptStartedAtMillis) {
     if (isConnected()) {
       sendRateLimit(RateLimitStatement.newBuilder().setId(id).setBackend(backend));
-    } else if (rateLimits.end(backend, attemptStartedAtMillis, clock.nowMillis())) {
+    } else if (knowledge.rateLimits().end(backend, attemptStartedAtMillis, clock.nowMillis())) {
       Logger.info(
           "backend server {} no longer states a limit on requests (placement request {})",
           backend,
@@ -480,11 +516,12 @@
 
   @Override
   public long blockedMillis(PlacementRequest placementRequest) {
-    return crashEvidence.blockedMillis(placementRequest, clock.nowMillis());
+    return knowledge.crashes().blockedMillis(placementRequest, clock.nowMillis());
   }
 
   @Override
   public void reportEnd(long id, DispatchOutcome outcome, int outputTokens) {
+    recordStreamOutput(id);
     boolean finished =
         outcome != DispatchOutcome.DISPATCH_OUTCOME_MOVED
             && outcome != DispatchOutcome.DISPATCH_OUTCOME_MOVE_FAILED;
@@ -632,10 +669,9 @@
 
   private DispatchCore startLocalFallback() {
     long nowMillis = clock.nowMillis();
-    DispatchCore core =
-        new DispatchCore(retryLimits, gatewayCount, random, Set.of(), crashEvidence, rateLimits);
+    DispatchCore core = new DispatchCore(retryLimits, gatewayCount, random, Set.of(), knowledge);
     localDispatch = core;
-    rateLimits.setShare(1.0 / mostGateways);
+    knowledge.rateLimits().setShare(1.0 / mostGateways);
     core.setCatalog(catalog);
     backends.values().forEach(record -> core.updateBackend(record, nowMillis));
     List<PlacementRequest> queued = new ArrayList<>();
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -17,12 +17,11 @@
 import java.util.random.RandomGenerator;
 import org.curranthaven.internal.catalog.Catalog;
 import org.curranthaven.internal.dispatch.BackendRegistry;
-import org.curranthaven.internal.dispatch.CrashEvidence;
 import org.curranthaven.internal.dispatch.DispatchCore;
 import org.curranthaven.internal.dispatch.DispatchDecision;
 import org.curranthaven.internal.dispatch.RequestId;
-import org.curranthaven.internal.dispatch.RequestRateLimits;
 import org.curranthaven.internal.dispatch.RetryLimits;
+import org.curranthaven.internal.dispatch.SharedKnowledge;
 import org.curranthaven.internal.supervision.Clock;
 import org.curranthaven.internal.transport.wire.BackendRecord;
 import org.curranthaven.internal.transport.wire.DispatchEnd;
@@ -80,8 +79,7 @@
   private Catalog catalog = Catalog.empty();
   private ByteString catalogDocument = ByteString.EMPTY;
   private DispatchCore core;
-  private CrashEvidence crashEvidence = new CrashEvidence();
-  private RequestRateLimits rateLimits = RequestRateLimits.ofScheduler();
+  private SharedKnowledge knowledge = SharedKnowledge.ofScheduler();
   private BackendRegistry registry = new BackendRegistry();
   private long term;
   private long viewVersion;
@@ -137,7 +135,7 @@
   }
 
   private DispatchCore newCore() {
-    return new DispatchCore(retryLimits, 1, random, Set.of(), crashEvidence, rateLimits);
+    return new DispatchCore(retryLimits, 1, random, Set.of(), knowledge);
   }
 
   boolean isLeading() {
@@ -163,8 +161,7 @@
         term,
         MAX_REBUILD_MILLIS);
     long nowMillis = clock.nowMillis();
-    crashEvidence = new CrashEvidence();
-    rateLimits = RequestRateLimits.ofScheduler();
+    knowledge = SharedKnowledge.ofScheduler();
     core = newCore();
     core.setCatalog(catalog);
     registry = new BackendRegistry();
@@ -274,7 +271,7 @@
   private void updateRateShare(long nowMillis) {
     lostGateways.values().removeIf(lostAt -> nowMillis - lostAt > LOST_GATEWAY_SHARE_MILLIS);
     double connected = Math.max(1, gateways.get().size());
-    rateLimits.setShare(connected / (connected + lostGateways.size()));
+    knowledge.rateLimits().setShare(connected / (connected + lostGateways.size()));
   }
 
   private void sendView(HostRecord gateway) {
@@ -316,15 +313,16 @@
     if (view.catalogRevision < catalog.revision()) {
       builder.setCatalog(catalogDocument);
     }
-    if (view.crashEvidenceVersion < crashEvidence.version()) {
+    if (view.crashEvidenceVersion < knowledge.crashes().version()) {
       builder.addAllCrashSuspects(
-          crashEvidence.exportSince(view.crashEvidenceVersion, clock.nowMillis()));
-      view.crashEvidenceVersion = crashEvidence.version();
+          knowledge.crashes().exportSince(view.crashEvidenceVersion, clock.nowMillis()));
+      view.crashEvidenceVersion = knowledge.crashes().version();
     }
-    if (view.rateLimitsVersion < rateLimits.version() && !rebuilding) {
-      view.rateLimitsVersion = rateLimits.version();
+    if (view.rateLimitsVersion < knowledge.rateLimits().version() && !rebuilding) {
+      view.rateLimitsVersion = knowledge.rateLimits().version();
       builder.setRateLimits(
-          RateLimitList.newBuilder().addAllLimits(rateLimits.export(clock.nowMillis())));
+          RateLimitList.newBuilder()
+              .addAllLimits(knowledge.rateLimits().export(clock.nowMillis())));
     }
     return builder;
   }
@@ -334,7 +332,8 @@
         newView(viewOf(gateway))
             .setVersion(viewVersion)
             .addAllBackends(registry.all())
-            .addAllGone(registry.removedIds());
+            .addAllGone(registry.removedIds())
+            .addAllServedVersions(core.servedVersions(clock.nowMillis()));
     sender.accept(gateway.getName(), Envelope.newBuilder().setSchedulerView(builder));
   }
 
@@ -388,7 +387,8 @@
     }
     status.getGoneList().forEach(id -> core.removeBackend(id, nowMillis));
     core.restoreCrashes(status.getCrashSuspectsList(), nowMillis);
-    rateLimits.merge(status.getRateLimitsList(), nowMillis);
+    knowledge.rateLimits().merge(status.getRateLimitsList(), nowMillis);
+    core.restoreStreams(status.getStreamOriginsList(), status.getServedVersionsList(), nowMillis);
     core.removeGateway(from.getName(), nowMillis);
     for (RunningDispatch running : status.getOpenList()) {
       RequestId key = new RequestId(from.getName(), running.getAsk().getId());
@@ -432,9 +432,9 @@
   }
 
   private void handleCrash(String gateway, String backend, long nowMillis) {
-    long versionBefore = crashEvidence.version();
+    long versionBefore = knowledge.crashes().version();
     core.backendCrashed(backend, nowMillis);
-    if (crashEvidence.version() == versionBefore) {
+    if (knowledge.crashes().version() == versionBefore) {
       return;
     }
     Logger.info(
@@ -442,8 +442,8 @@
             + " blocked requests by fingerprint: {}",
         backend,
         gateway,
-        crashEvidence.blockedParts(nowMillis),
-        crashEvidence.blockedRequests(nowMillis));
+        knowledge.crashes().blockedParts(nowMillis),
+        knowledge.crashes().blockedRequests(nowMillis));
     gateways.get().forEach(this::sendView);
   }
 
--- a/src/main/java/org/curranthaven/internal/transport/wire/Curranthaven.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/Curranthaven.java
@@ -236,6 +236,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_curranthaven_SchedulerView_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_curranthaven_ServedVersion_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_curranthaven_ServedVersion_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_curranthaven_StreamOrigin_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_curranthaven_StreamOrigin_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_curranthaven_RateLimitList_descriptor;
   static final 
@@ -461,7 +471,7 @@
       "imRecord\"P\n\016LedgerSnapshot\022\022\n\nnow_millis" +
       "\030\001 \001(\003\022*\n\007records\030\002 \003(\0132\031.curranthaven.C" +
       "laimRecord\"\'\n\nKnownHosts\022\031\n\021control_addr" +
-      "esses\030\001 \003(\t\"\326\002\n\rSchedulerView\022\014\n\004term\030\001 " +
+      "esses\030\001 \003(\t\"\214\003\n\rSchedulerView\022\014\n\004term\030\001 " +
       "\001(\004\022\017\n\007version\030\002 \001(\004\022\024\n\014base_version\030\003 \001" +
       "(\004\022-\n\010backends\030\004 \003(\0132\033.curranthaven.Back" +
       "endRecord\022\014\n\004gone\030\005 \003(\t\022\030\n\020catalog_revis" +
@@ -469,93 +479,104 @@
       " \001(\r\022\020\n\010resigned\030\t \001(\010\022\035\n\025full_status_re" +
       "quested\030\n \001(\010\0223\n\016crash_suspects\030\013 \003(\0132\033." +
       "curranthaven.SuspectRecord\0220\n\013rate_limit" +
-      "s\030\014 \001(\0132\033.curranthaven.RateLimitList\">\n\r" +
-      "RateLimitList\022-\n\006limits\030\001 \003(\0132\035.curranth" +
-      "aven.RateLimitRecord\"Z\n\017RateLimitRecord\022" +
-      "\017\n\007backend\030\001 \001(\t\022\033\n\023requests_per_second\030" +
-      "\002 \001(\001\022\031\n\021stated_age_millis\030\003 \001(\004\"\215\002\n\rSus" +
-      "pectRecord\022\017\n\007service\030\001 \001(\t\022\014\n\004part\030\002 \001(" +
-      "\t\022+\n\007crashes\030\003 \003(\0132\032.curranthaven.Backen" +
-      "dCrash\022\016\n\006blocks\030\004 \001(\r\022\032\n\022blocked_age_mi" +
-      "llis\030\005 \001(\004\022\033\n\023blocked_left_millis\030\006 \001(\004\022" +
-      "\022\n\nhad_output\030\007 \001(\010\022\031\n\021output_age_millis" +
-      "\030\010 \001(\004\022\020\n\010requests\030\t \001(\r\022\021\n\tworkspace\030\n " +
-      "\001(\t\022\023\n\013fingerprint\030\013 \001(\006\"3\n\014BackendCrash" +
-      "\022\017\n\007backend\030\001 \001(\t\022\022\n\nage_millis\030\002 \001(\004\"\314\001" +
-      "\n\rBackendRecord\022\n\n\002id\030\001 \001(\t\022\017\n\007service\030\002" +
-      " \001(\t\022\017\n\007address\030\003 \001(\t\022\023\n\013data_centre\030\004 \001" +
-      "(\t\022\r\n\005slots\030\005 \001(\r\022\017\n\007leaving\030\006 \001(\010\022\020\n\010se" +
-      "quence\030\007 \001(\004\022\030\n\020cold_left_millis\030\010 \001(\004\022\022" +
-      "\n\nfirst_seen\030\t \001(\004\022\030\n\020software_version\030\n" +
-      " \001(\t\"\271\002\n\rGatewayStatus\022\014\n\004term\030\001 \001(\004\022\017\n\007" +
-      "version\030\002 \001(\004\022\030\n\020catalog_revision\030\003 \001(\004\022" +
-      "\014\n\004full\030\004 \001(\010\022+\n\004open\030\005 \003(\0132\035.curranthav" +
-      "en.RunningDispatch\022-\n\010backends\030\006 \003(\0132\033.c" +
-      "urranthaven.BackendRecord\022\014\n\004gone\030\007 \003(\t\022" +
-      "3\n\016crash_suspects\030\010 \003(\0132\033.curranthaven.S" +
-      "uspectRecord\0222\n\013rate_limits\030\t \003(\0132\035.curr" +
-      "anthaven.RateLimitRecord\022\016\n\006number\030\n \001(\004" +
-      "\"\252\001\n\017RunningDispatch\022+\n\003ask\030\001 \001(\0132\036.curr" +
-      "anthaven.PlacementRequest\022\017\n\007backend\030\002 \001" +
-      "(\t\022\025\n\routput_tokens\030\003 \001(\r\022\016\n\006backup\030\004 \001(" +
-      "\t\022\030\n\020migration_target\030\005 \001(\t\022\030\n\020migration" +
-      "_backup\030\006 \001(\t\"\211\003\n\020PlacementRequest\022\n\n\002id" +
-      "\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022\r\n\005route\030\003 \001(\t\022\021" +
-      "\n\tworkspace\030\004 \001(\t\022\020\n\010priority\030\005 \001(\r\022\025\n\rp" +
-      "rompt_tokens\030\006 \001(\r\022\031\n\021max_output_tokens\030" +
-      "\007 \001(\r\022\034\n\024hinted_output_tokens\030\010 \001(\r\022\032\n\022t" +
-      "arget_left_millis\030\t \001(\003\022\034\n\024deadline_left" +
-      "_millis\030\n \001(\003\022\020\n\010excluded\030\013 \003(\t\022\016\n\006repea" +
-      "t\030\014 \001(\010\022\'\n\005parts\030\r \003(\0132\030.curranthaven.Pr" +
-      "omptPart\022\023\n\013data_centre\030\016 \001(\t\022\016\n\006engine\030" +
-      "\017 \001(\010\022\025\n\rirreplaceable\030\020 \001(\010\022\023\n\013fingerpr" +
-      "int\030\021 \001(\006\"(\n\nPromptPart\022\n\n\002id\030\001 \001(\t\022\016\n\006t" +
-      "okens\030\002 \001(\r\"\372\001\n\020DispatchRequests\022\014\n\004term" +
-      "\030\001 \001(\004\022,\n\004asks\030\002 \003(\0132\036.curranthaven.Plac" +
-      "ementRequest\0220\n\010progress\030\003 \003(\0132\036.currant" +
-      "haven.DispatchProgress\022\'\n\004ends\030\004 \003(\0132\031.c" +
-      "urranthaven.DispatchEnd\022\030\n\020crashed_backe" +
-      "nds\030\005 \003(\t\0225\n\013rate_limits\030\006 \003(\0132 .currant" +
-      "haven.RateLimitStatement\"_\n\022RateLimitSta" +
-      "tement\022\n\n\002id\030\001 \001(\004\022\017\n\007backend\030\002 \001(\t\022\017\n\007l" +
-      "imited\030\003 \001(\010\022\033\n\023requests_per_second\030\004 \001(" +
-      "\001\"5\n\020DispatchProgress\022\n\n\002id\030\001 \001(\004\022\025\n\rout" +
-      "put_tokens\030\002 \001(\r\"`\n\013DispatchEnd\022\n\n\002id\030\001 " +
-      "\001(\004\022.\n\007outcome\030\002 \001(\0162\035.curranthaven.Disp" +
-      "atchOutcome\022\025\n\routput_tokens\030\003 \001(\r\"\363\001\n\016D" +
-      "ispatchOrders\022\014\n\004term\030\001 \001(\004\022+\n\nplacement" +
-      "s\030\002 \003(\0132\027.curranthaven.Placement\022)\n\010refu" +
-      "sals\030\003 \003(\0132\027.curranthaven.Rejection\022+\n\005m" +
-      "oves\030\004 \003(\0132\034.curranthaven.MigrationOrder" +
-      "\022\017\n\007waiting\030\005 \003(\004\022&\n\005stops\030\006 \003(\0132\027.curra" +
-      "nthaven.Rejection\022\025\n\rstatus_number\030\007 \001(\004" +
-      "\"I\n\tPlacement\022\n\n\002id\030\001 \001(\004\022\017\n\007backend\030\002 \001" +
-      "(\t\022\017\n\007urgency\030\003 \001(\r\022\016\n\006backup\030\004 \001(\t\"C\n\tR" +
-      "ejection\022\n\n\002id\030\001 \001(\004\022\032\n\022retry_after_mill" +
-      "is\030\002 \001(\004\022\016\n\006reason\030\003 \001(\t\"<\n\016MigrationOrd" +
-      "er\022\n\n\002id\030\001 \001(\004\022\016\n\006target\030\002 \001(\t\022\016\n\006backup" +
-      "\030\003 \001(\t*O\n\tEntryKind\022\023\n\017ENTRY_KIND_NOOP\020\000" +
-      "\022\026\n\022ENTRY_KIND_COMMAND\020\001\022\025\n\021ENTRY_KIND_V" +
-      "OTERS\020\002*\246\001\n\rCommandStatus\022\036\n\032COMMAND_STA" +
-      "TUS_UNSPECIFIED\020\000\022\032\n\026COMMAND_STATUS_APPL" +
-      "IED\020\001\022\035\n\031COMMAND_STATUS_NOT_LEADER\020\002\022\032\n\026" +
-      "COMMAND_STATUS_UNKNOWN\020\003\022\036\n\032COMMAND_STAT" +
-      "US_UNAVAILABLE\020\004*\353\001\n\014ClaimVerdict\022\035\n\031CLA" +
-      "IM_VERDICT_UNSPECIFIED\020\000\022\031\n\025CLAIM_VERDIC" +
-      "T_GRANTED\020\001\022\031\n\025CLAIM_VERDICT_RUNNING\020\002\022\026" +
-      "\n\022CLAIM_VERDICT_DONE\020\003\022\034\n\030CLAIM_VERDICT_" +
-      "KEY_REUSED\020\004\022\031\n\025CLAIM_VERDICT_TOO_OLD\020\005\022" +
-      "\035\n\031CLAIM_VERDICT_FROM_FUTURE\020\006\022\026\n\022CLAIM_" +
-      "VERDICT_FULL\020\007*\264\002\n\017DispatchOutcome\022 \n\034DI" +
-      "SPATCH_OUTCOME_UNSPECIFIED\020\000\022\035\n\031DISPATCH" +
-      "_OUTCOME_ANSWERED\020\001\022\033\n\027DISPATCH_OUTCOME_" +
-      "FAILED\020\002\022\035\n\031DISPATCH_OUTCOME_REJECTED\020\003\022" +
-      " \n\034DISPATCH_OUTCOME_UNREACHABLE\020\004\022\036\n\032DIS" +
-      "PATCH_OUTCOME_CANCELLED\020\005\022\032\n\026DISPATCH_OU" +
-      "TCOME_MOVED\020\006\022 \n\034DISPATCH_OUTCOME_MOVE_F" +
-      "AILED\020\007\022$\n DISPATCH_OUTCOME_CONNECTION_L" +
-      "OST\020\010B,\n(org.curranthaven.internal.trans" +
-      "port.wireP\001b\006proto3"
+      "s\030\014 \001(\0132\033.curranthaven.RateLimitList\0224\n\017" +
+      "served_versions\030\r \003(\0132\033.curranthaven.Ser" +
+      "vedVersion\"N\n\rServedVersion\022\017\n\007service\030\001" +
+      " \001(\t\022\030\n\020software_version\030\002 \001(\t\022\022\n\nage_mi" +
+      "llis\030\003 \001(\004\"S\n\014StreamOrigin\022\016\n\006stream\030\001 \001" +
+      "(\006\022\030\n\020software_version\030\002 \001(\t\022\031\n\021output_a" +
+      "ge_millis\030\003 \001(\004\">\n\rRateLimitList\022-\n\006limi" +
+      "ts\030\001 \003(\0132\035.curranthaven.RateLimitRecord\"" +
+      "Z\n\017RateLimitRecord\022\017\n\007backend\030\001 \001(\t\022\033\n\023r" +
+      "equests_per_second\030\002 \001(\001\022\031\n\021stated_age_m" +
+      "illis\030\003 \001(\004\"\215\002\n\rSuspectRecord\022\017\n\007service" +
+      "\030\001 \001(\t\022\014\n\004part\030\002 \001(\t\022+\n\007crashes\030\003 \003(\0132\032." +
+      "curranthaven.BackendCrash\022\016\n\006blocks\030\004 \001(" +
+      "\r\022\032\n\022blocked_age_millis\030\005 \001(\004\022\033\n\023blocked" +
+      "_left_millis\030\006 \001(\004\022\022\n\nhad_output\030\007 \001(\010\022\031" +
+      "\n\021output_age_millis\030\010 \001(\004\022\020\n\010requests\030\t " +
+      "\001(\r\022\021\n\tworkspace\030\n \001(\t\022\023\n\013fingerprint\030\013 " +
+      "\001(\006\"3\n\014BackendCrash\022\017\n\007backend\030\001 \001(\t\022\022\n\n" +
+      "age_millis\030\002 \001(\004\"\314\001\n\rBackendRecord\022\n\n\002id" +
+      "\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007address\030\003 \001(\t" +
+      "\022\023\n\013data_centre\030\004 \001(\t\022\r\n\005slots\030\005 \001(\r\022\017\n\007" +
+      "leaving\030\006 \001(\010\022\020\n\010sequence\030\007 \001(\004\022\030\n\020cold_" +
+      "left_millis\030\010 \001(\004\022\022\n\nfirst_seen\030\t \001(\004\022\030\n" +
+      "\020software_version\030\n \001(\t\"\243\003\n\rGatewayStatu" +
+      "s\022\014\n\004term\030\001 \001(\004\022\017\n\007version\030\002 \001(\004\022\030\n\020cata" +
+      "log_revision\030\003 \001(\004\022\014\n\004full\030\004 \001(\010\022+\n\004open" +
+      "\030\005 \003(\0132\035.curranthaven.RunningDispatch\022-\n" +
+      "\010backends\030\006 \003(\0132\033.curranthaven.BackendRe" +
+      "cord\022\014\n\004gone\030\007 \003(\t\0223\n\016crash_suspects\030\010 \003" +
+      "(\0132\033.curranthaven.SuspectRecord\0222\n\013rate_" +
+      "limits\030\t \003(\0132\035.curranthaven.RateLimitRec" +
+      "ord\022\016\n\006number\030\n \001(\004\0222\n\016stream_origins\030\013 " +
+      "\003(\0132\032.curranthaven.StreamOrigin\0224\n\017serve" +
+      "d_versions\030\014 \003(\0132\033.curranthaven.ServedVe" +
+      "rsion\"\252\001\n\017RunningDispatch\022+\n\003ask\030\001 \001(\0132\036" +
+      ".curranthaven.PlacementRequest\022\017\n\007backen" +
+      "d\030\002 \001(\t\022\025\n\routput_tokens\030\003 \001(\r\022\016\n\006backup" +
+      "\030\004 \001(\t\022\030\n\020migration_target\030\005 \001(\t\022\030\n\020migr" +
+      "ation_backup\030\006 \001(\t\"\363\003\n\020PlacementRequest\022" +
+      "\n\n\002id\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022\r\n\005route\030\003 " +
+      "\001(\t\022\021\n\tworkspace\030\004 \001(\t\022\020\n\010priority\030\005 \001(\r" +
+      "\022\025\n\rprompt_tokens\030\006 \001(\r\022\031\n\021max_output_to" +
+      "kens\030\007 \001(\r\022\034\n\024hinted_output_tokens\030\010 \001(\r" +
+      "\022\032\n\022target_left_millis\030\t \001(\003\022\034\n\024deadline" +
+      "_left_millis\030\n \001(\003\022\020\n\010excluded\030\013 \003(\t\022\016\n\006" +
+      "repeat\030\014 \001(\010\022\'\n\005parts\030\r \003(\0132\030.curranthav" +
+      "en.PromptPart\022\023\n\013data_centre\030\016 \001(\t\022\016\n\006en" +
+      "gine\030\017 \001(\010\022\025\n\rirreplaceable\030\020 \001(\010\022\023\n\013fin" +
+      "gerprint\030\021 \001(\006\022\016\n\006stream\030\022 \001(\006\022\017\n\007resume" +
+      "s\030\023 \001(\010\022\026\n\016resumed_stream\030\024 \001(\006\022\025\n\rversi" +
+      "on_bound\030\025 \001(\010\022\030\n\020software_version\030\026 \001(\t" +
+      "\"(\n\nPromptPart\022\n\n\002id\030\001 \001(\t\022\016\n\006tokens\030\002 \001" +
+      "(\r\"\372\001\n\020DispatchRequests\022\014\n\004term\030\001 \001(\004\022,\n" +
+      "\004asks\030\002 \003(\0132\036.curranthaven.PlacementRequ" +
+      "est\0220\n\010progress\030\003 \003(\0132\036.curranthaven.Dis" +
+      "patchProgress\022\'\n\004ends\030\004 \003(\0132\031.curranthav" +
+      "en.DispatchEnd\022\030\n\020crashed_backends\030\005 \003(\t" +
+      "\0225\n\013rate_limits\030\006 \003(\0132 .curranthaven.Rat" +
+      "eLimitStatement\"_\n\022RateLimitStatement\022\n\n" +
+      "\002id\030\001 \001(\004\022\017\n\007backend\030\002 \001(\t\022\017\n\007limited\030\003 " +
+      "\001(\010\022\033\n\023requests_per_second\030\004 \001(\001\"5\n\020Disp" +
+      "atchProgress\022\n\n\002id\030\001 \001(\004\022\025\n\routput_token" +
+      "s\030\002 \001(\r\"`\n\013DispatchEnd\022\n\n\002id\030\001 \001(\004\022.\n\007ou" +
+      "tcome\030\002 \001(\0162\035.curranthaven.DispatchOutco" +
+      "me\022\025\n\routput_tokens\030\003 \001(\r\"\363\001\n\016DispatchOr" +
+      "ders\022\014\n\004term\030\001 \001(\004\022+\n\nplacements\030\002 \003(\0132\027" +
+      ".curranthaven.Placement\022)\n\010refusals\030\003 \003(" +
+      "\0132\027.curranthaven.Rejection\022+\n\005moves\030\004 \003(" +
+      "\0132\034.curranthaven.MigrationOrder\022\017\n\007waiti" +
+      "ng\030\005 \003(\004\022&\n\005stops\030\006 \003(\0132\027.curranthaven.R" +
+      "ejection\022\025\n\rstatus_number\030\007 \001(\004\"I\n\tPlace" +
+      "ment\022\n\n\002id\030\001 \001(\004\022\017\n\007backend\030\002 \001(\t\022\017\n\007urg" +
+      "ency\030\003 \001(\r\022\016\n\006backup\030\004 \001(\t\"C\n\tRejection\022" +
+      "\n\n\002id\030\001 \001(\004\022\032\n\022retry_after_millis\030\002 \001(\004\022" +
+      "\016\n\006reason\030\003 \001(\t\"<\n\016MigrationOrder\022\n\n\002id\030" +
+      "\001 \001(\004\022\016\n\006target\030\002 \001(\t\022\016\n\006backup\030\003 \001(\t*O\n" +
+      "\tEntryKind\022\023\n\017ENTRY_KIND_NOOP\020\000\022\026\n\022ENTRY" +
+      "_KIND_COMMAND\020\001\022\025\n\021ENTRY_KIND_VOTERS\020\002*\246" +
+      "\001\n\rCommandStatus\022\036\n\032COMMAND_STATUS_UNSPE" +
+      "CIFIED\020\000\022\032\n\026COMMAND_STATUS_APPLIED\020\001\022\035\n\031" +
+      "COMMAND_STATUS_NOT_LEADER\020\002\022\032\n\026COMMAND_S" +
+      "TATUS_UNKNOWN\020\003\022\036\n\032COMMAND_STATUS_UNAVAI" +
+      "LABLE\020\004*\353\001\n\014ClaimVerdict\022\035\n\031CLAIM_VERDIC" +
+      "T_UNSPECIFIED\020\000\022\031\n\025CLAIM_VERDICT_GRANTED" +
+      "\020\001\022\031\n\025CLAIM_VERDICT_RUNNING\020\002\022\026\n\022CLAIM_V" +
+      "ERDICT_DONE\020\003\022\034\n\030CLAIM_VERDICT_KEY_REUSE" +
+      "D\020\004\022\031\n\025CLAIM_VERDICT_TOO_OLD\020\005\022\035\n\031CLAIM_" +
+      "VERDICT_FROM_FUTURE\020\006\022\026\n\022CLAIM_VERDICT_F" +
+      "ULL\020\007*\264\002\n\017DispatchOutcome\022 \n\034DISPATCH_OU" +
+      "TCOME_UNSPECIFIED\020\000\022\035\n\031DISPATCH_OUTCOME_" +
+      "ANSWERED\020\001\022\033\n\027DISPATCH_OUTCOME_FAILED\020\002\022" +
+      "\035\n\031DISPATCH_OUTCOME_REJECTED\020\003\022 \n\034DISPAT" +
+      "CH_OUTCOME_UNREACHABLE\020\004\022\036\n\032DISPATCH_OUT" +
+      "COME_CANCELLED\020\005\022\032\n\026DISPATCH_OUTCOME_MOV" +
+      "ED\020\006\022 \n\034DISPATCH_OUTCOME_MOVE_FAILED\020\007\022$" +
+      "\n DISPATCH_OUTCOME_CONNECTION_LOST\020\010B,\n(" +
+      "org.curranthaven.internal.transport.wire" +
+      "P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -812,105 +833,117 @@
     internal_static_curranthaven_SchedulerView_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_curranthaven_SchedulerView_descriptor,
-        new java.lang.String[] { "Term", "Version", "BaseVersion", "Backends", "Gone", "CatalogRevision", "Catalog", "Gateways", "Resigned", "FullStatusRequested", "CrashSuspects", "RateLimits", });
-    internal_static_curranthaven_RateLimitList_descriptor =
+        new java.lang.String[] { "Term", "Version", "BaseVersion", "Backends", "Gone", "CatalogRevision", "Catalog", "Gateways", "Resigned", "FullStatusRequested", "CrashSuspects", "RateLimits", "ServedVersions", });
+    internal_static_curranthaven_ServedVersion_descriptor =
       getDescriptor().getMessageType(42);
+    internal_static_curranthaven_ServedVersion_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_curranthaven_ServedVersion_descriptor,
+        new java.lang.String[] { "Service", "SoftwareVersion", "AgeMillis", });
+    internal_static_curranthaven_StreamOrigin_descriptor =
+      getDescriptor().getMessageType(43);
+    internal_static_curranthaven_StreamOrigin_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_curranthaven_StreamOrigin_descriptor,
+        new java.lang.String[] { "Stream", "SoftwareVersion", "OutputAgeMillis", });
+    internal_static_curranthaven_RateLimitList_descriptor =
+      getDescriptor().getMessageType(44);
     internal_static_curranthaven_RateLimitList_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_curranthaven_RateLimitList_descriptor,
         new java.lang.String[] { "Limits", });
     internal_static_curranthaven_RateLimitRecord_descriptor =
-      getDescriptor().getMessageType(43);
+      getDescriptor().getMessageType(45);
     internal_static_curranthaven_RateLimitRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_curranthaven_RateLimitRecord_descriptor,
         new java.lang.String[] { "Backend", "RequestsPerSecond", "StatedAgeMillis", });
     internal_static_curranthaven_SuspectRecord_descriptor =
-      getDescriptor().getMessageType(44);
+      getDescriptor().getMessageType(46);
     internal_static_curranthaven_SuspectRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_curranthaven_SuspectRecord_descriptor,
         new java.lang.String[] { "Service", "Part", "Crashes", "Blocks", "BlockedAgeMillis", "BlockedLeftMillis", "HadOutput", "OutputAgeMillis", "Requests", "Workspace", "Fingerprint", });
     internal_static_curranthaven_BackendCrash_descriptor =
-      getDescriptor().getMessageType(45);
+      getDescriptor().getMessageType(47);
     internal_static_curranthaven_BackendCrash_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_curranthaven_BackendCrash_descriptor,
         new java.lang.String[] { "Backend", "AgeMillis", });
     internal_static_curranthaven_BackendRecord_descriptor =
-      getDescriptor().getMessageType(46);
+      getDescriptor().getMessageType(48);
     internal_static_curranthaven_BackendRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_curranthaven_BackendRecord_descriptor,
         new java.lang.String[] { "Id", "Service", "Address", "DataCentre", "Slots", "Leaving", "Sequence", "ColdLeftMillis", "FirstSeen", "SoftwareVersion", });
     internal_static_curranthaven_GatewayStatus_descriptor =
-      getDescriptor().getMessageType(47);
+      getDescriptor().getMessageType(49);
     internal_static_curranthaven_GatewayStatus_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_curranthaven_GatewayStatus_descriptor,
-        new java.lang.String[] { "Term", "Version", "CatalogRevision", "Full", "Open", "Backends", "Gone", "CrashSuspects", "RateLimits", "Number", });
+        new java.lang.String[] { "Term", "Version", "CatalogRevision", "Full", "Open", "Backends", "Gone", "CrashSuspects", "RateLimits", "Number", "StreamOrigins", "ServedVersions", });
     internal_static_curranthaven_RunningDispatch_descriptor =
-      getDescriptor().getMessageType(48);
+      getDescriptor().getMessageType(50);
     internal_static_curranthaven_RunningDispatch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_curranthaven_RunningDispatch_descriptor,
         new java.lang.String[] { "Ask", "Backend", "OutputTokens", "Backup", "MigrationTarget", "MigrationBackup", });
     internal_static_curranthaven_PlacementRequest_descriptor =
-      getDescriptor().getMessageType(49);
+      getDescriptor().getMessageType(51);
     internal_static_curranthaven_PlacementRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_curranthaven_PlacementRequest_descriptor,
-        new java.lang.String[] { "Id", "Service", "Route", "Workspace", "Priority", "PromptTokens", "MaxOutputTokens", "HintedOutputTokens", "TargetLeftMillis", "DeadlineLeftMillis", "Excluded", "Repeat", "Parts", "DataCentre", "Engine", "Irreplaceable", "Fingerprint", });
+        new java.lang.String[] { "Id", "Service", "Route", "Workspace", "Priority", "PromptTokens", "MaxOutputTokens", "HintedOutputTokens", "TargetLeftMillis", "DeadlineLeftMillis", "Excluded", "Repeat", "Parts", "DataCentre", "Engine", "Irreplaceable", "Fingerprint", "Stream", "Resumes", "ResumedStream", "VersionBound", "SoftwareVersion", });
     internal_static_curranthaven_PromptPart_descriptor =
-      getDescriptor().getMessageType(50);
+      getDescriptor().getMessageType(52);
     internal_static_curranthaven_PromptPart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_curranthaven_PromptPart_descriptor,
         new java.lang.String[] { "Id", "Tokens", });
     internal_static_curranthaven_DispatchRequests_descriptor =
-      getDescriptor().getMessageType(51);
+      getDescriptor().getMessageType(53);
     internal_static_curranthaven_DispatchRequests_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_curranthaven_DispatchRequests_descriptor,
         new java.lang.String[] { "Term", "Asks", "Progress", "Ends", "CrashedBackends", "RateLimits", });
     internal_static_curranthaven_RateLimitStatement_descriptor =
-      getDescriptor().getMessageType(52);
+      getDescriptor().getMessageType(54);
     internal_static_curranthaven_RateLimitStatement_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_curranthaven_RateLimitStatement_descriptor,
         new java.lang.String[] { "Id", "Backend", "Limited", "RequestsPerSecond", });
     internal_static_curranthaven_DispatchProgress_descriptor =
-      getDescriptor().getMessageType(53);
+      getDescriptor().getMessageType(55);
     internal_static_curranthaven_DispatchProgress_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_curranthaven_DispatchProgress_descriptor,
         new java.lang.String[] { "Id", "OutputTokens", });
     internal_static_curranthaven_DispatchEnd_descriptor =
-      getDescriptor().getMessageType(54);
+      getDescriptor().getMessageType(56);
     internal_static_curranthaven_DispatchEnd_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_curranthaven_DispatchEnd_descriptor,
         new java.lang.String[] { "Id", "Outcome", "OutputTokens", });
     internal_static_curranthaven_DispatchOrders_descriptor =
-      getDescriptor().getMessageType(55);
+      getDescriptor().getMessageType(57);
     internal_static_curranthaven_DispatchOrders_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_curranthaven_DispatchOrders_descriptor,
         new java.lang.String[] { "Term", "Placements", "Refusals", "Moves", "Waiting", "Stops", "StatusNumber", });
     internal_static_curranthaven_Placement_descriptor =
-      getDescriptor().getMessageType(56);
+      getDescriptor().getMessageType(58);
     internal_static_curranthaven_Placement_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_curranthaven_Placement_descriptor,
         new java.lang.String[] { "Id", "Backend", "Urgency", "Backup", });
     internal_static_curranthaven_Rejection_descriptor =
-      getDescriptor().getMessageType(57);
+      getDescriptor().getMessageType(59);
     internal_static_curranthaven_Rejection_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_curranthaven_Rejection_descriptor,
         new java.lang.String[] { "Id", "RetryAfterMillis", "Reason", });
     internal_static_curranthaven_MigrationOrder_descriptor =
-      getDescriptor().getMessageType(58);
+      getDescriptor().getMessageType(60);
     internal_static_curranthaven_MigrationOrder_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_curranthaven_MigrationOrder_descriptor,
--- a/src/main/java/org/curranthaven/internal/transport/wire/GatewayStatus.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/GatewayStatus.java
@@ -38,6 +38,8 @@
         com.google.protobuf.LazyStringArrayList.emptyList();
     crashSuspects_ = java.util.Collections.emptyList();
     rateLimits_ = java.util.Collections.emptyList();
+    streamOrigins_ = java.util.Collections.emptyList();
+    servedVersions_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -407,6 +409,128 @@
     return number_;
   }
 
+  public static final int STREAM_ORIGINS_FIELD_NUMBER = 11;
+  @SuppressWarnings("serial")
+  private java.util.List<org.curranthaven.internal.transport.wire.StreamOrigin> streamOrigins_;
+  /**
+   * <pre>
+   * Streams that the gateway forwarded lately and that callers may take up.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.StreamOrigin stream_origins = 11;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.curranthaven.internal.transport.wire.StreamOrigin> getStreamOriginsList() {
+    return streamOrigins_;
+  }
+  /**
+   * <pre>
+   * Streams that the gateway forwarded lately and that callers may take up.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.StreamOrigin stream_origins = 11;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.curranthaven.internal.transport.wire.StreamOriginOrBuilder> 
+      getStreamOriginsOrBuilderList() {
+    return streamOrigins_;
+  }
+  /**
+   * <pre>
+   * Streams that the gateway forwarded lately and that callers may take up.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.StreamOrigin stream_origins = 11;</code>
+   */
+  @java.lang.Override
+  public int getStreamOriginsCount() {
+    return streamOrigins_.size();
+  }
+  /**
+   * <pre>
+   * Streams that the gateway forwarded lately and that callers may take up.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.StreamOrigin stream_origins = 11;</code>
+   */
+  @java.lang.Override
+  public org.curranthaven.internal.transport.wire.StreamOrigin getStreamOrigins(int index) {
+    return streamOrigins_.get(index);
+  }
+  /**
+   * <pre>
+   * Streams that the gateway forwarded lately and that callers may take up.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.StreamOrigin stream_origins = 11;</code>
+   */
+  @java.lang.Override
+  public org.curranthaven.internal.transport.wire.StreamOriginOrBuilder getStreamOriginsOrBuilder(
+      int index) {
+    return streamOrigins_.get(index);
+  }
+
+  public static final int SERVED_VERSIONS_FIELD_NUMBER = 12;
+  @SuppressWarnings("serial")
+  private java.util.List<org.curranthaven.internal.transport.wire.ServedVersion> servedVersions_;
+  /**
+   * <pre>
+   * Software versions that serve or have served lately, as the gateway knows them.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.ServedVersion served_versions = 12;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.curranthaven.internal.transport.wire.ServedVersion> getServedVersionsList() {
+    return servedVersions_;
+  }
+  /**
+   * <pre>
+   * Software versions that serve or have served lately, as the gateway knows them.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.ServedVersion served_versions = 12;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.curranthaven.internal.transport.wire.ServedVersionOrBuilder> 
+      getServedVersionsOrBuilderList() {
+    return servedVersions_;
+  }
+  /**
+   * <pre>
+   * Software versions that serve or have served lately, as the gateway knows them.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.ServedVersion served_versions = 12;</code>
+   */
+  @java.lang.Override
+  public int getServedVersionsCount() {
+    return servedVersions_.size();
+  }
+  /**
+   * <pre>
+   * Software versions that serve or have served lately, as the gateway knows them.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.ServedVersion served_versions = 12;</code>
+   */
+  @java.lang.Override
+  public org.curranthaven.internal.transport.wire.ServedVersion getServedVersions(int index) {
+    return servedVersions_.get(index);
+  }
+  /**
+   * <pre>
+   * Software versions that serve or have served lately, as the gateway knows them.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.ServedVersion served_versions = 12;</code>
+   */
+  @java.lang.Override
+  public org.curranthaven.internal.transport.wire.ServedVersionOrBuilder getServedVersionsOrBuilder(
+      int index) {
+    return servedVersions_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -451,6 +575,12 @@
     if (number_ != 0L) {
       output.writeUInt64(10, number_);
     }
+    for (int i = 0; i < streamOrigins_.size(); i++) {
+      output.writeMessage(11, streamOrigins_.get(i));
+    }
+    for (int i = 0; i < servedVersions_.size(); i++) {
+      output.writeMessage(12, servedVersions_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -519,6 +649,24 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(10, number_);
     }
+
+        {
+          final int count = streamOrigins_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(streamOrigins_.get(i));
+          }
+          size += 1 * count;
+        }
+
+        {
+          final int count = servedVersions_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(servedVersions_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -563,6 +711,10 @@
         .equals(other.getRateLimitsList())) return false;
     if (getNumber()
         != other.getNumber()) return false;
+    if (!getStreamOriginsList()
+        .equals(other.getStreamOriginsList())) return false;
+    if (!getServedVersionsList()
+        .equals(other.getServedVersionsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -609,6 +761,14 @@
     hash = (37 * hash) + NUMBER_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getNumber());
+    if (getStreamOriginsCount() > 0) {
+      hash = (37 * hash) + STREAM_ORIGINS_FIELD_NUMBER;
+      hash = (53 * hash) + getStreamOriginsList().hashCode();
+    }
+    if (getServedVersionsCount() > 0) {
+      hash = (37 * hash) + SERVED_VERSIONS_FIELD_NUMBER;
+      hash = (53 * hash) + getServedVersionsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -779,6 +939,20 @@
       }
       bitField0_ = (bitField0_ & ~0x00000100);
       number_ = 0L;
+      if (streamOriginsBuilder_ == null) {
+        streamOrigins_ = java.util.Collections.emptyList();
+      } else {
+        streamOrigins_ = null;
+        streamOriginsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000400);
+      if (servedVersionsBuilder_ == null) {
+        servedVersions_ = java.util.Collections.emptyList();
+      } else {
+        servedVersions_ = null;
+        servedVersionsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000800);
       return this;
     }
 
@@ -848,6 +1022,24 @@
       } else {
         result.rateLimits_ = rateLimitsBuilder_.build();
       }
+      if (streamOriginsBuilder_ == null) {
+        if (((bitField0_ & 0x00000400) != 0)) {
+          streamOrigins_ = java.util.Collections.unmodifiableList(streamOrigins_);
+          bitField0_ = (bitField0_ & ~0x00000400);
+        }
+        result.streamOrigins_ = streamOrigins_;
+      } else {
+        result.streamOrigins_ = streamOriginsBuilder_.build();
+      }
+      if (servedVersionsBuilder_ == null) {
+        if (((bitField0_ & 0x00000800) != 0)) {
+          servedVersions_ = java.util.Collections.unmodifiableList(servedVersions_);
+          bitField0_ = (bitField0_ & ~0x00000800);
+        }
+        result.servedVersions_ = servedVersions_;
+      } else {
+        result.servedVersions_ = servedVersionsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.curranthaven.internal.transport.wire.GatewayStatus result) {
@@ -1014,6 +1206,58 @@
       if (other.getNumber() != 0L) {
         setNumber(other.getNumber());
       }
+      if (streamOriginsBuilder_ == null) {
+        if (!other.streamOrigins_.isEmpty()) {
+          if (streamOrigins_.isEmpty()) {
+            streamOrigins_ = other.streamOrigins_;
+            bitField0_ = (bitField0_ & ~0x00000400);
+          } else {
+            ensureStreamOriginsIsMutable();
+            streamOrigins_.addAll(other.streamOrigins_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.streamOrigins_.isEmpty()) {
+          if (streamOriginsBuilder_.isEmpty()) {
+            streamOriginsBuilder_.dispose();
+            streamOriginsBuilder_ = null;
+            streamOrigins_ = other.streamOrigins_;
+            bitField0_ = (bitField0_ & ~0x00000400);
+            streamOriginsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetStreamOriginsFieldBuilder() : null;
+          } else {
+            streamOriginsBuilder_.addAllMessages(other.streamOrigins_);
+          }
+        }
+      }
+      if (servedVersionsBuilder_ == null) {
+        if (!other.servedVersions_.isEmpty()) {
+          if (servedVersions_.isEmpty()) {
+            servedVersions_ = other.servedVersions_;
+            bitField0_ = (bitField0_ & ~0x00000800);
+          } else {
+            ensureServedVersionsIsMutable();
+            servedVersions_.addAll(other.servedVersions_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.servedVersions_.isEmpty()) {
+          if (servedVersionsBuilder_.isEmpty()) {
+            servedVersionsBuilder_.dispose();
+            servedVersionsBuilder_ = null;
+            servedVersions_ = other.servedVersions_;
+            bitField0_ = (bitField0_ & ~0x00000800);
+            servedVersionsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetServedVersionsFieldBuilder() : null;
+          } else {
+            servedVersionsBuilder_.addAllMessages(other.servedVersions_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1120,6 +1364,32 @@
               bitField0_ |= 0x00000200;
               break;
             } // case 80
+            case 90: {
+              org.curranthaven.internal.transport.wire.StreamOrigin m =
+                  input.readMessage(
+                      org.curranthaven.internal.transport.wire.StreamOrigin.parser(),
+                      extensionRegistry);
+              if (streamOriginsBuilder_ == null) {
+                ensureStreamOriginsIsMutable();
+                streamOrigins_.add(m);
+              } else {
+                streamOriginsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 90
+            case 98: {
+              org.curranthaven.internal.transport.wire.ServedVersion m =
+                  input.readMessage(
+                      org.curranthaven.internal.transport.wire.ServedVersion.parser(),
+                      extensionRegistry);
+              if (servedVersionsBuilder_ == null) {
+                ensureServedVersionsIsMutable();
+                servedVersions_.add(m);
+              } else {
+                servedVersionsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 98
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2647,6 +2917,618 @@
       return this;
     }
 
+    private java.util.List<org.curranthaven.internal.transport.wire.StreamOrigin> streamOrigins_ =
+      java.util.Collections.emptyList();
+    private void ensureStreamOriginsIsMutable() {
+      if (!((bitField0_ & 0x00000400) != 0)) {
+        streamOrigins_ = new java.util.ArrayList<org.curranthaven.internal.transport.wire.StreamOrigin>(streamOrigins_);
+        bitField0_ |= 0x00000400;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.curranthaven.internal.transport.wire.StreamOrigin, org.curranthaven.internal.transport.wire.StreamOrigin.Builder, org.curranthaven.internal.transport.wire.StreamOriginOrBuilder> streamOriginsBuilder_;
+
+    /**
+     * <pre>
+     * Streams that the gateway forwarded lately and that callers may take up.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.StreamOrigin stream_origins = 11;</code>
+     */
+    public java.util.List<org.curranthaven.internal.transport.wire.StreamOrigin> getStreamOriginsList() {
+      if (streamOriginsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(streamOrigins_);
+      } else {
+        return streamOriginsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Streams that the gateway forwarded lately and that callers may take up.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.StreamOrigin stream_origins = 11;</code>
+     */
+    public int getStreamOriginsCount() {
+      if (streamOriginsBuilder_ == null) {
+        return streamOrigins_.size();
+      } else {
+        return streamOriginsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Streams that the gateway forwarded lately and that callers may take up.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.StreamOrigin stream_origins = 11;</code>
+     */
+    public org.curranthaven.internal.transport.wire.StreamOrigin getStreamOrigins(int index) {
+      if (streamOriginsBuilder_ == null) {
+        return streamOrigins_.get(index);
+      } else {
+        return streamOriginsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Streams that the gateway forwarded lately and that callers may take up.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.StreamOrigin stream_origins = 11;</code>
+     */
+    public Builder setStreamOrigins(
+        int index, org.curranthaven.internal.transport.wire.StreamOrigin value) {
+      if (streamOriginsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureStreamOriginsIsMutable();
+        streamOrigins_.set(index, value);
+        onChanged();
+      } else {
+        streamOriginsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Streams that the gateway forwarded lately and that callers may take up.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.StreamOrigin stream_origins = 11;</code>
+     */
+    public Builder setStreamOrigins(
+        int index, org.curranthaven.internal.transport.wire.StreamOrigin.Builder builderForValue) {
+      if (streamOriginsBuilder_ == null) {
+        ensureStreamOriginsIsMutable();
+        streamOrigins_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        streamOriginsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Streams that the gateway forwarded lately and that callers may take up.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.StreamOrigin stream_origins = 11;</code>
+     */
+    public Builder addStreamOrigins(org.curranthaven.internal.transport.wire.StreamOrigin value) {
+      if (streamOriginsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureStreamOriginsIsMutable();
+        streamOrigins_.add(value);
+        onChanged();
+      } else {
+        streamOriginsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Streams that the gateway forwarded lately and that callers may take up.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.StreamOrigin stream_origins = 11;</code>
+     */
+    public Builder addStreamOrigins(
+        int index, org.curranthaven.internal.transport.wire.StreamOrigin value) {
+      if (streamOriginsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureStreamOriginsIsMutable();
+        streamOrigins_.add(index, value);
+        onChanged();
+      } else {
+        streamOriginsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Streams that the gateway forwarded lately and that callers may take up.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.StreamOrigin stream_origins = 11;</code>
+     */
+    public Builder addStreamOrigins(
+        org.curranthaven.internal.transport.wire.StreamOrigin.Builder builderForValue) {
+      if (streamOriginsBuilder_ == null) {
+        ensureStreamOriginsIsMutable();
+        streamOrigins_.add(builderForValue.build());
+        onChanged();
+      } else {
+        streamOriginsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Streams that the gateway forwarded lately and that callers may take up.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.StreamOrigin stream_origins = 11;</code>
+     */
+    public Builder addStreamOrigins(
+        int index, org.curranthaven.internal.transport.wire.StreamOrigin.Builder builderForValue) {
+      if (streamOriginsBuilder_ == null) {
+        ensureStreamOriginsIsMutable();
+        streamOrigins_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        streamOriginsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Streams that the gateway forwarded lately and that callers may take up.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.StreamOrigin stream_origins = 11;</code>
+     */
+    public Builder addAllStreamOrigins(
+        java.lang.Iterable<? extends org.curranthaven.internal.transport.wire.StreamOrigin> values) {
+      if (streamOriginsBuilder_ == null) {
+        ensureStreamOriginsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, streamOrigins_);
+        onChanged();
+      } else {
+        streamOriginsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Streams that the gateway forwarded lately and that callers may take up.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.StreamOrigin stream_origins = 11;</code>
+     */
+    public Builder clearStreamOrigins() {
+      if (streamOriginsBuilder_ == null) {
+        streamOrigins_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000400);
+        onChanged();
+      } else {
+        streamOriginsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Streams that the gateway forwarded lately and that callers may take up.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.StreamOrigin stream_origins = 11;</code>
+     */
+    public Builder removeStreamOrigins(int index) {
+      if (streamOriginsBuilder_ == null) {
+        ensureStreamOriginsIsMutable();
+        streamOrigins_.remove(index);
+        onChanged();
+      } else {
+        streamOriginsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Streams that the gateway forwarded lately and that callers may take up.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.StreamOrigin stream_origins = 11;</code>
+     */
+    public org.curranthaven.internal.transport.wire.StreamOrigin.Builder getStreamOriginsBuilder(
+        int index) {
+      return internalGetStreamOriginsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Streams that the gateway forwarded lately and that callers may take up.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.StreamOrigin stream_origins = 11;</code>
+     */
+    public org.curranthaven.internal.transport.wire.StreamOriginOrBuilder getStreamOriginsOrBuilder(
+        int index) {
+      if (streamOriginsBuilder_ == null) {
+        return streamOrigins_.get(index);  } else {
+        return streamOriginsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Streams that the gateway forwarded lately and that callers may take up.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.StreamOrigin stream_origins = 11;</code>
+     */
+    public java.util.List<? extends org.curranthaven.internal.transport.wire.StreamOriginOrBuilder> 
+         getStreamOriginsOrBuilderList() {
+      if (streamOriginsBuilder_ != null) {
+        return streamOriginsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(streamOrigins_);
+      }
+    }
+    /**
+     * <pre>
+     * Streams that the gateway forwarded lately and that callers may take up.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.StreamOrigin stream_origins = 11;</code>
+     */
+    public org.curranthaven.internal.transport.wire.StreamOrigin.Builder addStreamOriginsBuilder() {
+      return internalGetStreamOriginsFieldBuilder().addBuilder(
+          org.curranthaven.internal.transport.wire.StreamOrigin.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Streams that the gateway forwarded lately and that callers may take up.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.StreamOrigin stream_origins = 11;</code>
+     */
+    public org.curranthaven.internal.transport.wire.StreamOrigin.Builder addStreamOriginsBuilder(
+        int index) {
+      return internalGetStreamOriginsFieldBuilder().addBuilder(
+          index, org.curranthaven.internal.transport.wire.StreamOrigin.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Streams that the gateway forwarded lately and that callers may take up.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.StreamOrigin stream_origins = 11;</code>
+     */
+    public java.util.List<org.curranthaven.internal.transport.wire.StreamOrigin.Builder> 
+         getStreamOriginsBuilderList() {
+      return internalGetStreamOriginsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.curranthaven.internal.transport.wire.StreamOrigin, org.curranthaven.internal.transport.wire.StreamOrigin.Builder, org.curranthaven.internal.transport.wire.StreamOriginOrBuilder> 
+        internalGetStreamOriginsFieldBuilder() {
+      if (streamOriginsBuilder_ == null) {
+        streamOriginsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.curranthaven.internal.transport.wire.StreamOrigin, org.curranthaven.internal.transport.wire.StreamOrigin.Builder, org.curranthaven.internal.transport.wire.StreamOriginOrBuilder>(
+                streamOrigins_,
+                ((bitField0_ & 0x00000400) != 0),
+                getParentForChildren(),
+                isClean());
+        streamOrigins_ = null;
+      }
+      return streamOriginsBuilder_;
+    }
+
+    private java.util.List<org.curranthaven.internal.transport.wire.ServedVersion> servedVersions_ =
+      java.util.Collections.emptyList();
+    private void ensureServedVersionsIsMutable() {
+      if (!((bitField0_ & 0x00000800) != 0)) {
+        servedVersions_ = new java.util.ArrayList<org.curranthaven.internal.transport.wire.ServedVersion>(servedVersions_);
+        bitField0_ |= 0x00000800;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.curranthaven.internal.transport.wire.ServedVersion, org.curranthaven.internal.transport.wire.ServedVersion.Builder, org.curranthaven.internal.transport.wire.ServedVersionOrBuilder> servedVersionsBuilder_;
+
+    /**
+     * <pre>
+     * Software versions that serve or have served lately, as the gateway knows them.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 12;</code>
+     */
+    public java.util.List<org.curranthaven.internal.transport.wire.ServedVersion> getServedVersionsList() {
+      if (servedVersionsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(servedVersions_);
+      } else {
+        return servedVersionsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately, as the gateway knows them.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 12;</code>
+     */
+    public int getServedVersionsCount() {
+      if (servedVersionsBuilder_ == null) {
+        return servedVersions_.size();
+      } else {
+        return servedVersionsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately, as the gateway knows them.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 12;</code>
+     */
+    public org.curranthaven.internal.transport.wire.ServedVersion getServedVersions(int index) {
+      if (servedVersionsBuilder_ == null) {
+        return servedVersions_.get(index);
+      } else {
+        return servedVersionsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately, as the gateway knows them.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 12;</code>
+     */
+    public Builder setServedVersions(
+        int index, org.curranthaven.internal.transport.wire.ServedVersion value) {
+      if (servedVersionsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureServedVersionsIsMutable();
+        servedVersions_.set(index, value);
+        onChanged();
+      } else {
+        servedVersionsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately, as the gateway knows them.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 12;</code>
+     */
+    public Builder setServedVersions(
+        int index, org.curranthaven.internal.transport.wire.ServedVersion.Builder builderForValue) {
+      if (servedVersionsBuilder_ == null) {
+        ensureServedVersionsIsMutable();
+        servedVersions_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        servedVersionsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately, as the gateway knows them.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 12;</code>
+     */
+    public Builder addServedVersions(org.curranthaven.internal.transport.wire.ServedVersion value) {
+      if (servedVersionsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureServedVersionsIsMutable();
+        servedVersions_.add(value);
+        onChanged();
+      } else {
+        servedVersionsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately, as the gateway knows them.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 12;</code>
+     */
+    public Builder addServedVersions(
+        int index, org.curranthaven.internal.transport.wire.ServedVersion value) {
+      if (servedVersionsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureServedVersionsIsMutable();
+        servedVersions_.add(index, value);
+        onChanged();
+      } else {
+        servedVersionsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately, as the gateway knows them.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 12;</code>
+     */
+    public Builder addServedVersions(
+        org.curranthaven.internal.transport.wire.ServedVersion.Builder builderForValue) {
+      if (servedVersionsBuilder_ == null) {
+        ensureServedVersionsIsMutable();
+        servedVersions_.add(builderForValue.build());
+        onChanged();
+      } else {
+        servedVersionsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately, as the gateway knows them.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 12;</code>
+     */
+    public Builder addServedVersions(
+        int index, org.curranthaven.internal.transport.wire.ServedVersion.Builder builderForValue) {
+      if (servedVersionsBuilder_ == null) {
+        ensureServedVersionsIsMutable();
+        servedVersions_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        servedVersionsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately, as the gateway knows them.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 12;</code>
+     */
+    public Builder addAllServedVersions(
+        java.lang.Iterable<? extends org.curranthaven.internal.transport.wire.ServedVersion> values) {
+      if (servedVersionsBuilder_ == null) {
+        ensureServedVersionsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, servedVersions_);
+        onChanged();
+      } else {
+        servedVersionsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately, as the gateway knows them.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 12;</code>
+     */
+    public Builder clearServedVersions() {
+      if (servedVersionsBuilder_ == null) {
+        servedVersions_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000800);
+        onChanged();
+      } else {
+        servedVersionsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately, as the gateway knows them.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 12;</code>
+     */
+    public Builder removeServedVersions(int index) {
+      if (servedVersionsBuilder_ == null) {
+        ensureServedVersionsIsMutable();
+        servedVersions_.remove(index);
+        onChanged();
+      } else {
+        servedVersionsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately, as the gateway knows them.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 12;</code>
+     */
+    public org.curranthaven.internal.transport.wire.ServedVersion.Builder getServedVersionsBuilder(
+        int index) {
+      return internalGetServedVersionsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately, as the gateway knows them.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 12;</code>
+     */
+    public org.curranthaven.internal.transport.wire.ServedVersionOrBuilder getServedVersionsOrBuilder(
+        int index) {
+      if (servedVersionsBuilder_ == null) {
+        return servedVersions_.get(index);  } else {
+        return servedVersionsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately, as the gateway knows them.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 12;</code>
+     */
+    public java.util.List<? extends org.curranthaven.internal.transport.wire.ServedVersionOrBuilder> 
+         getServedVersionsOrBuilderList() {
+      if (servedVersionsBuilder_ != null) {
+        return servedVersionsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(servedVersions_);
+      }
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately, as the gateway knows them.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 12;</code>
+     */
+    public org.curranthaven.internal.transport.wire.ServedVersion.Builder addServedVersionsBuilder() {
+      return internalGetServedVersionsFieldBuilder().addBuilder(
+          org.curranthaven.internal.transport.wire.ServedVersion.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately, as the gateway knows them.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 12;</code>
+     */
+    public org.curranthaven.internal.transport.wire.ServedVersion.Builder addServedVersionsBuilder(
+        int index) {
+      return internalGetServedVersionsFieldBuilder().addBuilder(
+          index, org.curranthaven.internal.transport.wire.ServedVersion.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately, as the gateway knows them.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 12;</code>
+     */
+    public java.util.List<org.curranthaven.internal.transport.wire.ServedVersion.Builder> 
+         getServedVersionsBuilderList() {
+      return internalGetServedVersionsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.curranthaven.internal.transport.wire.ServedVersion, org.curranthaven.internal.transport.wire.ServedVersion.Builder, org.curranthaven.internal.transport.wire.ServedVersionOrBuilder> 
+        internalGetServedVersionsFieldBuilder() {
+      if (servedVersionsBuilder_ == null) {
+        servedVersionsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.curranthaven.internal.transport.wire.ServedVersion, org.curranthaven.internal.transport.wire.ServedVersion.Builder, org.curranthaven.internal.transport.wire.ServedVersionOrBuilder>(
+                servedVersions_,
+                ((bitField0_ & 0x00000800) != 0),
+                getParentForChildren(),
+                isClean());
+        servedVersions_ = null;
+      }
+      return servedVersionsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:curranthaven.GatewayStatus)
   }
 
--- a/src/main/java/org/curranthaven/internal/transport/wire/GatewayStatusOrBuilder.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/GatewayStatusOrBuilder.java
@@ -253,4 +253,92 @@
    * @return The number.
    */
   long getNumber();
+
+  /**
+   * <pre>
+   * Streams that the gateway forwarded lately and that callers may take up.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.StreamOrigin stream_origins = 11;</code>
+   */
+  java.util.List<org.curranthaven.internal.transport.wire.StreamOrigin> 
+      getStreamOriginsList();
+  /**
+   * <pre>
+   * Streams that the gateway forwarded lately and that callers may take up.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.StreamOrigin stream_origins = 11;</code>
+   */
+  org.curranthaven.internal.transport.wire.StreamOrigin getStreamOrigins(int index);
+  /**
+   * <pre>
+   * Streams that the gateway forwarded lately and that callers may take up.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.StreamOrigin stream_origins = 11;</code>
+   */
+  int getStreamOriginsCount();
+  /**
+   * <pre>
+   * Streams that the gateway forwarded lately and that callers may take up.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.StreamOrigin stream_origins = 11;</code>
+   */
+  java.util.List<? extends org.curranthaven.internal.transport.wire.StreamOriginOrBuilder> 
+      getStreamOriginsOrBuilderList();
+  /**
+   * <pre>
+   * Streams that the gateway forwarded lately and that callers may take up.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.StreamOrigin stream_origins = 11;</code>
+   */
+  org.curranthaven.internal.transport.wire.StreamOriginOrBuilder getStreamOriginsOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * Software versions that serve or have served lately, as the gateway knows them.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.ServedVersion served_versions = 12;</code>
+   */
+  java.util.List<org.curranthaven.internal.transport.wire.ServedVersion> 
+      getServedVersionsList();
+  /**
+   * <pre>
+   * Software versions that serve or have served lately, as the gateway knows them.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.ServedVersion served_versions = 12;</code>
+   */
+  org.curranthaven.internal.transport.wire.ServedVersion getServedVersions(int index);
+  /**
+   * <pre>
+   * Software versions that serve or have served lately, as the gateway knows them.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.ServedVersion served_versions = 12;</code>
+   */
+  int getServedVersionsCount();
+  /**
+   * <pre>
+   * Software versions that serve or have served lately, as the gateway knows them.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.ServedVersion served_versions = 12;</code>
+   */
+  java.util.List<? extends org.curranthaven.internal.transport.wire.ServedVersionOrBuilder> 
+      getServedVersionsOrBuilderList();
+  /**
+   * <pre>
+   * Software versions that serve or have served lately, as the gateway knows them.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.ServedVersion served_versions = 12;</code>
+   */
+  org.curranthaven.internal.transport.wire.ServedVersionOrBuilder getServedVersionsOrBuilder(
+      int index);
 }
--- a/src/main/java/org/curranthaven/internal/transport/wire/PlacementRequest.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/PlacementRequest.java
@@ -39,6 +39,7 @@
         com.google.protobuf.LazyStringArrayList.emptyList();
     parts_ = java.util.Collections.emptyList();
     dataCentre_ = "";
+    softwareVersion_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -504,6 +505,105 @@
     return fingerprint_;
   }
 
+  public static final int STREAM_FIELD_NUMBER = 18;
+  private long stream_ = 0L;
+  /**
+   * <pre>
+   * Identifies the stream that the request begins, as in StreamOrigin; 0 if callers cannot take it up.
+   * </pre>
+   *
+   * <code>fixed64 stream = 18;</code>
+   * @return The stream.
+   */
+  @java.lang.Override
+  public long getStream() {
+    return stream_;
+  }
+
+  public static final int RESUMES_FIELD_NUMBER = 19;
+  private boolean resumes_ = false;
+  /**
+   * <pre>
+   * Whether the caller takes up a stream.
+   * </pre>
+   *
+   * <code>bool resumes = 19;</code>
+   * @return The resumes.
+   */
+  @java.lang.Override
+  public boolean getResumes() {
+    return resumes_;
+  }
+
+  public static final int RESUMED_STREAM_FIELD_NUMBER = 20;
+  private long resumedStream_ = 0L;
+  /**
+   * <pre>
+   * Stream that it takes up; 0 if it does not say which.
+   * </pre>
+   *
+   * <code>fixed64 resumed_stream = 20;</code>
+   * @return The resumedStream.
+   */
+  @java.lang.Override
+  public long getResumedStream() {
+    return resumedStream_;
+  }
+
+  public static final int VERSION_BOUND_FIELD_NUMBER = 21;
+  private boolean versionBound_ = false;
+  /**
+   * <pre>
+   * Whether the request may run only at the software version below.
+   * </pre>
+   *
+   * <code>bool version_bound = 21;</code>
+   * @return The versionBound.
+   */
+  @java.lang.Override
+  public boolean getVersionBound() {
+    return versionBound_;
+  }
+
+  public static final int SOFTWARE_VERSION_FIELD_NUMBER = 22;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object softwareVersion_ = "";
+  /**
+   * <code>string software_version = 22;</code>
+   * @return The softwareVersion.
+   */
+  @java.lang.Override
+  public java.lang.String getSoftwareVersion() {
+    java.lang.Object ref = softwareVersion_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      softwareVersion_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string software_version = 22;</code>
+   * @return The bytes for softwareVersion.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getSoftwareVersionBytes() {
+    java.lang.Object ref = softwareVersion_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      softwareVersion_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -569,6 +669,21 @@
     if (fingerprint_ != 0L) {
       output.writeFixed64(17, fingerprint_);
     }
+    if (stream_ != 0L) {
+      output.writeFixed64(18, stream_);
+    }
+    if (resumes_ != false) {
+      output.writeBool(19, resumes_);
+    }
+    if (resumedStream_ != 0L) {
+      output.writeFixed64(20, resumedStream_);
+    }
+    if (versionBound_ != false) {
+      output.writeBool(21, versionBound_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(softwareVersion_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 22, softwareVersion_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -646,6 +761,25 @@
       size += com.google.protobuf.CodedOutputStream
         .computeFixed64Size(17, fingerprint_);
     }
+    if (stream_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFixed64Size(18, stream_);
+    }
+    if (resumes_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(19, resumes_);
+    }
+    if (resumedStream_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFixed64Size(20, resumedStream_);
+    }
+    if (versionBound_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(21, versionBound_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(softwareVersion_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(22, softwareVersion_);
+    }
     return size;
   }
   @java.lang.Override
@@ -704,6 +838,16 @@
         != other.getIrreplaceable()) return false;
     if (getFingerprint()
         != other.getFingerprint()) return false;
+    if (getStream()
+        != other.getStream()) return false;
+    if (getResumes()
+        != other.getResumes()) return false;
+    if (getResumedStream()
+        != other.getResumedStream()) return false;
+    if (getVersionBound()
+        != other.getVersionBound()) return false;
+    if (!getSoftwareVersion()
+        .equals(other.getSoftwareVersion())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -760,6 +904,20 @@
     hash = (37 * hash) + FINGERPRINT_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getFingerprint());
+    hash = (37 * hash) + STREAM_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getStream());
+    hash = (37 * hash) + RESUMES_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getResumes());
+    hash = (37 * hash) + RESUMED_STREAM_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getResumedStream());
+    hash = (37 * hash) + VERSION_BOUND_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getVersionBound());
+    hash = (37 * hash) + SOFTWARE_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + getSoftwareVersion().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -919,6 +1077,11 @@
       engine_ = false;
       irreplaceable_ = false;
       fingerprint_ = 0L;
+      stream_ = 0L;
+      resumes_ = false;
+      resumedStream_ = 0L;
+      versionBound_ = false;
+      softwareVersion_ = "";
       return this;
     }
 
@@ -1014,6 +1177,21 @@
       if (((from_bitField0_ & 0x00010000) != 0)) {
         result.fingerprint_ = fingerprint_;
       }
+      if (((from_bitField0_ & 0x00020000) != 0)) {
+        result.stream_ = stream_;
+      }
+      if (((from_bitField0_ & 0x00040000) != 0)) {
+        result.resumes_ = resumes_;
+      }
+      if (((from_bitField0_ & 0x00080000) != 0)) {
+        result.resumedStream_ = resumedStream_;
+      }
+      if (((from_bitField0_ & 0x00100000) != 0)) {
+        result.versionBound_ = versionBound_;
+      }
+      if (((from_bitField0_ & 0x00200000) != 0)) {
+        result.softwareVersion_ = softwareVersion_;
+      }
     }
 
     @java.lang.Override
@@ -1117,6 +1295,23 @@
       if (other.getFingerprint() != 0L) {
         setFingerprint(other.getFingerprint());
       }
+      if (other.getStream() != 0L) {
+        setStream(other.getStream());
+      }
+      if (other.getResumes() != false) {
+        setResumes(other.getResumes());
+      }
+      if (other.getResumedStream() != 0L) {
+        setResumedStream(other.getResumedStream());
+      }
+      if (other.getVersionBound() != false) {
+        setVersionBound(other.getVersionBound());
+      }
+      if (!other.getSoftwareVersion().isEmpty()) {
+        softwareVersion_ = other.softwareVersion_;
+        bitField0_ |= 0x00200000;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1234,6 +1429,31 @@
               bitField0_ |= 0x00010000;
               break;
             } // case 137
+            case 145: {
+              stream_ = input.readFixed64();
+              bitField0_ |= 0x00020000;
+              break;
+            } // case 145
+            case 152: {
+              resumes_ = input.readBool();
+              bitField0_ |= 0x00040000;
+              break;
+            } // case 152
+            case 161: {
+              resumedStream_ = input.readFixed64();
+              bitField0_ |= 0x00080000;
+              break;
+            } // case 161
+            case 168: {
+              versionBound_ = input.readBool();
+              bitField0_ |= 0x00100000;
+              break;
+            } // case 168
+            case 178: {
+              softwareVersion_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00200000;
+              break;
+            } // case 178
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2502,6 +2722,254 @@
       return this;
     }
 
+    private long stream_ ;
+    /**
+     * <pre>
+     * Identifies the stream that the request begins, as in StreamOrigin; 0 if callers cannot take it up.
+     * </pre>
+     *
+     * <code>fixed64 stream = 18;</code>
+     * @return The stream.
+     */
+    @java.lang.Override
+    public long getStream() {
+      return stream_;
+    }
+    /**
+     * <pre>
+     * Identifies the stream that the request begins, as in StreamOrigin; 0 if callers cannot take it up.
+     * </pre>
+     *
+     * <code>fixed64 stream = 18;</code>
+     * @param value The stream to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStream(long value) {
+
+      stream_ = value;
+      bitField0_ |= 0x00020000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Identifies the stream that the request begins, as in StreamOrigin; 0 if callers cannot take it up.
+     * </pre>
+     *
+     * <code>fixed64 stream = 18;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStream() {
+      bitField0_ = (bitField0_ & ~0x00020000);
+      stream_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private boolean resumes_ ;
+    /**
+     * <pre>
+     * Whether the caller takes up a stream.
+     * </pre>
+     *
+     * <code>bool resumes = 19;</code>
+     * @return The resumes.
+     */
+    @java.lang.Override
+    public boolean getResumes() {
+      return resumes_;
+    }
+    /**
+     * <pre>
+     * Whether the caller takes up a stream.
+     * </pre>
+     *
+     * <code>bool resumes = 19;</code>
+     * @param value The resumes to set.
+     * @return This builder for chaining.
+     */
+    public Builder setResumes(boolean value) {
+
+      resumes_ = value;
+      bitField0_ |= 0x00040000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the caller takes up a stream.
+     * </pre>
+     *
+     * <code>bool resumes = 19;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearResumes() {
+      bitField0_ = (bitField0_ & ~0x00040000);
+      resumes_ = false;
+      onChanged();
+      return this;
+    }
+
+    private long resumedStream_ ;
+    /**
+     * <pre>
+     * Stream that it takes up; 0 if it does not say which.
+     * </pre>
+     *
+     * <code>fixed64 resumed_stream = 20;</code>
+     * @return The resumedStream.
+     */
+    @java.lang.Override
+    public long getResumedStream() {
+      return resumedStream_;
+    }
+    /**
+     * <pre>
+     * Stream that it takes up; 0 if it does not say which.
+     * </pre>
+     *
+     * <code>fixed64 resumed_stream = 20;</code>
+     * @param value The resumedStream to set.
+     * @return This builder for chaining.
+     */
+    public Builder setResumedStream(long value) {
+
+      resumedStream_ = value;
+      bitField0_ |= 0x00080000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Stream that it takes up; 0 if it does not say which.
+     * </pre>
+     *
+     * <code>fixed64 resumed_stream = 20;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearResumedStream() {
+      bitField0_ = (bitField0_ & ~0x00080000);
+      resumedStream_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private boolean versionBound_ ;
+    /**
+     * <pre>
+     * Whether the request may run only at the software version below.
+     * </pre>
+     *
+     * <code>bool version_bound = 21;</code>
+     * @return The versionBound.
+     */
+    @java.lang.Override
+    public boolean getVersionBound() {
+      return versionBound_;
+    }
+    /**
+     * <pre>
+     * Whether the request may run only at the software version below.
+     * </pre>
+     *
+     * <code>bool version_bound = 21;</code>
+     * @param value The versionBound to set.
+     * @return This builder for chaining.
+     */
+    public Builder setVersionBound(boolean value) {
+
+      versionBound_ = value;
+      bitField0_ |= 0x00100000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the request may run only at the software version below.
+     * </pre>
+     *
+     * <code>bool version_bound = 21;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearVersionBound() {
+      bitField0_ = (bitField0_ & ~0x00100000);
+      versionBound_ = false;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object softwareVersion_ = "";
+    /**
+     * <code>string software_version = 22;</code>
+     * @return The softwareVersion.
+     */
+    public java.lang.String getSoftwareVersion() {
+      java.lang.Object ref = softwareVersion_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        softwareVersion_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string software_version = 22;</code>
+     * @return The bytes for softwareVersion.
+     */
+    public com.google.protobuf.ByteString
+        getSoftwareVersionBytes() {
+      java.lang.Object ref = softwareVersion_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        softwareVersion_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string software_version = 22;</code>
+     * @param value The softwareVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSoftwareVersion(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      softwareVersion_ = value;
+      bitField0_ |= 0x00200000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string software_version = 22;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSoftwareVersion() {
+      softwareVersion_ = getDefaultInstance().getSoftwareVersion();
+      bitField0_ = (bitField0_ & ~0x00200000);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string software_version = 22;</code>
+     * @param value The bytes for softwareVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSoftwareVersionBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      softwareVersion_ = value;
+      bitField0_ |= 0x00200000;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:curranthaven.PlacementRequest)
   }
 
--- a/src/main/java/org/curranthaven/internal/transport/wire/PlacementRequestOrBuilder.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/PlacementRequestOrBuilder.java
@@ -262,4 +262,56 @@
    * @return The fingerprint.
    */
   long getFingerprint();
+
+  /**
+   * <pre>
+   * Identifies the stream that the request begins, as in StreamOrigin; 0 if callers cannot take it up.
+   * </pre>
+   *
+   * <code>fixed64 stream = 18;</code>
+   * @return The stream.
+   */
+  long getStream();
+
+  /**
+   * <pre>
+   * Whether the caller takes up a stream.
+   * </pre>
+   *
+   * <code>bool resumes = 19;</code>
+   * @return The resumes.
+   */
+  boolean getResumes();
+
+  /**
+   * <pre>
+   * Stream that it takes up; 0 if it does not say which.
+   * </pre>
+   *
+   * <code>fixed64 resumed_stream = 20;</code>
+   * @return The resumedStream.
+   */
+  long getResumedStream();
+
+  /**
+   * <pre>
+   * Whether the request may run only at the software version below.
+   * </pre>
+   *
+   * <code>bool version_bound = 21;</code>
+   * @return The versionBound.
+   */
+  boolean getVersionBound();
+
+  /**
+   * <code>string software_version = 22;</code>
+   * @return The softwareVersion.
+   */
+  java.lang.String getSoftwareVersion();
+  /**
+   * <code>string software_version = 22;</code>
+   * @return The bytes for softwareVersion.
+   */
+  com.google.protobuf.ByteString
+      getSoftwareVersionBytes();
 }
--- a/src/main/java/org/curranthaven/internal/transport/wire/SchedulerView.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/SchedulerView.java
@@ -38,6 +38,7 @@
         com.google.protobuf.LazyStringArrayList.emptyList();
     catalog_ = com.google.protobuf.ByteString.EMPTY;
     crashSuspects_ = java.util.Collections.emptyList();
+    servedVersions_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -370,6 +371,67 @@
     return rateLimits_ == null ? org.curranthaven.internal.transport.wire.RateLimitList.getDefaultInstance() : rateLimits_;
   }
 
+  public static final int SERVED_VERSIONS_FIELD_NUMBER = 13;
+  @SuppressWarnings("serial")
+  private java.util.List<org.curranthaven.internal.transport.wire.ServedVersion> servedVersions_;
+  /**
+   * <pre>
+   * Software versions that serve or have served lately; sent with a complete list of backend servers.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.ServedVersion served_versions = 13;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.curranthaven.internal.transport.wire.ServedVersion> getServedVersionsList() {
+    return servedVersions_;
+  }
+  /**
+   * <pre>
+   * Software versions that serve or have served lately; sent with a complete list of backend servers.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.ServedVersion served_versions = 13;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.curranthaven.internal.transport.wire.ServedVersionOrBuilder> 
+      getServedVersionsOrBuilderList() {
+    return servedVersions_;
+  }
+  /**
+   * <pre>
+   * Software versions that serve or have served lately; sent with a complete list of backend servers.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.ServedVersion served_versions = 13;</code>
+   */
+  @java.lang.Override
+  public int getServedVersionsCount() {
+    return servedVersions_.size();
+  }
+  /**
+   * <pre>
+   * Software versions that serve or have served lately; sent with a complete list of backend servers.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.ServedVersion served_versions = 13;</code>
+   */
+  @java.lang.Override
+  public org.curranthaven.internal.transport.wire.ServedVersion getServedVersions(int index) {
+    return servedVersions_.get(index);
+  }
+  /**
+   * <pre>
+   * Software versions that serve or have served lately; sent with a complete list of backend servers.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.ServedVersion served_versions = 13;</code>
+   */
+  @java.lang.Override
+  public org.curranthaven.internal.transport.wire.ServedVersionOrBuilder getServedVersionsOrBuilder(
+      int index) {
+    return servedVersions_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -420,6 +482,9 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(12, getRateLimits());
     }
+    for (int i = 0; i < servedVersions_.size(); i++) {
+      output.writeMessage(13, servedVersions_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -486,6 +551,15 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(12, getRateLimits());
     }
+
+        {
+          final int count = servedVersions_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(servedVersions_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -537,6 +611,8 @@
       if (!getRateLimits()
           .equals(other.getRateLimits())) return false;
     }
+    if (!getServedVersionsList()
+        .equals(other.getServedVersionsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -586,6 +662,10 @@
       hash = (37 * hash) + RATE_LIMITS_FIELD_NUMBER;
       hash = (53 * hash) + getRateLimits().hashCode();
     }
+    if (getServedVersionsCount() > 0) {
+      hash = (37 * hash) + SERVED_VERSIONS_FIELD_NUMBER;
+      hash = (53 * hash) + getServedVersionsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -724,6 +804,7 @@
         internalGetBackendsFieldBuilder();
         internalGetCrashSuspectsFieldBuilder();
         internalGetRateLimitsFieldBuilder();
+        internalGetServedVersionsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -759,6 +840,13 @@
         rateLimitsBuilder_.dispose();
         rateLimitsBuilder_ = null;
       }
+      if (servedVersionsBuilder_ == null) {
+        servedVersions_ = java.util.Collections.emptyList();
+      } else {
+        servedVersions_ = null;
+        servedVersionsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00001000);
       return this;
     }
 
@@ -810,6 +898,15 @@
       } else {
         result.crashSuspects_ = crashSuspectsBuilder_.build();
       }
+      if (servedVersionsBuilder_ == null) {
+        if (((bitField0_ & 0x00001000) != 0)) {
+          servedVersions_ = java.util.Collections.unmodifiableList(servedVersions_);
+          bitField0_ = (bitField0_ & ~0x00001000);
+        }
+        result.servedVersions_ = servedVersions_;
+      } else {
+        result.servedVersions_ = servedVersionsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.curranthaven.internal.transport.wire.SchedulerView result) {
@@ -953,6 +1050,32 @@
       if (other.hasRateLimits()) {
         mergeRateLimits(other.getRateLimits());
       }
+      if (servedVersionsBuilder_ == null) {
+        if (!other.servedVersions_.isEmpty()) {
+          if (servedVersions_.isEmpty()) {
+            servedVersions_ = other.servedVersions_;
+            bitField0_ = (bitField0_ & ~0x00001000);
+          } else {
+            ensureServedVersionsIsMutable();
+            servedVersions_.addAll(other.servedVersions_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.servedVersions_.isEmpty()) {
+          if (servedVersionsBuilder_.isEmpty()) {
+            servedVersionsBuilder_.dispose();
+            servedVersionsBuilder_ = null;
+            servedVersions_ = other.servedVersions_;
+            bitField0_ = (bitField0_ & ~0x00001000);
+            servedVersionsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetServedVersionsFieldBuilder() : null;
+          } else {
+            servedVersionsBuilder_.addAllMessages(other.servedVersions_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1055,6 +1178,19 @@
               bitField0_ |= 0x00000800;
               break;
             } // case 98
+            case 106: {
+              org.curranthaven.internal.transport.wire.ServedVersion m =
+                  input.readMessage(
+                      org.curranthaven.internal.transport.wire.ServedVersion.parser(),
+                      extensionRegistry);
+              if (servedVersionsBuilder_ == null) {
+                ensureServedVersionsIsMutable();
+                servedVersions_.add(m);
+              } else {
+                servedVersionsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 106
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2260,6 +2396,312 @@
       return rateLimitsBuilder_;
     }
 
+    private java.util.List<org.curranthaven.internal.transport.wire.ServedVersion> servedVersions_ =
+      java.util.Collections.emptyList();
+    private void ensureServedVersionsIsMutable() {
+      if (!((bitField0_ & 0x00001000) != 0)) {
+        servedVersions_ = new java.util.ArrayList<org.curranthaven.internal.transport.wire.ServedVersion>(servedVersions_);
+        bitField0_ |= 0x00001000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.curranthaven.internal.transport.wire.ServedVersion, org.curranthaven.internal.transport.wire.ServedVersion.Builder, org.curranthaven.internal.transport.wire.ServedVersionOrBuilder> servedVersionsBuilder_;
+
+    /**
+     * <pre>
+     * Software versions that serve or have served lately; sent with a complete list of backend servers.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 13;</code>
+     */
+    public java.util.List<org.curranthaven.internal.transport.wire.ServedVersion> getServedVersionsList() {
+      if (servedVersionsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(servedVersions_);
+      } else {
+        return servedVersionsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately; sent with a complete list of backend servers.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 13;</code>
+     */
+    public int getServedVersionsCount() {
+      if (servedVersionsBuilder_ == null) {
+        return servedVersions_.size();
+      } else {
+        return servedVersionsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately; sent with a complete list of backend servers.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 13;</code>
+     */
+    public org.curranthaven.internal.transport.wire.ServedVersion getServedVersions(int index) {
+      if (servedVersionsBuilder_ == null) {
+        return servedVersions_.get(index);
+      } else {
+        return servedVersionsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately; sent with a complete list of backend servers.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 13;</code>
+     */
+    public Builder setServedVersions(
+        int index, org.curranthaven.internal.transport.wire.ServedVersion value) {
+      if (servedVersionsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureServedVersionsIsMutable();
+        servedVersions_.set(index, value);
+        onChanged();
+      } else {
+        servedVersionsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately; sent with a complete list of backend servers.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 13;</code>
+     */
+    public Builder setServedVersions(
+        int index, org.curranthaven.internal.transport.wire.ServedVersion.Builder builderForValue) {
+      if (servedVersionsBuilder_ == null) {
+        ensureServedVersionsIsMutable();
+        servedVersions_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        servedVersionsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately; sent with a complete list of backend servers.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 13;</code>
+     */
+    public Builder addServedVersions(org.curranthaven.internal.transport.wire.ServedVersion value) {
+      if (servedVersionsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureServedVersionsIsMutable();
+        servedVersions_.add(value);
+        onChanged();
+      } else {
+        servedVersionsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately; sent with a complete list of backend servers.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 13;</code>
+     */
+    public Builder addServedVersions(
+        int index, org.curranthaven.internal.transport.wire.ServedVersion value) {
+      if (servedVersionsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureServedVersionsIsMutable();
+        servedVersions_.add(index, value);
+        onChanged();
+      } else {
+        servedVersionsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately; sent with a complete list of backend servers.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 13;</code>
+     */
+    public Builder addServedVersions(
+        org.curranthaven.internal.transport.wire.ServedVersion.Builder builderForValue) {
+      if (servedVersionsBuilder_ == null) {
+        ensureServedVersionsIsMutable();
+        servedVersions_.add(builderForValue.build());
+        onChanged();
+      } else {
+        servedVersionsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately; sent with a complete list of backend servers.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 13;</code>
+     */
+    public Builder addServedVersions(
+        int index, org.curranthaven.internal.transport.wire.ServedVersion.Builder builderForValue) {
+      if (servedVersionsBuilder_ == null) {
+        ensureServedVersionsIsMutable();
+        servedVersions_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        servedVersionsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately; sent with a complete list of backend servers.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 13;</code>
+     */
+    public Builder addAllServedVersions(
+        java.lang.Iterable<? extends org.curranthaven.internal.transport.wire.ServedVersion> values) {
+      if (servedVersionsBuilder_ == null) {
+        ensureServedVersionsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, servedVersions_);
+        onChanged();
+      } else {
+        servedVersionsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately; sent with a complete list of backend servers.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 13;</code>
+     */
+    public Builder clearServedVersions() {
+      if (servedVersionsBuilder_ == null) {
+        servedVersions_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00001000);
+        onChanged();
+      } else {
+        servedVersionsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately; sent with a complete list of backend servers.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 13;</code>
+     */
+    public Builder removeServedVersions(int index) {
+      if (servedVersionsBuilder_ == null) {
+        ensureServedVersionsIsMutable();
+        servedVersions_.remove(index);
+        onChanged();
+      } else {
+        servedVersionsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately; sent with a complete list of backend servers.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 13;</code>
+     */
+    public org.curranthaven.internal.transport.wire.ServedVersion.Builder getServedVersionsBuilder(
+        int index) {
+      return internalGetServedVersionsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately; sent with a complete list of backend servers.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 13;</code>
+     */
+    public org.curranthaven.internal.transport.wire.ServedVersionOrBuilder getServedVersionsOrBuilder(
+        int index) {
+      if (servedVersionsBuilder_ == null) {
+        return servedVersions_.get(index);  } else {
+        return servedVersionsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately; sent with a complete list of backend servers.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 13;</code>
+     */
+    public java.util.List<? extends org.curranthaven.internal.transport.wire.ServedVersionOrBuilder> 
+         getServedVersionsOrBuilderList() {
+      if (servedVersionsBuilder_ != null) {
+        return servedVersionsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(servedVersions_);
+      }
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately; sent with a complete list of backend servers.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 13;</code>
+     */
+    public org.curranthaven.internal.transport.wire.ServedVersion.Builder addServedVersionsBuilder() {
+      return internalGetServedVersionsFieldBuilder().addBuilder(
+          org.curranthaven.internal.transport.wire.ServedVersion.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately; sent with a complete list of backend servers.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 13;</code>
+     */
+    public org.curranthaven.internal.transport.wire.ServedVersion.Builder addServedVersionsBuilder(
+        int index) {
+      return internalGetServedVersionsFieldBuilder().addBuilder(
+          index, org.curranthaven.internal.transport.wire.ServedVersion.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Software versions that serve or have served lately; sent with a complete list of backend servers.
+     * </pre>
+     *
+     * <code>repeated .curranthaven.ServedVersion served_versions = 13;</code>
+     */
+    public java.util.List<org.curranthaven.internal.transport.wire.ServedVersion.Builder> 
+         getServedVersionsBuilderList() {
+      return internalGetServedVersionsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.curranthaven.internal.transport.wire.ServedVersion, org.curranthaven.internal.transport.wire.ServedVersion.Builder, org.curranthaven.internal.transport.wire.ServedVersionOrBuilder> 
+        internalGetServedVersionsFieldBuilder() {
+      if (servedVersionsBuilder_ == null) {
+        servedVersionsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.curranthaven.internal.transport.wire.ServedVersion, org.curranthaven.internal.transport.wire.ServedVersion.Builder, org.curranthaven.internal.transport.wire.ServedVersionOrBuilder>(
+                servedVersions_,
+                ((bitField0_ & 0x00001000) != 0),
+                getParentForChildren(),
+                isClean());
+        servedVersions_ = null;
+      }
+      return servedVersionsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:curranthaven.SchedulerView)
   }
 
--- a/src/main/java/org/curranthaven/internal/transport/wire/SchedulerViewOrBuilder.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/SchedulerViewOrBuilder.java
@@ -223,4 +223,48 @@
    * <code>.curranthaven.RateLimitList rate_limits = 12;</code>
    */
   org.curranthaven.internal.transport.wire.RateLimitListOrBuilder getRateLimitsOrBuilder();
+
+  /**
+   * <pre>
+   * Software versions that serve or have served lately; sent with a complete list of backend servers.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.ServedVersion served_versions = 13;</code>
+   */
+  java.util.List<org.curranthaven.internal.transport.wire.ServedVersion> 
+      getServedVersionsList();
+  /**
+   * <pre>
+   * Software versions that serve or have served lately; sent with a complete list of backend servers.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.ServedVersion served_versions = 13;</code>
+   */
+  org.curranthaven.internal.transport.wire.ServedVersion getServedVersions(int index);
+  /**
+   * <pre>
+   * Software versions that serve or have served lately; sent with a complete list of backend servers.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.ServedVersion served_versions = 13;</code>
+   */
+  int getServedVersionsCount();
+  /**
+   * <pre>
+   * Software versions that serve or have served lately; sent with a complete list of backend servers.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.ServedVersion served_versions = 13;</code>
+   */
+  java.util.List<? extends org.curranthaven.internal.transport.wire.ServedVersionOrBuilder> 
+      getServedVersionsOrBuilderList();
+  /**
+   * <pre>
+   * Software versions that serve or have served lately; sent with a complete list of backend servers.
+   * </pre>
+   *
+   * <code>repeated .curranthaven.ServedVersion served_versions = 13;</code>
+   */
+  org.curranthaven.internal.transport.wire.ServedVersionOrBuilder getServedVersionsOrBuilder(
+      int index);
 }
--- a/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
@@ -1,10 +1,12 @@
 package org.curranthaven.internal.relay;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.tuple;
 
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import org.curranthaven.internal.dispatch.RetryLimits;
 import org.curranthaven.internal.dispatch.StatedRateLimit;
@@ -21,7 +23,10 @@
 import org.curranthaven.internal.transport.wire.RateLimitStatement;
 import org.curranthaven.internal.transport.wire.Rejection;
 import org.curranthaven.internal.transport.wire.SchedulerView;
+import org.curranthaven.internal.transport.wire.ServedVersion;
+import org.curranthaven.internal.transport.wire.StreamOrigin;
 import org.curranthaven.internal.transport.wire.SuspectRecord;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 
 class SchedulerLinkTest {
@@ -48,11 +53,17 @@
     private final PlacementRequest placementRequest;
     private String backend = "";
     private String stopReason = "";
+    private String rejectionReason = "";
+    private @Nullable String streamVersion;
 
     RecordingListener(long id) {
       this(id, 500);
     }
 
+    RecordingListener(PlacementRequest placementRequest) {
+      this.placementRequest = placementRequest;
+    }
+
     RecordingListener(long id, long targetLeftMillis) {
       this.placementRequest =
           PlacementRequest.newBuilder()
@@ -70,7 +81,10 @@
 
     @Override
     public void onRejected(long retryAfterMillis, String reason) {
-      throw new AssertionError("rejected: " + reason);
+      if (!placementRequest.getResumes()) {
+        throw new AssertionError("rejected: " + reason);
+      }
+      rejectionReason = reason;
     }
 
     @Override
@@ -105,6 +119,11 @@
     public String backend() {
       return backend;
     }
+
+    @Override
+    public @Nullable String streamVersion() {
+      return streamVersion;
+    }
   }
 
   private static BackendRecord backend(String id) {
@@ -493,4 +512,97 @@
     assertThat(request.backend()).isNotEqualTo("i-9");
     assertThat(link.scheduler()).isEmpty();
   }
+
+  // ---- software versions ------------------------------------------------------------------------
+
+  private static final long STREAM = 0x57L;
+
+  private void publishVersions(Map<String, String> versionsById) {
+    SchedulerView.Builder view = SchedulerView.newBuilder().setTerm(3).setVersion(1).setGateways(1);
+    versionsById.forEach(
+        (id, version) ->
+            view.addBackends(backend(id).toBuilder().setSoftwareVersion(version).build()));
+    link.handle("control-1", view.build());
+  }
+
+  private static RecordingListener resumption(long id, long stream) {
+    return new RecordingListener(
+        new RecordingListener(id)
+            .placementRequest().toBuilder().setResumes(true).setResumedStream(stream).build());
+  }
+
+  private void loseScheduler(long forMillis) {
+    link.disconnected("control-1");
+    time.advance(forMillis);
+  }
+
+  private void forwardStream(String version) {
+    RecordingListener request =
+        new RecordingListener(
+            new RecordingListener(7).placementRequest().toBuilder().setStream(STREAM).build());
+    requestPlacement(request);
+    request.streamVersion = version;
+    link.reportProgress(7, 4);
+    link.reportEnd(7, DispatchOutcome.DISPATCH_OUTCOME_CANCELLED, 4);
+  }
+
+  @Test
+  void in_local_fallback_a_stream_that_this_gateway_forwarded_goes_on_at_its_version() {
+    publishVersions(Map.of("i-1", "v1", "i-2", "v2"));
+    forwardStream("v2");
+    loseScheduler(5_000);
+
+    RecordingListener resumption = resumption(8, STREAM);
+    requestPlacement(resumption);
+
+    assertThat(resumption.backend()).isEqualTo("i-2");
+  }
+
+  @Test
+  void in_local_fallback_a_stream_of_another_gateway_is_rejected_where_versions_differ() {
+    publishVersions(Map.of("i-1", "v1", "i-2", "v2"));
+    loseScheduler(100);
+
+    RecordingListener resumption = resumption(8, STREAM);
+    requestPlacement(resumption);
+
+    assertThat(resumption.rejectionReason).isEqualTo("STREAM_ORIGIN_UNKNOWN");
+  }
+
+  @Test
+  void a_gateway_that_was_cut_off_for_long_does_not_rely_on_the_one_version_that_it_knows() {
+    publishVersions(Map.of("i-1", "v1"));
+    loseScheduler(100);
+    RecordingListener early = resumption(8, STREAM);
+    requestPlacement(early);
+    time.advance(5_000);
+    RecordingListener late = resumption(9, STREAM);
+    requestPlacement(late);
+
+    assertThat(early.backend()).isEqualTo("i-1");
+    assertThat(late.rejectionReason).isEqualTo("STREAM_ORIGIN_UNKNOWN");
+  }
+
+  @Test
+  void a_new_scheduler_hears_of_the_streams_that_this_gateway_forwarded_and_of_past_versions() {
+    publishVersions(Map.of("i-1", "v1", "i-2", "v2"));
+    forwardStream("v2");
+    link.handle(
+        "control-1",
+        SchedulerView.newBuilder()
+            .setTerm(3)
+            .setVersion(2)
+            .setBaseVersion(1)
+            .addGone("i-1")
+            .build());
+
+    publishView("control-2", 4, 1, "i-2");
+
+    assertThat(lastStatus().getStreamOriginsList())
+        .extracting(StreamOrigin::getStream, StreamOrigin::getSoftwareVersion)
+        .containsExactly(tuple(STREAM, "v2"));
+    assertThat(lastStatus().getServedVersionsList())
+        .extracting(ServedVersion::getSoftwareVersion)
+        .contains("v1", "v2");
+  }
 }
