--- a/src/main/java/org/curranthaven/internal/dispatch/BackendRegistry.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/BackendRegistry.java
@@ -21,6 +21,10 @@
   private final Map<String, BackendRecord> records = new LinkedHashMap<>();
   private final Map<String, Long> registeredAtMillis = new HashMap<>();
   private final Map<String, Long> removedAtMillis = new HashMap<>();
+
+  /** Ids of backend servers that leave, and when one last registered or stated it. */
+  private final Map<String, Long> leavingAtMillis = new HashMap<>();
+
   private long lastFirstSeen;
 
   /**
@@ -37,13 +41,33 @@
       return null;
     }
     long firstSeen = previous == null ? nextFirstSeen(update) : previous.getFirstSeen();
-    boolean leaving = update.getLeaving() || (previous != null && previous.getLeaving());
+    boolean leaving = update.getLeaving() || leavingAtMillis.containsKey(update.getId());
+    if (leaving) {
+      leavingAtMillis.put(update.getId(), nowMillis);
+    }
     BackendRecord current = update.toBuilder().setFirstSeen(firstSeen).setLeaving(leaving).build();
     records.put(current.getId(), current);
     registeredAtMillis.put(current.getId(), nowMillis);
     return previous != null && isEquivalent(previous, current) ? null : current;
   }
 
+  /**
+   * Records that a backend server has stated that it leaves; no later registration of the same id
+   * takes that back.
+   *
+   * @return the record to publish to gateways; null if that was known or the id is not registered
+   */
+  public @Nullable BackendRecord recordLeaving(String id, long nowMillis) {
+    leavingAtMillis.put(id, nowMillis);
+    BackendRecord known = records.get(id);
+    if (known == null || known.getLeaving()) {
+      return null;
+    }
+    BackendRecord leaving = known.toBuilder().setLeaving(true).build();
+    records.put(id, leaving);
+    return leaving;
+  }
+
   private long nextFirstSeen(BackendRecord update) {
     lastFirstSeen = Math.max(lastFirstSeen, update.getFirstSeen()) + 1;
     return lastFirstSeen;
@@ -67,7 +91,9 @@
   /** Applies a record that a gateway has cached; registrations with higher sequence numbers win. */
   public @Nullable BackendRecord restore(BackendRecord record, long nowMillis) {
     lastFirstSeen = Math.max(lastFirstSeen, record.getFirstSeen());
-    return register(record, nowMillis);
+    BackendRecord changed = register(record, nowMillis);
+    BackendRecord leaving = record.getLeaving() ? recordLeaving(record.getId(), nowMillis) : null;
+    return leaving == null ? changed : leaving;
   }
 
   /**
@@ -86,6 +112,9 @@
       records.remove(id);
       registeredAtMillis.remove(id);
     }
+    leavingAtMillis
+        .values()
+        .removeIf(leavingAt -> nowMillis - leavingAt > REMOVED_ID_RETENTION_MILLIS);
     removedAtMillis
         .values()
         .removeIf(removedAt -> nowMillis - removedAt > REMOVED_ID_RETENTION_MILLIS);
--- a/src/main/java/org/curranthaven/internal/relay/RequestPlacer.java
+++ b/src/main/java/org/curranthaven/internal/relay/RequestPlacer.java
@@ -1,6 +1,6 @@
 package org.curranthaven.internal.relay;
 
-import org.curranthaven.internal.dispatch.StatedRateLimit;
+import org.curranthaven.internal.dispatch.BackendStatements;
 import org.curranthaven.internal.transport.wire.DispatchOutcome;
 import org.curranthaven.internal.transport.wire.PlacementRequest;
 import org.jspecify.annotations.Nullable;
@@ -60,13 +60,16 @@
   void reportCrash(String backend);
 
   /**
-   * Reports what a response states about the requests that its backend server accepts.
+   * Reports what a response states about its backend server.
    *
    * @param id id of the placement request of the attempt
    * @param attemptStartedAtMillis when the attempt was started
    */
-  void reportRateLimit(
-      long id, String backend, StatedRateLimit stated, long attemptStartedAtMillis);
+  void reportStatements(
+      long id, String backend, BackendStatements stated, long attemptStartedAtMillis);
+
+  /** Returns whether the backend server has stated to this gateway that it takes no requests. */
+  boolean isRefusing(String backend);
 
   /**
    * Returns how long the request is blocked because backend servers crash on it or on a part of its
--- a/src/main/java/org/curranthaven/internal/relay/ResponseHead.java
+++ b/src/main/java/org/curranthaven/internal/relay/ResponseHead.java
@@ -1,6 +1,6 @@
 package org.curranthaven.internal.relay;
 
-import org.curranthaven.internal.dispatch.StatedRateLimit;
+import org.curranthaven.internal.dispatch.BackendStatements;
 
 /**
  * Status and headers of a backend server's response, decoded.
@@ -14,7 +14,7 @@
  * @param eventStream whether the body is an event stream
  * @param keepAliveMillis how long the connection may stay idle; 0 if not stated
  * @param closesConnection whether the connection closes after the response
- * @param rateLimit limit on the requests that the backend server accepts
+ * @param statements what the response states about its backend server
  */
 public record ResponseHead(
     int status,
@@ -25,7 +25,7 @@
     boolean eventStream,
     long keepAliveMillis,
     boolean closesConnection,
-    StatedRateLimit rateLimit) {
+    BackendStatements statements) {
   /** Returns whether the status is a success (2xx). */
   public boolean isSuccess() {
     return status >= 200 && status < 300;
--- a/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
@@ -207,6 +207,13 @@
       onRejected(blockedMillis, RejectionReason.CRASHES_BACKENDS.name());
       return;
     }
+    if (context.placer().isRefusing(backendId)) {
+      // Decided before the scheduler heard of it.
+      context.placer().reportEnd(placementId, DispatchOutcome.DISPATCH_OUTCOME_CANCELLED, 0);
+      excludedBackends.add(backendId);
+      requestPlacement(history.nextIsRepeat());
+      return;
+    }
     placed = true;
     backend = backendId;
     urgency = newUrgency;
@@ -347,8 +354,8 @@
     if (head.isFromExpectedBackend()) {
       context
           .placer()
-          .reportRateLimit(
-              placementId, source.backend().getId(), head.rateLimit(), source.startedAtMillis());
+          .reportStatements(
+              placementId, source.backend().getId(), head.statements(), source.startedAtMillis());
     }
   }
 
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -14,6 +15,7 @@
 import java.util.function.BiConsumer;
 import java.util.random.RandomGenerator;
 import org.curranthaven.internal.catalog.Catalog;
+import org.curranthaven.internal.dispatch.BackendStatements;
 import org.curranthaven.internal.dispatch.DispatchCore;
 import org.curranthaven.internal.dispatch.DispatchDecision;
 import org.curranthaven.internal.dispatch.RequestId;
@@ -23,6 +25,7 @@
 import org.curranthaven.internal.dispatch.StreamOrigins;
 import org.curranthaven.internal.supervision.Clock;
 import org.curranthaven.internal.transport.wire.BackendRecord;
+import org.curranthaven.internal.transport.wire.BackendStatement;
 import org.curranthaven.internal.transport.wire.DispatchEnd;
 import org.curranthaven.internal.transport.wire.DispatchOrders;
 import org.curranthaven.internal.transport.wire.DispatchOutcome;
@@ -33,7 +36,6 @@
 import org.curranthaven.internal.transport.wire.MigrationOrder;
 import org.curranthaven.internal.transport.wire.Placement;
 import org.curranthaven.internal.transport.wire.PlacementRequest;
-import org.curranthaven.internal.transport.wire.RateLimitStatement;
 import org.curranthaven.internal.transport.wire.Rejection;
 import org.curranthaven.internal.transport.wire.RunningDispatch;
 import org.curranthaven.internal.transport.wire.SchedulerView;
@@ -71,6 +73,9 @@
    */
   private static final long VERSIONS_COMPLETE_MILLIS = 1_000;
 
+  /** Leaving backend servers remembered; many times more than leave before they are removed. */
+  private static final int MAX_LEAVING_BACKENDS = 4_096;
+
   private static final long CHECK_INTERVAL_MILLIS = 100;
   private static final long MIN_CHECK_INTERVAL_MILLIS = 20;
   private static final long PROGRESS_INTERVAL_MILLIS = 500;
@@ -90,8 +95,11 @@
   /** What the scheduler published, and what this gateway learnt itself. */
   private final SharedKnowledge knowledge;
 
-  /** Backend servers that stated something that is no limit. */
-  private final Set<String> malformedRateLimits = new HashSet<>();
+  /** Backend servers that stated something malformed, which was logged. */
+  private final Set<String> malformedStatements = new HashSet<>();
+
+  /** Backend servers that stated to this gateway that they leave, whatever they register. */
+  private final Set<String> leavingBackends = new LinkedHashSet<>();
 
   /** Ids of placement requests that the scheduler has neither decided nor reported as queued. */
   private final Set<Long> unacknowledged = new HashSet<>();
@@ -249,7 +257,7 @@
     viewVersion = view.getVersion();
     viewReceived = true;
     knowledge.rateLimits().discard(backends::containsKey, clock.nowMillis());
-    malformedRateLimits.retainAll(backends.keySet());
+    malformedStatements.retainAll(backends.keySet());
     listener.backendsChanged(backends.values());
     return true;
   }
@@ -268,7 +276,8 @@
 
   private void putBackend(BackendRecord record) {
     if (!removedBackends.contains(record.getId())) {
-      backends.put(record.getId(), record);
+      boolean leaving = record.getLeaving() || leavingBackends.contains(record.getId());
+      backends.put(record.getId(), record.toBuilder().setLeaving(leaving).build());
     }
   }
 
@@ -448,11 +457,45 @@
   }
 
   @Override
-  public void reportRateLimit(
-      long id, String backend, StatedRateLimit stated, long attemptStartedAtMillis) {
-    if (!backends.containsKey(backend)) {
+  public void reportStatements(
+      long id, String backend, BackendStatements stated, long attemptStartedAtMillis) {
+    if (stated.leaving()) {
+      handleStatedLeaving(id, backend);
+    }
+    if (backends.containsKey(backend)) {
+      stated.malformed().forEach(statement -> warnMalformed(backend, statement));
+      handleStatedRateLimit(id, backend, stated.rateLimit(), attemptStartedAtMillis);
+    }
+  }
+
+  @Override
+  public boolean isRefusing(String backend) {
+    return leavingBackends.contains(backend);
+  }
+
+  /** Obeys at once what a backend server states, and tells the others through the scheduler. */
+  private void handleStatedLeaving(long id, String backend) {
+    if (!leavingBackends.add(backend)) {
       return;
     }
+    if (leavingBackends.size() > MAX_LEAVING_BACKENDS) {
+      leavingBackends.remove(leavingBackends.iterator().next());
+    }
+    Logger.info("backend server {} states that it leaves (placement request {})", backend, id);
+    BackendRecord record = backends.get(backend);
+    if (record != null) {
+      putBackend(record);
+    }
+    if (isConnected()) {
+      sendStatement(BackendStatement.newBuilder().setId(id).setBackend(backend).setLeaving(true));
+    } else if (localDispatch != null && record != null) {
+      localDispatch.updateBackend(record.toBuilder().setLeaving(true).build(), clock.nowMillis());
+      applyLocalDecisions();
+    }
+  }
+
+  private void handleStatedRateLimit(
+      long id, String backend, StatedRateLimit stated, long attemptStartedAtMillis) {
     switch (stated) {
       case StatedRateLimit.RequestsPerSecond limit ->
           handleStatedLimit(id, backend, limit.value(), attemptStartedAtMillis);
@@ -461,15 +504,17 @@
           handleNoStatedLimit(id, backend, attemptStartedAtMillis);
         }
       }
-      case StatedRateLimit.Malformed malformed -> {
-        if (malformedRateLimits.add(backend)) {
-          Logger.warn(
-              "backend server {} states \"{}\" as its limit, which is no number of requests/s;"
-                  + " such statements are ignored",
-              backend,
-              malformed.text());
-        }
-      }
+      case StatedRateLimit.Malformed malformed ->
+          warnMalformed(backend, "\"" + malformed.text() + "\" as its limit in requests/s");
+    }
+  }
+
+  private void warnMalformed(String backend, String statement) {
+    if (malformedStatements.add(backend)) {
+      Logger.warn(
+          "backend server {} states {}, which cannot be decoded; such statements are ignored",
+          backend,
+          statement);
     }
   }
 
@@ -486,8 +531,8 @@
           id);
     }
     if (isConnected()) {
-      sendRateLimit(
-          RateLimitStatement.newBuilder()
+      sendStatement(
+          BackendStatement.newBuilder()
               .setId(id)
               .setBackend(backend)
               .setLimited(true)
@@ -501,7 +546,7 @@
    */
   private void handleNoStatedLimit(long id, String backend, long attemptStartedAtMillis) {
     if (isConnected()) {
-      sendRateLimit(RateLimitStatement.newBuilder().setId(id).setBackend(backend));
+      sendStatement(BackendStatement.newBuilder().setId(id).setBackend(backend));
     } else if (knowledge.rateLimits().end(backend, attemptStartedAtMillis, clock.nowMillis())) {
       Logger.info(
           "backend server {} no longer states a limit on requests (placement request {})",
@@ -510,8 +555,8 @@
     }
   }
 
-  private void sendRateLimit(RateLimitStatement.Builder statement) {
-    send(DispatchRequests.newBuilder().addRateLimits(statement));
+  private void sendStatement(BackendStatement.Builder statement) {
+    send(DispatchRequests.newBuilder().addStatements(statement));
   }
 
   @Override
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -24,6 +24,7 @@
 import org.curranthaven.internal.dispatch.SharedKnowledge;
 import org.curranthaven.internal.supervision.Clock;
 import org.curranthaven.internal.transport.wire.BackendRecord;
+import org.curranthaven.internal.transport.wire.BackendStatement;
 import org.curranthaven.internal.transport.wire.DispatchEnd;
 import org.curranthaven.internal.transport.wire.DispatchOrders;
 import org.curranthaven.internal.transport.wire.DispatchProgress;
@@ -35,7 +36,6 @@
 import org.curranthaven.internal.transport.wire.Placement;
 import org.curranthaven.internal.transport.wire.PlacementRequest;
 import org.curranthaven.internal.transport.wire.RateLimitList;
-import org.curranthaven.internal.transport.wire.RateLimitStatement;
 import org.curranthaven.internal.transport.wire.Rejection;
 import org.curranthaven.internal.transport.wire.RunningDispatch;
 import org.curranthaven.internal.transport.wire.SchedulerView;
@@ -408,7 +408,7 @@
   private void applyRequests(String gateway, DispatchRequests requests) {
     long nowMillis = clock.nowMillis();
     requests.getCrashedBackendsList().forEach(backend -> handleCrash(gateway, backend, nowMillis));
-    requests.getRateLimitsList().forEach(stated -> handleRateLimit(gateway, stated, nowMillis));
+    requests.getStatementsList().forEach(stated -> handleStatement(gateway, stated, nowMillis));
     for (DispatchEnd end : requests.getEndsList()) {
       core.requestEnded(
           new RequestId(gateway, end.getId()), end.getOutcome(), end.getOutputTokens(), nowMillis);
@@ -447,7 +447,24 @@
     gateways.get().forEach(this::sendView);
   }
 
-  private void handleRateLimit(String gateway, RateLimitStatement statement, long nowMillis) {
+  private void handleStatement(String gateway, BackendStatement statement, long nowMillis) {
+    if (statement.getLeaving()) {
+      handleLeaving(gateway, statement.getBackend(), nowMillis);
+    }
+    handleRateLimit(gateway, statement, nowMillis);
+  }
+
+  private void handleLeaving(String gateway, String backend, long nowMillis) {
+    BackendRecord changed = registry.recordLeaving(backend, nowMillis);
+    if (changed == null) {
+      return;
+    }
+    Logger.info("backend server {} states to gateway {} that it leaves", backend, gateway);
+    core.updateBackend(changed, nowMillis);
+    pushBackendChange(List.of(changed), List.of());
+  }
+
+  private void handleRateLimit(String gateway, BackendStatement statement, long nowMillis) {
     RequestId requestId = new RequestId(gateway, statement.getId());
     String backend = statement.getBackend();
     if (statement.getLimited()) {
--- a/src/main/java/org/curranthaven/internal/transport/wire/RateLimitStatement.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/BackendStatement.java
@@ -7,17 +7,17 @@
 
 /**
  * <pre>
- * What the response to a placed request states about the requests that its backend server accepts.
- * One without a limit is reported only for a backend server that is known to have one.
+ * What the response to a placed request states about its backend server. One that states nothing is
+ * reported only for a backend server that is known to have a limit.
  * </pre>
  *
- * Protobuf type {@code curranthaven.RateLimitStatement}
+ * Protobuf type {@code curranthaven.BackendStatement}
  */
 @com.google.protobuf.Generated
-public final class RateLimitStatement extends
+public final class BackendStatement extends
     com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:curranthaven.RateLimitStatement)
-    RateLimitStatementOrBuilder {
+    // @@protoc_insertion_point(message_implements:curranthaven.BackendStatement)
+    BackendStatementOrBuilder {
 private static final long serialVersionUID = 0L;
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -26,32 +26,32 @@
       /* minor= */ 36,
       /* patch= */ 2,
       /* suffix= */ "",
-      "RateLimitStatement");
+      "BackendStatement");
   }
-  // Use RateLimitStatement.newBuilder() to construct.
-  private RateLimitStatement(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+  // Use BackendStatement.newBuilder() to construct.
+  private BackendStatement(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
-  private RateLimitStatement() {
+  private BackendStatement() {
     backend_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
       getDescriptor() {
-    return org.curranthaven.internal.transport.wire.Curranthaven.internal_static_curranthaven_RateLimitStatement_descriptor;
+    return org.curranthaven.internal.transport.wire.Curranthaven.internal_static_curranthaven_BackendStatement_descriptor;
   }
 
   @java.lang.Override
   public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-    return org.curranthaven.internal.transport.wire.Curranthaven.internal_static_curranthaven_RateLimitStatement_descriptor;
+    return org.curranthaven.internal.transport.wire.Curranthaven.internal_static_curranthaven_BackendStatement_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.curranthaven.internal.transport.wire.Curranthaven.internal_static_curranthaven_RateLimitStatement_fieldAccessorTable
+    return org.curranthaven.internal.transport.wire.Curranthaven.internal_static_curranthaven_BackendStatement_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.curranthaven.internal.transport.wire.RateLimitStatement.class, org.curranthaven.internal.transport.wire.RateLimitStatement.Builder.class);
+            org.curranthaven.internal.transport.wire.BackendStatement.class, org.curranthaven.internal.transport.wire.BackendStatement.Builder.class);
   }
 
   public static final int ID_FIELD_NUMBER = 1;
@@ -142,6 +142,21 @@
     return requestsPerSecond_;
   }
 
+  public static final int LEAVING_FIELD_NUMBER = 5;
+  private boolean leaving_ = false;
+  /**
+   * <pre>
+   * Whether the backend server leaves, whatever its registrations say.
+   * </pre>
+   *
+   * <code>bool leaving = 5;</code>
+   * @return The leaving.
+   */
+  @java.lang.Override
+  public boolean getLeaving() {
+    return leaving_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -168,6 +183,9 @@
     if (java.lang.Double.doubleToRawLongBits(requestsPerSecond_) != 0) {
       output.writeDouble(4, requestsPerSecond_);
     }
+    if (leaving_ != false) {
+      output.writeBool(5, leaving_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -187,6 +205,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeDoubleSize(4, requestsPerSecond_);
     }
+    if (leaving_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(5, leaving_);
+    }
     return size;
   }
   @java.lang.Override
@@ -206,10 +228,10 @@
     if (obj == this) {
      return true;
     }
-    if (!(obj instanceof org.curranthaven.internal.transport.wire.RateLimitStatement)) {
+    if (!(obj instanceof org.curranthaven.internal.transport.wire.BackendStatement)) {
       return super.equals(obj);
     }
-    org.curranthaven.internal.transport.wire.RateLimitStatement other = (org.curranthaven.internal.transport.wire.RateLimitStatement) obj;
+    org.curranthaven.internal.transport.wire.BackendStatement other = (org.curranthaven.internal.transport.wire.BackendStatement) obj;
 
     if (getId()
         != other.getId()) return false;
@@ -220,6 +242,8 @@
     if (java.lang.Double.doubleToLongBits(getRequestsPerSecond())
         != java.lang.Double.doubleToLongBits(
             other.getRequestsPerSecond())) return false;
+    if (getLeaving()
+        != other.getLeaving()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -242,49 +266,52 @@
     hash = (37 * hash) + REQUESTS_PER_SECOND_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         java.lang.Double.doubleToLongBits(getRequestsPerSecond()));
+    hash = (37 * hash) + LEAVING_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getLeaving());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
   }
 
-  public static org.curranthaven.internal.transport.wire.RateLimitStatement parseFrom(
+  public static org.curranthaven.internal.transport.wire.BackendStatement parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.curranthaven.internal.transport.wire.RateLimitStatement parseFrom(
+  public static org.curranthaven.internal.transport.wire.BackendStatement parseFrom(
       java.nio.ByteBuffer data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.curranthaven.internal.transport.wire.RateLimitStatement parseFrom(
+  public static org.curranthaven.internal.transport.wire.BackendStatement parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.curranthaven.internal.transport.wire.RateLimitStatement parseFrom(
+  public static org.curranthaven.internal.transport.wire.BackendStatement parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.curranthaven.internal.transport.wire.RateLimitStatement parseFrom(byte[] data)
+  public static org.curranthaven.internal.transport.wire.BackendStatement parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.curranthaven.internal.transport.wire.RateLimitStatement parseFrom(
+  public static org.curranthaven.internal.transport.wire.BackendStatement parseFrom(
       byte[] data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.curranthaven.internal.transport.wire.RateLimitStatement parseFrom(java.io.InputStream input)
+  public static org.curranthaven.internal.transport.wire.BackendStatement parseFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static org.curranthaven.internal.transport.wire.RateLimitStatement parseFrom(
+  public static org.curranthaven.internal.transport.wire.BackendStatement parseFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -292,26 +319,26 @@
         .parseWithIOException(PARSER, input, extensionRegistry);
   }
 
-  public static org.curranthaven.internal.transport.wire.RateLimitStatement parseDelimitedFrom(java.io.InputStream input)
+  public static org.curranthaven.internal.transport.wire.BackendStatement parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input);
   }
 
-  public static org.curranthaven.internal.transport.wire.RateLimitStatement parseDelimitedFrom(
+  public static org.curranthaven.internal.transport.wire.BackendStatement parseDelimitedFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
   }
-  public static org.curranthaven.internal.transport.wire.RateLimitStatement parseFrom(
+  public static org.curranthaven.internal.transport.wire.BackendStatement parseFrom(
       com.google.protobuf.CodedInputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static org.curranthaven.internal.transport.wire.RateLimitStatement parseFrom(
+  public static org.curranthaven.internal.transport.wire.BackendStatement parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -324,7 +351,7 @@
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
-  public static Builder newBuilder(org.curranthaven.internal.transport.wire.RateLimitStatement prototype) {
+  public static Builder newBuilder(org.curranthaven.internal.transport.wire.BackendStatement prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
   @java.lang.Override
@@ -341,30 +368,30 @@
   }
   /**
    * <pre>
-   * What the response to a placed request states about the requests that its backend server accepts.
-   * One without a limit is reported only for a backend server that is known to have one.
+   * What the response to a placed request states about its backend server. One that states nothing is
+   * reported only for a backend server that is known to have a limit.
    * </pre>
    *
-   * Protobuf type {@code curranthaven.RateLimitStatement}
+   * Protobuf type {@code curranthaven.BackendStatement}
    */
   public static final class Builder extends
       com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:curranthaven.RateLimitStatement)
-      org.curranthaven.internal.transport.wire.RateLimitStatementOrBuilder {
+      // @@protoc_insertion_point(builder_implements:curranthaven.BackendStatement)
+      org.curranthaven.internal.transport.wire.BackendStatementOrBuilder {
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.curranthaven.internal.transport.wire.Curranthaven.internal_static_curranthaven_RateLimitStatement_descriptor;
+      return org.curranthaven.internal.transport.wire.Curranthaven.internal_static_curranthaven_BackendStatement_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.curranthaven.internal.transport.wire.Curranthaven.internal_static_curranthaven_RateLimitStatement_fieldAccessorTable
+      return org.curranthaven.internal.transport.wire.Curranthaven.internal_static_curranthaven_BackendStatement_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.curranthaven.internal.transport.wire.RateLimitStatement.class, org.curranthaven.internal.transport.wire.RateLimitStatement.Builder.class);
+              org.curranthaven.internal.transport.wire.BackendStatement.class, org.curranthaven.internal.transport.wire.BackendStatement.Builder.class);
     }
 
-    // Construct using org.curranthaven.internal.transport.wire.RateLimitStatement.newBuilder()
+    // Construct using org.curranthaven.internal.transport.wire.BackendStatement.newBuilder()
     private Builder() {
 
     }
@@ -382,23 +409,24 @@
       backend_ = "";
       limited_ = false;
       requestsPerSecond_ = 0D;
+      leaving_ = false;
       return this;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor
         getDescriptorForType() {
-      return org.curranthaven.internal.transport.wire.Curranthaven.internal_static_curranthaven_RateLimitStatement_descriptor;
+      return org.curranthaven.internal.transport.wire.Curranthaven.internal_static_curranthaven_BackendStatement_descriptor;
     }
 
     @java.lang.Override
-    public org.curranthaven.internal.transport.wire.RateLimitStatement getDefaultInstanceForType() {
-      return org.curranthaven.internal.transport.wire.RateLimitStatement.getDefaultInstance();
+    public org.curranthaven.internal.transport.wire.BackendStatement getDefaultInstanceForType() {
+      return org.curranthaven.internal.transport.wire.BackendStatement.getDefaultInstance();
     }
 
     @java.lang.Override
-    public org.curranthaven.internal.transport.wire.RateLimitStatement build() {
-      org.curranthaven.internal.transport.wire.RateLimitStatement result = buildPartial();
+    public org.curranthaven.internal.transport.wire.BackendStatement build() {
+      org.curranthaven.internal.transport.wire.BackendStatement result = buildPartial();
       if (!result.isInitialized()) {
         throw newUninitializedMessageException(result);
       }
@@ -406,14 +434,14 @@
     }
 
     @java.lang.Override
-    public org.curranthaven.internal.transport.wire.RateLimitStatement buildPartial() {
-      org.curranthaven.internal.transport.wire.RateLimitStatement result = new org.curranthaven.internal.transport.wire.RateLimitStatement(this);
+    public org.curranthaven.internal.transport.wire.BackendStatement buildPartial() {
+      org.curranthaven.internal.transport.wire.BackendStatement result = new org.curranthaven.internal.transport.wire.BackendStatement(this);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
-    private void buildPartial0(org.curranthaven.internal.transport.wire.RateLimitStatement result) {
+    private void buildPartial0(org.curranthaven.internal.transport.wire.BackendStatement result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.id_ = id_;
@@ -427,20 +455,23 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.requestsPerSecond_ = requestsPerSecond_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.leaving_ = leaving_;
+      }
     }
 
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof org.curranthaven.internal.transport.wire.RateLimitStatement) {
-        return mergeFrom((org.curranthaven.internal.transport.wire.RateLimitStatement)other);
+      if (other instanceof org.curranthaven.internal.transport.wire.BackendStatement) {
+        return mergeFrom((org.curranthaven.internal.transport.wire.BackendStatement)other);
       } else {
         super.mergeFrom(other);
         return this;
       }
     }
 
-    public Builder mergeFrom(org.curranthaven.internal.transport.wire.RateLimitStatement other) {
-      if (other == org.curranthaven.internal.transport.wire.RateLimitStatement.getDefaultInstance()) return this;
+    public Builder mergeFrom(org.curranthaven.internal.transport.wire.BackendStatement other) {
+      if (other == org.curranthaven.internal.transport.wire.BackendStatement.getDefaultInstance()) return this;
       if (other.getId() != 0L) {
         setId(other.getId());
       }
@@ -455,6 +486,9 @@
       if (java.lang.Double.doubleToRawLongBits(other.getRequestsPerSecond()) != 0) {
         setRequestsPerSecond(other.getRequestsPerSecond());
       }
+      if (other.getLeaving() != false) {
+        setLeaving(other.getLeaving());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -499,6 +533,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 33
+            case 40: {
+              leaving_ = input.readBool();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -728,23 +767,67 @@
       return this;
     }
 
-    // @@protoc_insertion_point(builder_scope:curranthaven.RateLimitStatement)
+    private boolean leaving_ ;
+    /**
+     * <pre>
+     * Whether the backend server leaves, whatever its registrations say.
+     * </pre>
+     *
+     * <code>bool leaving = 5;</code>
+     * @return The leaving.
+     */
+    @java.lang.Override
+    public boolean getLeaving() {
+      return leaving_;
+    }
+    /**
+     * <pre>
+     * Whether the backend server leaves, whatever its registrations say.
+     * </pre>
+     *
+     * <code>bool leaving = 5;</code>
+     * @param value The leaving to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLeaving(boolean value) {
+
+      leaving_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the backend server leaves, whatever its registrations say.
+     * </pre>
+     *
+     * <code>bool leaving = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLeaving() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      leaving_ = false;
+      onChanged();
+      return this;
+    }
+
+    // @@protoc_insertion_point(builder_scope:curranthaven.BackendStatement)
   }
 
-  // @@protoc_insertion_point(class_scope:curranthaven.RateLimitStatement)
-  private static final org.curranthaven.internal.transport.wire.RateLimitStatement DEFAULT_INSTANCE;
+  // @@protoc_insertion_point(class_scope:curranthaven.BackendStatement)
+  private static final org.curranthaven.internal.transport.wire.BackendStatement DEFAULT_INSTANCE;
   static {
-    DEFAULT_INSTANCE = new org.curranthaven.internal.transport.wire.RateLimitStatement();
+    DEFAULT_INSTANCE = new org.curranthaven.internal.transport.wire.BackendStatement();
   }
 
-  public static org.curranthaven.internal.transport.wire.RateLimitStatement getDefaultInstance() {
+  public static org.curranthaven.internal.transport.wire.BackendStatement getDefaultInstance() {
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<RateLimitStatement>
-      PARSER = new com.google.protobuf.AbstractParser<RateLimitStatement>() {
+  private static final com.google.protobuf.Parser<BackendStatement>
+      PARSER = new com.google.protobuf.AbstractParser<BackendStatement>() {
     @java.lang.Override
-    public RateLimitStatement parsePartialFrom(
+    public BackendStatement parsePartialFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
@@ -763,17 +846,17 @@
     }
   };
 
-  public static com.google.protobuf.Parser<RateLimitStatement> parser() {
+  public static com.google.protobuf.Parser<BackendStatement> parser() {
     return PARSER;
   }
 
   @java.lang.Override
-  public com.google.protobuf.Parser<RateLimitStatement> getParserForType() {
+  public com.google.protobuf.Parser<BackendStatement> getParserForType() {
     return PARSER;
   }
 
   @java.lang.Override
-  public org.curranthaven.internal.transport.wire.RateLimitStatement getDefaultInstanceForType() {
+  public org.curranthaven.internal.transport.wire.BackendStatement getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
 
--- a/src/main/java/org/curranthaven/internal/transport/wire/RateLimitStatementOrBuilder.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/BackendStatementOrBuilder.java
@@ -6,8 +6,8 @@
 package org.curranthaven.internal.transport.wire;
 
 @com.google.protobuf.Generated
-public interface RateLimitStatementOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:curranthaven.RateLimitStatement)
+public interface BackendStatementOrBuilder extends
+    // @@protoc_insertion_point(interface_extends:curranthaven.BackendStatement)
     com.google.protobuf.MessageOrBuilder {
 
   /**
@@ -55,4 +55,14 @@
    * @return The requestsPerSecond.
    */
   double getRequestsPerSecond();
+
+  /**
+   * <pre>
+   * Whether the backend server leaves, whatever its registrations say.
+   * </pre>
+   *
+   * <code>bool leaving = 5;</code>
+   * @return The leaving.
+   */
+  boolean getLeaving();
 }
--- a/src/main/java/org/curranthaven/internal/transport/wire/Curranthaven.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/Curranthaven.java
@@ -297,10 +297,10 @@
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_curranthaven_DispatchRequests_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_curranthaven_RateLimitStatement_descriptor;
+    internal_static_curranthaven_BackendStatement_descriptor;
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_curranthaven_RateLimitStatement_fieldAccessorTable;
+      internal_static_curranthaven_BackendStatement_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_curranthaven_DispatchProgress_descriptor;
   static final 
@@ -531,52 +531,52 @@
       "s\030\023 \001(\010\022\026\n\016resumed_stream\030\024 \001(\006\022\025\n\rversi" +
       "on_bound\030\025 \001(\010\022\030\n\020software_version\030\026 \001(\t" +
       "\"(\n\nPromptPart\022\n\n\002id\030\001 \001(\t\022\016\n\006tokens\030\002 \001" +
-      "(\r\"\372\001\n\020DispatchRequests\022\014\n\004term\030\001 \001(\004\022,\n" +
+      "(\r\"\367\001\n\020DispatchRequests\022\014\n\004term\030\001 \001(\004\022,\n" +
       "\004asks\030\002 \003(\0132\036.curranthaven.PlacementRequ" +
       "est\0220\n\010progress\030\003 \003(\0132\036.curranthaven.Dis" +
       "patchProgress\022\'\n\004ends\030\004 \003(\0132\031.curranthav" +
       "en.DispatchEnd\022\030\n\020crashed_backends\030\005 \003(\t" +
-      "\0225\n\013rate_limits\030\006 \003(\0132 .curranthaven.Rat" +
-      "eLimitStatement\"_\n\022RateLimitStatement\022\n\n" +
-      "\002id\030\001 \001(\004\022\017\n\007backend\030\002 \001(\t\022\017\n\007limited\030\003 " +
-      "\001(\010\022\033\n\023requests_per_second\030\004 \001(\001\"5\n\020Disp" +
-      "atchProgress\022\n\n\002id\030\001 \001(\004\022\025\n\routput_token" +
-      "s\030\002 \001(\r\"`\n\013DispatchEnd\022\n\n\002id\030\001 \001(\004\022.\n\007ou" +
-      "tcome\030\002 \001(\0162\035.curranthaven.DispatchOutco" +
-      "me\022\025\n\routput_tokens\030\003 \001(\r\"\363\001\n\016DispatchOr" +
-      "ders\022\014\n\004term\030\001 \001(\004\022+\n\nplacements\030\002 \003(\0132\027" +
-      ".curranthaven.Placement\022)\n\010refusals\030\003 \003(" +
-      "\0132\027.curranthaven.Rejection\022+\n\005moves\030\004 \003(" +
-      "\0132\034.curranthaven.MigrationOrder\022\017\n\007waiti" +
-      "ng\030\005 \003(\004\022&\n\005stops\030\006 \003(\0132\027.curranthaven.R" +
-      "ejection\022\025\n\rstatus_number\030\007 \001(\004\"I\n\tPlace" +
-      "ment\022\n\n\002id\030\001 \001(\004\022\017\n\007backend\030\002 \001(\t\022\017\n\007urg" +
-      "ency\030\003 \001(\r\022\016\n\006backup\030\004 \001(\t\"C\n\tRejection\022" +
-      "\n\n\002id\030\001 \001(\004\022\032\n\022retry_after_millis\030\002 \001(\004\022" +
-      "\016\n\006reason\030\003 \001(\t\"<\n\016MigrationOrder\022\n\n\002id\030" +
-      "\001 \001(\004\022\016\n\006target\030\002 \001(\t\022\016\n\006backup\030\003 \001(\t*O\n" +
-      "\tEntryKind\022\023\n\017ENTRY_KIND_NOOP\020\000\022\026\n\022ENTRY" +
-      "_KIND_COMMAND\020\001\022\025\n\021ENTRY_KIND_VOTERS\020\002*\246" +
-      "\001\n\rCommandStatus\022\036\n\032COMMAND_STATUS_UNSPE" +
-      "CIFIED\020\000\022\032\n\026COMMAND_STATUS_APPLIED\020\001\022\035\n\031" +
-      "COMMAND_STATUS_NOT_LEADER\020\002\022\032\n\026COMMAND_S" +
-      "TATUS_UNKNOWN\020\003\022\036\n\032COMMAND_STATUS_UNAVAI" +
-      "LABLE\020\004*\353\001\n\014ClaimVerdict\022\035\n\031CLAIM_VERDIC" +
-      "T_UNSPECIFIED\020\000\022\031\n\025CLAIM_VERDICT_GRANTED" +
-      "\020\001\022\031\n\025CLAIM_VERDICT_RUNNING\020\002\022\026\n\022CLAIM_V" +
-      "ERDICT_DONE\020\003\022\034\n\030CLAIM_VERDICT_KEY_REUSE" +
-      "D\020\004\022\031\n\025CLAIM_VERDICT_TOO_OLD\020\005\022\035\n\031CLAIM_" +
-      "VERDICT_FROM_FUTURE\020\006\022\026\n\022CLAIM_VERDICT_F" +
-      "ULL\020\007*\264\002\n\017DispatchOutcome\022 \n\034DISPATCH_OU" +
-      "TCOME_UNSPECIFIED\020\000\022\035\n\031DISPATCH_OUTCOME_" +
-      "ANSWERED\020\001\022\033\n\027DISPATCH_OUTCOME_FAILED\020\002\022" +
-      "\035\n\031DISPATCH_OUTCOME_REJECTED\020\003\022 \n\034DISPAT" +
-      "CH_OUTCOME_UNREACHABLE\020\004\022\036\n\032DISPATCH_OUT" +
-      "COME_CANCELLED\020\005\022\032\n\026DISPATCH_OUTCOME_MOV" +
-      "ED\020\006\022 \n\034DISPATCH_OUTCOME_MOVE_FAILED\020\007\022$" +
-      "\n DISPATCH_OUTCOME_CONNECTION_LOST\020\010B,\n(" +
-      "org.curranthaven.internal.transport.wire" +
-      "P\001b\006proto3"
+      "\0222\n\nstatements\030\006 \003(\0132\036.curranthaven.Back" +
+      "endStatement\"n\n\020BackendStatement\022\n\n\002id\030\001" +
+      " \001(\004\022\017\n\007backend\030\002 \001(\t\022\017\n\007limited\030\003 \001(\010\022\033" +
+      "\n\023requests_per_second\030\004 \001(\001\022\017\n\007leaving\030\005" +
+      " \001(\010\"5\n\020DispatchProgress\022\n\n\002id\030\001 \001(\004\022\025\n\r" +
+      "output_tokens\030\002 \001(\r\"`\n\013DispatchEnd\022\n\n\002id" +
+      "\030\001 \001(\004\022.\n\007outcome\030\002 \001(\0162\035.curranthaven.D" +
+      "ispatchOutcome\022\025\n\routput_tokens\030\003 \001(\r\"\363\001" +
+      "\n\016DispatchOrders\022\014\n\004term\030\001 \001(\004\022+\n\nplacem" +
+      "ents\030\002 \003(\0132\027.curranthaven.Placement\022)\n\010r" +
+      "efusals\030\003 \003(\0132\027.curranthaven.Rejection\022+" +
+      "\n\005moves\030\004 \003(\0132\034.curranthaven.MigrationOr" +
+      "der\022\017\n\007waiting\030\005 \003(\004\022&\n\005stops\030\006 \003(\0132\027.cu" +
+      "rranthaven.Rejection\022\025\n\rstatus_number\030\007 " +
+      "\001(\004\"I\n\tPlacement\022\n\n\002id\030\001 \001(\004\022\017\n\007backend\030" +
+      "\002 \001(\t\022\017\n\007urgency\030\003 \001(\r\022\016\n\006backup\030\004 \001(\t\"C" +
+      "\n\tRejection\022\n\n\002id\030\001 \001(\004\022\032\n\022retry_after_m" +
+      "illis\030\002 \001(\004\022\016\n\006reason\030\003 \001(\t\"<\n\016Migration" +
+      "Order\022\n\n\002id\030\001 \001(\004\022\016\n\006target\030\002 \001(\t\022\016\n\006bac" +
+      "kup\030\003 \001(\t*O\n\tEntryKind\022\023\n\017ENTRY_KIND_NOO" +
+      "P\020\000\022\026\n\022ENTRY_KIND_COMMAND\020\001\022\025\n\021ENTRY_KIN" +
+      "D_VOTERS\020\002*\246\001\n\rCommandStatus\022\036\n\032COMMAND_" +
+      "STATUS_UNSPECIFIED\020\000\022\032\n\026COMMAND_STATUS_A" +
+      "PPLIED\020\001\022\035\n\031COMMAND_STATUS_NOT_LEADER\020\002\022" +
+      "\032\n\026COMMAND_STATUS_UNKNOWN\020\003\022\036\n\032COMMAND_S" +
+      "TATUS_UNAVAILABLE\020\004*\353\001\n\014ClaimVerdict\022\035\n\031" +
+      "CLAIM_VERDICT_UNSPECIFIED\020\000\022\031\n\025CLAIM_VER" +
+      "DICT_GRANTED\020\001\022\031\n\025CLAIM_VERDICT_RUNNING\020" +
+      "\002\022\026\n\022CLAIM_VERDICT_DONE\020\003\022\034\n\030CLAIM_VERDI" +
+      "CT_KEY_REUSED\020\004\022\031\n\025CLAIM_VERDICT_TOO_OLD" +
+      "\020\005\022\035\n\031CLAIM_VERDICT_FROM_FUTURE\020\006\022\026\n\022CLA" +
+      "IM_VERDICT_FULL\020\007*\264\002\n\017DispatchOutcome\022 \n" +
+      "\034DISPATCH_OUTCOME_UNSPECIFIED\020\000\022\035\n\031DISPA" +
+      "TCH_OUTCOME_ANSWERED\020\001\022\033\n\027DISPATCH_OUTCO" +
+      "ME_FAILED\020\002\022\035\n\031DISPATCH_OUTCOME_REJECTED" +
+      "\020\003\022 \n\034DISPATCH_OUTCOME_UNREACHABLE\020\004\022\036\n\032" +
+      "DISPATCH_OUTCOME_CANCELLED\020\005\022\032\n\026DISPATCH" +
+      "_OUTCOME_MOVED\020\006\022 \n\034DISPATCH_OUTCOME_MOV" +
+      "E_FAILED\020\007\022$\n DISPATCH_OUTCOME_CONNECTIO" +
+      "N_LOST\020\010B,\n(org.curranthaven.internal.tr" +
+      "ansport.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -905,13 +905,13 @@
     internal_static_curranthaven_DispatchRequests_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_curranthaven_DispatchRequests_descriptor,
-        new java.lang.String[] { "Term", "Asks", "Progress", "Ends", "CrashedBackends", "RateLimits", });
-    internal_static_curranthaven_RateLimitStatement_descriptor =
+        new java.lang.String[] { "Term", "Asks", "Progress", "Ends", "CrashedBackends", "Statements", });
+    internal_static_curranthaven_BackendStatement_descriptor =
       getDescriptor().getMessageType(54);
-    internal_static_curranthaven_RateLimitStatement_fieldAccessorTable = new
+    internal_static_curranthaven_BackendStatement_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_curranthaven_RateLimitStatement_descriptor,
-        new java.lang.String[] { "Id", "Backend", "Limited", "RequestsPerSecond", });
+        internal_static_curranthaven_BackendStatement_descriptor,
+        new java.lang.String[] { "Id", "Backend", "Limited", "RequestsPerSecond", "Leaving", });
     internal_static_curranthaven_DispatchProgress_descriptor =
       getDescriptor().getMessageType(55);
     internal_static_curranthaven_DispatchProgress_fieldAccessorTable = new
--- a/src/main/java/org/curranthaven/internal/transport/wire/DispatchRequests.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/DispatchRequests.java
@@ -37,7 +37,7 @@
     ends_ = java.util.Collections.emptyList();
     crashedBackends_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
-    rateLimits_ = java.util.Collections.emptyList();
+    statements_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -289,45 +289,45 @@
     return crashedBackends_.getByteString(index);
   }
 
-  public static final int RATE_LIMITS_FIELD_NUMBER = 6;
+  public static final int STATEMENTS_FIELD_NUMBER = 6;
   @SuppressWarnings("serial")
-  private java.util.List<org.curranthaven.internal.transport.wire.RateLimitStatement> rateLimits_;
+  private java.util.List<org.curranthaven.internal.transport.wire.BackendStatement> statements_;
   /**
-   * <code>repeated .curranthaven.RateLimitStatement rate_limits = 6;</code>
+   * <code>repeated .curranthaven.BackendStatement statements = 6;</code>
    */
   @java.lang.Override
-  public java.util.List<org.curranthaven.internal.transport.wire.RateLimitStatement> getRateLimitsList() {
-    return rateLimits_;
+  public java.util.List<org.curranthaven.internal.transport.wire.BackendStatement> getStatementsList() {
+    return statements_;
   }
   /**
-   * <code>repeated .curranthaven.RateLimitStatement rate_limits = 6;</code>
+   * <code>repeated .curranthaven.BackendStatement statements = 6;</code>
    */
   @java.lang.Override
-  public java.util.List<? extends org.curranthaven.internal.transport.wire.RateLimitStatementOrBuilder> 
-      getRateLimitsOrBuilderList() {
-    return rateLimits_;
+  public java.util.List<? extends org.curranthaven.internal.transport.wire.BackendStatementOrBuilder> 
+      getStatementsOrBuilderList() {
+    return statements_;
   }
   /**
-   * <code>repeated .curranthaven.RateLimitStatement rate_limits = 6;</code>
+   * <code>repeated .curranthaven.BackendStatement statements = 6;</code>
    */
   @java.lang.Override
-  public int getRateLimitsCount() {
-    return rateLimits_.size();
+  public int getStatementsCount() {
+    return statements_.size();
   }
   /**
-   * <code>repeated .curranthaven.RateLimitStatement rate_limits = 6;</code>
+   * <code>repeated .curranthaven.BackendStatement statements = 6;</code>
    */
   @java.lang.Override
-  public org.curranthaven.internal.transport.wire.RateLimitStatement getRateLimits(int index) {
-    return rateLimits_.get(index);
+  public org.curranthaven.internal.transport.wire.BackendStatement getStatements(int index) {
+    return statements_.get(index);
   }
   /**
-   * <code>repeated .curranthaven.RateLimitStatement rate_limits = 6;</code>
+   * <code>repeated .curranthaven.BackendStatement statements = 6;</code>
    */
   @java.lang.Override
-  public org.curranthaven.internal.transport.wire.RateLimitStatementOrBuilder getRateLimitsOrBuilder(
+  public org.curranthaven.internal.transport.wire.BackendStatementOrBuilder getStatementsOrBuilder(
       int index) {
-    return rateLimits_.get(index);
+    return statements_.get(index);
   }
 
   private byte memoizedIsInitialized = -1;
@@ -359,8 +359,8 @@
     for (int i = 0; i < crashedBackends_.size(); i++) {
       com.google.protobuf.GeneratedMessage.writeString(output, 5, crashedBackends_.getRaw(i));
     }
-    for (int i = 0; i < rateLimits_.size(); i++) {
-      output.writeMessage(6, rateLimits_.get(i));
+    for (int i = 0; i < statements_.size(); i++) {
+      output.writeMessage(6, statements_.get(i));
     }
     getUnknownFields().writeTo(output);
   }
@@ -407,10 +407,10 @@
     }
 
         {
-          final int count = rateLimits_.size();
+          final int count = statements_.size();
           for (int i = 0; i < count; i++) {
             size += com.google.protobuf.CodedOutputStream
-              .computeMessageSizeNoTag(rateLimits_.get(i));
+              .computeMessageSizeNoTag(statements_.get(i));
           }
           size += 1 * count;
         }
@@ -448,8 +448,8 @@
         .equals(other.getEndsList())) return false;
     if (!getCrashedBackendsList()
         .equals(other.getCrashedBackendsList())) return false;
-    if (!getRateLimitsList()
-        .equals(other.getRateLimitsList())) return false;
+    if (!getStatementsList()
+        .equals(other.getStatementsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -480,9 +480,9 @@
       hash = (37 * hash) + CRASHED_BACKENDS_FIELD_NUMBER;
       hash = (53 * hash) + getCrashedBackendsList().hashCode();
     }
-    if (getRateLimitsCount() > 0) {
-      hash = (37 * hash) + RATE_LIMITS_FIELD_NUMBER;
-      hash = (53 * hash) + getRateLimitsList().hashCode();
+    if (getStatementsCount() > 0) {
+      hash = (37 * hash) + STATEMENTS_FIELD_NUMBER;
+      hash = (53 * hash) + getStatementsList().hashCode();
     }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
@@ -643,11 +643,11 @@
       bitField0_ = (bitField0_ & ~0x00000008);
       crashedBackends_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
-      if (rateLimitsBuilder_ == null) {
-        rateLimits_ = java.util.Collections.emptyList();
+      if (statementsBuilder_ == null) {
+        statements_ = java.util.Collections.emptyList();
       } else {
-        rateLimits_ = null;
-        rateLimitsBuilder_.clear();
+        statements_ = null;
+        statementsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000020);
       return this;
@@ -710,14 +710,14 @@
       } else {
         result.ends_ = endsBuilder_.build();
       }
-      if (rateLimitsBuilder_ == null) {
+      if (statementsBuilder_ == null) {
         if (((bitField0_ & 0x00000020) != 0)) {
-          rateLimits_ = java.util.Collections.unmodifiableList(rateLimits_);
+          statements_ = java.util.Collections.unmodifiableList(statements_);
           bitField0_ = (bitField0_ & ~0x00000020);
         }
-        result.rateLimits_ = rateLimits_;
+        result.statements_ = statements_;
       } else {
-        result.rateLimits_ = rateLimitsBuilder_.build();
+        result.statements_ = statementsBuilder_.build();
       }
     }
 
@@ -835,29 +835,29 @@
         }
         onChanged();
       }
-      if (rateLimitsBuilder_ == null) {
-        if (!other.rateLimits_.isEmpty()) {
-          if (rateLimits_.isEmpty()) {
-            rateLimits_ = other.rateLimits_;
+      if (statementsBuilder_ == null) {
+        if (!other.statements_.isEmpty()) {
+          if (statements_.isEmpty()) {
+            statements_ = other.statements_;
             bitField0_ = (bitField0_ & ~0x00000020);
           } else {
-            ensureRateLimitsIsMutable();
-            rateLimits_.addAll(other.rateLimits_);
+            ensureStatementsIsMutable();
+            statements_.addAll(other.statements_);
           }
           onChanged();
         }
       } else {
-        if (!other.rateLimits_.isEmpty()) {
-          if (rateLimitsBuilder_.isEmpty()) {
-            rateLimitsBuilder_.dispose();
-            rateLimitsBuilder_ = null;
-            rateLimits_ = other.rateLimits_;
+        if (!other.statements_.isEmpty()) {
+          if (statementsBuilder_.isEmpty()) {
+            statementsBuilder_.dispose();
+            statementsBuilder_ = null;
+            statements_ = other.statements_;
             bitField0_ = (bitField0_ & ~0x00000020);
-            rateLimitsBuilder_ = 
+            statementsBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetRateLimitsFieldBuilder() : null;
+                 internalGetStatementsFieldBuilder() : null;
           } else {
-            rateLimitsBuilder_.addAllMessages(other.rateLimits_);
+            statementsBuilder_.addAllMessages(other.statements_);
           }
         }
       }
@@ -935,15 +935,15 @@
               break;
             } // case 42
             case 50: {
-              org.curranthaven.internal.transport.wire.RateLimitStatement m =
+              org.curranthaven.internal.transport.wire.BackendStatement m =
                   input.readMessage(
-                      org.curranthaven.internal.transport.wire.RateLimitStatement.parser(),
+                      org.curranthaven.internal.transport.wire.BackendStatement.parser(),
                       extensionRegistry);
-              if (rateLimitsBuilder_ == null) {
-                ensureRateLimitsIsMutable();
-                rateLimits_.add(m);
+              if (statementsBuilder_ == null) {
+                ensureStatementsIsMutable();
+                statements_.add(m);
               } else {
-                rateLimitsBuilder_.addMessage(m);
+                statementsBuilder_.addMessage(m);
               }
               break;
             } // case 50
@@ -1998,238 +1998,238 @@
       return this;
     }
 
-    private java.util.List<org.curranthaven.internal.transport.wire.RateLimitStatement> rateLimits_ =
+    private java.util.List<org.curranthaven.internal.transport.wire.BackendStatement> statements_ =
       java.util.Collections.emptyList();
-    private void ensureRateLimitsIsMutable() {
+    private void ensureStatementsIsMutable() {
       if (!((bitField0_ & 0x00000020) != 0)) {
-        rateLimits_ = new java.util.ArrayList<org.curranthaven.internal.transport.wire.RateLimitStatement>(rateLimits_);
+        statements_ = new java.util.ArrayList<org.curranthaven.internal.transport.wire.BackendStatement>(statements_);
         bitField0_ |= 0x00000020;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.curranthaven.internal.transport.wire.RateLimitStatement, org.curranthaven.internal.transport.wire.RateLimitStatement.Builder, org.curranthaven.internal.transport.wire.RateLimitStatementOrBuilder> rateLimitsBuilder_;
+        org.curranthaven.internal.transport.wire.BackendStatement, org.curranthaven.internal.transport.wire.BackendStatement.Builder, org.curranthaven.internal.transport.wire.BackendStatementOrBuilder> statementsBuilder_;
 
     /**
-     * <code>repeated .curranthaven.RateLimitStatement rate_limits = 6;</code>
+     * <code>repeated .curranthaven.BackendStatement statements = 6;</code>
      */
-    public java.util.List<org.curranthaven.internal.transport.wire.RateLimitStatement> getRateLimitsList() {
-      if (rateLimitsBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(rateLimits_);
+    public java.util.List<org.curranthaven.internal.transport.wire.BackendStatement> getStatementsList() {
+      if (statementsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(statements_);
       } else {
-        return rateLimitsBuilder_.getMessageList();
+        return statementsBuilder_.getMessageList();
       }
     }
     /**
-     * <code>repeated .curranthaven.RateLimitStatement rate_limits = 6;</code>
+     * <code>repeated .curranthaven.BackendStatement statements = 6;</code>
      */
-    public int getRateLimitsCount() {
-      if (rateLimitsBuilder_ == null) {
-        return rateLimits_.size();
+    public int getStatementsCount() {
+      if (statementsBuilder_ == null) {
+        return statements_.size();
       } else {
-        return rateLimitsBuilder_.getCount();
+        return statementsBuilder_.getCount();
       }
     }
     /**
-     * <code>repeated .curranthaven.RateLimitStatement rate_limits = 6;</code>
+     * <code>repeated .curranthaven.BackendStatement statements = 6;</code>
      */
-    public org.curranthaven.internal.transport.wire.RateLimitStatement getRateLimits(int index) {
-      if (rateLimitsBuilder_ == null) {
-        return rateLimits_.get(index);
+    public org.curranthaven.internal.transport.wire.BackendStatement getStatements(int index) {
+      if (statementsBuilder_ == null) {
+        return statements_.get(index);
       } else {
-        return rateLimitsBuilder_.getMessage(index);
+        return statementsBuilder_.getMessage(index);
       }
     }
     /**
-     * <code>repeated .curranthaven.RateLimitStatement rate_limits = 6;</code>
+     * <code>repeated .curranthaven.BackendStatement statements = 6;</code>
      */
-    public Builder setRateLimits(
-        int index, org.curranthaven.internal.transport.wire.RateLimitStatement value) {
-      if (rateLimitsBuilder_ == null) {
+    public Builder setStatements(
+        int index, org.curranthaven.internal.transport.wire.BackendStatement value) {
+      if (statementsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureRateLimitsIsMutable();
-        rateLimits_.set(index, value);
+        ensureStatementsIsMutable();
+        statements_.set(index, value);
         onChanged();
       } else {
-        rateLimitsBuilder_.setMessage(index, value);
+        statementsBuilder_.setMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .curranthaven.RateLimitStatement rate_limits = 6;</code>
+     * <code>repeated .curranthaven.BackendStatement statements = 6;</code>
      */
-    public Builder setRateLimits(
-        int index, org.curranthaven.internal.transport.wire.RateLimitStatement.Builder builderForValue) {
-      if (rateLimitsBuilder_ == null) {
-        ensureRateLimitsIsMutable();
-        rateLimits_.set(index, builderForValue.build());
+    public Builder setStatements(
+        int index, org.curranthaven.internal.transport.wire.BackendStatement.Builder builderForValue) {
+      if (statementsBuilder_ == null) {
+        ensureStatementsIsMutable();
+        statements_.set(index, builderForValue.build());
         onChanged();
       } else {
-        rateLimitsBuilder_.setMessage(index, builderForValue.build());
+        statementsBuilder_.setMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .curranthaven.RateLimitStatement rate_limits = 6;</code>
+     * <code>repeated .curranthaven.BackendStatement statements = 6;</code>
      */
-    public Builder addRateLimits(org.curranthaven.internal.transport.wire.RateLimitStatement value) {
-      if (rateLimitsBuilder_ == null) {
+    public Builder addStatements(org.curranthaven.internal.transport.wire.BackendStatement value) {
+      if (statementsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureRateLimitsIsMutable();
-        rateLimits_.add(value);
+        ensureStatementsIsMutable();
+        statements_.add(value);
         onChanged();
       } else {
-        rateLimitsBuilder_.addMessage(value);
+        statementsBuilder_.addMessage(value);
       }
       return this;
     }
     /**
-     * <code>repeated .curranthaven.RateLimitStatement rate_limits = 6;</code>
+     * <code>repeated .curranthaven.BackendStatement statements = 6;</code>
      */
-    public Builder addRateLimits(
-        int index, org.curranthaven.internal.transport.wire.RateLimitStatement value) {
-      if (rateLimitsBuilder_ == null) {
+    public Builder addStatements(
+        int index, org.curranthaven.internal.transport.wire.BackendStatement value) {
+      if (statementsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureRateLimitsIsMutable();
-        rateLimits_.add(index, value);
+        ensureStatementsIsMutable();
+        statements_.add(index, value);
         onChanged();
       } else {
-        rateLimitsBuilder_.addMessage(index, value);
+        statementsBuilder_.addMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .curranthaven.RateLimitStatement rate_limits = 6;</code>
+     * <code>repeated .curranthaven.BackendStatement statements = 6;</code>
      */
-    public Builder addRateLimits(
-        org.curranthaven.internal.transport.wire.RateLimitStatement.Builder builderForValue) {
-      if (rateLimitsBuilder_ == null) {
-        ensureRateLimitsIsMutable();
-        rateLimits_.add(builderForValue.build());
+    public Builder addStatements(
+        org.curranthaven.internal.transport.wire.BackendStatement.Builder builderForValue) {
+      if (statementsBuilder_ == null) {
+        ensureStatementsIsMutable();
+        statements_.add(builderForValue.build());
         onChanged();
       } else {
-        rateLimitsBuilder_.addMessage(builderForValue.build());
+        statementsBuilder_.addMessage(builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .curranthaven.RateLimitStatement rate_limits = 6;</code>
+     * <code>repeated .curranthaven.BackendStatement statements = 6;</code>
      */
-    public Builder addRateLimits(
-        int index, org.curranthaven.internal.transport.wire.RateLimitStatement.Builder builderForValue) {
-      if (rateLimitsBuilder_ == null) {
-        ensureRateLimitsIsMutable();
-        rateLimits_.add(index, builderForValue.build());
+    public Builder addStatements(
+        int index, org.curranthaven.internal.transport.wire.BackendStatement.Builder builderForValue) {
+      if (statementsBuilder_ == null) {
+        ensureStatementsIsMutable();
+        statements_.add(index, builderForValue.build());
         onChanged();
       } else {
-        rateLimitsBuilder_.addMessage(index, builderForValue.build());
+        statementsBuilder_.addMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .curranthaven.RateLimitStatement rate_limits = 6;</code>
+     * <code>repeated .curranthaven.BackendStatement statements = 6;</code>
      */
-    public Builder addAllRateLimits(
-        java.lang.Iterable<? extends org.curranthaven.internal.transport.wire.RateLimitStatement> values) {
-      if (rateLimitsBuilder_ == null) {
-        ensureRateLimitsIsMutable();
+    public Builder addAllStatements(
+        java.lang.Iterable<? extends org.curranthaven.internal.transport.wire.BackendStatement> values) {
+      if (statementsBuilder_ == null) {
+        ensureStatementsIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, rateLimits_);
+            values, statements_);
         onChanged();
       } else {
-        rateLimitsBuilder_.addAllMessages(values);
+        statementsBuilder_.addAllMessages(values);
       }
       return this;
     }
     /**
-     * <code>repeated .curranthaven.RateLimitStatement rate_limits = 6;</code>
+     * <code>repeated .curranthaven.BackendStatement statements = 6;</code>
      */
-    public Builder clearRateLimits() {
-      if (rateLimitsBuilder_ == null) {
-        rateLimits_ = java.util.Collections.emptyList();
+    public Builder clearStatements() {
+      if (statementsBuilder_ == null) {
+        statements_ = java.util.Collections.emptyList();
         bitField0_ = (bitField0_ & ~0x00000020);
         onChanged();
       } else {
-        rateLimitsBuilder_.clear();
+        statementsBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>repeated .curranthaven.RateLimitStatement rate_limits = 6;</code>
+     * <code>repeated .curranthaven.BackendStatement statements = 6;</code>
      */
-    public Builder removeRateLimits(int index) {
-      if (rateLimitsBuilder_ == null) {
-        ensureRateLimitsIsMutable();
-        rateLimits_.remove(index);
+    public Builder removeStatements(int index) {
+      if (statementsBuilder_ == null) {
+        ensureStatementsIsMutable();
+        statements_.remove(index);
         onChanged();
       } else {
-        rateLimitsBuilder_.remove(index);
+        statementsBuilder_.remove(index);
       }
       return this;
     }
     /**
-     * <code>repeated .curranthaven.RateLimitStatement rate_limits = 6;</code>
+     * <code>repeated .curranthaven.BackendStatement statements = 6;</code>
      */
-    public org.curranthaven.internal.transport.wire.RateLimitStatement.Builder getRateLimitsBuilder(
+    public org.curranthaven.internal.transport.wire.BackendStatement.Builder getStatementsBuilder(
         int index) {
-      return internalGetRateLimitsFieldBuilder().getBuilder(index);
+      return internalGetStatementsFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .curranthaven.RateLimitStatement rate_limits = 6;</code>
+     * <code>repeated .curranthaven.BackendStatement statements = 6;</code>
      */
-    public org.curranthaven.internal.transport.wire.RateLimitStatementOrBuilder getRateLimitsOrBuilder(
+    public org.curranthaven.internal.transport.wire.BackendStatementOrBuilder getStatementsOrBuilder(
         int index) {
-      if (rateLimitsBuilder_ == null) {
-        return rateLimits_.get(index);  } else {
-        return rateLimitsBuilder_.getMessageOrBuilder(index);
+      if (statementsBuilder_ == null) {
+        return statements_.get(index);  } else {
+        return statementsBuilder_.getMessageOrBuilder(index);
       }
     }
     /**
-     * <code>repeated .curranthaven.RateLimitStatement rate_limits = 6;</code>
+     * <code>repeated .curranthaven.BackendStatement statements = 6;</code>
      */
-    public java.util.List<? extends org.curranthaven.internal.transport.wire.RateLimitStatementOrBuilder> 
-         getRateLimitsOrBuilderList() {
-      if (rateLimitsBuilder_ != null) {
-        return rateLimitsBuilder_.getMessageOrBuilderList();
+    public java.util.List<? extends org.curranthaven.internal.transport.wire.BackendStatementOrBuilder> 
+         getStatementsOrBuilderList() {
+      if (statementsBuilder_ != null) {
+        return statementsBuilder_.getMessageOrBuilderList();
       } else {
-        return java.util.Collections.unmodifiableList(rateLimits_);
+        return java.util.Collections.unmodifiableList(statements_);
       }
     }
     /**
-     * <code>repeated .curranthaven.RateLimitStatement rate_limits = 6;</code>
+     * <code>repeated .curranthaven.BackendStatement statements = 6;</code>
      */
-    public org.curranthaven.internal.transport.wire.RateLimitStatement.Builder addRateLimitsBuilder() {
-      return internalGetRateLimitsFieldBuilder().addBuilder(
-          org.curranthaven.internal.transport.wire.RateLimitStatement.getDefaultInstance());
+    public org.curranthaven.internal.transport.wire.BackendStatement.Builder addStatementsBuilder() {
+      return internalGetStatementsFieldBuilder().addBuilder(
+          org.curranthaven.internal.transport.wire.BackendStatement.getDefaultInstance());
     }
     /**
-     * <code>repeated .curranthaven.RateLimitStatement rate_limits = 6;</code>
+     * <code>repeated .curranthaven.BackendStatement statements = 6;</code>
      */
-    public org.curranthaven.internal.transport.wire.RateLimitStatement.Builder addRateLimitsBuilder(
+    public org.curranthaven.internal.transport.wire.BackendStatement.Builder addStatementsBuilder(
         int index) {
-      return internalGetRateLimitsFieldBuilder().addBuilder(
-          index, org.curranthaven.internal.transport.wire.RateLimitStatement.getDefaultInstance());
+      return internalGetStatementsFieldBuilder().addBuilder(
+          index, org.curranthaven.internal.transport.wire.BackendStatement.getDefaultInstance());
     }
     /**
-     * <code>repeated .curranthaven.RateLimitStatement rate_limits = 6;</code>
+     * <code>repeated .curranthaven.BackendStatement statements = 6;</code>
      */
-    public java.util.List<org.curranthaven.internal.transport.wire.RateLimitStatement.Builder> 
-         getRateLimitsBuilderList() {
-      return internalGetRateLimitsFieldBuilder().getBuilderList();
+    public java.util.List<org.curranthaven.internal.transport.wire.BackendStatement.Builder> 
+         getStatementsBuilderList() {
+      return internalGetStatementsFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.curranthaven.internal.transport.wire.RateLimitStatement, org.curranthaven.internal.transport.wire.RateLimitStatement.Builder, org.curranthaven.internal.transport.wire.RateLimitStatementOrBuilder> 
-        internalGetRateLimitsFieldBuilder() {
-      if (rateLimitsBuilder_ == null) {
-        rateLimitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.curranthaven.internal.transport.wire.RateLimitStatement, org.curranthaven.internal.transport.wire.RateLimitStatement.Builder, org.curranthaven.internal.transport.wire.RateLimitStatementOrBuilder>(
-                rateLimits_,
+        org.curranthaven.internal.transport.wire.BackendStatement, org.curranthaven.internal.transport.wire.BackendStatement.Builder, org.curranthaven.internal.transport.wire.BackendStatementOrBuilder> 
+        internalGetStatementsFieldBuilder() {
+      if (statementsBuilder_ == null) {
+        statementsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.curranthaven.internal.transport.wire.BackendStatement, org.curranthaven.internal.transport.wire.BackendStatement.Builder, org.curranthaven.internal.transport.wire.BackendStatementOrBuilder>(
+                statements_,
                 ((bitField0_ & 0x00000020) != 0),
                 getParentForChildren(),
                 isClean());
-        rateLimits_ = null;
+        statements_ = null;
       }
-      return rateLimitsBuilder_;
+      return statementsBuilder_;
     }
 
     // @@protoc_insertion_point(builder_scope:curranthaven.DispatchRequests)
--- a/src/main/java/org/curranthaven/internal/transport/wire/DispatchRequestsOrBuilder.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/DispatchRequestsOrBuilder.java
@@ -174,26 +174,26 @@
       getCrashedBackendsBytes(int index);
 
   /**
-   * <code>repeated .curranthaven.RateLimitStatement rate_limits = 6;</code>
+   * <code>repeated .curranthaven.BackendStatement statements = 6;</code>
    */
-  java.util.List<org.curranthaven.internal.transport.wire.RateLimitStatement> 
-      getRateLimitsList();
+  java.util.List<org.curranthaven.internal.transport.wire.BackendStatement> 
+      getStatementsList();
   /**
-   * <code>repeated .curranthaven.RateLimitStatement rate_limits = 6;</code>
+   * <code>repeated .curranthaven.BackendStatement statements = 6;</code>
    */
-  org.curranthaven.internal.transport.wire.RateLimitStatement getRateLimits(int index);
+  org.curranthaven.internal.transport.wire.BackendStatement getStatements(int index);
   /**
-   * <code>repeated .curranthaven.RateLimitStatement rate_limits = 6;</code>
+   * <code>repeated .curranthaven.BackendStatement statements = 6;</code>
    */
-  int getRateLimitsCount();
+  int getStatementsCount();
   /**
-   * <code>repeated .curranthaven.RateLimitStatement rate_limits = 6;</code>
+   * <code>repeated .curranthaven.BackendStatement statements = 6;</code>
    */
-  java.util.List<? extends org.curranthaven.internal.transport.wire.RateLimitStatementOrBuilder> 
-      getRateLimitsOrBuilderList();
+  java.util.List<? extends org.curranthaven.internal.transport.wire.BackendStatementOrBuilder> 
+      getStatementsOrBuilderList();
   /**
-   * <code>repeated .curranthaven.RateLimitStatement rate_limits = 6;</code>
+   * <code>repeated .curranthaven.BackendStatement statements = 6;</code>
    */
-  org.curranthaven.internal.transport.wire.RateLimitStatementOrBuilder getRateLimitsOrBuilder(
+  org.curranthaven.internal.transport.wire.BackendStatementOrBuilder getStatementsOrBuilder(
       int index);
 }
--- a/src/main/java/org/curranthaven/platform/BackendTranslation.java
+++ b/src/main/java/org/curranthaven/platform/BackendTranslation.java
@@ -12,9 +12,11 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.regex.Pattern;
+import org.curranthaven.internal.dispatch.BackendStatements;
 import org.curranthaven.internal.dispatch.StatedRateLimit;
 import org.curranthaven.internal.relay.BackendRequest;
 import org.curranthaven.internal.relay.InboundRequest;
@@ -31,6 +33,7 @@
   private static final int OK = 200;
   private static final int NOT_FOUND = 404;
   private static final int MISDIRECTED_REQUEST = 421;
+  private static final String LEAVING = "1";
   private static final long MILLIS_PER_SECOND = 1_000;
 
   /** A number without sign or exponent, of at most seven digits before the decimal point. */
@@ -97,7 +100,24 @@
             .startsWith("text/event-stream"),
         keepAliveMillis(headers.get("Keep-Alive", "")),
         headers.containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true),
-        rateLimit(headers.getAll(Headers.RATE_LIMIT)));
+        statements(headers));
+  }
+
+  private static BackendStatements statements(HttpHeaders headers) {
+    List<String> malformed = new ArrayList<>();
+    boolean leaving = false;
+    for (String value : headers.getAll(Headers.LEAVING)) {
+      if (value.strip().equals(LEAVING)) {
+        leaving = true;
+      } else {
+        malformed.add("that it leaves by \"" + shortened(value) + "\"");
+      }
+    }
+    return new BackendStatements(rateLimit(headers.getAll(Headers.RATE_LIMIT)), leaving, malformed);
+  }
+
+  private static String shortened(String text) {
+    return text.substring(0, Math.min(text.length(), MAX_QUOTED_LENGTH));
   }
 
   private static StatedRateLimit rateLimit(List<String> values) {
@@ -107,8 +127,7 @@
     String text = String.join(",", values).strip();
     return DECIMAL_NUMBER.matcher(text).matches()
         ? new StatedRateLimit.RequestsPerSecond(Double.parseDouble(text))
-        : new StatedRateLimit.Malformed(
-            text.substring(0, Math.min(text.length(), MAX_QUOTED_LENGTH)));
+        : new StatedRateLimit.Malformed(shortened(text));
   }
 
   private static long keepAliveMillis(String keepAlive) {
--- a/src/main/java/org/curranthaven/platform/Headers.java
+++ b/src/main/java/org/curranthaven/platform/Headers.java
@@ -34,6 +34,9 @@
   /** Requests a second that a backend server accepts from all hosts together. */
   static final String RATE_LIMIT = "Server-Limit";
 
+  /** States that a backend server leaves. */
+  static final String LEAVING = "Server-Leaving";
+
   static final String MODEL = "Model";
 
   /** Length of the prompt and limit on the output, separated by a comma. */
@@ -75,7 +78,8 @@
           "response-seal",
           "runner-id",
           "runner-load",
-          "server-limit");
+          "server-limit",
+          "server-leaving");
 
   private Headers() {}
 }
--- a/src/test/java/org/curranthaven/internal/dispatch/BackendRegistryTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/BackendRegistryTest.java
@@ -65,4 +65,24 @@
     assertThat(registry.removeExpired(5_000, 5_001)).containsExactly("i-1");
     assertThat(registry.register(record(2, false), 6_000)).isNotNull();
   }
+
+  @Test
+  void a_backend_server_that_stated_that_it_leaves_stays_leaving_whatever_it_registers() {
+    registry.register(record(1, false), 0);
+
+    assertThat(registry.recordLeaving("i-1", 10)).matches(BackendRecord::getLeaving);
+    assertThat(registry.recordLeaving("i-1", 20)).isNull();
+    registry.register(record(2, false), 30);
+    assertThat(registry.all()).singleElement().matches(BackendRecord::getLeaving);
+    registry.removeExpired(5_000, 6_000);
+    registry.register(record(3, false), 7_000);
+    assertThat(registry.all()).singleElement().matches(BackendRecord::getLeaving);
+  }
+
+  @Test
+  void a_new_leader_learns_from_any_gateway_that_a_backend_server_leaves() {
+    registry.restore(record(5, false), 0);
+
+    assertThat(registry.restore(record(5, true), 10)).matches(BackendRecord::getLeaving);
+  }
 }
--- a/src/test/java/org/curranthaven/internal/relay/AttemptHistoryTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/AttemptHistoryTest.java
@@ -2,12 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import org.curranthaven.internal.dispatch.StatedRateLimit;
+import org.curranthaven.internal.dispatch.BackendStatements;
 import org.junit.jupiter.api.Test;
 
 class AttemptHistoryTest {
   private static final ResponseHead REJECTION =
-      new ResponseHead(503, "id-1", true, true, false, false, 0, false, new StatedRateLimit.None());
+      new ResponseHead(503, "id-1", true, true, false, false, 0, false, BackendStatements.NONE);
 
   private final AttemptHistory history = new AttemptHistory();
 
--- a/src/test/java/org/curranthaven/internal/relay/CompleteResponseTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/CompleteResponseTest.java
@@ -8,13 +8,13 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import org.curranthaven.internal.dispatch.StatedRateLimit;
+import org.curranthaven.internal.dispatch.BackendStatements;
 import org.junit.jupiter.api.Test;
 
 /** Guards against a response that counts as complete although its ending does not show that. */
 class CompleteResponseTest {
   private static final ResponseHead HEAD =
-      new ResponseHead(200, "r", true, false, false, true, 0, false, new StatedRateLimit.None());
+      new ResponseHead(200, "r", true, false, false, true, 0, false, BackendStatements.NONE);
   private static final HttpResponse RESPONSE =
       new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
   private static final String EVENT = "id: 1\ndata: a\n\n";
--- a/src/test/java/org/curranthaven/internal/relay/CrashProbeTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/CrashProbeTest.java
@@ -13,7 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
-import org.curranthaven.internal.dispatch.StatedRateLimit;
+import org.curranthaven.internal.dispatch.BackendStatements;
 import org.curranthaven.internal.supervision.Clock;
 import org.curranthaven.internal.transport.wire.BackendRecord;
 import org.curranthaven.internal.transport.wire.DispatchOutcome;
@@ -41,8 +41,13 @@
     public void reportProgress(long id, int outputTokens) {}
 
     @Override
-    public void reportRateLimit(
-        long id, String backend, StatedRateLimit stated, long attemptStartedAtMillis) {}
+    public void reportStatements(
+        long id, String backend, BackendStatements stated, long attemptStartedAtMillis) {}
+
+    @Override
+    public boolean isRefusing(String backend) {
+      return false;
+    }
 
     @Override
     public void reportCrash(String backend) {
--- a/src/test/java/org/curranthaven/internal/relay/RetryRulesTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/RetryRulesTest.java
@@ -10,7 +10,7 @@
 import org.curranthaven.internal.catalog.Repeatability;
 import org.curranthaven.internal.catalog.Route;
 import org.curranthaven.internal.catalog.ServiceWeight;
-import org.curranthaven.internal.dispatch.StatedRateLimit;
+import org.curranthaven.internal.dispatch.BackendStatements;
 import org.junit.jupiter.api.Test;
 
 class RetryRulesTest {
@@ -40,7 +40,7 @@
 
   private static ResponseHead head(int status, boolean notRun) {
     return new ResponseHead(
-        status, "id", true, notRun, false, false, 0, false, new StatedRateLimit.None());
+        status, "id", true, notRun, false, false, 0, false, BackendStatements.NONE);
   }
 
   private static final AttemptResult INTERRUPTED = new AttemptResult.Interrupted("reset");
--- a/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
@@ -8,9 +8,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import org.curranthaven.internal.dispatch.BackendStatements;
 import org.curranthaven.internal.dispatch.RetryLimits;
 import org.curranthaven.internal.dispatch.StatedRateLimit;
 import org.curranthaven.internal.transport.wire.BackendRecord;
+import org.curranthaven.internal.transport.wire.BackendStatement;
 import org.curranthaven.internal.transport.wire.DispatchOrders;
 import org.curranthaven.internal.transport.wire.DispatchOutcome;
 import org.curranthaven.internal.transport.wire.Envelope;
@@ -20,7 +22,6 @@
 import org.curranthaven.internal.transport.wire.PromptPart;
 import org.curranthaven.internal.transport.wire.RateLimitList;
 import org.curranthaven.internal.transport.wire.RateLimitRecord;
-import org.curranthaven.internal.transport.wire.RateLimitStatement;
 import org.curranthaven.internal.transport.wire.Rejection;
 import org.curranthaven.internal.transport.wire.SchedulerView;
 import org.curranthaven.internal.transport.wire.ServedVersion;
@@ -386,9 +387,13 @@
         .build();
   }
 
-  private List<RateLimitStatement> reportedStatements() {
+  private static BackendStatements stated(StatedRateLimit rateLimit) {
+    return new BackendStatements(rateLimit, false, List.of());
+  }
+
+  private List<BackendStatement> reportedStatements() {
     return sent.stream()
-        .flatMap(message -> message.getDispatchRequests().getRateLimitsList().stream())
+        .flatMap(message -> message.getDispatchRequests().getStatementsList().stream())
         .toList();
   }
 
@@ -397,13 +402,14 @@
     publishView("control-1", 3, 1, "i-1");
     sent.clear();
 
-    link.reportRateLimit(1, "i-1", new StatedRateLimit.None(), time.nowMillis());
+    link.reportStatements(1, "i-1", stated(new StatedRateLimit.None()), time.nowMillis());
     assertThat(reportedStatements()).isEmpty();
-    link.reportRateLimit(2, "i-1", new StatedRateLimit.RequestsPerSecond(3), time.nowMillis());
-    link.reportRateLimit(3, "i-1", new StatedRateLimit.None(), time.nowMillis());
+    link.reportStatements(
+        2, "i-1", stated(new StatedRateLimit.RequestsPerSecond(3)), time.nowMillis());
+    link.reportStatements(3, "i-1", stated(new StatedRateLimit.None()), time.nowMillis());
 
     assertThat(reportedStatements())
-        .extracting(RateLimitStatement::getLimited)
+        .extracting(BackendStatement::getLimited)
         .containsExactly(true, false);
     assertThat(link.statedRateLimits()).containsEntry("i-1", 3.0);
     time.advance(600);
@@ -415,11 +421,13 @@
   @Test
   void a_statement_that_is_no_limit_or_of_an_unknown_backend_server_changes_nothing() {
     publishView("control-1", 3, 1, "i-1");
-    link.reportRateLimit(1, "i-1", new StatedRateLimit.RequestsPerSecond(3), time.nowMillis());
+    link.reportStatements(
+        1, "i-1", stated(new StatedRateLimit.RequestsPerSecond(3)), time.nowMillis());
     sent.clear();
 
-    link.reportRateLimit(2, "i-1", new StatedRateLimit.Malformed("NaN"), time.nowMillis());
-    link.reportRateLimit(3, "i-9", new StatedRateLimit.RequestsPerSecond(3), time.nowMillis());
+    link.reportStatements(2, "i-1", stated(new StatedRateLimit.Malformed("NaN")), time.nowMillis());
+    link.reportStatements(
+        3, "i-9", stated(new StatedRateLimit.RequestsPerSecond(3)), time.nowMillis());
 
     assertThat(reportedStatements()).isEmpty();
     assertThat(link.statedRateLimits()).hasSize(1).containsEntry("i-1", 3.0);
@@ -465,7 +473,8 @@
   @Test
   void the_next_scheduler_hears_the_limits() {
     publishView("control-1", 3, 1, "i-1");
-    link.reportRateLimit(1, "i-1", new StatedRateLimit.RequestsPerSecond(3), time.nowMillis());
+    link.reportStatements(
+        1, "i-1", stated(new StatedRateLimit.RequestsPerSecond(3)), time.nowMillis());
 
     link.handle("control-2", SchedulerView.newBuilder().setTerm(4).build());
 
@@ -605,4 +614,54 @@
         .extracting(ServedVersion::getSoftwareVersion)
         .contains("v1", "v2");
   }
+
+  // ---- statements that a backend server leaves --------------------------------------------------
+
+  private static final BackendStatements LEAVING =
+      new BackendStatements(new StatedRateLimit.None(), true, List.of());
+
+  @Test
+  void a_server_that_states_that_it_leaves_is_reported_and_refused_at_once() {
+    publishView("control-1", 3, 1, "i-1", "i-2");
+
+    link.reportStatements(1, "i-1", LEAVING, time.nowMillis());
+    link.reportStatements(2, "i-1", LEAVING, time.nowMillis());
+
+    assertThat(link.isRefusing("i-1")).isTrue();
+    assertThat(link.isRefusing("i-2")).isFalse();
+    assertThat(reportedStatements())
+        .filteredOn(BackendStatement::getLeaving)
+        .extracting(BackendStatement::getBackend)
+        .containsExactly("i-1");
+  }
+
+  @Test
+  void a_later_list_of_the_scheduler_does_not_lift_what_a_server_stated_of_itself() {
+    publishView("control-1", 3, 1, "i-1", "i-2");
+    link.reportStatements(1, "i-1", LEAVING, time.nowMillis());
+    publishView("control-2", 4, 1, "i-1", "i-2");
+
+    assertThat(lastStatus().getBackendsList())
+        .filteredOn(BackendRecord::getLeaving)
+        .extracting(BackendRecord::getId)
+        .containsExactly("i-1");
+    assertThat(link.isRefusing("i-1")).isTrue();
+  }
+
+  @Test
+  void in_local_fallback_a_server_that_states_that_it_leaves_gets_no_request() {
+    publishView("control-1", 3, 1, "i-1", "i-2");
+    loseScheduler(100);
+    RecordingListener first = new RecordingListener(1);
+    requestPlacement(first);
+
+    link.reportStatements(1, first.backend(), LEAVING, time.nowMillis());
+
+    for (int id = 2; id < 6; id++) {
+      RecordingListener next = new RecordingListener(id);
+      requestPlacement(next);
+      assertThat(next.backend()).isNotEmpty().isNotEqualTo(first.backend());
+      link.reportEnd(id, DispatchOutcome.DISPATCH_OUTCOME_ANSWERED, 0);
+    }
+  }
 }
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -12,6 +12,7 @@
 import org.curranthaven.internal.dispatch.RetryLimits;
 import org.curranthaven.internal.relay.ManualTime;
 import org.curranthaven.internal.transport.wire.BackendRecord;
+import org.curranthaven.internal.transport.wire.BackendStatement;
 import org.curranthaven.internal.transport.wire.DispatchEnd;
 import org.curranthaven.internal.transport.wire.DispatchOutcome;
 import org.curranthaven.internal.transport.wire.DispatchRequests;
@@ -21,7 +22,6 @@
 import org.curranthaven.internal.transport.wire.PlacementRequest;
 import org.curranthaven.internal.transport.wire.PromptPart;
 import org.curranthaven.internal.transport.wire.RateLimitRecord;
-import org.curranthaven.internal.transport.wire.RateLimitStatement;
 import org.curranthaven.internal.transport.wire.Rejection;
 import org.curranthaven.internal.transport.wire.RunningDispatch;
 import org.curranthaven.internal.transport.wire.SchedulerView;
@@ -396,8 +396,8 @@
     receiveRequests(
         "g1",
         DispatchRequests.newBuilder()
-            .addRateLimits(
-                RateLimitStatement.newBuilder()
+            .addStatements(
+                BackendStatement.newBuilder()
                     .setId(1)
                     .setBackend("i-1")
                     .setLimited(true)
@@ -440,8 +440,8 @@
     receiveRequests(
         "g1",
         DispatchRequests.newBuilder()
-            .addRateLimits(
-                RateLimitStatement.newBuilder()
+            .addStatements(
+                BackendStatement.newBuilder()
                     .setBackend("i-1")
                     .setLimited(true)
                     .setRequestsPerSecond(2)));
--- a/src/test/java/org/curranthaven/platform/BackendStatementsTest.java
+++ b/src/test/java/org/curranthaven/platform/BackendStatementsTest.java
@@ -108,7 +108,6 @@
   }
 
   @Test
-  @Tag("known-red")
   void a_server_that_states_that_it_leaves_gets_no_more_requests_although_it_registers_as_ready()
       throws Exception {
     StatingBackend leaving = startBackend();
@@ -129,7 +128,6 @@
   }
 
   @Test
-  @Tag("known-red")
   void requests_are_rejected_at_once_when_the_last_server_states_that_it_leaves() throws Exception {
     StatingBackend last = startBackend();
     last.headers = "Server-Leaving: 1\r\n";
--- a/src/test/java/org/curranthaven/platform/BackendTranslationTest.java
+++ b/src/test/java/org/curranthaven/platform/BackendTranslationTest.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import org.curranthaven.internal.dispatch.BackendStatements;
 import org.curranthaven.internal.dispatch.StatedRateLimit;
 import org.curranthaven.internal.relay.TransferResponse;
 import org.junit.jupiter.api.Test;
@@ -24,7 +25,7 @@
   private static StatedRateLimit statedRateLimit(String... values) {
     HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
     response.headers().add("Server-Limit", List.of(values));
-    return BackendTranslation.responseHead(response).rateLimit();
+    return BackendTranslation.responseHead(response).statements().rateLimit();
   }
 
   @Test
@@ -44,6 +45,22 @@
     assertThat(statedRateLimit("1", "2")).isEqualTo(new StatedRateLimit.Malformed("1,2"));
   }
 
+  private static BackendStatements statements(String name, String... values) {
+    HttpResponse response =
+        new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.SERVICE_UNAVAILABLE);
+    response.headers().add(name, List.of(values));
+    return BackendTranslation.responseHead(response).statements();
+  }
+
+  @Test
+  void a_server_states_that_it_leaves_and_malformed_statements_change_nothing() {
+    assertThat(statements("Server-Leaving", "1").leaving()).isTrue();
+    for (String value : new String[] {"", "0", "yes", "11", "true"}) {
+      assertThat(statements("Server-Leaving", value).leaving()).as(value).isFalse();
+      assertThat(statements("Server-Leaving", value).malformed()).as(value).hasSize(1);
+    }
+  }
+
   @Test
   void a_copy_has_a_handle() {
     assertThat(read(200, "{\"handle\":\"h7\",\"made\":3}"))
