--- a/src/main/java/org/curranthaven/internal/relay/InboundRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/InboundRequest.java
@@ -14,7 +14,6 @@
  * @param path path without the query
  * @param key key of the workspace; empty if the caller sent none
  * @param deadlineMillis how long the caller waits; 0 if the request does not state it
- * @param model requested model; empty for a plain service
  * @param promptTokens length of the prompt; 0 if unknown
  * @param maxOutputTokens limit on the output; 0 if unknown
  * @param hintedOutputTokens output length that the caller expects; 0 if unknown
@@ -25,7 +24,6 @@
  *     it is not stated
  * @param headers headers that are forwarded to the backend server
  * @param body complete body
- * @param keepAlive whether the caller's connection may be reused
  */
 @SuppressWarnings("ArrayRecordComponent")
 public record InboundRequest(
@@ -36,7 +34,6 @@
     String path,
     String key,
     long deadlineMillis,
-    String model,
     int promptTokens,
     int maxOutputTokens,
     int hintedOutputTokens,
@@ -44,5 +41,4 @@
     String lastEventId,
     String resumedRequestId,
     HttpHeaders headers,
-    byte[] body,
-    boolean keepAlive) {}
+    byte[] body) {}
--- a/src/main/java/org/curranthaven/platform/Headers.java
+++ b/src/main/java/org/curranthaven/platform/Headers.java
@@ -37,8 +37,6 @@
   /** States that a backend server leaves. */
   static final String LEAVING = "Server-Leaving";
 
-  static final String MODEL = "Model";
-
   /** Length of the prompt and limit on the output, separated by a comma. */
   static final String TOKEN_COUNTS = "Token-Count";
 
--- a/src/main/java/org/curranthaven/platform/RequestTranslation.java
+++ b/src/main/java/org/curranthaven/platform/RequestTranslation.java
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpUtil;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -45,7 +44,6 @@
             queryStart < 0 ? uri : uri.substring(0, queryStart),
             headers.get(Headers.WORKSPACE_KEY, "").strip(),
             numberOrZero(headers.get(Headers.DEADLINE, "")),
-            headers.get(Headers.MODEL, ""),
             promptAndOutput[0],
             promptAndOutput[1],
             tokensOrZero(headers.get(Headers.OUTPUT_LENGTH_HINT, "")),
@@ -53,8 +51,7 @@
             headers.get(Headers.LAST_EVENT_ID, ""),
             resumedRequestId(headers.getAll(Headers.RESUMED_REQUEST_ID)),
             forwardedHeaders(headers),
-            ByteBufUtil.getBytes(request.content()),
-            HttpUtil.isKeepAlive(request)));
+            ByteBufUtil.getBytes(request.content())));
   }
 
   /** Returns the id if it is stated, and not with several values; else an empty string. */
--- a/src/test/java/org/curranthaven/internal/relay/CallerConnectionTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/CallerConnectionTest.java
@@ -74,7 +74,6 @@
         request.uri(),
         "",
         deadlineMillis,
-        "",
         0,
         0,
         0,
@@ -82,8 +81,7 @@
         "",
         "",
         new DefaultHttpHeaders(),
-        new byte[0],
-        true);
+        new byte[0]);
   }
 
   private void send() {
--- a/src/test/java/org/curranthaven/internal/relay/RequestFingerprintTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/RequestFingerprintTest.java
@@ -19,7 +19,6 @@
         uri,
         "",
         deadlineMillis,
-        "",
         0,
         0,
         0,
@@ -27,8 +26,7 @@
         "",
         "",
         new DefaultHttpHeaders(),
-        body.getBytes(StandardCharsets.UTF_8),
-        true);
+        body.getBytes(StandardCharsets.UTF_8));
   }
 
   private static long fingerprint(HttpMethod method, String uri, String body) {
