A statement that a server leaves or rests does not end its limit on requests

Found by reading: the scheduler took each statement without a limit for a response without a limit, so that a server that rested or left could lose the limit that it had stated. Each message states one thing; the scheduler now reads it so. The test failed first.

--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -451,11 +451,11 @@
   private void handleStatement(String gateway, BackendStatement statement, long nowMillis) {
     if (statement.getLeaving()) {
       handleLeaving(gateway, statement.getBackend(), nowMillis);
-    }
-    if (statement.getRestMillis() > 0) {
+    } else if (statement.getRestMillis() > 0) {
       handleRest(gateway, statement, nowMillis);
+    } else {
+      handleRateLimit(gateway, statement, nowMillis);
     }
-    handleRateLimit(gateway, statement, nowMillis);
   }
 
   private void handleRest(String gateway, BackendStatement statement, long nowMillis) {
--- a/src/main/java/org/curranthaven/internal/transport/wire/BackendStatement.java
+++ b/src/main/java/org/curranthaven/internal/transport/wire/BackendStatement.java
@@ -7,8 +7,9 @@
 
 /**
  * <pre>
- * What the response to a placed request states about its backend server. One that states nothing is
- * reported only for a backend server that is known to have a limit.
+ * One thing that the response to a placed request states about its backend server: that it leaves, a
+ * rest, or else a limit on requests. No limit is reported only for a backend server that is known to
+ * have one.
  * </pre>
  *
  * Protobuf type {@code curranthaven.BackendStatement}
@@ -395,8 +396,9 @@
   }
   /**
    * <pre>
-   * What the response to a placed request states about its backend server. One that states nothing is
-   * reported only for a backend server that is known to have a limit.
+   * One thing that the response to a placed request states about its backend server: that it leaves, a
+   * rest, or else a limit on requests. No limit is reported only for a backend server that is known to
+   * have one.
    * </pre>
    *
    * Protobuf type {@code curranthaven.BackendStatement}
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -414,6 +414,35 @@
         .containsExactly(0.5);
   }
 
+  @Test
+  void statements_that_a_server_leaves_or_rests_do_not_end_its_limit() {
+    startLeading();
+    scheduler.register(backend(1, false), new RecordedResult()::accept);
+    BackendStatement limit =
+        BackendStatement.newBuilder()
+            .setBackend("i-1")
+            .setLimited(true)
+            .setRequestsPerSecond(2)
+            .build();
+    receiveRequests("g1", DispatchRequests.newBuilder().addStatements(limit));
+    time.advance(1_000);
+    receiveRequests("g1", DispatchRequests.newBuilder().addAsks(placementRequest(2)));
+    sent.clear();
+
+    receiveRequests(
+        "g1",
+        DispatchRequests.newBuilder()
+            .addStatements(
+                BackendStatement.newBuilder().setId(2).setBackend("i-1").setRestMillis(100))
+            .addStatements(
+                BackendStatement.newBuilder().setId(2).setBackend("i-1").setLeaving(true)));
+    time.advance(500);
+
+    assertThat(viewsTo("g2"))
+        .filteredOn(SchedulerView::hasRateLimits)
+        .allMatch(view -> view.getRateLimits().getLimitsCount() == 1);
+  }
+
   @Test
   void the_next_scheduler_keeps_the_limits_that_the_gateways_know() {
     scheduler.setTerm(5);
