--- a/src/main/java/org/curranthaven/internal/dispatch/StreamOrigins.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/StreamOrigins.java
@@ -129,11 +129,13 @@
 
   /** Returns the versions that have served lately, with times as ages. */
   public List<ServedVersion> exportServed(long nowMillis) {
+    servedMillis
+        .values()
+        .forEach(versions -> versions.values().removeIf(at -> nowMillis - at > RETENTION_MILLIS));
     return servedMillis.entrySet().stream()
         .flatMap(
             service ->
                 service.getValue().entrySet().stream()
-                    .filter(version -> nowMillis - version.getValue() <= RETENTION_MILLIS)
                     .map(
                         version ->
                             ServedVersion.newBuilder()
