One filter for backend servers by software version; make no list where no server rests

Four places chained the same two filters; the head of a queue was checked against all servers for rests that do not exist. Behaviour stays as it is. The touched tests pass; the whole test suite was run on this code.

--- a/src/main/java/org/curranthaven/internal/dispatch/Backends.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/Backends.java
@@ -91,6 +91,11 @@
     return byId.values().stream().filter(state -> state.serves(service) && !state.isLeaving());
   }
 
+  /** Returns those of them whose software version may run the request. */
+  Stream<BackendState> notLeavingFor(PlacementRequest request) {
+    return notLeaving(request.getService()).filter(state -> VersionBinding.allows(state, request));
+  }
+
   /** Returns the backend servers that may run the request, regardless of their capacity. */
   Stream<BackendState> usableFor(RequestId requestId, PlacementRequest request, long nowMillis) {
     Predicate<BackendState> notEjected =
@@ -98,8 +103,7 @@
             !ejecting
                 || (!outlierEjector.isEjected(state.id(), nowMillis)
                     && !failureRateEjector.isEjected(state.id(), nowMillis));
-    return notLeaving(request.getService())
-        .filter(state -> VersionBinding.allows(state, request))
+    return notLeavingFor(request)
         .filter(state -> !request.getExcludedList().contains(state.id()))
         .filter(state -> !restTimes.isResting(requestId.gateway(), state.id(), nowMillis))
         .filter(notEjected);
@@ -110,9 +114,11 @@
    * it; empty if none rests.
    */
   OptionalLong restLeftMillis(RequestId requestId, PlacementRequest request, long nowMillis) {
+    if (restTimes.isEmpty()) {
+      return OptionalLong.empty();
+    }
     List<String> candidates =
-        notLeaving(request.getService())
-            .filter(state -> VersionBinding.allows(state, request))
+        notLeavingFor(request)
             .filter(state -> !request.getExcludedList().contains(state.id()))
             .map(BackendState::id)
             .toList();
--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -546,8 +546,8 @@
 
   /** Returns whether all backend servers rest for the request's gateway, but not for others. */
   private boolean isHeldByRest(QueuedRequest queued, long nowMillis) {
-    return !hasCandidates(queued.id(), queued.request(), nowMillis)
-        && backends.restLeftMillis(queued.id(), queued.request(), nowMillis).isPresent();
+    return backends.restLeftMillis(queued.id(), queued.request(), nowMillis).isPresent()
+        && !hasCandidates(queued.id(), queued.request(), nowMillis);
   }
 
   /**
--- a/src/main/java/org/curranthaven/internal/dispatch/QueueTimeForecast.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/QueueTimeForecast.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 import org.curranthaven.internal.catalog.EngineCapabilities;
 import org.curranthaven.internal.transport.wire.PlacementRequest;
 
@@ -132,7 +131,7 @@
       PlacementRequest request, Collection<QueuedRequest> queue, long nowMillis) {
     double millisPerRequest =
         plainMillisByService.getOrDefault(request.getService(), INITIAL_PLAIN_MILLIS);
-    List<BackendState> servers = serversFor(request).toList();
+    List<BackendState> servers = backends.notLeavingFor(request).toList();
     double requestsPerMilli =
         servers.stream()
             .mapToDouble(
@@ -146,12 +145,6 @@
         : Math.max(0, queue.size() + 1 - accruedRequests(servers, nowMillis)) / requestsPerMilli;
   }
 
-  private Stream<BackendState> serversFor(PlacementRequest request) {
-    return backends
-        .notLeaving(request.getService())
-        .filter(backend -> VersionBinding.allows(backend, request));
-  }
-
   private double accruedRequests(List<BackendState> servers, long nowMillis) {
     return servers.stream()
         .mapToDouble(backend -> rateLimits.accruedRequests(backend.id(), nowMillis))
@@ -177,7 +170,8 @@
       }
     }
     Map<Boolean, List<BackendState>> byLimited =
-        serversFor(request)
+        backends
+            .notLeavingFor(request)
             .collect(
                 Collectors.partitioningBy(
                     backend -> Double.isFinite(limitPerMilli(backend, nowMillis))));
--- a/src/main/java/org/curranthaven/internal/dispatch/RestTimes.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/RestTimes.java
@@ -27,6 +27,11 @@
     untilMillis.put(new Key(gateway, backend), restUntilMillis);
   }
 
+  /** Returns whether no backend server has stated a rest that may still last. */
+  boolean isEmpty() {
+    return untilMillis.isEmpty();
+  }
+
   /** Returns whether the backend server wants no requests from the gateway now. */
   public boolean isResting(String gateway, String backend, long nowMillis) {
     return !untilMillis.isEmpty() && leftMillis(gateway, backend, nowMillis) > 0;
--- a/src/main/java/org/curranthaven/internal/dispatch/VersionBinding.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/VersionBinding.java
@@ -47,8 +47,7 @@
 
   /** Returns whether a version is required that no backend server has which takes requests. */
   boolean isVersionGone(PlacementRequest request) {
-    return request.getVersionBound()
-        && backends.notLeaving(request.getService()).noneMatch(backend -> allows(backend, request));
+    return request.getVersionBound() && backends.notLeavingFor(request).findAny().isEmpty();
   }
 
   /** Returns whether the request waits for backend servers that others need not wait for. */
