--- a/src/main/java/org/curranthaven/internal/cli/Main.java
+++ b/src/main/java/org/curranthaven/internal/cli/Main.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Stream;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.helper.HelpScreenException;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
@@ -23,6 +25,12 @@
 
   private static final int EXIT_OK = 0;
 
+  /**
+   * Commands that run a host. Their start is part of every outage, so the parser holds no other
+   * command for them.
+   */
+  private static final Set<String> HOST_COMMANDS = Set.of("serve", "serve-routed");
+
   private Main() {}
 
   /** Runs a command and exits the process with its exit code. */
@@ -37,7 +45,8 @@
 
   /** Runs a command and returns its exit code. */
   static int run(String[] arguments) {
-    ArgumentParser parser = parser();
+    boolean runsHost = arguments.length > 0 && HOST_COMMANDS.contains(arguments[0]);
+    ArgumentParser parser = parser(runsHost ? hostCommands() : commands());
     try {
       Namespace parsed = parser.parseArgs(arguments);
       Command command = parsed.get(COMMAND);
@@ -66,7 +75,7 @@
     return failure.code().exitCode();
   }
 
-  private static ArgumentParser parser() {
+  private static ArgumentParser parser(List<Command> commands) {
     ArgumentParser parser =
         ArgumentParsers.newFor("curranthaven")
             .build()
@@ -78,17 +87,21 @@
         .addArgument("--version")
         .action(net.sourceforge.argparse4j.impl.Arguments.version())
         .help("print the version");
-    Subparsers commands = parser.addSubparsers().title("commands").metavar("COMMAND");
-    for (Command command : commands()) {
-      command.register(commands);
-    }
+    Subparsers subparsers = parser.addSubparsers().title("commands").metavar("COMMAND");
+    commands.forEach(command -> command.register(subparsers));
     return parser;
   }
 
+  private static List<Command> hostCommands() {
+    return List.of(new ServeCommand(), new ServeRoutedCommand());
+  }
+
   private static List<Command> commands() {
+    return Stream.concat(hostCommands().stream(), otherCommands().stream()).toList();
+  }
+
+  private static List<Command> otherCommands() {
     return List.of(
-        new ServeCommand(),
-        new ServeRoutedCommand(),
         new RehearseCommand(),
         new SettingsCommand(),
         new ConfigurationItemCommand(Edit.Kind.CLASS),
--- a/src/main/java/org/curranthaven/internal/cli/RehearseCommand.java
+++ b/src/main/java/org/curranthaven/internal/cli/RehearseCommand.java
@@ -57,15 +57,21 @@
     String callerAddress = addresses.get(2);
     Path dataFolder = Files.createTempDirectory("curranthaven-rehearsal");
     RoutedSettings control =
-        settings("control-1", controlPeer, controlPeer, null, controlAddress, dataFolder);
+        settings(
+            """
+            {"name": "control-1", "peerAddress": "%s", "controlAddress": "%s", "dataFolder": "%s",
+             "firstStart": true, %s}
+            """
+                .formatted(controlPeer, controlAddress, dataFolder, commonSettings(controlPeer)));
     RoutedSettings gateway =
         settings(
-            "gateway-1",
-            secondLoopbackAddress(controlPeer),
-            controlPeer,
-            callerAddress,
-            null,
-            null);
+            """
+            {"name": "gateway-1", "peerAddress": "%s", "callerAddress": "%s", %s}
+            """
+                .formatted(
+                    secondLoopbackAddress(controlPeer),
+                    callerAddress,
+                    commonSettings(controlPeer)));
     if (!(DataFolder.open(dataFolder) instanceof Outcome.Success<DataFolder> opened)) {
       return Main.reportFailure(
           Failure.of(ResultCode.STORAGE_FAILED, "data folder " + dataFolder + " cannot be opened"));
@@ -78,30 +84,21 @@
     return 0;
   }
 
-  private static RoutedSettings settings(
-      String name,
-      String peerAddress,
-      String contact,
-      @org.jspecify.annotations.Nullable String callerAddress,
-      @org.jspecify.annotations.Nullable String controlAddress,
-      @org.jspecify.annotations.Nullable Path dataFolder) {
-    return new RoutedSettings(
-        name,
-        "here",
-        peerAddress,
-        callerAddress,
-        null,
-        controlAddress,
-        null,
-        dataFolder == null ? null : dataFolder.toString(),
-        List.of(contact),
-        dataFolder != null,
-        0,
-        1,
-        0.2,
-        10,
-        10,
-        1_000);
+  private static String commonSettings(String contact) {
+    return """
+           "dataCentre": "here", "contacts": ["%s"], "drainSeconds": 1, "retryRatio": 0.2,
+           "retrySlack": 10, "retryWindowSeconds": 10, "registrationMillis": 1000
+           """
+        .formatted(contact);
+  }
+
+  /** Reads settings as a host does, so that the classes of the reader are recorded too. */
+  private static RoutedSettings settings(String text) {
+    return switch (RoutedSettings.of(text)) {
+      case Outcome.Success<RoutedSettings> success -> success.value();
+      case Outcome.Failed<RoutedSettings> failed ->
+          throw new IllegalStateException(failed.failure().fullMessage());
+    };
   }
 
   /** Returns another loopback address with the same port: all hosts use the same peer port. */
--- a/src/main/java/org/curranthaven/internal/settings/RoutedSettings.java
+++ b/src/main/java/org/curranthaven/internal/settings/RoutedSettings.java
@@ -1,11 +1,12 @@
 package org.curranthaven.internal.settings;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Objects;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.curranthaven.api.Outcome;
 import org.curranthaven.api.ResultCode;
 import org.jspecify.annotations.Nullable;
@@ -55,6 +56,28 @@
     long registrationMillis) {
   private static final double MILLIS_PER_SECOND = 1_000;
 
+  /** Most losses for which a voter group is practical: seven voters. */
+  private static final int MAX_TOLERATED_LOSSES = 3;
+
+  private static final Set<String> KEYS =
+      Set.of(
+          "name",
+          "dataCentre",
+          "peerAddress",
+          "callerAddress",
+          "readyAddress",
+          "controlAddress",
+          "statusAddress",
+          "dataFolder",
+          "contacts",
+          "firstStart",
+          "toleratedLosses",
+          "drainSeconds",
+          "retryRatio",
+          "retrySlack",
+          "retryWindowSeconds",
+          "registrationMillis");
+
   /** Number of consecutive missed registrations after which a backend server is removed. */
   private static final long MISSED_REGISTRATIONS_LIMIT = 5;
 
@@ -68,9 +91,12 @@
             Objects.requireNonNull(
                 contacts, "the key contacts is missing; list the addresses of the control hosts"));
     contacts.forEach(Addresses::parse);
-    if (toleratedLosses < 0 || toleratedLosses > 3) {
+    if (toleratedLosses < 0 || toleratedLosses > MAX_TOLERATED_LOSSES) {
       throw new IllegalArgumentException(
-          "toleratedLosses is " + toleratedLosses + "; it must be from 0 to 3");
+          "toleratedLosses is "
+              + toleratedLosses
+              + "; it must be from 0 to "
+              + MAX_TOLERATED_LOSSES);
     }
     if (drainSeconds <= 0 || retryWindowSeconds <= 0 || registrationMillis <= 0) {
       throw new IllegalArgumentException(
@@ -105,14 +131,42 @@
 
   /** Parses and validates the text of a settings file. */
   public static Outcome<RoutedSettings> of(String text) {
-    try {
-      return Outcome.success(Json.MAPPER.readValue(text, RoutedSettings.class));
-    } catch (JsonProcessingException e) {
-      int line = e.getLocation() == null ? 0 : e.getLocation().getLineNr();
-      return Outcome.failed(
-          ResultCode.SETTINGS_INVALID,
-          "settings are invalid at line " + line + ": " + e.getOriginalMessage());
+    SettingsEntries entries = new SettingsEntries(KEYS);
+    if (entries.parse(text)) {
+      try {
+        RoutedSettings settings = build(entries);
+        if (entries.faults().isEmpty()) {
+          return Outcome.success(settings);
+        }
+      } catch (IllegalArgumentException e) {
+        entries.addFault(0, "", String.valueOf(e.getMessage()), "Correct the settings");
+      }
     }
+    return Outcome.failed(
+        ResultCode.SETTINGS_INVALID,
+        entries.faults().stream()
+            .map(fault -> fault.format("settings"))
+            .collect(Collectors.joining(" ")));
+  }
+
+  private static RoutedSettings build(SettingsEntries entries) {
+    return new RoutedSettings(
+        entries.text("name"),
+        entries.text("dataCentre"),
+        entries.address("peerAddress"),
+        entries.optionalText("callerAddress"),
+        entries.optionalText("readyAddress"),
+        entries.optionalText("controlAddress"),
+        entries.optionalText("statusAddress"),
+        entries.optionalText("dataFolder"),
+        entries.addresses("contacts"),
+        entries.flag("firstStart"),
+        (int) entries.number("toleratedLosses", 0, 0, MAX_TOLERATED_LOSSES),
+        entries.decimal("drainSeconds"),
+        entries.decimal("retryRatio"),
+        entries.decimal("retrySlack"),
+        entries.decimal("retryWindowSeconds"),
+        entries.number("registrationMillis", 0, 1, Long.MAX_VALUE));
   }
 
   /** Returns whether the host accepts requests from callers. */
