--- a/src/main/java/org/curranthaven/internal/gateway/ErrorBodies.java
+++ b/src/main/java/org/curranthaven/internal/gateway/ErrorBodies.java
@@ -1,9 +1,10 @@
 package org.curranthaven.internal.gateway;
 
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.protobuf.ByteString;
 import org.curranthaven.api.Failure;
-import org.curranthaven.internal.settings.Json;
+import org.curranthaven.internal.settings.JsonTrees;
 import org.curranthaven.internal.transport.wire.StoredResponse;
 
 /** Formats errors for callers as JSON, with the result code and whether the request ran. */
@@ -17,7 +18,7 @@
 
   /** Returns the error as a JSON object. */
   public static ObjectNode json(Failure failure) {
-    ObjectNode body = Json.MAPPER.createObjectNode();
+    ObjectNode body = JsonNodeFactory.instance.objectNode();
     ObjectNode error = body.putObject("error");
     error.put("message", failure.fullMessage());
     error.put("type", type(failure));
@@ -39,7 +40,7 @@
     return StoredResponse.newBuilder()
         .setStatus(failure.code().httpStatus())
         .setContentType(JSON)
-        .setBody(ByteString.copyFrom(Json.write(json(failure)).toByteArray()))
+        .setBody(ByteString.copyFrom(JsonTrees.write(json(failure))))
         .build();
   }
 }
--- a/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
@@ -39,7 +39,7 @@
 import org.curranthaven.internal.catalog.Route;
 import org.curranthaven.internal.catalog.ServiceSpec;
 import org.curranthaven.internal.gateway.ErrorBodies;
-import org.curranthaven.internal.settings.Json;
+import org.curranthaven.internal.settings.JsonTrees;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -393,7 +393,7 @@
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
             status,
-            Unpooled.wrappedBuffer(Json.write(ErrorBodies.json(failure)).toByteArray()));
+            Unpooled.wrappedBuffer(JsonTrees.write(ErrorBodies.json(failure))));
     response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
     if (failure.retryAfterMillis() > 0) {
       double retryAfterSeconds = (double) failure.retryAfterMillis() / MILLIS_PER_SECOND;
--- a/src/main/java/org/curranthaven/internal/relay/RelayServer.java
+++ b/src/main/java/org/curranthaven/internal/relay/RelayServer.java
@@ -21,6 +21,7 @@
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
@@ -58,6 +59,11 @@
             });
   }
 
+  /** Returns the address at which callers connect; {@link #listenForCallers} must have returned. */
+  InetSocketAddress callerAddress() {
+    return (InetSocketAddress) Objects.requireNonNull(callerListener).localAddress();
+  }
+
   private void addCaller(Channel channel) {
     CallerConnection connection = new CallerConnection(context);
     connections.add(connection);
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -118,6 +118,7 @@
   private boolean viewReceived;
   private @Nullable DispatchCore localDispatch;
   private boolean checkScheduled;
+  private boolean closed;
   private long lastProgressMillis;
   private long statusNumber;
   private long fullStatusSentMillis = Long.MIN_VALUE / 2;
@@ -677,6 +678,9 @@
    */
   private void check() {
     checkScheduled = false;
+    if (closed) {
+      return;
+    }
     if (!scheduler.isEmpty() && !isConnected()) {
       loseScheduler("no message within " + SCHEDULER_TIMEOUT_MILLIS + " ms");
     }
@@ -690,6 +694,11 @@
     }
   }
 
+  /** Ends the periodic work. Nothing may be placed afterwards. */
+  void close() {
+    closed = true;
+  }
+
   private void reportProgress() {
     long nowMillis = clock.nowMillis();
     if (nowMillis - lastProgressMillis < PROGRESS_INTERVAL_MILLIS || !isConnected()) {
--- a/src/main/java/org/curranthaven/internal/settings/SettingsEntries.java
+++ b/src/main/java/org/curranthaven/internal/settings/SettingsEntries.java
@@ -3,9 +3,7 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
-import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectReader;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -25,14 +23,9 @@
  * String name = entries.text("name");
  * }</pre>
  *
- * <p>Reads each value as a tree: binding the file to a record by reflection takes a starting
- * process longer than opening its sockets. Not thread-safe.
+ * <p>Not thread-safe.
  */
 final class SettingsEntries {
-  /** Reads the entries one by one, so that the line of each is known. */
-  private static final ObjectReader ENTRY_READER =
-      Json.MAPPER.reader().without(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
-
   private final Set<String> knownKeys;
   private final Map<String, LocatedValue> values = new LinkedHashMap<>();
   private final List<SettingsFault> faults = new ArrayList<>();
@@ -55,7 +48,7 @@
 
   /** Parses the text of a settings file; returns whether it is a JSON object. */
   boolean parse(String text) {
-    try (JsonParser parser = ENTRY_READER.createParser(text)) {
+    try (JsonParser parser = JsonTrees.parserWithComments(text)) {
       if (parser.nextToken() != JsonToken.START_OBJECT) {
         addFault(1, "", "the file does not hold a JSON object", "Start from 'settings example'");
         return false;
@@ -78,7 +71,7 @@
     String key = parser.currentName();
     int line = parser.currentTokenLocation().getLineNr();
     parser.nextToken();
-    JsonNode node = ENTRY_READER.readTree(parser);
+    JsonNode node = JsonTrees.readValue(parser);
     if (!knownKeys.contains(key)) {
       addFault(line, key, "unknown key", fixForUnknownKey(key));
     } else if (values.putIfAbsent(key, new LocatedValue(line, node)) != null) {
--- a/src/main/java/org/curranthaven/platform/BackendTranslation.java
+++ b/src/main/java/org/curranthaven/platform/BackendTranslation.java
@@ -4,12 +4,14 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -23,6 +25,7 @@
 import org.curranthaven.internal.relay.ResponseHead;
 import org.curranthaven.internal.relay.TransferResponse;
 import org.curranthaven.internal.settings.Json;
+import org.curranthaven.internal.settings.JsonTrees;
 import org.curranthaven.internal.transport.wire.BackendRecord;
 
 /** Encodes requests to backend servers and decodes their responses. */
@@ -108,6 +111,20 @@
         statements(status, headers));
   }
 
+  /** Encodes the head of a successful response, which {@link #responseHead} decodes. */
+  static HttpResponse response(FullHttpRequest request, boolean eventStream) {
+    HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+    response
+        .headers()
+        .set(Headers.REQUEST_ID, request.headers().get(Headers.REQUEST_ID, ""))
+        .set(Headers.RESPONSE_SEAL, "rehearsal")
+        .set("Keep-Alive", "timeout=2")
+        .set(
+            HttpHeaderNames.CONTENT_TYPE,
+            eventStream ? HttpHeaderValues.TEXT_EVENT_STREAM : HttpHeaderValues.TEXT_PLAIN);
+    return response;
+  }
+
   private static BackendStatements statements(int status, HttpHeaders headers) {
     List<String> malformed = new ArrayList<>();
     boolean leaving = false;
@@ -206,7 +223,7 @@
   /** Returns the handle in the body of a transfer response; empty if it has none or is cut off. */
   private static String handleOf(byte[] body) {
     try {
-      JsonNode json = Json.LENIENT.readTree(body);
+      JsonNode json = JsonTrees.read(body);
       return json == null ? "" : json.path("handle").asText("");
     } catch (IOException e) {
       return "";
--- a/src/main/java/org/curranthaven/platform/CatalogTranslation.java
+++ b/src/main/java/org/curranthaven/platform/CatalogTranslation.java
@@ -18,7 +18,7 @@
 import org.curranthaven.internal.catalog.Route;
 import org.curranthaven.internal.catalog.ServiceSpec;
 import org.curranthaven.internal.catalog.ServiceWeight;
-import org.curranthaven.internal.settings.Json;
+import org.curranthaven.internal.settings.JsonTrees;
 import org.jspecify.annotations.Nullable;
 
 /** Decodes the platform's configuration document into a catalog. */
@@ -26,7 +26,7 @@
   @Override
   public Outcome<Catalog> decode(byte[] document) {
     try {
-      JsonNode root = Json.LENIENT.readTree(document);
+      JsonNode root = JsonTrees.read(document);
       if (root == null || !root.isObject()) {
         return invalid("the document is not a JSON object; send the complete configuration");
       }
--- a/src/main/java/org/curranthaven/platform/ControlTranslation.java
+++ b/src/main/java/org/curranthaven/platform/ControlTranslation.java
@@ -8,7 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import org.curranthaven.internal.relay.ControlRequest;
 import org.curranthaven.internal.settings.Addresses;
-import org.curranthaven.internal.settings.Json;
+import org.curranthaven.internal.settings.JsonTrees;
 import org.curranthaven.internal.transport.wire.BackendRecord;
 
 /** Decodes requests of backend servers and operators to the control interface. */
@@ -75,7 +75,7 @@
 
   private static ControlRequest registration(String id, byte[] body) {
     try {
-      JsonNode node = Json.LENIENT.readTree(body);
+      JsonNode node = JsonTrees.read(body);
       String service = node == null ? "" : node.path("service").asText("");
       String address = node == null ? "" : node.path("address").asText("");
       JsonNode sequence = node == null ? null : node.get("seq");
--- a/src/main/java/org/curranthaven/platform/PlatformProtocol.java
+++ b/src/main/java/org/curranthaven/platform/PlatformProtocol.java
@@ -57,6 +57,16 @@
     return source.getAddress() + "/" + handle;
   }
 
+  @Override
+  public FullHttpRequest callerRequest(InboundRequest request) {
+    return RequestTranslation.write(request);
+  }
+
+  @Override
+  public HttpResponse backendResponse(FullHttpRequest request, boolean eventStream) {
+    return BackendTranslation.response(request, eventStream);
+  }
+
   @Override
   public ControlRequest readControlRequest(FullHttpRequest request) {
     return ControlTranslation.read(request);
--- a/src/main/java/org/curranthaven/platform/RequestTranslation.java
+++ b/src/main/java/org/curranthaven/platform/RequestTranslation.java
@@ -1,14 +1,18 @@
 package org.curranthaven.platform;
 
 import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpVersion;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.curranthaven.api.Outcome;
 import org.curranthaven.api.ResultCode;
 import org.curranthaven.internal.relay.HopByHopHeaders;
@@ -54,6 +58,30 @@
             ByteBufUtil.getBytes(request.content())));
   }
 
+  /** Encodes what {@link #read} decodes, for a caller without a key. */
+  static FullHttpRequest write(InboundRequest inbound) {
+    FullHttpRequest request =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            inbound.method(),
+            inbound.uri(),
+            Unpooled.wrappedBuffer(inbound.body()));
+    request
+        .headers()
+        .set(HttpHeaderNames.HOST, inbound.host())
+        .set(HttpHeaderNames.CONTENT_LENGTH, inbound.body().length)
+        .set(Headers.REQUEST_ID, inbound.id())
+        .set(Headers.DEADLINE, inbound.deadlineMillis())
+        .set(Headers.TOKEN_COUNTS, inbound.promptTokens() + "," + inbound.maxOutputTokens())
+        .set(Headers.OUTPUT_LENGTH_HINT, inbound.hintedOutputTokens())
+        .set(
+            Headers.PROMPT_PARTS,
+            inbound.parts().stream()
+                .map(part -> part.getId() + ":" + part.getTokens())
+                .collect(Collectors.joining(",")));
+    return request;
+  }
+
   /** Returns the id if it is stated, and not with several values; else an empty string. */
   private static String resumedRequestId(List<String> values) {
     return values.stream().map(String::strip).distinct().count() == 1
