Count the gateways once a heartbeat; keep what a message states of its sender

Cause: each message of the leader to a gateway built the list of all connected hosts to state their number, so that a heartbeat to n gateways did n x n work; each message to any host built the sender's whole description. The test with 95 gateways fails on the code before.

--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -218,9 +218,7 @@
     deferredActions.clear();
     viewVersion++;
     actions.forEach(Runnable::run);
-    for (HostRecord gateway : gateways.get()) {
-      sendFullView(gateway);
-    }
+    sendFullViews();
     sendDecisions();
   }
 
@@ -264,7 +262,12 @@
   private void heartbeat(long nowMillis) {
     lastHeartbeatMillis = nowMillis;
     updateRateShare(nowMillis);
-    gateways.get().forEach(this::sendView);
+    sendViews();
+  }
+
+  private void sendViews() {
+    Collection<HostRecord> connected = gateways.get();
+    connected.forEach(gateway -> sendView(gateway, connected.size()));
   }
 
   /** Leaves lost gateways their share of the rates that backend servers accept. */
@@ -274,21 +277,25 @@
     knowledge.rateLimits().setShare(connected / (connected + lostGateways.size()));
   }
 
-  private void sendView(HostRecord gateway) {
+  private void sendView(HostRecord gateway, int gatewayCount) {
     GatewayView view = viewOf(gateway);
     boolean outdated = view.version < viewVersion && !rebuilding;
     if (outdated && view.hasReportedState) {
-      sendFullView(gateway);
+      sendFullView(gateway, gatewayCount);
     } else {
-      sender.accept(gateway.getName(), Envelope.newBuilder().setSchedulerView(newView(view)));
+      send(gateway, newView(view, gatewayCount));
     }
   }
 
+  private void send(HostRecord gateway, SchedulerView.Builder view) {
+    sender.accept(gateway.getName(), Envelope.newBuilder().setSchedulerView(view));
+  }
+
   /** Handles a new connection to a gateway: announces the scheduler to it without delay. */
   void gatewayConnected(HostRecord gateway) {
     lostGateways.remove(gateway.getName());
     if (term > 0) {
-      sendView(gateway);
+      sendView(gateway, gateways.get().size());
     }
   }
 
@@ -303,12 +310,17 @@
     return view;
   }
 
-  private SchedulerView.Builder newView(GatewayView view) {
+  /**
+   * Returns what every message to a gateway holds, and what it lacks.
+   *
+   * @param gatewayCount number of connected gateways, which the caller determines once for all
+   */
+  private SchedulerView.Builder newView(GatewayView view, int gatewayCount) {
     SchedulerView.Builder builder =
         SchedulerView.newBuilder()
             .setTerm(term)
             .setCatalogRevision(catalog.revision())
-            .setGateways(Math.max(1, gateways.get().size()))
+            .setGateways(Math.max(1, gatewayCount))
             .setFullStatusRequested(!view.hasReportedState);
     if (view.catalogRevision < catalog.revision()) {
       builder.setCatalog(catalogDocument);
@@ -327,14 +339,19 @@
     return builder;
   }
 
-  private void sendFullView(HostRecord gateway) {
-    SchedulerView.Builder builder =
-        newView(viewOf(gateway))
+  private void sendFullViews() {
+    Collection<HostRecord> connected = gateways.get();
+    connected.forEach(gateway -> sendFullView(gateway, connected.size()));
+  }
+
+  private void sendFullView(HostRecord gateway, int gatewayCount) {
+    send(
+        gateway,
+        newView(viewOf(gateway), gatewayCount)
             .setVersion(viewVersion)
             .addAllBackends(registry.all())
             .addAllGone(registry.removedIds())
-            .addAllServedVersions(core.servedVersions(clock.nowMillis()));
-    sender.accept(gateway.getName(), Envelope.newBuilder().setSchedulerView(builder));
+            .addAllServedVersions(core.servedVersions(clock.nowMillis())));
   }
 
   private void removeUnresponsiveBackends(long nowMillis) {
@@ -348,7 +365,7 @@
         backendTimeoutMillis);
     removedIds.forEach(id -> core.removeBackend(id, nowMillis));
     viewVersion++;
-    gateways.get().forEach(this::sendFullView);
+    sendFullViews();
     sendDecisions();
   }
 
@@ -371,7 +388,7 @@
       if (rebuilding) {
         endRebuildIfComplete();
       } else {
-        sendFullView(from);
+        sendFullView(from, gateways.get().size());
       }
     }
     completeAcknowledged();
@@ -445,7 +462,7 @@
         gateway,
         knowledge.crashes().blockedParts(nowMillis),
         knowledge.crashes().blockedRequests(nowMillis));
-    gateways.get().forEach(this::sendView);
+    sendViews();
   }
 
   private void handleStatement(String gateway, BackendStatement statement, long nowMillis) {
@@ -613,15 +630,15 @@
   private void pushBackendChange(List<BackendRecord> changed, List<String> removedIds) {
     long previousVersion = viewVersion;
     viewVersion++;
-    for (HostRecord gateway : gateways.get()) {
-      GatewayView view = viewOf(gateway);
-      SchedulerView.Builder builder =
-          newView(view)
+    Collection<HostRecord> connected = gateways.get();
+    for (HostRecord gateway : connected) {
+      send(
+          gateway,
+          newView(viewOf(gateway), connected.size())
               .setVersion(viewVersion)
               .setBaseVersion(previousVersion)
               .addAllBackends(changed)
-              .addAllGone(removedIds);
-      sender.accept(gateway.getName(), Envelope.newBuilder().setSchedulerView(builder));
+              .addAllGone(removedIds));
     }
     sendDecisions();
   }
@@ -637,10 +654,8 @@
     catalogDocument = newDocument;
     core.setCatalog(newCatalog);
     if (term > 0) {
-      for (HostRecord gateway : gateways.get()) {
-        sender.accept(
-            gateway.getName(), Envelope.newBuilder().setSchedulerView(newView(viewOf(gateway))));
-      }
+      Collection<HostRecord> connected = gateways.get();
+      connected.forEach(gateway -> send(gateway, newView(viewOf(gateway), connected.size())));
     }
   }
 
--- a/src/main/java/org/curranthaven/internal/transport/PeerNetwork.java
+++ b/src/main/java/org/curranthaven/internal/transport/PeerNetwork.java
@@ -79,9 +79,17 @@
   private final Semaphore newAddressSignal = new Semaphore(0);
   private final Map<String, String> hostByAddress = new ConcurrentHashMap<>();
   private final Set<String> blockedHosts = ConcurrentHashMap.newKeySet();
+
+  /** Snapshot of the connected hosts; it is read for every message to all of them. */
+  private volatile List<HostRecord> connectedHosts = List.of();
+
+  private volatile @Nullable Sender sender;
   private final LongAdder bytesSent = new LongAdder();
   private final LongAdder messagesSent = new LongAdder();
 
+  /** What each message states about this host; it never changes. */
+  private record Sender(String name, String identity) {}
+
   /**
    * Creates the network of a host, with an event loop of its own.
    *
@@ -124,12 +132,26 @@
 
   /** Returns the name of this host. */
   public String selfName() {
-    return self.get().getName();
+    return sender().name();
+  }
+
+  private Sender sender() {
+    Sender known = sender;
+    if (known == null) {
+      HostRecord own = self.get();
+      known = new Sender(own.getName(), own.getIdentity());
+      sender = known;
+    }
+    return known;
   }
 
   /** Returns the hosts to which a connection is established. */
   public List<HostRecord> connectedHosts() {
-    return connectionsByHost.values().stream().map(PeerConnection::remote).toList();
+    return connectedHosts;
+  }
+
+  private synchronized void updateConnectedHosts() {
+    connectedHosts = connectionsByHost.values().stream().map(PeerConnection::remote).toList();
   }
 
   /**
@@ -137,24 +159,23 @@
    * dropped. A message to this host itself is delivered to the listener at once.
    */
   public boolean send(String host, Envelope.Builder message) {
-    HostRecord own = self.get();
-    if (host.equals(own.getName())) {
-      listener.received(own, withSender(message, own));
+    if (host.equals(selfName())) {
+      listener.received(self.get(), withSender(message));
       return true;
     }
     PeerConnection connection = connectionsByHost.get(host);
     if (connection == null || blockedHosts.contains(host) || !connection.isWritable()) {
       return false;
     }
-    Envelope envelope = withSender(message, own);
+    Envelope envelope = withSender(message);
     messagesSent.increment();
     bytesSent.add(envelope.getSerializedSize());
     connection.write(envelope);
     return true;
   }
 
-  private static Envelope withSender(Envelope.Builder message, HostRecord own) {
-    return message.setFromHost(own.getName()).setFromIdentity(own.getIdentity()).build();
+  private Envelope withSender(Envelope.Builder message) {
+    return message.setFromHost(sender().name()).setFromIdentity(sender().identity()).build();
   }
 
   /**
@@ -243,6 +264,7 @@
     server.close().awaitUninterruptibly(STOP_TIMEOUT_MILLIS);
     connectionsByHost.values().forEach(PeerConnection::close);
     connectionsByHost.clear();
+    updateConnectedHosts();
     diallingAddresses.clear();
     if (sharedEventLoopGroup == null) {
       group.shutdownGracefully(0, STOP_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
@@ -331,6 +353,7 @@
       return false;
     }
     connectionsByHost.put(remote.getName(), connection);
+    updateConnectedHosts();
     if (existing != null) {
       existing.close();
     }
@@ -347,7 +370,7 @@
    * it, so that they keep the same one of two connections.
    */
   private boolean isPreferred(PeerConnection connection) {
-    String own = self.get().getName();
+    String own = selfName();
     boolean ownNameIsLower = own.compareTo(connection.remote().getName()) < 0;
     return connection.isDialled() == ownNameIsLower;
   }
@@ -356,6 +379,7 @@
     diallingAddresses.remove(connection.dialledAddress());
     HostRecord remote = connection.remoteOrNull();
     if (remote != null && connectionsByHost.remove(remote.getName(), connection)) {
+      updateConnectedHosts();
       listener.disconnected(remote);
     }
     newAddressSignal.release();
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -32,6 +32,8 @@
   /** Longer than a new leader waits for the gateways to report their state. */
   private static final long AFTER_REBUILD_MILLIS = 300;
 
+  private static final long ONE_HEARTBEAT_MILLIS = 130;
+
   private final ManualTime time = new ManualTime();
   private final List<Map.Entry<String, Envelope>> sent = new ArrayList<>();
   private final List<HostRecord> gateways = new ArrayList<>(List.of(host("g1"), host("g2")));
@@ -45,9 +47,16 @@
           new RetryLimits(0.2, 10, 10_000),
           6_000,
           () -> hasLease,
-          () -> gateways,
+          this::connectedGateways,
           this::send);
 
+  private int gatewayReads;
+
+  private List<HostRecord> connectedGateways() {
+    gatewayReads++;
+    return gateways;
+  }
+
   private void send(String host, Envelope.Builder message) {
     if (sendFailures > 0) {
       sendFailures--;
@@ -486,6 +495,21 @@
   // ---- failures and suspended processes
   // ----------------------------------------------------------
 
+  @Test
+  void the_work_of_a_heartbeat_grows_with_the_gateways_and_not_with_their_square() {
+    for (int i = 3; i <= 95; i++) {
+      gateways.add(host("g" + i));
+    }
+    startLeading();
+    sent.clear();
+    gatewayReads = 0;
+
+    time.advance(ONE_HEARTBEAT_MILLIS);
+
+    assertThat(sent).hasSizeBetween(95, 2 * 95);
+    assertThat(gatewayReads).isLessThan(10);
+  }
+
   @Test
   void an_unexpected_error_in_periodic_work_does_not_end_the_heartbeats() {
     startLeading();
