--- a/src/test/java/org/curranthaven/platform/PlatformWordsTest.java
+++ b/src/test/java/org/curranthaven/platform/PlatformWordsTest.java
@@ -16,6 +16,7 @@
  */
 class PlatformWordsTest {
   private static final Path SOURCES = Path.of("src/main/java/org/curranthaven");
+  private static final Path GENERATED_SOURCES = Path.of("src/main/generated/org/curranthaven");
   private static final Path PLATFORM_FOLDER = SOURCES.resolve("platform");
   private static final int MAX_LINES = 1_200;
 
@@ -64,7 +65,9 @@
   @Test
   void no_name_of_the_platform_occurs_outside_its_package() throws IOException {
     List<String> violations = new ArrayList<>();
-    for (Path file : sourceFiles(SOURCES)) {
+    List<Path> files = new ArrayList<>(sourceFiles(SOURCES));
+    files.addAll(sourceFiles(GENERATED_SOURCES));
+    for (Path file : files) {
       if (!file.startsWith(PLATFORM_FOLDER)) {
         String text = Files.readString(file);
         PLATFORM_NAMES.stream()
