--- a/src/main/java/org/curranthaven/internal/consensus/ConsensusLoop.java
+++ b/src/main/java/org/curranthaven/internal/consensus/ConsensusLoop.java
@@ -264,6 +264,7 @@
     }
     outgoing.forEach((identity, batch) -> sender.accept(identity, batch.build()));
     outgoing.clear();
+    observers.forEach(observer -> observer.batchEnded(nowMillis));
   }
 
   private void executeDecision(Replica replica, RaftDecision decision, long nowMillis) {
--- a/src/main/java/org/curranthaven/internal/relay/PathRehearsal.java
+++ b/src/main/java/org/curranthaven/internal/relay/PathRehearsal.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 import org.curranthaven.internal.supervision.Clock;
 import org.curranthaven.internal.transport.wire.PromptPart;
 import org.jspecify.annotations.Nullable;
@@ -23,8 +24,8 @@
 /**
  * Sends requests of its own through a gateway that has just started, to a stand-in backend server
  * in the same process, so that the first requests of callers do not wait for code that has never
- * run. Answers the load pattern of many gateways with few requests each, all of which start
- * together.
+ * run, nor the first after the loss of the scheduler. Answers the load pattern of many gateways
+ * with few requests each, all of which start, or lose their scheduler, together.
  *
  * <pre>{@code
  * PathRehearsal rehearsal = new PathRehearsal(group, loop, clock, protocol, random, this::isBusy);
@@ -43,9 +44,15 @@
   static final String STREAM_PATH = "/stream/";
   static final String REJECTED_PATH = "/rejected/";
 
-  private static final List<String> PATHS =
+  private static final List<String> SCHEDULED_PATHS =
       List.of(PLAIN_PATH, STREAM_PATH, REJECTED_PATH, PLAIN_PATH, STREAM_PATH);
 
+  /** Requests that are placed without a scheduler. */
+  private static final List<String> LOCALLY_PLACED_PATHS = List.of(PLAIN_PATH, STREAM_PATH);
+
+  private static final List<String> PATHS =
+      Stream.concat(SCHEDULED_PATHS.stream(), LOCALLY_PLACED_PATHS.stream()).toList();
+
   private static final int TOKENS = 10;
   private static final byte[] BODY = new byte[100];
 
@@ -122,6 +129,9 @@
       end();
       return;
     }
+    if (responses.get() == SCHEDULED_PATHS.size()) {
+      context.loseScheduler();
+    }
     InboundRequest request = request(PATHS.get(responses.get()));
     context
         .pool()
--- a/src/main/java/org/curranthaven/internal/relay/RehearsalContext.java
+++ b/src/main/java/org/curranthaven/internal/relay/RehearsalContext.java
@@ -151,6 +151,11 @@
     public void backendsChanged(java.util.Collection<BackendRecord> backends) {}
   }
 
+  /** Ends the scheduler, so that further requests are placed locally. */
+  void loseScheduler() {
+    link.handle(NAME, SchedulerView.newBuilder().setTerm(TERM).setResigned(true).build());
+  }
+
   /** Closes the idle connections and ends the work of the placer. */
   void close() {
     pool.retain(Set.of());
--- a/src/main/java/org/curranthaven/internal/scheduler/LeadershipTracker.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/LeadershipTracker.java
@@ -37,7 +37,7 @@
     /** Called when this host becomes the leader in the given term, or 0 when it stops leading. */
     void leadershipChanged(long term);
 
-    /** Called when a catalog document has been applied. */
+    /** Called when a catalog document has been applied that no later one has replaced yet. */
     void catalogApplied(long revision, ByteString document);
   }
 
@@ -69,7 +69,10 @@
   }
 
   @Override
-  public void applied(int groupId, long index, long nowMillis) {
+  public void applied(int groupId, long index, long nowMillis) {}
+
+  @Override
+  public void batchEnded(long nowMillis) {
     if (consensus.stateMachine(CONTROL_GROUP_ID) instanceof FleetState state
         && state.catalog().revision() > publishedRevision) {
       publishedRevision = state.catalog().revision();
--- a/src/test/java/org/curranthaven/internal/relay/PathRehearsalTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/PathRehearsalTest.java
@@ -21,7 +21,7 @@
  * for that.
  */
 class PathRehearsalTest {
-  private static final int REQUESTS = 5;
+  private static final int REQUESTS = 7;
   private static final int POLLS = 1_000;
   private static final long POLL_MILLIS = 10;
 
