--- a/src/main/java/org/curranthaven/internal/relay/Gateway.java
+++ b/src/main/java/org/curranthaven/internal/relay/Gateway.java
@@ -63,7 +63,7 @@
   private final CrashProbe crashProbe;
   private final ResponseBuffers responseBuffers = new ResponseBuffers();
   private final RelayServer server;
-  private final PathRehearsal rehearsal;
+  private final RequestPathWarmUp warmUp;
   private final RandomGenerator random;
   private final HostRecord self;
   private final @Nullable RoutedMetrics metrics;
@@ -111,8 +111,8 @@
     this.pool = new BackendPool(loop, clock, protocol);
     this.crashProbe = new CrashProbe(pool, link);
     this.server = new RelayServer(group, this);
-    this.rehearsal =
-        new PathRehearsal(group, loop, clock, protocol, random, () -> !openRequests.isEmpty());
+    this.warmUp =
+        new RequestPathWarmUp(group, loop, clock, protocol, random, () -> !openRequests.isEmpty());
   }
 
   /** Starts to listen for callers and to look for a scheduler. */
@@ -124,7 +124,7 @@
       server.listenForReadinessChecks(Addresses.parse(readyAddress), this::isReady);
     }
     startStatusServer();
-    rehearsal.start();
+    warmUp.start();
     Logger.info("gateway {} listens for callers at {}", settings.name(), settings.callerAddress());
   }
 
@@ -147,7 +147,7 @@
   }
 
   private boolean isReady() {
-    return !draining && isInitialized() && rehearsal.isOver();
+    return !draining && isInitialized() && warmUp.isOver();
   }
 
   /**
--- a/src/main/java/org/curranthaven/internal/relay/PathRehearsal.java
+++ b/src/main/java/org/curranthaven/internal/relay/RequestPathWarmUp.java
@@ -28,18 +28,18 @@
  * with few requests each, all of which start, or lose their scheduler, together.
  *
  * <pre>{@code
- * PathRehearsal rehearsal = new PathRehearsal(group, loop, clock, protocol, random, this::isBusy);
- * rehearsal.start();
- * boolean ready = rehearsal.isOver();
+ * RequestPathWarmUp warmUp = new RequestPathWarmUp(group, loop, clock, protocol, random, this::isBusy);
+ * warmUp.start();
+ * boolean ready = warmUp.isOver();
  * }</pre>
  *
  * <p>Ends by itself after {@link #MAX_DURATION_MILLIS}, and as soon as callers' requests arrive.
  */
-final class PathRehearsal {
+final class RequestPathWarmUp {
   /** A gateway that is slower than this serves callers unprepared rather than not at all. */
   static final long MAX_DURATION_MILLIS = 1_000;
 
-  static final String HOST = "rehearsal.invalid";
+  static final String HOST = "warm-up.invalid";
   static final String PLAIN_PATH = "/plain/";
   static final String STREAM_PATH = "/stream/";
   static final String REJECTED_PATH = "/rejected/";
@@ -61,20 +61,20 @@
   private final Clock clock;
   private final WireProtocol protocol;
   private final BooleanSupplier busy;
-  private final RehearsalContext context;
+  private final WarmUpContext context;
   private final RelayServer server;
+  private final AtomicInteger responses = new AtomicInteger();
   private @Nullable Channel backendListener;
   private String callerAddress = "";
   private long startedAtMillis;
-  private final AtomicInteger responses = new AtomicInteger();
   private volatile boolean over;
 
   /**
-   * Creates a rehearsal, which {@link #start} starts.
+   * Creates a warm-up, which {@link #start} starts.
    *
    * @param busy whether the gateway has requests of callers
    */
-  PathRehearsal(
+  RequestPathWarmUp(
       EventLoopGroup group,
       EventLoop loop,
       Clock clock,
@@ -86,11 +86,11 @@
     this.clock = clock;
     this.protocol = protocol;
     this.busy = busy;
-    this.context = new RehearsalContext(loop, clock, protocol, random);
+    this.context = new WarmUpContext(loop, clock, protocol, random);
     this.server = new RelayServer(group, context);
   }
 
-  /** Returns whether the rehearsal has ended, so that the gateway may be ready. */
+  /** Returns whether the warm-up has ended, so that the gateway may be ready. */
   boolean isOver() {
     return over;
   }
@@ -100,9 +100,20 @@
     return responses.get();
   }
 
-  /** Starts the rehearsal, which goes on on the event loop. */
+  /** Starts the warm-up, which continues on the event loop; it is over if it cannot listen. */
   void start() throws InterruptedException {
     startedAtMillis = clock.nowMillis();
+    try {
+      listenAndSend();
+    } catch (InterruptedException e) {
+      throw e;
+    } catch (Exception e) {
+      Logger.warn("warm-up: cannot listen on a loopback address, starting without it: {}", e);
+      end();
+    }
+  }
+
+  private void listenAndSend() throws InterruptedException {
     InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     server.listenForCallers(anyPort);
     InetSocketAddress callers = server.callerAddress();
@@ -111,7 +122,7 @@
         new ServerBootstrap()
             .group(group)
             .channel(NioServerSocketChannel.class)
-            .childHandler(new RehearsalBackend(protocol))
+            .childHandler(new WarmUpBackend(protocol))
             .bind(anyPort)
             .sync()
             .channel();
@@ -140,7 +151,7 @@
             MAX_DURATION_MILLIS,
             connection -> {
               if (connection == null) {
-                Logger.warn("rehearsal: no connection to this gateway at {}", callerAddress);
+                Logger.warn("warm-up: no connection to this gateway at {}", callerAddress);
                 end();
               } else {
                 connection.send(protocol.callerRequest(request), request.id(), new NextSender());
@@ -150,7 +161,7 @@
 
   private InboundRequest request(String path) {
     return new InboundRequest(
-        "rehearsal-" + responses.get(),
+        "warm-up-" + responses.get(),
         HOST,
         HttpMethod.POST,
         path + "request",
@@ -160,7 +171,7 @@
         TOKENS,
         TOKENS,
         TOKENS,
-        List.of(PromptPart.newBuilder().setId("rehearsal").setTokens(TOKENS).build()),
+        List.of(PromptPart.newBuilder().setId("warm-up").setTokens(TOKENS).build()),
         "",
         "",
         EmptyHttpHeaders.INSTANCE,
@@ -179,7 +190,7 @@
     public void onEnded(ResponseEnding ending) {
       responses.incrementAndGet();
       // Afterwards the connection is back in the pool.
-      loop.execute(PathRehearsal.this::sendNext);
+      loop.execute(RequestPathWarmUp.this::sendNext);
     }
   }
 
@@ -195,7 +206,7 @@
     context.close();
     server.closeToCallers();
     Logger.info(
-        "rehearsal ended after {} of {} requests and {} ms",
+        "warm-up ended after {} of {} requests and {} ms",
         responses.get(),
         PATHS.size(),
         clock.nowMillis() - startedAtMillis);
--- a/src/main/java/org/curranthaven/internal/relay/RehearsalBackend.java
+++ b/src/main/java/org/curranthaven/internal/relay/WarmUpBackend.java
@@ -19,10 +19,10 @@
 
 /**
  * Connections of the stand-in backend server that responds to the requests of a {@link
- * PathRehearsal}: to a path with {@link PathRehearsal#STREAM_PATH} with events, to any other with a
- * short body.
+ * RequestPathWarmUp}: to a path with {@link RequestPathWarmUp#STREAM_PATH} with events, to any
+ * other with a short body.
  */
-final class RehearsalBackend extends ChannelInitializer<Channel> {
+final class WarmUpBackend extends ChannelInitializer<Channel> {
   private static final int MAX_BODY_BYTES = 65_536;
   private static final int EVENTS = 4;
 
@@ -31,7 +31,7 @@
 
   private final WireProtocol protocol;
 
-  RehearsalBackend(WireProtocol protocol) {
+  WarmUpBackend(WireProtocol protocol) {
     this.protocol = protocol;
   }
 
@@ -46,7 +46,7 @@
   private final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-      boolean stream = request.uri().startsWith(PathRehearsal.STREAM_PATH);
+      boolean stream = request.uri().startsWith(RequestPathWarmUp.STREAM_PATH);
       HttpResponse response = protocol.backendResponse(request, stream);
       ByteBuf body = Unpooled.copiedBuffer("done", StandardCharsets.US_ASCII);
       if (stream) {
--- a/src/main/java/org/curranthaven/internal/relay/RehearsalContext.java
+++ b/src/main/java/org/curranthaven/internal/relay/WarmUpContext.java
@@ -25,12 +25,12 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * What the requests of a {@link PathRehearsal} share: a catalog and backend servers of their own,
- * and a scheduler that places each request at once. Nothing of it reaches another host.
+ * What the requests of a {@link RequestPathWarmUp} share: a catalog and backend servers of their
+ * own, and a scheduler that places each request at once. Nothing of it reaches another host.
  */
-final class RehearsalContext implements RelayContext {
+final class WarmUpContext implements RelayContext {
   /** Name of the scheduler and of the data centre, as they appear in log lines. */
-  private static final String NAME = "rehearsal";
+  private static final String NAME = "warm-up";
 
   private static final String REJECTED_ROUTE = "rejected";
   private static final String PLAIN_SERVICE = "plain";
@@ -49,7 +49,7 @@
   private final Catalog catalog = createCatalog();
   private long placementCounter = 1;
 
-  RehearsalContext(EventLoop loop, Clock clock, WireProtocol protocol, RandomGenerator random) {
+  WarmUpContext(EventLoop loop, Clock clock, WireProtocol protocol, RandomGenerator random) {
     this.loop = loop;
     this.clock = clock;
     this.protocol = protocol;
@@ -71,13 +71,13 @@
     return new Catalog(
         1,
         List.of(
-            route("plain", PathRehearsal.PLAIN_PATH, Repeatability.IDEMPOTENT, PLAIN_SERVICE),
+            route("plain", RequestPathWarmUp.PLAIN_PATH, Repeatability.IDEMPOTENT, PLAIN_SERVICE),
             route(
                 REJECTED_ROUTE,
-                PathRehearsal.REJECTED_PATH,
+                RequestPathWarmUp.REJECTED_PATH,
                 Repeatability.NON_IDEMPOTENT,
                 PLAIN_SERVICE),
-            route("stream", PathRehearsal.STREAM_PATH, Repeatability.STREAM, ENGINE_SERVICE)),
+            route("stream", RequestPathWarmUp.STREAM_PATH, Repeatability.STREAM, ENGINE_SERVICE)),
         List.of(
             new ServiceSpec(PLAIN_SERVICE, 1, null),
             new ServiceSpec(ENGINE_SERVICE, 1, new EngineCapabilities(1, 1_000, 1, true, true))),
@@ -88,10 +88,10 @@
   private static Route route(String name, String path, Repeatability kind, String service) {
     return new Route(
         name,
-        PathRehearsal.HOST,
+        RequestPathWarmUp.HOST,
         path,
         kind,
-        PathRehearsal.MAX_DURATION_MILLIS,
+        RequestPathWarmUp.MAX_DURATION_MILLIS,
         TARGET_MILLIS,
         0,
         0,
@@ -142,7 +142,7 @@
     }
   }
 
-  /** The rehearsal knows its catalog and backend servers already. */
+  /** The warm-up knows its catalog and backend servers already. */
   private static final class IgnoringListener implements SchedulerLink.ViewListener {
     @Override
     public void catalogReceived(byte[] document) {}
--- a/src/main/java/org/curranthaven/internal/relay/WireProtocol.java
+++ b/src/main/java/org/curranthaven/internal/relay/WireProtocol.java
@@ -40,10 +40,10 @@
   /** Returns the reference to transferred state for {@link BackendRequest#stateReference}. */
   String stateReference(BackendRecord source, String handle);
 
-  /** Encodes a request as a caller sends it, for rehearsals. */
+  /** Encodes a request as a caller sends it, for warming up. */
   FullHttpRequest callerRequest(InboundRequest request);
 
-  /** Encodes the head of a backend server's successful response to a request, for rehearsals. */
+  /** Encodes the head of a backend server's successful response to a request, for warming up. */
   HttpResponse backendResponse(FullHttpRequest request, boolean eventStream);
 
   /** Decodes a request of a backend server or an operator to the control interface. */
--- a/src/main/java/org/curranthaven/platform/BackendTranslation.java
+++ b/src/main/java/org/curranthaven/platform/BackendTranslation.java
@@ -117,7 +117,7 @@
     response
         .headers()
         .set(Headers.REQUEST_ID, request.headers().get(Headers.REQUEST_ID, ""))
-        .set(Headers.RESPONSE_SEAL, "rehearsal")
+        .set(Headers.RESPONSE_SEAL, "warm-up")
         .set("Keep-Alive", "timeout=2")
         .set(
             HttpHeaderNames.CONTENT_TYPE,
--- a/src/test/java/org/curranthaven/internal/relay/PathRehearsalTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/RequestPathWarmUpTest.java
@@ -20,7 +20,7 @@
  * Guards against a gateway that is ready though its code has never run: its first callers then wait
  * for that.
  */
-class PathRehearsalTest {
+class RequestPathWarmUpTest {
   private static final int REQUESTS = 7;
   private static final int POLLS = 1_000;
   private static final long POLL_MILLIS = 10;
@@ -34,17 +34,17 @@
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await();
   }
 
-  private PathRehearsal start(WireProtocol protocol, BooleanSupplier busy)
+  private RequestPathWarmUp start(WireProtocol protocol, BooleanSupplier busy)
       throws InterruptedException {
-    PathRehearsal rehearsal =
-        new PathRehearsal(group, loop, Clock.system(), protocol, new SplittableRandom(1), busy);
-    assertThat(rehearsal.isOver()).isFalse();
-    rehearsal.start();
-    for (int i = 0; i < POLLS && !rehearsal.isOver(); i++) {
+    RequestPathWarmUp warmUp =
+        new RequestPathWarmUp(group, loop, Clock.system(), protocol, new SplittableRandom(1), busy);
+    assertThat(warmUp.isOver()).isFalse();
+    warmUp.start();
+    for (int i = 0; i < POLLS && !warmUp.isOver(); i++) {
       Thread.sleep(POLL_MILLIS);
     }
-    assertThat(rehearsal.isOver()).isTrue();
-    return rehearsal;
+    assertThat(warmUp.isOver()).isTrue();
+    return warmUp;
   }
 
   /** Returns the protocol of the platform, but one in which a method fails. */
@@ -52,7 +52,7 @@
     PlatformProtocol protocol = new PlatformProtocol();
     return (WireProtocol)
         Proxy.newProxyInstance(
-            PathRehearsalTest.class.getClassLoader(),
+            RequestPathWarmUpTest.class.getClassLoader(),
             new Class<?>[] {WireProtocol.class},
             (proxy, method, arguments) -> {
               if (method.getName().equals(failingMethod)) {
@@ -67,24 +67,32 @@
   }
 
   @Test
-  void requests_have_run_through_the_whole_path_before_the_rehearsal_is_over()
+  void requests_have_run_through_the_whole_path_before_the_warm_up_is_over()
       throws InterruptedException {
     assertThat(start(new PlatformProtocol(), () -> false).responses()).isEqualTo(REQUESTS);
   }
 
   @Test
-  void a_rehearsal_gives_way_to_requests_of_callers() throws InterruptedException {
+  void a_warm_up_gives_way_to_requests_of_callers() throws InterruptedException {
     assertThat(start(new PlatformProtocol(), () -> true).responses()).isZero();
   }
 
   @Test
-  void a_rehearsal_whose_backend_server_fails_ends_too() throws InterruptedException {
+  void a_warm_up_whose_backend_server_fails_ends_too() throws InterruptedException {
     assertThat(start(protocolWithout("backendResponse"), () -> false).responses())
         .isBetween(1, REQUESTS);
   }
 
   @Test
-  void a_rehearsal_whose_requests_cannot_be_sent_ends_too() throws InterruptedException {
+  void a_gateway_that_cannot_listen_for_its_warm_up_goes_on_without_it()
+      throws InterruptedException {
+    stop();
+
+    assertThat(start(new PlatformProtocol(), () -> false).responses()).isZero();
+  }
+
+  @Test
+  void a_warm_up_whose_requests_cannot_be_sent_ends_too() throws InterruptedException {
     assertThat(start(protocolWithout("callerRequest"), () -> false).responses()).isZero();
   }
 }
