Send a catalog or list of backend servers again only when it is not on its way; publish expired servers as a change

Cause: until a gateway had acknowledged a new catalog, it got the whole document with each heartbeat of 130 ms, and the same for the complete list of backend servers; each server that stopped registering sent the complete list to every gateway. Change: what was sent less than 650 ms ago counts as on its way; servers that stopped registering are published by id (field expired). Tests fail without the change: catalog and list once per resend interval, an expired server known again once it registers.

--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -255,6 +255,7 @@
     for (String id : view.getGoneList()) {
       removeBackend(id);
     }
+    view.getExpiredList().forEach(this::forgetBackend);
     viewVersion = view.getVersion();
     viewReceived = true;
     knowledge.rateLimits().discard(backends::containsKey, clock.nowMillis());
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -55,6 +55,12 @@
    */
   private static final long LOST_GATEWAY_SHARE_MILLIS = 10_000;
 
+  /**
+   * Time after which a catalog or list of backend servers that a gateway has not acknowledged is
+   * sent again; longer than the larger of them takes to arrive over the link of a small gateway.
+   */
+  static final long RESEND_MILLIS = 650;
+
   /** Longest time for which a new leader waits for the gateways to report their open requests. */
   private static final long MAX_REBUILD_MILLIS = 250;
 
@@ -97,6 +103,31 @@
     long crashEvidenceVersion;
     long rateLimitsVersion;
     long statusNumber;
+
+    /** Catalog revision and version sent last, and when. */
+    long sentCatalogRevision;
+
+    long catalogSentMillis;
+    long sentVersion;
+    long versionSentMillis;
+
+    /** Returns whether the catalog is missing at the gateway and not on its way to it. */
+    boolean needsCatalog(long revision, long nowMillis) {
+      boolean onItsWay =
+          sentCatalogRevision == revision && nowMillis - catalogSentMillis < RESEND_MILLIS;
+      return catalogRevision < revision && !onItsWay;
+    }
+
+    /** Returns whether the version is missing at the gateway and not on its way to it. */
+    boolean needsVersion(long newVersion, long nowMillis) {
+      boolean onItsWay = sentVersion == newVersion && nowMillis - versionSentMillis < RESEND_MILLIS;
+      return version < newVersion && !onItsWay;
+    }
+
+    void recordVersionSent(long newVersion, long nowMillis) {
+      sentVersion = newVersion;
+      versionSentMillis = nowMillis;
+    }
   }
 
   /**
@@ -279,7 +310,7 @@
 
   private void sendView(HostRecord gateway, int gatewayCount) {
     GatewayView view = viewOf(gateway);
-    boolean outdated = view.version < viewVersion && !rebuilding;
+    boolean outdated = view.needsVersion(viewVersion, clock.nowMillis()) && !rebuilding;
     if (outdated && view.hasReportedState) {
       sendFullView(gateway, gatewayCount);
     } else {
@@ -322,8 +353,10 @@
             .setCatalogRevision(catalog.revision())
             .setGateways(Math.max(1, gatewayCount))
             .setFullStatusRequested(!view.hasReportedState);
-    if (view.catalogRevision < catalog.revision()) {
+    if (view.needsCatalog(catalog.revision(), clock.nowMillis())) {
       builder.setCatalog(catalogDocument);
+      view.sentCatalogRevision = catalog.revision();
+      view.catalogSentMillis = clock.nowMillis();
     }
     if (view.crashEvidenceVersion < knowledge.crashes().version()) {
       builder.addAllCrashSuspects(
@@ -345,9 +378,11 @@
   }
 
   private void sendFullView(HostRecord gateway, int gatewayCount) {
+    GatewayView view = viewOf(gateway);
+    view.recordVersionSent(viewVersion, clock.nowMillis());
     send(
         gateway,
-        newView(viewOf(gateway), gatewayCount)
+        newView(view, gatewayCount)
             .setVersion(viewVersion)
             .addAllBackends(registry.all())
             .addAllGone(registry.removedIds())
@@ -364,9 +399,7 @@
         removedIds,
         backendTimeoutMillis);
     removedIds.forEach(id -> core.removeBackend(id, nowMillis));
-    viewVersion++;
-    sendFullViews();
-    sendDecisions();
+    pushChange(view -> view.addAllExpired(removedIds));
   }
 
   // ---- gateways ---------------------------------------------------------------------------------
@@ -628,17 +661,21 @@
   }
 
   private void pushBackendChange(List<BackendRecord> changed, List<String> removedIds) {
+    pushChange(view -> view.addAllBackends(changed).addAllGone(removedIds));
+  }
+
+  /** Sends every gateway a change of the backend servers, without those that stay the same. */
+  private void pushChange(Consumer<SchedulerView.Builder> change) {
     long previousVersion = viewVersion;
     viewVersion++;
     Collection<HostRecord> connected = gateways.get();
     for (HostRecord gateway : connected) {
-      send(
-          gateway,
-          newView(viewOf(gateway), connected.size())
-              .setVersion(viewVersion)
-              .setBaseVersion(previousVersion)
-              .addAllBackends(changed)
-              .addAllGone(removedIds));
+      GatewayView view = viewOf(gateway);
+      view.recordVersionSent(viewVersion, clock.nowMillis());
+      SchedulerView.Builder message =
+          newView(view, connected.size()).setVersion(viewVersion).setBaseVersion(previousVersion);
+      change.accept(message);
+      send(gateway, message);
     }
     sendDecisions();
   }
--- a/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
@@ -240,6 +240,26 @@
     assertThat(link.backend("i-9")).isNull();
   }
 
+  /** Guards against a server that was silent for a while and is then never used again. */
+  @Test
+  void a_backend_server_that_stopped_registering_is_known_again_once_it_registers() {
+    publishView("control-1", 3, 1, "i-1", "i-2");
+
+    link.handle("control-1", change(1).addExpired("i-1").build());
+    assertThat(link.backendNames()).containsExactly("i-2");
+    link.handle("control-1", change(2).addBackends(backend("i-1")).build());
+
+    assertThat(link.backendNames()).containsExactly("i-1", "i-2");
+  }
+
+  private static SchedulerView.Builder change(long baseVersion) {
+    return SchedulerView.newBuilder()
+        .setTerm(3)
+        .setBaseVersion(baseVersion)
+        .setVersion(baseVersion + 1)
+        .setGateways(1);
+  }
+
   @Test
   void a_removed_backend_server_is_not_restored_by_an_older_list() {
     publishView("control-1", 3, 1, "i-1", "i-2");
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -569,4 +569,59 @@
 
     assertThat(placementsSent()).isEqualTo(1);
   }
+
+  // ---- size of what is sent ---------------------------------------------------------------------
+
+  /** Guards against a large catalog that is sent with each heartbeat while it is on its way. */
+  @Test
+  void a_catalog_is_sent_again_only_when_it_was_not_acknowledged_for_a_while() {
+    startLeading();
+    Catalog catalog = new Catalog(8, List.of(), List.of(), RequestLimits.standard(), null);
+    sent.clear();
+    scheduler.applyCatalog(catalog, ByteString.copyFromUtf8("document"));
+
+    time.advance(4 * ONE_HEARTBEAT_MILLIS);
+    assertThat(viewsTo("g1")).filteredOn(view -> !view.getCatalog().isEmpty()).hasSize(1);
+    receiveStatus("g1", 0, 8, false);
+    time.advance(Scheduler.RESEND_MILLIS);
+
+    assertThat(viewsTo("g1")).filteredOn(view -> !view.getCatalog().isEmpty()).hasSize(1);
+    assertThat(viewsTo("g2")).filteredOn(view -> !view.getCatalog().isEmpty()).hasSize(2);
+  }
+
+  /** Guards against a complete list with each heartbeat while a change is on its way. */
+  @Test
+  void a_change_that_was_lost_is_followed_by_the_complete_list_after_a_while() {
+    startLeading();
+    sent.clear();
+    scheduler.register(backend(1, false), new RecordedResult()::accept);
+
+    time.advance(4 * ONE_HEARTBEAT_MILLIS);
+    assertThat(viewsTo("g1")).filteredOn(view -> view.getBackendsCount() > 0).hasSize(1);
+    time.advance(Scheduler.RESEND_MILLIS);
+
+    assertThat(viewsTo("g1").stream().filter(view -> view.getBackendsCount() > 0).toList().get(1))
+        .satisfies(view -> assertThat(view.getBaseVersion()).isZero());
+  }
+
+  /** Guards against the complete list for each backend server that stops registering. */
+  @Test
+  void a_backend_server_that_stopped_registering_is_published_without_the_others() {
+    startLeading();
+    scheduler.register(backend(1, false), new RecordedResult()::accept);
+    receiveStatus("g1", lastVersion(), 0, false);
+    receiveStatus("g2", lastVersion(), 0, false);
+    sent.clear();
+
+    time.advance(7_000);
+
+    assertThat(viewsTo("g1")).filteredOn(view -> view.getExpiredCount() > 0).hasSize(1);
+    assertThat(viewsTo("g1").stream().filter(view -> view.getExpiredCount() > 0).findFirst())
+        .hasValueSatisfying(
+            view -> {
+              assertThat(view.getExpiredList()).containsExactly("i-1");
+              assertThat(view.getGoneList()).isEmpty();
+              assertThat(view.getBaseVersion()).isPositive();
+            });
+  }
 }
