Streams stay at their version when all hosts were lost: versions served are in the replicated log

What callers could see: after all hosts had been killed and were back, a stream of unknown origin was continued at the only version that had registered so far, although it may have begun at another one; answered 200, joined from two versions. Cause: which versions have served was soft state only, as were the origins of streams. Found beside it: a leader was announced before the entries of earlier leaders were applied (LeadershipTracker), so replicated state could not be trusted at that moment; a gateway that had heard no scheduler counted its empty list as complete; a route with several services drew the service of a continuation anew. Change: a version is committed before the first server with it is published, and removed after 120 s without one; the service of a stream follows from the id of its first request; an origin at another service, or an unknown one on such a route, is rejected. Evidence: the new tests in SchedulerTest, LeadershipTrackerTest, VersionBindingTest and SchedulerLinkTest fail without their parts.

--- a/src/main/java/org/curranthaven/internal/catalog/Route.java
+++ b/src/main/java/org/curranthaven/internal/catalog/Route.java
@@ -55,6 +55,11 @@
     return kind == Repeatability.IDEMPOTENT || (kind == Repeatability.STREAM && resumable);
   }
 
+  /** Returns whether requests are distributed among several services. */
+  public boolean hasSeveralServices() {
+    return services.stream().filter(target -> target.weight() > 0).count() > 1;
+  }
+
   /**
    * Selects the service of a request by weight.
    *
--- a/src/main/java/org/curranthaven/internal/configuration/FleetCommand.java
+++ b/src/main/java/org/curranthaven/internal/configuration/FleetCommand.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.List;
+import org.curranthaven.internal.catalog.ServiceVersion;
 import org.curranthaven.internal.placement.PlacementCommand;
 
 /** Command that is replicated in group 0. */
@@ -11,6 +13,10 @@
   @JsonSubTypes.Type(value = FleetCommand.Placement.class, name = "placement"),
   @JsonSubTypes.Type(value = FleetCommand.ReplaceCatalog.class, name = "replaceCatalog"),
   @JsonSubTypes.Type(value = FleetCommand.ReadCatalog.class, name = "readCatalog"),
+  @JsonSubTypes.Type(value = FleetCommand.AddServedVersion.class, name = "addServedVersion"),
+  @JsonSubTypes.Type(
+      value = FleetCommand.RemoveServedVersions.class,
+      name = "removeServedVersions"),
 })
 public sealed interface FleetCommand {
   /** Changes the configuration. */
@@ -23,6 +29,16 @@
   /** Changes nothing; once it has been applied, the leader's state is known to be the latest. */
   record ReadCatalog() implements FleetCommand {}
 
+  /** Adds a software version at which streams may begin. */
+  record AddServedVersion(ServiceVersion version) implements FleetCommand {}
+
+  /** Removes software versions at which no stream that may be taken up has begun. */
+  record RemoveServedVersions(List<ServiceVersion> versions) implements FleetCommand {
+    public RemoveServedVersions {
+      versions = List.copyOf(versions);
+    }
+  }
+
   /** Acquires or renews the placement lease, or records a load of model weights. */
   record Placement(PlacementCommand placement) implements FleetCommand {}
 }
--- a/src/main/java/org/curranthaven/internal/configuration/FleetState.java
+++ b/src/main/java/org/curranthaven/internal/configuration/FleetState.java
@@ -3,24 +3,27 @@
 import com.google.protobuf.ByteString;
 import org.curranthaven.api.Configuration;
 import org.curranthaven.internal.catalog.CatalogState;
+import org.curranthaven.internal.catalog.ServedVersions;
 import org.curranthaven.internal.consensus.StateMachine;
 import org.curranthaven.internal.placement.PlacementState;
 import org.curranthaven.internal.settings.Json;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Replicated state of group 0: the configuration, the placement lease and the catalog. Not
- * thread-safe.
+ * Replicated state of group 0: the configuration, the placement lease, the catalog and the software
+ * versions that have served. Not thread-safe.
  */
 public final class FleetState implements StateMachine {
   private final ConfigurationState configuration = new ConfigurationState();
   private final PlacementState placement = new PlacementState();
   private final CatalogState catalog = new CatalogState();
+  private final ServedVersions servedVersions = new ServedVersions();
 
   private record Snapshot(
       ConfigurationState.Snapshot configuration,
       PlacementState.Snapshot placement,
-      CatalogState.@Nullable Snapshot catalog) {}
+      CatalogState.@Nullable Snapshot catalog,
+      ServedVersions.@Nullable Snapshot servedVersions) {}
 
   /** Returns the latest committed configuration. */
   public Configuration current() {
@@ -37,6 +40,11 @@
     return catalog;
   }
 
+  /** Returns the software versions at which streams may have begun. */
+  public ServedVersions servedVersions() {
+    return servedVersions;
+  }
+
   /** Returns the state of the placement lease. */
   public PlacementState placement() {
     return placement;
@@ -51,6 +59,9 @@
           case FleetCommand.ReplaceCatalog replace ->
               catalog.replace(replace.revision(), replace.document());
           case FleetCommand.ReadCatalog ignored -> catalog.revision();
+          case FleetCommand.AddServedVersion add -> servedVersions.add(add.version());
+          case FleetCommand.RemoveServedVersions remove ->
+              servedVersions.removeAll(remove.versions());
         };
     return Json.write(result);
   }
@@ -58,7 +69,11 @@
   @Override
   public ByteString snapshot() {
     return Json.write(
-        new Snapshot(configuration.snapshot(), placement.snapshot(), catalog.snapshot()));
+        new Snapshot(
+            configuration.snapshot(),
+            placement.snapshot(),
+            catalog.snapshot(),
+            servedVersions.snapshot()));
   }
 
   @Override
@@ -69,5 +84,8 @@
     if (snapshot.catalog() != null) {
       catalog.restore(snapshot.catalog());
     }
+    if (snapshot.servedVersions() != null) {
+      servedVersions.restore(snapshot.servedVersions());
+    }
   }
 }
--- a/src/main/java/org/curranthaven/internal/dispatch/RejectionReason.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/RejectionReason.java
@@ -15,7 +15,8 @@
   /** Backend servers crashed on the request, or engines on a part of its prompt. */
   CRASHES_BACKENDS,
   /**
-   * The request takes up a stream, and nobody knows which of several software versions began it.
+   * The request takes up a stream, and nobody knows which of several software versions began it, or
+   * it began at another service.
    */
   STREAM_ORIGIN_UNKNOWN,
   /** The request takes up a stream, and no backend server has the software version of it. */
--- a/src/main/java/org/curranthaven/internal/dispatch/SharedKnowledge.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/SharedKnowledge.java
@@ -24,10 +24,10 @@
 
   /** Returns the empty knowledge of a gateway, which shares stated limits with others. */
   public static SharedKnowledge ofGateway(RandomGenerator random) {
+    StreamOrigins streamOrigins = new StreamOrigins();
+    // A gateway that has heard no scheduler yet cannot tell which versions have served.
+    streamOrigins.setCompleteUntil(Long.MIN_VALUE);
     return new SharedKnowledge(
-        new CrashEvidence(),
-        RequestRateLimits.ofGateway(random),
-        new StreamOrigins(),
-        new RestTimes());
+        new CrashEvidence(), RequestRateLimits.ofGateway(random), streamOrigins, new RestTimes());
   }
 }
--- a/src/main/java/org/curranthaven/internal/dispatch/StreamOrigins.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/StreamOrigins.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import org.curranthaven.internal.catalog.ServiceVersion;
 import org.curranthaven.internal.transport.wire.PlacementRequest;
 import org.curranthaven.internal.transport.wire.ServedVersion;
 import org.curranthaven.internal.transport.wire.StreamOrigin;
@@ -19,7 +20,7 @@
  *
  * <pre>{@code
  * origins.recordOutput(request, "v1.2", nowMillis);
- * String version = origins.versionOf(resumedStream);
+ * ServiceVersion origin = origins.originOf(resumedStream);
  * }</pre>
  */
 public final class StreamOrigins {
@@ -28,7 +29,7 @@
    * callers wait before they take it up. For as long, streams of a version that no longer serves
    * may be taken up.
    */
-  static final long RETENTION_MILLIS = 120_000;
+  public static final long RETENTION_MILLIS = 120_000;
 
   /** Streams remembered at most; the one with the oldest output is forgotten first. */
   static final int MAX_STREAMS = 200_000;
@@ -42,7 +43,7 @@
   /** Time until which no backend server can have begun streams without being known here. */
   private long completeUntilMillis = Long.MAX_VALUE;
 
-  private record Origin(String version, long outputAtMillis) {}
+  private record Origin(ServiceVersion at, long outputAtMillis) {}
 
   /**
    * Sets until when the known versions are complete: a host that hears nothing of new backend
@@ -61,14 +62,14 @@
     long stream =
         request.getResumedStream() == 0 ? request.getStream() : request.getResumedStream();
     if (stream != 0) {
-      record(stream, version, nowMillis);
+      record(stream, new ServiceVersion(request.getService(), version), nowMillis);
       discardOld(nowMillis);
     }
   }
 
-  private void record(long stream, String version, long outputAtMillis) {
+  private void record(long stream, ServiceVersion at, long outputAtMillis) {
     Origin known = origins.remove(stream);
-    origins.put(stream, new Origin(known == null ? version : known.version(), outputAtMillis));
+    origins.put(stream, new Origin(known == null ? at : known.at(), outputAtMillis));
   }
 
   private void discardOld(long nowMillis) {
@@ -82,10 +83,10 @@
     }
   }
 
-  /** Returns the software version that began a stream; null if it is unknown. */
-  public @Nullable String versionOf(long stream) {
+  /** Returns the service and the software version that began a stream; null if unknown. */
+  public @Nullable ServiceVersion originOf(long stream) {
     Origin origin = origins.get(stream);
-    return origin == null ? null : origin.version();
+    return origin == null ? null : origin.at();
   }
 
   /** Records that backend servers with a software version serve a service. */
@@ -121,7 +122,8 @@
             entry ->
                 StreamOrigin.newBuilder()
                     .setStream(entry.getKey())
-                    .setSoftwareVersion(entry.getValue().version())
+                    .setService(entry.getValue().at().service())
+                    .setSoftwareVersion(entry.getValue().at().version())
                     .setOutputAgeMillis(Math.max(0, nowMillis - entry.getValue().outputAtMillis()))
                     .build())
         .toList();
@@ -155,7 +157,10 @@
       long outputAtMillis = nowMillis - other.getOutputAgeMillis();
       Origin known = origins.get(other.getStream());
       if (known == null || known.outputAtMillis() < outputAtMillis) {
-        record(other.getStream(), other.getSoftwareVersion(), outputAtMillis);
+        record(
+            other.getStream(),
+            new ServiceVersion(other.getService(), other.getSoftwareVersion()),
+            outputAtMillis);
       }
     }
     for (ServedVersion other : otherServed) {
--- a/src/main/java/org/curranthaven/internal/dispatch/VersionBinding.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/VersionBinding.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.curranthaven.internal.catalog.ServiceVersion;
 import org.curranthaven.internal.transport.wire.PlacementRequest;
 import org.curranthaven.internal.transport.wire.ServedVersion;
 import org.jspecify.annotations.Nullable;
@@ -23,20 +24,29 @@
 
   /**
    * Returns the request with the software version that may run it: for one that takes up a stream,
-   * the version that began it. Returns null if that is unknown.
+   * the version that began it. Returns null if that is unknown, or of another service, as after a
+   * change of the route.
    */
   @Nullable PlacementRequest bind(PlacementRequest request, long nowMillis) {
     if (request.getVersionBound() || !request.getResumes()) {
       return request;
     }
-    String known = origins.versionOf(request.getResumedStream());
-    if (known == null) {
-      recordServing(nowMillis);
-      known = origins.onlyVersion(request.getService(), nowMillis);
-    }
-    return known == null
+    String version = versionOfResumed(request, nowMillis);
+    return version == null
         ? null
-        : request.toBuilder().setVersionBound(true).setSoftwareVersion(known).build();
+        : request.toBuilder().setVersionBound(true).setSoftwareVersion(version).build();
+  }
+
+  private @Nullable String versionOfResumed(PlacementRequest request, long nowMillis) {
+    ServiceVersion origin = origins.originOf(request.getResumedStream());
+    if (origin != null) {
+      return origin.service().equals(request.getService()) ? origin.version() : null;
+    }
+    if (request.getSeveralServices()) {
+      return null;
+    }
+    recordServing(nowMillis);
+    return origins.onlyVersion(request.getService(), nowMillis);
   }
 
   /** Returns whether a backend server may run the request, by its software version. */
--- a/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
@@ -30,12 +30,14 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.curranthaven.api.Failure;
 import org.curranthaven.api.Outcome;
 import org.curranthaven.api.ResultCode;
 import org.curranthaven.internal.catalog.Catalog;
 import org.curranthaven.internal.catalog.CatalogWorkspace;
+import org.curranthaven.internal.catalog.Repeatability;
 import org.curranthaven.internal.catalog.Route;
 import org.curranthaven.internal.catalog.ServiceSpec;
 import org.curranthaven.internal.gateway.ErrorBodies;
@@ -336,7 +338,7 @@
               DRAINING_RETRY_AFTER_MILLIS));
       return;
     }
-    ServiceSpec service = catalog.service(route.serviceFor(context.nextRandom()));
+    ServiceSpec service = catalog.service(route.serviceFor(drawFor(request, route)));
     if (service == null) {
       fail(
           Failure.of(
@@ -364,6 +366,20 @@
     routedRequest.start();
   }
 
+  /**
+   * Returns the number that selects the service of a request. A stream and its continuation have
+   * the same, so that a caller that takes a stream up reaches the service that began it.
+   */
+  private double drawFor(InboundRequest request, Route route) {
+    boolean mayBeTakenUp = route.kind() == Repeatability.STREAM && route.isRepeatable();
+    if (!mayBeTakenUp || !route.hasSeveralServices()) {
+      return context.nextRandom();
+    }
+    String firstRequestId =
+        request.resumedRequestId().isEmpty() ? request.id() : request.resumedRequestId();
+    return new SplittableRandom(RequestFingerprint.ofStream("", firstRequestId)).nextDouble();
+  }
+
   // ---- responses --------------------------------------------------------------------------------
 
   /** Forwards the response of a backend server, unchanged except for hop-by-hop headers. */
--- a/src/main/java/org/curranthaven/internal/relay/RequestFingerprint.java
+++ b/src/main/java/org/curranthaven/internal/relay/RequestFingerprint.java
@@ -4,7 +4,6 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
-import java.util.List;
 
 /**
  * Recognizes a request that is sent again under another id: requests with the same method, path,
@@ -35,14 +34,12 @@
 
   /**
    * Identifies the stream that a request began, for callers that take it up: a request of another
-   * workspace or to another service with the same id is another one. Never 0.
+   * workspace with the same id is another one. Never 0.
    */
-  static long ofStream(String workspace, String service, String requestId) {
+  static long ofStream(String workspace, String requestId) {
     MessageDigest digest = newDigest();
-    for (String text : List.of(workspace, service)) {
-      digest.update(text.getBytes(StandardCharsets.UTF_8));
-      digest.update((byte) '\n');
-    }
+    digest.update(workspace.getBytes(StandardCharsets.UTF_8));
+    digest.update((byte) '\n');
     return nonZero(digest.digest(requestId.getBytes(StandardCharsets.UTF_8)));
   }
 
--- a/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
@@ -155,11 +155,11 @@
       return;
     }
     builder
-        .setStream(RequestFingerprint.ofStream(workspace, service.name(), request.id()))
-        .setResumes(!request.lastEventId().isEmpty());
+        .setStream(RequestFingerprint.ofStream(workspace, request.id()))
+        .setResumes(!request.lastEventId().isEmpty())
+        .setSeveralServices(route.hasSeveralServices());
     if (!request.resumedRequestId().isEmpty()) {
-      builder.setResumedStream(
-          RequestFingerprint.ofStream(workspace, service.name(), request.resumedRequestId()));
+      builder.setResumedStream(RequestFingerprint.ofStream(workspace, request.resumedRequestId()));
     }
   }
 
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -220,8 +220,10 @@
       knowledge.rateLimits().replace(view.getRateLimits().getLimitsList(), clock.nowMillis());
     }
     knowledge.streamOrigins().merge(List.of(), view.getServedVersionsList(), clock.nowMillis());
-    knowledge.streamOrigins().setCompleteUntil(lastMessageMillis + VERSIONS_COMPLETE_MILLIS);
     boolean updated = applyBackendUpdate(view);
+    if (viewVersion > 0) {
+      knowledge.streamOrigins().setCompleteUntil(lastMessageMillis + VERSIONS_COMPLETE_MILLIS);
+    }
     if (schedulerChanged || reconnected || isFullStatusDue(view)) {
       followScheduler();
     } else if (updated || !view.getCatalog().isEmpty()) {
--- a/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
@@ -15,6 +15,7 @@
 import java.util.random.RandomGenerator;
 import org.curranthaven.api.Outcome;
 import org.curranthaven.internal.catalog.Catalog;
+import org.curranthaven.internal.catalog.ServiceVersion;
 import org.curranthaven.internal.configuration.FleetCommand;
 import org.curranthaven.internal.configuration.FleetState;
 import org.curranthaven.internal.consensus.ConsensusLoop;
@@ -31,10 +32,12 @@
 import org.curranthaven.internal.transport.wire.AdminReply;
 import org.curranthaven.internal.transport.wire.AdminRequest;
 import org.curranthaven.internal.transport.wire.BackendRecord;
+import org.curranthaven.internal.transport.wire.CommandReply;
 import org.curranthaven.internal.transport.wire.CommandStatus;
 import org.curranthaven.internal.transport.wire.Envelope;
 import org.curranthaven.internal.transport.wire.HostRecord;
 import org.curranthaven.internal.transport.wire.KnownHosts;
+import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
 
 /**
@@ -117,7 +120,8 @@
             settings.backendTimeoutMillis(),
             () -> leadership.hasLease(clock.nowMillis()),
             this::connectedGateways,
-            network::send);
+            network::send,
+            new ReplicatedVersionLog());
     this.leaderClient = new LeaderClient(eventLoop, clock, network, leadership::leaderHost);
     this.controlServer = new ControlServer(eventLoopGroup, protocol, this::handleControlRequest);
   }
@@ -210,8 +214,9 @@
   /** Passes leadership and catalog changes from the consensus thread to the event loop. */
   private final class LeadershipListener implements LeadershipTracker.Listener {
     @Override
-    public void leadershipChanged(long term) {
-      eventLoop.execute(() -> scheduler.setTerm(term));
+    public void leadershipChanged(long term, @Nullable FleetState state) {
+      List<ServiceVersion> versions = state == null ? List.of() : state.servedVersions().all();
+      eventLoop.execute(() -> scheduler.setTerm(term, versions));
     }
 
     @Override
@@ -226,6 +231,29 @@
     }
   }
 
+  /** Replicates software versions in group 0. */
+  private final class ReplicatedVersionLog implements VersionLog {
+    @Override
+    public void add(ServiceVersion version, Consumer<Boolean> callback) {
+      consensus.propose(
+          CONTROL_GROUP_ID,
+          Json.write(new FleetCommand.AddServedVersion(version)),
+          reply -> eventLoop.execute(() -> callback.accept(isApplied(reply))));
+    }
+
+    @Override
+    public void remove(Collection<ServiceVersion> versions) {
+      consensus.propose(
+          CONTROL_GROUP_ID,
+          Json.write(new FleetCommand.RemoveServedVersions(List.copyOf(versions))),
+          reply -> {});
+    }
+  }
+
+  private static boolean isApplied(CommandReply reply) {
+    return reply.getStatus() == CommandStatus.COMMAND_STATUS_APPLIED;
+  }
+
   // ---- control requests -------------------------------------------------------------------------
 
   private void handleControlRequest(ControlRequest request, Consumer<ControlResponse> callback) {
@@ -316,7 +344,7 @@
         CONTROL_GROUP_ID,
         command,
         reply -> {
-          boolean applied = reply.getStatus() == CommandStatus.COMMAND_STATUS_APPLIED;
+          boolean applied = isApplied(reply);
           long revision = applied ? Json.read(reply.getResult(), Long.class) : 0;
           eventLoop.execute(
               () -> {
@@ -334,7 +362,7 @@
         CONTROL_GROUP_ID,
         Json.write(new FleetCommand.ReadCatalog()),
         reply -> {
-          boolean applied = reply.getStatus() == CommandStatus.COMMAND_STATUS_APPLIED;
+          boolean applied = isApplied(reply);
           AdminReply.Builder adminReply =
               AdminReply.newBuilder().setStatus(LeaderClient.NOT_LEADER);
           if (applied && consensus.stateMachine(CONTROL_GROUP_ID) instanceof FleetState state) {
--- a/src/main/java/org/curranthaven/internal/scheduler/LeadershipTracker.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/LeadershipTracker.java
@@ -7,6 +7,7 @@
 import org.curranthaven.internal.consensus.RaftCore;
 import org.curranthaven.internal.consensus.RaftDecision;
 import org.curranthaven.internal.consensus.RaftRole;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Observes consensus group 0 and notifies a listener when this host gains or loses leadership and
@@ -29,13 +30,22 @@
   private volatile boolean canAcceptCatalogs;
   private volatile long leaseEndMillis = Long.MIN_VALUE;
   private long leadingTerm;
+
+  /** Term in which this host holds the lease of the leader; 0 if it does not. */
+  private long leasedTerm;
+
   private long leadingSinceMillis;
   private long publishedRevision;
 
   /** Receives leadership and catalog changes. Called on the consensus thread. */
   interface Listener {
-    /** Called when this host becomes the leader in the given term, or 0 when it stops leading. */
-    void leadershipChanged(long term);
+    /**
+     * Called when this host becomes the leader in the given term, or 0 when it stops leading.
+     *
+     * @param state replicated state with all that earlier leaders have committed, to be read before
+     *     this method returns; null if this host stops leading
+     */
+    void leadershipChanged(long term, @Nullable FleetState state);
 
     /** Called when a catalog document has been applied that no later one has replaced yet. */
     void catalogApplied(long revision, ByteString document);
@@ -73,17 +83,26 @@
 
   @Override
   public void batchEnded(long nowMillis) {
-    if (consensus.stateMachine(CONTROL_GROUP_ID) instanceof FleetState state
-        && state.catalog().revision() > publishedRevision) {
+    FleetState state = fleetState();
+    if (state != null && state.catalog().revision() > publishedRevision) {
       publishedRevision = state.catalog().revision();
       listener.catalogApplied(publishedRevision, state.catalog().document());
     }
+    if (leasedTerm > 0) {
+      // Only now are the entries applied that earlier leaders have committed.
+      updateLeadership(leasedTerm, nowMillis);
+    }
+  }
+
+  private @Nullable FleetState fleetState() {
+    return consensus.stateMachine(CONTROL_GROUP_ID) instanceof FleetState state ? state : null;
   }
 
   @Override
   public void roleChanged(int groupId, RaftDecision.RoleChanged change, long nowMillis) {
     leaderHost = consensus.leaderHost(CONTROL_GROUP_ID);
     if (change.role() != RaftRole.LEADER) {
+      leasedTerm = 0;
       updateLeadership(0, nowMillis);
     }
   }
@@ -94,7 +113,10 @@
     boolean hasLease = core != null && core.hasLease(nowMillis);
     leaseEndMillis = core != null && hasLease ? core.leaseEndMillis(nowMillis) : Long.MIN_VALUE;
     leaderHost = consensus.leaderHost(CONTROL_GROUP_ID);
-    updateLeadership(core != null && hasLease ? core.term() : 0, nowMillis);
+    leasedTerm = core != null && hasLease ? core.term() : 0;
+    if (leasedTerm == 0) {
+      updateLeadership(0, nowMillis);
+    }
     boolean enoughVoters =
         core != null && core.votersCommitted() && core.voters().getVotersCount() >= votersWanted;
     canAcceptCatalogs =
@@ -105,7 +127,7 @@
     if (term != leadingTerm) {
       leadingTerm = term;
       leadingSinceMillis = nowMillis;
-      listener.leadershipChanged(term);
+      listener.leadershipChanged(term, term > 0 ? fleetState() : null);
     }
   }
 }
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -15,7 +15,9 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.curranthaven.internal.catalog.Catalog;
+import org.curranthaven.internal.catalog.ServiceVersion;
 import org.curranthaven.internal.dispatch.BackendRegistry;
 import org.curranthaven.internal.dispatch.DispatchCore;
 import org.curranthaven.internal.dispatch.DispatchDecision;
@@ -75,6 +77,7 @@
   private final BooleanSupplier hasLease;
   private final Supplier<Collection<HostRecord>> gateways;
   private final BiConsumer<String, Envelope.Builder> sender;
+  private final VersionGate versionGate;
   private final Map<String, GatewayView> gatewayViews = new HashMap<>();
 
   /** Gateways that may place requests locally, and when their connections were lost. */
@@ -144,6 +147,7 @@
    *     learns of its lost leadership only some time after it runs again
    * @param gateways supplies the connected gateways
    * @param sender sends a message to the host with the given name, best effort
+   * @param versionLog replicates the software versions that backend servers serve with
    */
   Scheduler(
       EventLoop loop,
@@ -153,7 +157,8 @@
       long backendTimeoutMillis,
       BooleanSupplier hasLease,
       Supplier<Collection<HostRecord>> gateways,
-      BiConsumer<String, Envelope.Builder> sender) {
+      BiConsumer<String, Envelope.Builder> sender,
+      VersionLog versionLog) {
     this.loop = loop;
     this.clock = clock;
     this.random = random;
@@ -162,6 +167,7 @@
     this.hasLease = hasLease;
     this.gateways = gateways;
     this.sender = sender;
+    this.versionGate = new VersionGate(versionLog);
     this.core = newCore();
   }
 
@@ -175,24 +181,32 @@
 
   // ---- leadership -------------------------------------------------------------------------------
 
-  /** Starts scheduling in the given term, or stops scheduling if it is 0. */
-  void setTerm(long newTerm) {
+  /**
+   * Starts scheduling in the given term, or stops scheduling if it is 0.
+   *
+   * @param servedVersions software versions that earlier leaders have committed
+   */
+  void setTerm(long newTerm, Collection<ServiceVersion> servedVersions) {
     if (term > 0) {
       stopScheduling();
     }
     term = newTerm;
     if (term > 0) {
-      startScheduling();
+      startScheduling(servedVersions);
     }
+    versionGate.reset(servedVersions, clock.nowMillis());
   }
 
-  private void startScheduling() {
+  private void startScheduling(Collection<ServiceVersion> servedVersions) {
     Logger.info(
         "started scheduling in term {}, rebuilding state for at most {} ms",
         term,
         MAX_REBUILD_MILLIS);
     long nowMillis = clock.nowMillis();
     knowledge = SharedKnowledge.ofScheduler();
+    servedVersions.forEach(
+        served ->
+            knowledge.streamOrigins().recordServing(served.service(), served.version(), nowMillis));
     core = newCore();
     core.setCatalog(catalog);
     registry = new BackendRegistry();
@@ -284,12 +298,21 @@
     if (nowMillis - lastHeartbeatMillis >= HEARTBEAT_INTERVAL_MILLIS) {
       heartbeat(nowMillis);
       removeUnresponsiveBackends(nowMillis);
+      versionGate.removeOutdated(registeredVersions(), nowMillis);
     }
     core.tick(nowMillis);
     sendDecisions();
     completeAcknowledged();
   }
 
+  private Set<ServiceVersion> registeredVersions() {
+    return registry.all().stream().map(Scheduler::versionOf).collect(Collectors.toSet());
+  }
+
+  private static ServiceVersion versionOf(BackendRecord record) {
+    return new ServiceVersion(record.getService(), record.getSoftwareVersion());
+  }
+
   private void heartbeat(long nowMillis) {
     lastHeartbeatMillis = nowMillis;
     updateRateShare(nowMillis);
@@ -433,6 +456,9 @@
       BackendRecord changedBackend = registry.restore(record, nowMillis);
       if (changedBackend != null) {
         core.updateBackend(changedBackend, nowMillis);
+        // Gateways know only published servers, whose versions are committed, unless a host with
+        // older software published them.
+        versionGate.whenCommitted(versionOf(changedBackend), accepted -> {});
       }
     }
     status.getGoneList().forEach(id -> core.removeBackend(id, nowMillis));
@@ -611,7 +637,8 @@
 
   /**
    * Handles a registration. The callback runs once the registration may be acknowledged: for a
-   * leaving backend server, when every gateway has acknowledged the change, else at once.
+   * leaving backend server, when every gateway has acknowledged the change, else once its software
+   * version is committed.
    */
   void register(BackendRecord registration, Consumer<Boolean> callback) {
     if (term == 0) {
@@ -619,25 +646,36 @@
       return;
     }
     runAfterRebuild(
-        () -> {
-          long nowMillis = clock.nowMillis();
-          BackendRecord changed = registry.register(registration, nowMillis);
-          if (changed != null) {
-            Logger.info(
-                "backend server {} of service {} with software version \"{}\" {}",
-                changed.getId(),
-                changed.getService(),
-                changed.getSoftwareVersion(),
-                changed.getLeaving() ? "is leaving" : "registered");
-            core.updateBackend(changed, nowMillis);
-            pushBackendChange(List.of(changed), List.of());
-          }
-          if (registration.getLeaving()) {
-            notifyWhenAcknowledged(viewVersion, 0, callback);
-          } else {
-            callback.accept(true);
-          }
-        });
+        () ->
+            versionGate.whenCommitted(
+                versionOf(registration),
+                committed -> {
+                  if (committed) {
+                    applyRegistration(registration, callback);
+                  } else {
+                    callback.accept(false);
+                  }
+                }));
+  }
+
+  private void applyRegistration(BackendRecord registration, Consumer<Boolean> callback) {
+    long nowMillis = clock.nowMillis();
+    BackendRecord changed = registry.register(registration, nowMillis);
+    if (changed != null) {
+      Logger.info(
+          "backend server {} of service {} with software version \"{}\" {}",
+          changed.getId(),
+          changed.getService(),
+          changed.getSoftwareVersion(),
+          changed.getLeaving() ? "is leaving" : "registered");
+      core.updateBackend(changed, nowMillis);
+      pushBackendChange(List.of(changed), List.of());
+    }
+    if (registration.getLeaving()) {
+      notifyWhenAcknowledged(viewVersion, 0, callback);
+    } else {
+      callback.accept(true);
+    }
   }
 
   /**
--- a/src/test/java/org/curranthaven/internal/dispatch/VersionBindingTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/VersionBindingTest.java
@@ -12,6 +12,7 @@
 import org.curranthaven.internal.catalog.EngineCapabilities;
 import org.curranthaven.internal.catalog.RequestLimits;
 import org.curranthaven.internal.catalog.ServiceSpec;
+import org.curranthaven.internal.catalog.ServiceVersion;
 import org.curranthaven.internal.transport.wire.BackendRecord;
 import org.curranthaven.internal.transport.wire.DispatchOutcome;
 import org.curranthaven.internal.transport.wire.PlacementRequest;
@@ -285,7 +286,35 @@
       origins.recordOutput(request().setStream(stream).build(), "v1", nowMillis);
     }
 
-    assertThat(origins.versionOf(10)).isNull();
-    assertThat(origins.versionOf(11)).isEqualTo("v1");
+    assertThat(origins.originOf(10)).isNull();
+    assertThat(origins.originOf(11)).isEqualTo(new ServiceVersion(SERVICE, "v1"));
+  }
+
+  /** Guards against a stream that goes on at another service, after a change of its route. */
+  @Test
+  void a_stream_that_began_at_another_service_is_rejected() {
+    begin(7);
+    core.removeBackend("b1", nowMillis);
+    core.removeBackend("b2", nowMillis);
+
+    assertThat(rejectionOf(resumption(7).setService("other")))
+        .isEqualTo(RejectionReason.STREAM_ORIGIN_UNKNOWN);
+  }
+
+  /** Guards against a guess where a route distributes its requests among several services. */
+  @Test
+  void a_stream_of_unknown_origin_is_rejected_where_its_route_has_several_services() {
+    SharedKnowledge oneVersion = SharedKnowledge.ofScheduler();
+    DispatchCore single = newCore(oneVersion);
+    single.updateBackend(
+        BackendRecord.newBuilder().setId("a1").setService(SERVICE).setSlots(8).build(), nowMillis);
+
+    single.submit(
+        new RequestId("g", 1), resumption(99).setSeveralServices(true).build(), nowMillis);
+    single.submit(new RequestId("g", 2), resumption(99).build(), nowMillis);
+
+    List<DispatchDecision> decisions = single.drainDecisions();
+    assertThat(decisions.getFirst()).isInstanceOf(DispatchDecision.Reject.class);
+    assertThat(decisions.getLast()).isInstanceOf(DispatchDecision.Place.class);
   }
 }
--- a/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
@@ -599,6 +599,18 @@
     assertThat(resumption.rejectionReason).isEqualTo("STREAM_ORIGIN_UNKNOWN");
   }
 
+  /** Guards against a guess from what little a gateway knows that has just started. */
+  @Test
+  void a_gateway_without_a_complete_list_of_servers_does_not_guess_the_version_of_a_stream() {
+    link.handle("control-1", SchedulerView.newBuilder().setTerm(3).setGateways(1).build());
+    loseScheduler(100);
+
+    RecordingListener resumption = resumption(8, STREAM);
+    requestPlacement(resumption);
+
+    assertThat(resumption.rejectionReason).isEqualTo("STREAM_ORIGIN_UNKNOWN");
+  }
+
   @Test
   void a_gateway_that_was_cut_off_for_long_does_not_rely_on_the_one_version_that_it_knows() {
     publishVersions(Map.of("i-1", "v1"));
--- a/src/test/java/org/curranthaven/internal/scheduler/LeadershipTrackerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/LeadershipTrackerTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.curranthaven.api.Outcome;
+import org.curranthaven.internal.catalog.ServiceVersion;
 import org.curranthaven.internal.configuration.FleetCommand;
 import org.curranthaven.internal.configuration.FleetState;
 import org.curranthaven.internal.consensus.ConsensusLoop;
@@ -19,6 +20,7 @@
 import org.curranthaven.internal.settings.Json;
 import org.curranthaven.internal.supervision.Clock;
 import org.curranthaven.internal.transport.wire.HostRecord;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -39,6 +41,7 @@
     private final List<Long> revisions = new CopyOnWriteArrayList<>();
     private final CountDownLatch leading = new CountDownLatch(1);
     private final CountDownLatch complete = new CountDownLatch(1);
+    private volatile List<ServiceVersion> versions = List.of();
     private final ConsensusLoop loop;
     private final Thread thread;
 
@@ -78,8 +81,11 @@
     }
 
     @Override
-    public void leadershipChanged(long term) {
-      leading.countDown();
+    public void leadershipChanged(long term, @Nullable FleetState state) {
+      if (state != null) {
+        versions = state.servedVersions().all();
+        leading.countDown();
+      }
     }
 
     @Override
@@ -116,4 +122,28 @@
       assertThat(restarted.revisions).hasSizeLessThan(CATALOGS / 10).endsWith((long) CATALOGS);
     }
   }
+
+  /**
+   * Guards against a leader that does not know at which versions streams began before its restart.
+   */
+  @Test
+  void a_restarted_host_knows_the_versions_that_served_as_soon_as_it_leads()
+      throws InterruptedException {
+    DataFolder data = ((Outcome.Success<DataFolder>) DataFolder.open(folder)).value();
+    ServiceVersion version = new ServiceVersion("engines", "v2");
+    try (Host host = new Host(data)) {
+      assertThat(host.leading.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
+      CountDownLatch committed = new CountDownLatch(1);
+      host.loop.propose(
+          0,
+          Json.write(new FleetCommand.AddServedVersion(version)),
+          reply -> committed.countDown());
+      assertThat(committed.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
+    }
+    try (Host restarted = new Host(data)) {
+      assertThat(restarted.leading.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
+
+      assertThat(restarted.versions).containsExactly(version);
+    }
+  }
 }
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -4,11 +4,14 @@
 
 import com.google.protobuf.ByteString;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import org.curranthaven.internal.catalog.Catalog;
 import org.curranthaven.internal.catalog.RequestLimits;
+import org.curranthaven.internal.catalog.ServiceVersion;
 import org.curranthaven.internal.dispatch.RetryLimits;
 import org.curranthaven.internal.relay.ManualTime;
 import org.curranthaven.internal.transport.wire.BackendRecord;
@@ -37,6 +40,7 @@
   private final ManualTime time = new ManualTime();
   private final List<Map.Entry<String, Envelope>> sent = new ArrayList<>();
   private final List<HostRecord> gateways = new ArrayList<>(List.of(host("g1"), host("g2")));
+  private final RecordedVersionLog versionLog = new RecordedVersionLog();
   private boolean hasLease = true;
   private int sendFailures;
   private final Scheduler scheduler =
@@ -48,10 +52,34 @@
           6_000,
           () -> hasLease,
           this::connectedGateways,
-          this::send);
+          this::send,
+          versionLog);
 
   private int gatewayReads;
 
+  /** Log that commits versions at once, or when told. */
+  private static final class RecordedVersionLog implements VersionLog {
+    private final List<ServiceVersion> added = new ArrayList<>();
+    private final List<ServiceVersion> removed = new ArrayList<>();
+    private final List<Consumer<Boolean>> uncommitted = new ArrayList<>();
+    private boolean commitsAtOnce = true;
+
+    @Override
+    public void add(ServiceVersion version, Consumer<Boolean> callback) {
+      added.add(version);
+      if (commitsAtOnce) {
+        callback.accept(true);
+      } else {
+        uncommitted.add(callback);
+      }
+    }
+
+    @Override
+    public void remove(Collection<ServiceVersion> versions) {
+      removed.addAll(versions);
+    }
+  }
+
   private List<HostRecord> connectedGateways() {
     gatewayReads++;
     return gateways;
@@ -92,7 +120,7 @@
   }
 
   private void startLeading() {
-    scheduler.setTerm(5);
+    scheduler.setTerm(5, List.of());
     receiveStatus("g1", 0, 0, true);
     receiveStatus("g2", 0, 0, true);
     time.advance(AFTER_REBUILD_MILLIS);
@@ -160,7 +188,7 @@
 
   @Test
   void a_gateway_whose_status_was_lost_is_asked_for_it_and_then_receives_the_backend_servers() {
-    scheduler.setTerm(5);
+    scheduler.setTerm(5, List.of());
     receiveStatus("g1", 0, 0, true);
     time.advance(AFTER_REBUILD_MILLIS);
     scheduler.register(backend(1, false), new RecordedResult()::accept);
@@ -215,7 +243,7 @@
 
   @Test
   void a_new_leader_ends_its_rebuild_as_soon_as_every_gateway_has_reported_its_state() {
-    scheduler.setTerm(5);
+    scheduler.setTerm(5, List.of());
     receiveStatus("g1", 0, 0, true);
     RecordedResult result = new RecordedResult();
     scheduler.register(backend(1, false), result::accept);
@@ -229,7 +257,7 @@
 
   @Test
   void a_new_leader_places_nothing_on_slots_that_running_requests_occupy() {
-    scheduler.setTerm(5);
+    scheduler.setTerm(5, List.of());
     scheduler.handleStatus(
         host("g1"),
         GatewayStatus.newBuilder()
@@ -275,7 +303,7 @@
     RecordedResult result = new RecordedResult();
     scheduler.register(backend(2, true), result::accept);
 
-    scheduler.setTerm(0);
+    scheduler.setTerm(0, List.of());
 
     assertThat(result.value).isFalse();
     assertThat(sent.getLast().getValue().getSchedulerView().getResigned()).isTrue();
@@ -348,10 +376,10 @@
             .filter(list -> !list.isEmpty())
             .reduce((first, second) -> second)
             .orElseThrow();
-    scheduler.setTerm(0);
+    scheduler.setTerm(0, List.of());
     sent.clear();
 
-    scheduler.setTerm(5);
+    scheduler.setTerm(5, List.of());
     scheduler.handleStatus(
         host("g1"),
         GatewayStatus.newBuilder().setTerm(5).setFull(true).addAllCrashSuspects(known).build());
@@ -454,7 +482,7 @@
 
   @Test
   void the_next_scheduler_keeps_the_limits_that_the_gateways_know() {
-    scheduler.setTerm(5);
+    scheduler.setTerm(5, List.of());
     scheduler.handleStatus(
         host("g1"),
         GatewayStatus.newBuilder()
@@ -624,4 +652,88 @@
               assertThat(view.getBaseVersion()).isPositive();
             });
   }
+
+  // ---- software versions after the loss of all hosts --------------------------------------------
+
+  private static BackendRecord backend(String id, String version) {
+    return backend(1, false).toBuilder().setId(id).setSoftwareVersion(version).build();
+  }
+
+  private static PlacementRequest resumption(long id) {
+    return placementRequest(id).toBuilder().setResumes(true).setResumedStream(99).build();
+  }
+
+  private List<String> rejections() {
+    return sent.stream()
+        .flatMap(message -> message.getValue().getDispatchOrders().getRefusalsList().stream())
+        .map(Rejection::getReason)
+        .toList();
+  }
+
+  /**
+   * Guards against streams that are joined from two versions: after the loss of all hosts, nobody
+   * would know of a version whose servers have left, or are not back yet.
+   */
+  @Test
+  void a_leader_that_lost_all_else_knows_the_versions_that_served_before() {
+    scheduler.setTerm(
+        5, List.of(new ServiceVersion("plain", "v1"), new ServiceVersion("plain", "v2")));
+    receiveStatus("g1", 0, 0, true);
+    receiveStatus("g2", 0, 0, true);
+    time.advance(AFTER_REBUILD_MILLIS);
+    scheduler.register(backend("i-2", "v2"), new RecordedResult()::accept);
+
+    receiveRequests("g1", DispatchRequests.newBuilder().addAsks(resumption(1)));
+
+    assertThat(rejections()).containsExactly("STREAM_ORIGIN_UNKNOWN");
+    assertThat(placementsSent()).isZero();
+  }
+
+  /** Guards against a stream that begins at a version which the next leader cannot know. */
+  @Test
+  void a_server_is_not_published_before_its_version_is_committed() {
+    startLeading();
+    versionLog.commitsAtOnce = false;
+    RecordedResult result = new RecordedResult();
+    sent.clear();
+
+    scheduler.register(backend("i-1", "v1"), result::accept);
+    scheduler.register(backend("i-2", "v1"), new RecordedResult()::accept);
+    assertThat(viewsTo("g1")).allMatch(view -> view.getBackendsCount() == 0);
+    assertThat(result.value).isNull();
+    versionLog.uncommitted.getFirst().accept(true);
+
+    assertThat(versionLog.added).containsExactly(new ServiceVersion("plain", "v1"));
+    assertThat(viewsTo("g1")).extracting(SchedulerView::getBackendsCount).contains(1);
+    assertThat(result.value).isTrue();
+  }
+
+  @Test
+  void a_server_is_not_published_after_its_leader_lost_its_term_before_the_commit() {
+    startLeading();
+    versionLog.commitsAtOnce = false;
+    RecordedResult result = new RecordedResult();
+    scheduler.register(backend("i-1", "v1"), result::accept);
+
+    scheduler.setTerm(0, List.of());
+    versionLog.uncommitted.getFirst().accept(true);
+
+    assertThat(result.value).isFalse();
+    assertThat(viewsTo("g1")).allMatch(view -> view.getBackendsCount() == 0);
+  }
+
+  /** Guards against versions that stay in the log, so that no unknown stream goes on any more. */
+  @Test
+  void a_version_is_removed_once_none_of_its_streams_can_be_taken_up() {
+    scheduler.setTerm(5, List.of(new ServiceVersion("plain", "v1")));
+    receiveStatus("g1", 0, 0, true);
+    receiveStatus("g2", 0, 0, true);
+    time.advance(AFTER_REBUILD_MILLIS);
+
+    time.advance(119_000);
+    assertThat(versionLog.removed).isEmpty();
+    time.advance(2_000);
+
+    assertThat(versionLog.removed).containsExactly(new ServiceVersion("plain", "v1"));
+  }
 }
