A backend server may restart under its name; registrations that name none are rejected

Cause: a registration was known by id and ordered by its count, which starts anew when a backend server restarts under the same id, so that the new start was ignored until its count passed the old one. A registration with an unknown state counted as ready, and one with fields of another type was read with defaults. Change: the start time makes an id of its own for each start, the latest start supersedes earlier ones, a delayed registration of an earlier one changes nothing; all fields of a registration are required with their types.

--- a/src/main/java/org/curranthaven/internal/dispatch/BackendRegistry.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/BackendRegistry.java
@@ -11,8 +11,9 @@
 
 /**
  * Registered backend servers as the scheduler knows them, by id. For each id, updates are applied
- * in the order of their sequence numbers. An id that was removed cannot be registered again for
- * {@link #REMOVED_ID_RETENTION_MILLIS}. Not thread-safe.
+ * in the order of their sequence numbers; of several starts of one instance only the latest is
+ * registered. An id that was removed cannot be registered again for {@link
+ * #REMOVED_ID_RETENTION_MILLIS}. Not thread-safe.
  */
 public final class BackendRegistry {
   /** Time for which a removed id is remembered; longer than a delayed message takes to arrive. */
@@ -25,17 +26,23 @@
   /** Ids of backend servers that leave, and when one last registered or stated it. */
   private final Map<String, Long> leavingAtMillis = new HashMap<>();
 
+  /** Latest start of each instance, and when it was last heard of. */
+  private final Map<String, Incarnation> incarnations = new HashMap<>();
+
   private long lastFirstSeen;
 
+  private record Incarnation(long startedAtMillis, long heardAtMillis) {}
+
   /**
    * Applies a registration.
    *
    * @return the record to publish to gateways; null if nothing changed that they use
    */
   public @Nullable BackendRecord register(BackendRecord update, long nowMillis) {
-    if (removedAtMillis.containsKey(update.getId())) {
+    if (removedAtMillis.containsKey(update.getId()) || isSuperseded(update)) {
       return null;
     }
+    recordIncarnation(update, nowMillis);
     BackendRecord previous = records.get(update.getId());
     if (previous != null && update.getSequence() <= previous.getSequence()) {
       return null;
@@ -51,6 +58,42 @@
     return previous != null && isEquivalent(previous, current) ? null : current;
   }
 
+  private boolean isSuperseded(BackendRecord update) {
+    Incarnation latest = incarnations.get(update.getInstance());
+    return latest != null && update.getIncarnation() < latest.startedAtMillis();
+  }
+
+  private void recordIncarnation(BackendRecord update, long nowMillis) {
+    if (!update.getInstance().isEmpty()) {
+      incarnations.put(update.getInstance(), new Incarnation(update.getIncarnation(), nowMillis));
+    }
+  }
+
+  /**
+   * Returns the ids of earlier starts of the same instance that are still registered. They have
+   * ended, and hold nothing of what they held.
+   */
+  public List<String> earlierStarts(BackendRecord record) {
+    return record.getInstance().isEmpty()
+        ? List.of()
+        : startsOf(record.getInstance()).stream()
+            .filter(start -> start.getIncarnation() < record.getIncarnation())
+            .map(BackendRecord::getId)
+            .toList();
+  }
+
+  /**
+   * Returns the id to deregister for a name that a backend server may keep when it restarts: that
+   * of its registered start, or the name itself.
+   */
+  public String registeredId(String name) {
+    return startsOf(name).stream().map(BackendRecord::getId).findFirst().orElse(name);
+  }
+
+  private List<BackendRecord> startsOf(String instance) {
+    return records.values().stream().filter(known -> known.getInstance().equals(instance)).toList();
+  }
+
   /**
    * Records that a backend server has stated that it leaves; no later registration of the same id
    * takes that back.
@@ -118,6 +161,9 @@
     removedAtMillis
         .values()
         .removeIf(removedAt -> nowMillis - removedAt > REMOVED_ID_RETENTION_MILLIS);
+    incarnations
+        .values()
+        .removeIf(start -> nowMillis - start.heardAtMillis() > REMOVED_ID_RETENTION_MILLIS);
     return expired;
   }
 
--- a/src/main/java/org/curranthaven/internal/relay/ControlRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/ControlRequest.java
@@ -7,8 +7,12 @@
   /** A backend server registers, or renews its registration. */
   record Register(BackendRecord backend) implements ControlRequest {}
 
-  /** A backend server deregisters or is deregistered. */
-  record Deregister(String id) implements ControlRequest {}
+  /**
+   * A backend server deregisters or is deregistered.
+   *
+   * @param name id of the backend server, or the name that it keeps when it restarts
+   */
+  record Deregister(String name) implements ControlRequest {}
 
   /** An operator replaces the catalog. */
   @SuppressWarnings("ArrayRecordComponent")
--- a/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
@@ -267,7 +267,7 @@
       case ControlRequest.Deregister deregister ->
           leaderClient.send(
               LeaderClient.DEREGISTER,
-              ByteString.copyFromUtf8(deregister.id()),
+              ByteString.copyFromUtf8(deregister.name()),
               LeaderClient.REGISTRATION_TIMEOUT_MILLIS,
               callback);
       case ControlRequest.ReplaceCatalog replace -> replaceCatalog(replace, callback);
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -459,6 +459,7 @@
         // Gateways know only published servers, whose versions are committed, unless a host with
         // older software published them.
         versionGate.whenCommitted(versionOf(changedBackend), accepted -> {});
+        registry.earlierStarts(changedBackend).forEach(id -> removeBackend(id, nowMillis));
       }
     }
     status.getGoneList().forEach(id -> core.removeBackend(id, nowMillis));
@@ -669,7 +670,9 @@
           changed.getSoftwareVersion(),
           changed.getLeaving() ? "is leaving" : "registered");
       core.updateBackend(changed, nowMillis);
-      pushBackendChange(List.of(changed), List.of());
+      List<String> earlierStarts = registry.earlierStarts(changed);
+      earlierStarts.forEach(id -> removeBackend(id, nowMillis));
+      pushBackendChange(List.of(changed), earlierStarts);
     }
     if (registration.getLeaving()) {
       notifyWhenAcknowledged(viewVersion, 0, callback);
@@ -681,23 +684,31 @@
   /**
    * Deregisters a backend server. The callback runs once every gateway has acknowledged the change.
    */
-  void deregister(String id, Consumer<Boolean> callback) {
+  void deregister(String name, Consumer<Boolean> callback) {
     if (term == 0) {
       callback.accept(false);
       return;
     }
     runAfterRebuild(
         () -> {
-          long nowMillis = clock.nowMillis();
-          if (registry.remove(id, nowMillis)) {
+          String id = registry.registeredId(name);
+          if (removeBackend(id, clock.nowMillis())) {
             Logger.info("backend server {} deregistered", id);
-            core.removeBackend(id, nowMillis);
             pushBackendChange(List.of(), List.of(id));
           }
           notifyWhenAcknowledged(viewVersion, 0, callback);
         });
   }
 
+  /** Removes a backend server for good; returns whether it was registered. */
+  private boolean removeBackend(String id, long nowMillis) {
+    boolean registered = registry.remove(id, nowMillis);
+    if (registered) {
+      core.removeBackend(id, nowMillis);
+    }
+    return registered;
+  }
+
   private void pushBackendChange(List<BackendRecord> changed, List<String> removedIds) {
     pushChange(view -> view.addAllBackends(changed).addAllGone(removedIds));
   }
--- a/src/main/java/org/curranthaven/platform/BackendTranslation.java
+++ b/src/main/java/org/curranthaven/platform/BackendTranslation.java
@@ -65,7 +65,7 @@
     HttpHeaders headers = request.headers();
     headers.set(inbound.headers());
     headers.set(Headers.DEADLINE, backendRequest.deadlineLeftMillis());
-    headers.set(Headers.EXPECTED_BACKEND, backendRequest.backend().getId());
+    headers.set(Headers.EXPECTED_BACKEND, instanceName(backendRequest.backend()));
     if (!backendRequest.workspace().isEmpty()) {
       headers.set(Headers.WORKSPACE, backendRequest.workspace());
     }
@@ -89,6 +89,10 @@
     return request;
   }
 
+  private static String instanceName(BackendRecord backend) {
+    return backend.getInstance().isEmpty() ? backend.getId() : backend.getInstance();
+  }
+
   private static boolean usuallyHasNoBody(HttpMethod method) {
     return method.equals(HttpMethod.GET) || method.equals(HttpMethod.HEAD);
   }
--- a/src/main/java/org/curranthaven/platform/ControlTranslation.java
+++ b/src/main/java/org/curranthaven/platform/ControlTranslation.java
@@ -57,7 +57,7 @@
     }
     return switch (method) {
       case "PUT" -> registration(id, ByteBufUtil.getBytes(request.content()));
-      case "DELETE" -> new ControlRequest.Deregister(id);
+      case "DELETE" -> deregistration(id, ByteBufUtil.getBytes(request.content()));
       default -> notFound(method, path);
     };
   }
@@ -73,38 +73,95 @@
     return new ControlRequest.Invalid(NOT_FOUND, "no such control request: " + method + " " + path);
   }
 
-  private static ControlRequest registration(String id, byte[] body) {
+  private static ControlRequest registration(String name, byte[] body) {
     try {
       JsonNode node = JsonTrees.read(body);
-      String service = node == null ? "" : node.path("service").asText("");
-      String address = node == null ? "" : node.path("address").asText("");
-      JsonNode sequence = node == null ? null : node.get("seq");
-      if (node == null || service.isEmpty() || sequence == null || !sequence.isIntegralNumber()) {
-        return new ControlRequest.Invalid(
-            BAD_REQUEST,
-            "registration of backend server "
-                + id
-                + " rejected: it needs a non-empty 'service' and a whole number 'seq'");
+      if (node == null || !node.isObject()) {
+        throw new IllegalArgumentException("the body is not a JSON object");
       }
-      Addresses.parse(address);
-      return new ControlRequest.Register(
-          BackendRecord.newBuilder()
-              .setId(id)
-              .setService(service)
-              .setAddress(address)
-              // A zone of the platform is a data centre.
-              .setDataCentre(node.path("zone").asText(""))
-              .setSlots(Math.max(1, node.path("slots").asInt(1)))
-              .setLeaving(node.path("state").asText("").equals("draining"))
-              .setSequence(sequence.asLong())
-              // Time until the backend server has warmed up.
-              .setColdLeftMillis(Math.max(0, node.path("coldLeftMs").asLong(0)))
-              // Version of the software, not of the models.
-              .setSoftwareVersion(softwareVersion(node.path("version")))
-              .build());
+      return new ControlRequest.Register(record(name, node));
     } catch (IOException | IllegalArgumentException e) {
       return new ControlRequest.Invalid(
-          BAD_REQUEST, "registration of backend server " + id + " rejected: " + e.getMessage());
+          BAD_REQUEST, "registration of backend server " + name + " rejected: " + e.getMessage());
+    }
+  }
+
+  /**
+   * Decodes a registration. Others than backend servers may send some: one that lacks a field, or
+   * has one of another type, names no backend server that may be used.
+   */
+  private static BackendRecord record(String name, JsonNode node) {
+    String address = requiredText(node, "address");
+    Addresses.parse(address);
+    long slots = requiredWholeNumber(node, "slots");
+    if (slots < 1 || slots > Integer.MAX_VALUE) {
+      throw new IllegalArgumentException("'slots' is " + slots + "; it must be at least 1");
+    }
+    BackendRecord.Builder record =
+        BackendRecord.newBuilder()
+            .setService(requiredText(node, "service"))
+            .setAddress(address)
+            // A zone of the platform is a data centre.
+            .setDataCentre(requiredText(node, "zone"))
+            .setSlots((int) slots)
+            .setLeaving(isLeaving(requiredText(node, "state")))
+            .setSequence(requiredWholeNumber(node, "seq"))
+            // Time until the backend server has warmed up.
+            .setColdLeftMillis(Math.max(0, node.path("coldLeftMs").asLong(0)))
+            // Version of the software, not of the models.
+            .setSoftwareVersion(softwareVersion(node.path("version")));
+    if (node.has("born")) {
+      long startedAtMillis = requiredWholeNumber(node, "born");
+      record
+          .setId(incarnationId(name, startedAtMillis))
+          .setInstance(name)
+          .setIncarnation(startedAtMillis);
+    } else {
+      record.setId(name);
+    }
+    return record.build();
+  }
+
+  private static String incarnationId(String name, long startedAtMillis) {
+    return name + "@" + startedAtMillis;
+  }
+
+  private static boolean isLeaving(String state) {
+    return switch (state) {
+      case "ready" -> false;
+      case "draining" -> true;
+      default ->
+          throw new IllegalArgumentException(
+              "unknown state '" + state + "'; use ready or draining");
+    };
+  }
+
+  private static String requiredText(JsonNode node, String field) {
+    JsonNode text = node.get(field);
+    if (text == null || !text.isTextual() || text.textValue().isEmpty()) {
+      throw new IllegalArgumentException("'" + field + "' is missing, empty or not a string");
+    }
+    return text.textValue();
+  }
+
+  private static long requiredWholeNumber(JsonNode node, String field) {
+    JsonNode number = node.get(field);
+    if (number == null || !number.canConvertToLong() || !number.isIntegralNumber()) {
+      throw new IllegalArgumentException("'" + field + "' is missing or not a whole number");
+    }
+    return number.longValue();
+  }
+
+  /** Decodes a deregistration, whose body may state which start of the instance it is about. */
+  private static ControlRequest deregistration(String name, byte[] body) {
+    try {
+      JsonNode node = JsonTrees.read(body);
+      boolean statesStart = node != null && node.path("born").isIntegralNumber();
+      return new ControlRequest.Deregister(
+          statesStart ? incarnationId(name, node.path("born").longValue()) : name);
+    } catch (IOException e) {
+      return new ControlRequest.Invalid(
+          BAD_REQUEST, "deregistration of backend server " + name + " rejected: " + e.getMessage());
     }
   }
 }
--- a/src/test/java/org/curranthaven/internal/dispatch/BackendRegistryTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/BackendRegistryTest.java
@@ -85,4 +85,42 @@
 
     assertThat(registry.restore(record(5, true), 10)).matches(BackendRecord::getLeaving);
   }
+
+  private static BackendRecord start(long incarnation, long sequence) {
+    return record(sequence, false).toBuilder()
+        .setId("i-1@" + incarnation)
+        .setInstance("i-1")
+        .setIncarnation(incarnation)
+        .build();
+  }
+
+  /** Guards against a restarted server that is ignored until its count passes that of before. */
+  @Test
+  void a_server_that_restarts_under_its_name_is_registered_although_its_count_starts_anew() {
+    registry.register(start(100, 50), 0);
+
+    assertThat(registry.register(start(200, 1), 10)).isNotNull();
+    assertThat(registry.earlierStarts(start(200, 1))).containsExactly("i-1@100");
+  }
+
+  /** Guards against a delayed message that brings an ended server back. */
+  @Test
+  void a_delayed_registration_of_an_earlier_start_is_ignored() {
+    registry.register(start(200, 1), 0);
+
+    assertThat(registry.register(start(100, 51), 10)).isNull();
+    assertThat(registry.all()).extracting(BackendRecord::getId).containsExactly("i-1@200");
+  }
+
+  @Test
+  void a_server_that_leaves_for_good_does_not_keep_its_next_start_from_registering() {
+    registry.register(start(100, 1), 0);
+    registry.recordLeaving("i-1@100", 10);
+    assertThat(registry.registeredId("i-1")).isEqualTo("i-1@100");
+    registry.remove("i-1@100", 20);
+
+    assertThat(registry.register(start(200, 1), 30))
+        .isNotNull()
+        .satisfies(current -> assertThat(current.getLeaving()).isFalse());
+  }
 }
