Evacuation of a data centre: replicated orders, control interface, scheduler, gateways, command

Cause: an operator can not take a data centre out of use without deregistering each of its backend servers. Change: group 0 keeps the evacuated and the known data centres. The leader publishes them to the gateways and acknowledges an order once each connected gateway obeys it. No request is placed on or sent to a backend server of an evacuated data centre.

--- a/src/main/java/org/curranthaven/internal/cli/Main.java
+++ b/src/main/java/org/curranthaven/internal/cli/Main.java
@@ -108,6 +108,7 @@
         new ConfigurationItemCommand(Edit.Kind.WORKSPACE),
         new ConfigurationItemCommand(Edit.Kind.MODEL),
         new ConfigurationItemCommand(Edit.Kind.SERVICE),
+        new EvacuateCommand(),
         new ApplyCommand(),
         new AdminGetCommand("get", "print the active configuration", "/admin/v1/configuration", ""),
         new AdminGetCommand(
--- a/src/main/java/org/curranthaven/internal/configuration/FleetCommand.java
+++ b/src/main/java/org/curranthaven/internal/configuration/FleetCommand.java
@@ -17,6 +17,9 @@
   @JsonSubTypes.Type(
       value = FleetCommand.RemoveServedVersions.class,
       name = "removeServedVersions"),
+  @JsonSubTypes.Type(value = FleetCommand.Evacuate.class, name = "evacuate"),
+  @JsonSubTypes.Type(value = FleetCommand.EndEvacuation.class, name = "endEvacuation"),
+  @JsonSubTypes.Type(value = FleetCommand.AddDataCentre.class, name = "addDataCentre"),
 })
 public sealed interface FleetCommand {
   /** Changes the configuration. */
@@ -39,6 +42,15 @@
     }
   }
 
+  /** Orders that nothing more is sent to the backend servers of a data centre. */
+  record Evacuate(String dataCentre) implements FleetCommand {}
+
+  /** Withdraws the order to evacuate a data centre. */
+  record EndEvacuation(String dataCentre) implements FleetCommand {}
+
+  /** Records that a backend server of the data centre has registered. */
+  record AddDataCentre(String dataCentre) implements FleetCommand {}
+
   /** Acquires or renews the placement lease, or records a load of model weights. */
   record Placement(PlacementCommand placement) implements FleetCommand {}
 }
--- a/src/main/java/org/curranthaven/internal/configuration/FleetState.java
+++ b/src/main/java/org/curranthaven/internal/configuration/FleetState.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.ByteString;
 import org.curranthaven.api.Configuration;
 import org.curranthaven.internal.catalog.CatalogState;
+import org.curranthaven.internal.catalog.EvacuationState;
 import org.curranthaven.internal.catalog.ServedVersions;
 import org.curranthaven.internal.consensus.StateMachine;
 import org.curranthaven.internal.placement.PlacementState;
@@ -10,20 +11,22 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Replicated state of group 0: the configuration, the placement lease, the catalog and the software
- * versions that have served. Not thread-safe.
+ * Replicated state of group 0: the configuration, the placement lease, the catalog, the software
+ * versions that have served and the evacuated data centres. Not thread-safe.
  */
 public final class FleetState implements StateMachine {
   private final ConfigurationState configuration = new ConfigurationState();
   private final PlacementState placement = new PlacementState();
   private final CatalogState catalog = new CatalogState();
   private final ServedVersions servedVersions = new ServedVersions();
+  private final EvacuationState evacuation = new EvacuationState();
 
   private record Snapshot(
       ConfigurationState.Snapshot configuration,
       PlacementState.Snapshot placement,
       CatalogState.@Nullable Snapshot catalog,
-      ServedVersions.@Nullable Snapshot servedVersions) {}
+      ServedVersions.@Nullable Snapshot servedVersions,
+      EvacuationState.@Nullable Snapshot evacuation) {}
 
   /** Returns the latest committed configuration. */
   public Configuration current() {
@@ -45,6 +48,11 @@
     return servedVersions;
   }
 
+  /** Returns the orders to evacuate data centres. */
+  public EvacuationState evacuation() {
+    return evacuation;
+  }
+
   /** Returns the state of the placement lease. */
   public PlacementState placement() {
     return placement;
@@ -62,6 +70,9 @@
           case FleetCommand.AddServedVersion add -> servedVersions.add(add.version());
           case FleetCommand.RemoveServedVersions remove ->
               servedVersions.removeAll(remove.versions());
+          case FleetCommand.Evacuate order -> evacuation.evacuate(order.dataCentre());
+          case FleetCommand.EndEvacuation end -> evacuation.endEvacuation(end.dataCentre());
+          case FleetCommand.AddDataCentre add -> evacuation.recordKnown(add.dataCentre());
         };
     return Json.write(result);
   }
@@ -73,7 +84,8 @@
             configuration.snapshot(),
             placement.snapshot(),
             catalog.snapshot(),
-            servedVersions.snapshot()));
+            servedVersions.snapshot(),
+            evacuation.snapshot()));
   }
 
   @Override
@@ -87,5 +99,8 @@
     if (snapshot.servedVersions() != null) {
       servedVersions.restore(snapshot.servedVersions());
     }
+    if (snapshot.evacuation() != null) {
+      evacuation.restore(snapshot.evacuation());
+    }
   }
 }
--- a/src/main/java/org/curranthaven/internal/dispatch/Backends.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/Backends.java
@@ -30,6 +30,7 @@
   private final RestTimes restTimes;
   private final Set<String> servicesWithSeveralVersions = new HashSet<>();
   private Catalog catalog = Catalog.empty();
+  private Set<String> evacuated = Set.of();
 
   /**
    * Creates an empty set.
@@ -46,6 +47,34 @@
     catalog = newCatalog;
   }
 
+  /** Replaces the data centres whose backend servers take no new requests. */
+  void setEvacuated(Set<String> dataCentres) {
+    evacuated = Set.copyOf(dataCentres);
+  }
+
+  Set<String> evacuated() {
+    return evacuated;
+  }
+
+  /** Returns whether the backend server takes no new requests, by its state or data centre. */
+  boolean isClosed(BackendState state) {
+    return state.isLeaving() || isEvacuated(state);
+  }
+
+  private boolean isEvacuated(BackendState state) {
+    return !evacuated.isEmpty() && evacuated.contains(state.registration().getDataCentre());
+  }
+
+  /**
+   * Returns whether the service has backend servers that are not leaving, all of them in evacuated
+   * data centres.
+   */
+  boolean isEvacuated(String service) {
+    return !evacuated.isEmpty()
+        && notLeaving(service).findAny().isEmpty()
+        && byId.values().stream().anyMatch(state -> state.serves(service) && !state.isLeaving());
+  }
+
   /** Returns the capabilities of the service's engines; null for a plain or unknown service. */
   @Nullable EngineCapabilities engineOf(String service) {
     ServiceSpec spec = catalog.service(service);
@@ -86,9 +115,12 @@
     return byId.values();
   }
 
-  /** Returns the service's backend servers that have not crashed and are not leaving. */
+  /**
+   * Returns the service's backend servers that have not crashed, are not leaving and are in no
+   * evacuated data centre.
+   */
   Stream<BackendState> notLeaving(String service) {
-    return byId.values().stream().filter(state -> state.serves(service) && !state.isLeaving());
+    return byId.values().stream().filter(state -> state.serves(service) && !isClosed(state));
   }
 
   /** Returns those of them whose software version may run the request. */
@@ -215,7 +247,7 @@
   void recordFailure(BackendState backend, long nowMillis) {
     List<String> peers =
         byId.values().stream()
-            .filter(other -> other.serves(backend.service()))
+            .filter(other -> other.serves(backend.service()) && !isEvacuated(other))
             .map(BackendState::id)
             .toList();
     outlierEjector.recordFailure(backend.id(), peers, nowMillis);
--- a/src/main/java/org/curranthaven/internal/dispatch/BackupPlanner.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/BackupPlanner.java
@@ -48,12 +48,12 @@
     }
   }
 
-  /** Returns the share of memory in use over all engines of the service that are not leaving. */
+  /** Returns the share of memory in use over all engines of the service that take requests. */
   private double memoryUtilization(String service, EngineCapabilities engine) {
     double usedTokens = 0;
     double totalTokens = 0;
     for (BackendState backend : backends.all()) {
-      if (backend.serves(service) && !backend.isLeaving()) {
+      if (backend.serves(service) && !backends.isClosed(backend)) {
         usedTokens += backend.memoryTokens();
         totalTokens += engine.memoryTokens();
       }
@@ -73,7 +73,7 @@
   /** Returns whether the request can resume from its backup copy if its engine is lost. */
   boolean isProtected(RunningRequest running) {
     BackendState backupEngine = backends.get(running.backup);
-    return backupEngine != null && !backupEngine.isLeaving();
+    return backupEngine != null && !backends.isClosed(backupEngine);
   }
 
   void release(RunningRequest running) {
--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -168,6 +168,39 @@
     serveQueue(registration.getService(), nowMillis);
   }
 
+  /**
+   * Replaces the data centres whose backend servers receive nothing new; requests that run there
+   * continue. Rejects the queued requests that only such backend servers could serve.
+   */
+  public void setEvacuated(Set<String> dataCentres, long nowMillis) {
+    List<String> ended =
+        backends.evacuated().stream().filter(name -> !dataCentres.contains(name)).toList();
+    backends.setEvacuated(dataCentres);
+    ended.forEach(dataCentre -> evacuationEnded(dataCentre, nowMillis));
+    queue.services().forEach(service -> serveQueueAfterEvacuation(service, nowMillis));
+  }
+
+  private void serveQueueAfterEvacuation(String service, long nowMillis) {
+    if (!backends.isEvacuated(service)) {
+      serveQueue(service, nowMillis);
+      return;
+    }
+    for (QueuedRequest queued : List.copyOf(queue.requestsOf(service))) {
+      queue.remove(queued.id());
+      rejectEvacuated(queued.id());
+    }
+  }
+
+  private void rejectEvacuated(RequestId requestId) {
+    reject(requestId, forecast.retryAfterMillis(Double.MAX_VALUE), RejectionReason.NO_BACKEND);
+  }
+
+  /**
+   * Handles the end of an evacuation: the backend servers of the data centre may have become cold
+   * meanwhile. Called by {@link #setEvacuated} before a request is placed there.
+   */
+  public void evacuationEnded(String dataCentre, long nowMillis) {}
+
   /** Records that a backend server accepts no new requests; those running on it may continue. */
   public void removeBackend(String id, long nowMillis) {
     BackendState backend = backends.get(id);
@@ -332,6 +365,10 @@
       reject(requestId, QueueTimeForecast.MIN_RETRY_AFTER_MILLIS, RejectionReason.ALL_TRIED);
       return;
     }
+    if (!mayWait && backends.isEvacuated(request.getService())) {
+      rejectEvacuated(requestId);
+      return;
+    }
     double expectedMillis =
         hasBackend
             ? expectedQueueMillis(request, result, nowMillis)
--- a/src/main/java/org/curranthaven/internal/observe/RoutedMetrics.java
+++ b/src/main/java/org/curranthaven/internal/observe/RoutedMetrics.java
@@ -2,10 +2,13 @@
 
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MultiGauge;
+import io.micrometer.core.instrument.Tags;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.time.Duration;
+import java.util.Collection;
 import java.util.function.Supplier;
 import org.curranthaven.api.ResultCode;
 
@@ -14,6 +17,9 @@
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 
+  private final MultiGauge evacuated =
+      MultiGauge.builder("curranthaven_evacuated_data_centre").register(registry);
+
   /** Records the time from the arrival of a request to the first part of its response. */
   public void recordFirstReply(String route, long millis) {
     Timer.builder("curranthaven_routed_first_reply")
@@ -37,6 +43,15 @@
     Gauge.builder(name, value).strongReference(true).register(registry);
   }
 
+  /** Replaces the data centres that are shown as evacuated, each by a gauge with the value 1. */
+  public void showEvacuated(Collection<String> dataCentres) {
+    evacuated.register(
+        dataCentres.stream()
+            .map(name -> MultiGauge.Row.of(Tags.of("data_centre", name), 1))
+            .toList(),
+        true);
+  }
+
   /** Returns all metrics in the Prometheus text format. */
   public String page() {
     return registry.scrape();
--- a/src/main/java/org/curranthaven/internal/relay/Attempt.java
+++ b/src/main/java/org/curranthaven/internal/relay/Attempt.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.io.ByteArrayOutputStream;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import org.curranthaven.internal.transport.wire.BackendRecord;
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
@@ -61,7 +62,18 @@
     return sent;
   }
 
-  void start(BackendPool pool, FullHttpRequest request, String newRequestId, long maxIdleMillis) {
+  /**
+   * Sends the request over an idle or new connection.
+   *
+   * @param mayBeSent whether the backend server may still receive the request; asked when there is
+   *     a connection, which may take some time to open
+   */
+  void start(
+      BackendPool pool,
+      FullHttpRequest request,
+      String newRequestId,
+      long maxIdleMillis,
+      BooleanSupplier mayBeSent) {
     requestId = newRequestId;
     startedAtMillis = pool.nowMillis();
     pool.acquire(
@@ -81,6 +93,12 @@
                         + backend.getId()
                         + " at "
                         + backend.getAddress()));
+          } else if (!mayBeSent.getAsBoolean()) {
+            request.release();
+            acquired.close();
+            end(
+                new AttemptResult.Unreachable(
+                    "the data centre of backend server " + backend.getId() + " is evacuated"));
           } else {
             connection = acquired;
             sent = true;
--- a/src/main/java/org/curranthaven/internal/relay/ControlRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/ControlRequest.java
@@ -17,6 +17,12 @@
   /** An operator reads the active catalog. */
   record ReadCatalog() implements ControlRequest {}
 
+  /** An operator orders the evacuation of a data centre. */
+  record Evacuate(String dataCentre) implements ControlRequest {}
+
+  /** An operator withdraws the order to evacuate a data centre. */
+  record EndEvacuation(String dataCentre) implements ControlRequest {}
+
   /** The request is invalid; the status and message form the response. */
   record Invalid(int status, String message) implements ControlRequest {}
 }
--- a/src/main/java/org/curranthaven/internal/relay/Gateway.java
+++ b/src/main/java/org/curranthaven/internal/relay/Gateway.java
@@ -216,6 +216,13 @@
       pool.retain(backends.stream().map(BackendRecord::getAddress).collect(Collectors.toSet()));
       runDeferredActions();
     }
+
+    @Override
+    public void evacuationChanged(Collection<String> dataCentres) {
+      if (metrics != null) {
+        metrics.showEvacuated(dataCentres);
+      }
+    }
   }
 
   private void activateCatalog(Catalog newCatalog) {
@@ -377,6 +384,8 @@
    * @param blockedRequests fingerprints of requests on which backend servers crashed, so that they
    *     are rejected
    * @param statedRateLimits requests a second that backend servers accept, by those that state it
+   * @param evacuatedDataCentres data centres to whose backend servers nothing is sent
+   * @param evacuationRevision number of changes to these
    */
   public record Dump(
       String name,
@@ -390,6 +399,8 @@
       List<String> blockedPromptParts,
       List<String> blockedRequests,
       SortedMap<String, Double> statedRateLimits,
+      List<String> evacuatedDataCentres,
+      long evacuationRevision,
       List<String> hosts) {}
 
   /** Returns the state of the gateway, read on its event loop. */
@@ -408,6 +419,8 @@
                 link.blockedPromptParts(),
                 link.blockedRequests(),
                 link.statedRateLimits(),
+                link.evacuatedDataCentres(),
+                link.evacuationRevision(),
                 connectedHosts()));
   }
 
--- a/src/main/java/org/curranthaven/internal/relay/MigrationCoordinator.java
+++ b/src/main/java/org/curranthaven/internal/relay/MigrationCoordinator.java
@@ -173,7 +173,7 @@
    */
   void resumeStalled(Attempt stalled, String backup) {
     BackendRecord backupBackend = context.backend(backup);
-    if (backupBackend == null || isMigrating()) {
+    if (backupBackend == null || context.placer().isEvacuated(backupBackend) || isMigrating()) {
       return;
     }
     Logger.info(
@@ -215,7 +215,7 @@
    */
   private void resumeFromBackup(Attempt interruptedAttempt, String backup) {
     BackendRecord backupBackend = context.backend(backup);
-    if (backupBackend == null) {
+    if (backupBackend == null || context.placer().isEvacuated(backupBackend)) {
       owner.onStateLost(
           "the request was interrupted at backend server "
               + interruptedAttempt.backend().getId()
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/relay/OperatorCall.java
@@ -0,0 +1,9 @@
+package org.curranthaven.internal.relay;
+
+/**
+ * An operator's HTTP request without a body to the control interface.
+ *
+ * @param method HTTP method
+ * @param path encoded path
+ */
+public record OperatorCall(String method, String path) {}
--- a/src/main/java/org/curranthaven/internal/relay/RequestPlacer.java
+++ b/src/main/java/org/curranthaven/internal/relay/RequestPlacer.java
@@ -1,6 +1,7 @@
 package org.curranthaven.internal.relay;
 
 import org.curranthaven.internal.dispatch.BackendStatements;
+import org.curranthaven.internal.transport.wire.BackendRecord;
 import org.curranthaven.internal.transport.wire.DispatchOutcome;
 import org.curranthaven.internal.transport.wire.PlacementRequest;
 import org.jspecify.annotations.Nullable;
@@ -68,9 +69,17 @@
   void reportStatements(
       long id, String backend, BackendStatements stated, long attemptStartedAtMillis);
 
-  /** Returns whether the backend server has stated to this gateway that it takes no requests. */
+  /**
+   * Returns whether the backend server has stated to this gateway that it takes no requests, or is
+   * in an evacuated data centre.
+   */
   boolean isRefusing(String backend);
 
+  /**
+   * Returns whether nothing may be sent to the backend server since its data centre is evacuated.
+   */
+  boolean isEvacuated(BackendRecord backend);
+
   /**
    * Returns how long the request is blocked because backend servers crash on it or on a part of its
    * prompt; 0 if it is not.
--- a/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
@@ -268,7 +268,8 @@
         context.pool(),
         context.protocol().backendRequest(backendRequest),
         request.id(),
-        route.isRepeatable() ? Long.MAX_VALUE : UNREPEATABLE_MAX_IDLE_MILLIS);
+        route.isRepeatable() ? Long.MAX_VALUE : UNREPEATABLE_MAX_IDLE_MILLIS,
+        () -> !context.placer().isEvacuated(target));
     progress.recordSent(context.clock().nowMillis());
     watchResponse(newAttempt);
   }
@@ -614,6 +615,7 @@
         || running == null
         || running.hasEnded()
         || target == null
+        || context.placer().isEvacuated(target)
         || migration.isMigrating()) {
       if (!finished && placed) {
         onMigrationFailed();
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -104,6 +104,8 @@
   /** Ids of placement requests that the scheduler has neither decided nor reported as queued. */
   private final Set<Long> unacknowledged = new HashSet<>();
 
+  private final EvacuatedDataCentres evacuated = new EvacuatedDataCentres();
+
   private String scheduler = "";
   private long term;
   private long viewVersion;
@@ -130,6 +132,9 @@
 
     /** Handles a change of the known backend servers. */
     void backendsChanged(Collection<BackendRecord> backends);
+
+    /** Handles a change of the evacuated data centres. */
+    default void evacuationChanged(Collection<String> dataCentres) {}
   }
 
   SchedulerLink(
@@ -175,6 +180,16 @@
     return knowledge.rateLimits().stated();
   }
 
+  /** Returns the evacuated data centres, sorted. */
+  List<String> evacuatedDataCentres() {
+    return List.copyOf(evacuated.names());
+  }
+
+  /** Returns the revision of the evacuated data centres. */
+  long evacuationRevision() {
+    return evacuated.revision();
+  }
+
   /** Returns whether a scheduler's view has been received at least once. */
   boolean hasReceivedView() {
     return viewReceived;
@@ -212,6 +227,9 @@
     if (schedulerChanged) {
       viewVersion = 0;
     }
+    if (view.hasEvacuation() && evacuated.update(view.getEvacuation())) {
+      listener.evacuationChanged(evacuated.names());
+    }
     if (!view.getCatalog().isEmpty()) {
       listener.catalogReceived(view.getCatalog().toByteArray());
     }
@@ -226,7 +244,7 @@
     }
     if (schedulerChanged || reconnected || isFullStatusDue(view)) {
       followScheduler();
-    } else if (updated || !view.getCatalog().isEmpty()) {
+    } else if (updated || !view.getCatalog().isEmpty() || view.hasEvacuation()) {
       sendStatus(false);
     }
   }
@@ -335,6 +353,7 @@
             .setTerm(term)
             .setVersion(viewVersion)
             .setCatalogRevision(catalog.revision())
+            .setEvacuationRevision(evacuated.revision())
             .setFull(full);
     if (full) {
       statusNumber++;
@@ -478,8 +497,15 @@
 
   @Override
   public boolean isRefusing(String backend) {
+    BackendRecord record = backends.get(backend);
     return leavingBackends.contains(backend)
-        || knowledge.restTimes().isResting(self, backend, clock.nowMillis());
+        || knowledge.restTimes().isResting(self, backend, clock.nowMillis())
+        || (record != null && isEvacuated(record));
+  }
+
+  @Override
+  public boolean isEvacuated(BackendRecord backend) {
+    return evacuated.contains(backend);
   }
 
   private void handleStatedRest(long id, String backend, long restMillis) {
@@ -749,6 +775,7 @@
     localDispatch = core;
     knowledge.rateLimits().setShare(1.0 / mostGateways);
     core.setCatalog(catalog);
+    core.setEvacuated(evacuated.names(), nowMillis);
     backends.values().forEach(record -> core.updateBackend(record, nowMillis));
     List<PlacementRequest> queued = new ArrayList<>();
     openRequests.forEach(
--- a/src/main/java/org/curranthaven/internal/relay/StateTransfer.java
+++ b/src/main/java/org/curranthaven/internal/relay/StateTransfer.java
@@ -193,6 +193,11 @@
       finishFailed(sourceStateAfterFailure(response));
       return;
     }
+    if (context.placer().isEvacuated(target)) {
+      // Ordered since the transfer began; the request continues where it is.
+      finishFailed(SourceState.RUNNING);
+      return;
+    }
     stopping = true;
     stopRequestedAtMillis = context.clock().nowMillis();
     requestCopy(true, this::onFinalCopy);
--- a/src/main/java/org/curranthaven/internal/relay/WireProtocol.java
+++ b/src/main/java/org/curranthaven/internal/relay/WireProtocol.java
@@ -48,4 +48,11 @@
 
   /** Decodes a request of a backend server or an operator to the control interface. */
   ControlRequest readControlRequest(FullHttpRequest request);
+
+  /**
+   * Encodes an operator's order to evacuate a data centre.
+   *
+   * @param ends whether the order is withdrawn instead
+   */
+  OperatorCall evacuationCall(String dataCentre, boolean ends);
 }
--- a/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
@@ -15,6 +15,7 @@
 import java.util.random.RandomGenerator;
 import org.curranthaven.api.Outcome;
 import org.curranthaven.internal.catalog.Catalog;
+import org.curranthaven.internal.catalog.EvacuationState;
 import org.curranthaven.internal.catalog.ServiceVersion;
 import org.curranthaven.internal.configuration.FleetCommand;
 import org.curranthaven.internal.configuration.FleetState;
@@ -76,6 +77,7 @@
   private final ConsensusLoop consensus;
   private final LeadershipTracker leadership;
   private final Scheduler scheduler;
+  private final EvacuationHandler evacuationHandler;
   private final LeaderClient leaderClient;
   private final ControlServer controlServer;
   private final long incarnation;
@@ -121,7 +123,10 @@
             () -> leadership.hasLease(clock.nowMillis()),
             this::connectedGateways,
             network::send,
-            new ReplicatedVersionLog());
+            new ReplicatedVersionLog(),
+            this::addDataCentre);
+    this.evacuationHandler =
+        new EvacuationHandler(scheduler, leadership::canAcceptCatalogs, this::commitEvacuation);
     this.leaderClient = new LeaderClient(eventLoop, clock, network, leadership::leaderHost);
     this.controlServer = new ControlServer(eventLoopGroup, protocol, this::handleControlRequest);
   }
@@ -216,7 +221,13 @@
     @Override
     public void leadershipChanged(long term, @Nullable FleetState state) {
       List<ServiceVersion> versions = state == null ? List.of() : state.servedVersions().all();
-      eventLoop.execute(() -> scheduler.setTerm(term, versions));
+      EvacuationState.Snapshot evacuation =
+          state == null ? EvacuationState.Snapshot.EMPTY : state.evacuation().snapshot();
+      eventLoop.execute(
+          () -> {
+            scheduler.setEvacuation(evacuation);
+            scheduler.setTerm(term, versions);
+          });
     }
 
     @Override
@@ -250,6 +261,25 @@
     }
   }
 
+  private void addDataCentre(String dataCentre, Consumer<Boolean> callback) {
+    consensus.propose(
+        CONTROL_GROUP_ID,
+        Json.write(new FleetCommand.AddDataCentre(dataCentre)),
+        reply -> eventLoop.execute(() -> callback.accept(isApplied(reply))));
+  }
+
+  private void commitEvacuation(
+      ByteString order, Consumer<EvacuationState.@Nullable Result> callback) {
+    consensus.propose(
+        CONTROL_GROUP_ID,
+        order,
+        reply -> {
+          EvacuationState.Result result =
+              isApplied(reply) ? Json.read(reply.getResult(), EvacuationState.Result.class) : null;
+          eventLoop.execute(() -> callback.accept(result));
+        });
+  }
+
   private static boolean isApplied(CommandReply reply) {
     return reply.getStatus() == CommandStatus.COMMAND_STATUS_APPLIED;
   }
@@ -277,11 +307,20 @@
               ByteString.EMPTY,
               LeaderClient.READ_TIMEOUT_MILLIS,
               callback);
+      case ControlRequest.Evacuate order ->
+          sendEvacuation(new FleetCommand.Evacuate(order.dataCentre()), callback);
+      case ControlRequest.EndEvacuation end ->
+          sendEvacuation(new FleetCommand.EndEvacuation(end.dataCentre()), callback);
       case ControlRequest.Invalid invalid ->
           callback.accept(ControlResponse.error(invalid.status(), invalid.message()));
     }
   }
 
+  private void sendEvacuation(FleetCommand order, Consumer<ControlResponse> callback) {
+    leaderClient.send(
+        LeaderClient.EVACUATE, Json.write(order), LeaderClient.EVACUATION_TIMEOUT_MILLIS, callback);
+  }
+
   private void replaceCatalog(
       ControlRequest.ReplaceCatalog replace, Consumer<ControlResponse> callback) {
     switch (protocol.catalogs().decode(replace.document())) {
@@ -319,6 +358,7 @@
       case LeaderClient.DEREGISTER -> scheduler.deregister(request.getJson().toStringUtf8(), done);
       case LeaderClient.REPLACE_CATALOG -> replaceCatalogAsLeader(request.getJson(), done);
       case LeaderClient.READ_CATALOG -> readCatalogAsLeader(reply);
+      case LeaderClient.EVACUATE -> evacuationHandler.handle(request.getJson(), reply);
       default -> reply.accept(AdminReply.newBuilder().setStatus(LeaderClient.UNKNOWN_PATH));
     }
   }
--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/scheduler/EvacuationHandler.java
@@ -0,0 +1,94 @@
+package org.curranthaven.internal.scheduler;
+
+import com.google.protobuf.ByteString;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.curranthaven.internal.catalog.EvacuationState;
+import org.curranthaven.internal.configuration.FleetCommand;
+import org.curranthaven.internal.settings.Json;
+import org.curranthaven.internal.transport.wire.AdminReply;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Carries out, on the leader, orders to evacuate a data centre and their withdrawals: commits them,
+ * and replies once they are in force. Safe to repeat. Confined to the event loop.
+ */
+final class EvacuationHandler {
+  private final Scheduler scheduler;
+  private final BooleanSupplier canAccept;
+  private final Log log;
+
+  /** Replicates orders. */
+  interface Log {
+    /**
+     * Commits an order. The callback runs on the event loop, with the result of the order; null if
+     * it may not have been committed.
+     */
+    void commit(ByteString order, Consumer<EvacuationState.@Nullable Result> callback);
+  }
+
+  /**
+   * Creates a handler.
+   *
+   * @param canAccept whether this host leads with enough voters to survive the tolerated losses
+   */
+  EvacuationHandler(Scheduler scheduler, BooleanSupplier canAccept, Log log) {
+    this.scheduler = scheduler;
+    this.canAccept = canAccept;
+    this.log = log;
+  }
+
+  /** Handles an order that is encoded as a {@link FleetCommand}. */
+  void handle(ByteString order, Consumer<AdminReply.Builder> reply) {
+    if (!canAccept.getAsBoolean()) {
+      reply.accept(statusOnly(LeaderClient.NOT_LEADER));
+      return;
+    }
+    log.commit(
+        order,
+        result -> {
+          if (result == null) {
+            reply.accept(statusOnly(LeaderClient.NOT_LEADER));
+          } else if (result.accepted()) {
+            enforce(result.state(), reply);
+          } else {
+            reply.accept(unknownDataCentre(order, result.state()));
+          }
+        });
+  }
+
+  private void enforce(EvacuationState.Snapshot committed, Consumer<AdminReply.Builder> reply) {
+    scheduler.setEvacuation(committed);
+    scheduler.notifyWhenEvacuated(
+        committed.revision(),
+        inForce -> {
+          boolean acknowledged = inForce && canAccept.getAsBoolean();
+          reply.accept(statusOnly(acknowledged ? LeaderClient.OK : LeaderClient.NOT_LEADER));
+        });
+  }
+
+  private static AdminReply.Builder statusOnly(int status) {
+    return AdminReply.newBuilder().setStatus(status);
+  }
+
+  private static AdminReply.Builder unknownDataCentre(
+      ByteString order, EvacuationState.Snapshot state) {
+    String message =
+        "data centre '"
+            + dataCentreOf(order)
+            + "' is unknown: no backend server has registered from it; the known data centres are "
+            + String.join(", ", state.known())
+            + "; send the order again with one of them";
+    return statusOnly(LeaderClient.UNPROCESSABLE)
+        .setJson(
+            ByteString.copyFrom(ControlResponse.error(LeaderClient.UNPROCESSABLE, message).body()));
+  }
+
+  private static String dataCentreOf(ByteString order) {
+    return switch (Json.read(order, FleetCommand.class)) {
+      case FleetCommand.Evacuate evacuate -> evacuate.dataCentre();
+      case FleetCommand.EndEvacuation end -> end.dataCentre();
+      default -> "";
+    };
+  }
+}
--- a/src/main/java/org/curranthaven/internal/scheduler/LeaderClient.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/LeaderClient.java
@@ -23,10 +23,12 @@
   static final String DEREGISTER = "withdraw";
   static final String REPLACE_CATALOG = "replace-catalog";
   static final String READ_CATALOG = "read-catalog";
+  static final String EVACUATE = "evacuate";
 
   static final int OK = 200;
   static final int NOT_LEADER = 421;
   static final int UNKNOWN_PATH = 404;
+  static final int UNPROCESSABLE = 422;
 
   /**
    * Timeout of a registration or deregistration: backend servers switch to another host after one
@@ -37,6 +39,12 @@
   static final long READ_TIMEOUT_MILLIS = 900;
   static final long CHANGE_TIMEOUT_MILLIS = 3_000;
 
+  /**
+   * Timeout of an order to evacuate a data centre, or of its withdrawal: operators send it to
+   * another host after one second, for five seconds in all.
+   */
+  static final long EVACUATION_TIMEOUT_MILLIS = 900;
+
   private static final long RETRY_DELAY_MILLIS = 60;
   private static final long ATTEMPT_TIMEOUT_MILLIS = 700;
 
@@ -134,6 +142,9 @@
               reply.getJson().isEmpty()
                   ? emptyResponse(pending.path)
                   : new ControlResponse(OK, reply.getJson().toByteArray()));
+      case UNPROCESSABLE ->
+          pending.callback.accept(
+              new ControlResponse(UNPROCESSABLE, reply.getJson().toByteArray()));
       default ->
           loop.schedule(() -> sendAttempt(pending), RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
     }
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -17,6 +17,7 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.curranthaven.internal.catalog.Catalog;
+import org.curranthaven.internal.catalog.EvacuationState;
 import org.curranthaven.internal.catalog.ServiceVersion;
 import org.curranthaven.internal.dispatch.BackendRegistry;
 import org.curranthaven.internal.dispatch.DispatchCore;
@@ -78,6 +79,7 @@
   private final Supplier<Collection<HostRecord>> gateways;
   private final BiConsumer<String, Envelope.Builder> sender;
   private final VersionGate versionGate;
+  private final EvacuationOrders evacuation;
   private final Map<String, GatewayView> gatewayViews = new HashMap<>();
 
   /** Gateways that may place requests locally, and when their connections were lost. */
@@ -101,6 +103,7 @@
   private static final class GatewayView {
     long version;
     long catalogRevision;
+    long evacuationRevision;
     boolean hasReportedState;
     long incarnation;
     long crashEvidenceVersion;
@@ -135,10 +138,11 @@
 
   /**
    * A callback to run once every connected gateway has acknowledged the view version and activated
-   * the catalog revision; 0 stands for no requirement.
+   * the catalog revision and obeys the revision of the evacuated data centres; 0 stands for no
+   * requirement.
    */
   private record PendingAcknowledgement(
-      long version, long catalogRevision, Consumer<Boolean> callback) {}
+      long version, long catalogRevision, long evacuationRevision, Consumer<Boolean> callback) {}
 
   /**
    * Creates a scheduler, which {@link #setTerm} starts.
@@ -148,6 +152,7 @@
    * @param gateways supplies the connected gateways
    * @param sender sends a message to the host with the given name, best effort
    * @param versionLog replicates the software versions that backend servers serve with
+   * @param dataCentreLog replicates the data centres that backend servers register from
    */
   Scheduler(
       EventLoop loop,
@@ -158,7 +163,8 @@
       BooleanSupplier hasLease,
       Supplier<Collection<HostRecord>> gateways,
       BiConsumer<String, Envelope.Builder> sender,
-      VersionLog versionLog) {
+      VersionLog versionLog,
+      DataCentreLog dataCentreLog) {
     this.loop = loop;
     this.clock = clock;
     this.random = random;
@@ -168,6 +174,7 @@
     this.gateways = gateways;
     this.sender = sender;
     this.versionGate = new VersionGate(versionLog);
+    this.evacuation = new EvacuationOrders(dataCentreLog);
     this.core = newCore();
   }
 
@@ -209,6 +216,8 @@
             knowledge.streamOrigins().recordServing(served.service(), served.version(), nowMillis));
     core = newCore();
     core.setCatalog(catalog);
+    core.setEvacuated(evacuation.dataCentres(), nowMillis);
+    evacuation.forgetUncommitted();
     registry = new BackendRegistry();
     gatewayViews.clear();
     lostGateways.clear();
@@ -218,6 +227,9 @@
     loop.schedule(this::endRebuildIfComplete, MIN_REBUILD_MILLIS, TimeUnit.MILLISECONDS);
     loop.schedule(this::endRebuildIfComplete, MAX_REBUILD_MILLIS, TimeUnit.MILLISECONDS);
     heartbeat(nowMillis);
+    if (evacuation.revision() > 0) {
+      logWhenInForce();
+    }
     if (!tickScheduled) {
       tickScheduled = true;
       tick();
@@ -376,6 +388,7 @@
             .setCatalogRevision(catalog.revision())
             .setGateways(Math.max(1, gatewayCount))
             .setFullStatusRequested(!view.hasReportedState);
+    evacuation.addTo(builder, view.evacuationRevision);
     if (view.needsCatalog(catalog.revision(), clock.nowMillis())) {
       builder.setCatalog(catalogDocument);
       view.sentCatalogRevision = catalog.revision();
@@ -436,6 +449,7 @@
     GatewayView view = viewOf(from);
     view.version = status.getVersion();
     view.catalogRevision = Math.max(view.catalogRevision, status.getCatalogRevision());
+    view.evacuationRevision = Math.max(view.evacuationRevision, status.getEvacuationRevision());
     if (status.getFull()) {
       view.statusNumber = status.getNumber();
       view.rateLimitsVersion = 0;
@@ -459,6 +473,7 @@
         // Gateways know only published servers, whose versions are committed, unless a host with
         // older software published them.
         versionGate.whenCommitted(versionOf(changedBackend), accepted -> {});
+        evacuation.recordKnown(changedBackend.getDataCentre());
       }
     }
     status.getGoneList().forEach(id -> core.removeBackend(id, nowMillis));
@@ -660,6 +675,7 @@
 
   private void applyRegistration(BackendRecord registration, Consumer<Boolean> callback) {
     long nowMillis = clock.nowMillis();
+    evacuation.recordKnown(registration.getDataCentre());
     BackendRecord changed = registry.register(registration, nowMillis);
     if (changed != null) {
       Logger.info(
@@ -743,10 +759,52 @@
     }
   }
 
+  // ---- evacuation -------------------------------------------------------------------------------
+
+  /**
+   * Takes over a committed state of the evacuated data centres, also before this host leads, and
+   * publishes it to the gateways.
+   */
+  void setEvacuation(EvacuationState.Snapshot committed) {
+    if (!evacuation.update(committed) || term == 0) {
+      return;
+    }
+    core.setEvacuated(evacuation.dataCentres(), clock.nowMillis());
+    sendViews();
+    sendDecisions();
+    logWhenInForce();
+  }
+
+  private void logWhenInForce() {
+    long revision = evacuation.revision();
+    notifyWhenEvacuated(
+        revision,
+        inForce -> {
+          if (inForce) {
+            evacuation.logInForce(revision, gateways.get().size());
+          }
+        });
+  }
+
+  /** Runs the callback once every gateway obeys the revision of the evacuated data centres. */
+  void notifyWhenEvacuated(long revision, Consumer<Boolean> callback) {
+    if (term == 0) {
+      callback.accept(false);
+    } else {
+      notifyWhenAcknowledged(new PendingAcknowledgement(0, 0, revision, callback));
+    }
+  }
+
+  // ---- acknowledgements -------------------------------------------------------------------------
+
   private void notifyWhenAcknowledged(
       long requiredVersion, long requiredRevision, Consumer<Boolean> callback) {
-    pendingAcknowledgements.add(
-        new PendingAcknowledgement(requiredVersion, requiredRevision, callback));
+    notifyWhenAcknowledged(
+        new PendingAcknowledgement(requiredVersion, requiredRevision, 0, callback));
+  }
+
+  private void notifyWhenAcknowledged(PendingAcknowledgement pending) {
+    pendingAcknowledgements.add(pending);
     completeAcknowledged();
   }
 
@@ -761,13 +819,17 @@
     }
     long leastVersion = Long.MAX_VALUE;
     long leastRevision = Long.MAX_VALUE;
+    long leastEvacuation = Long.MAX_VALUE;
     for (HostRecord gateway : gateways.get()) {
       GatewayView view = viewOf(gateway);
       leastVersion = Math.min(leastVersion, view.version);
       leastRevision = Math.min(leastRevision, view.catalogRevision);
+      leastEvacuation = Math.min(leastEvacuation, view.evacuationRevision);
     }
     for (PendingAcknowledgement pending : List.copyOf(pendingAcknowledgements)) {
-      if (pending.version() <= leastVersion && pending.catalogRevision() <= leastRevision) {
+      if (pending.version() <= leastVersion
+          && pending.catalogRevision() <= leastRevision
+          && pending.evacuationRevision() <= leastEvacuation) {
         pendingAcknowledgements.remove(pending);
         pending.callback().accept(true);
       }
--- a/src/main/java/org/curranthaven/platform/ControlTranslation.java
+++ b/src/main/java/org/curranthaven/platform/ControlTranslation.java
@@ -5,8 +5,10 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import java.io.IOException;
 import java.net.URLDecoder;
+import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import org.curranthaven.internal.relay.ControlRequest;
+import org.curranthaven.internal.relay.OperatorCall;
 import org.curranthaven.internal.settings.Addresses;
 import org.curranthaven.internal.settings.JsonTrees;
 import org.curranthaven.internal.transport.wire.BackendRecord;
@@ -19,6 +21,9 @@
   /** Path of the configuration document, which holds the catalog. */
   private static final String CATALOG_PATH = "/api/config";
 
+  /** Path prefix of orders to evacuate a zone of the platform, which is a data centre. */
+  private static final String EVACUATION_PATH_PREFIX = "/api/evacuate/";
+
   private static final int MAX_VERSION_LENGTH = 128;
   private static final int BAD_REQUEST = 400;
   private static final int NOT_FOUND = 404;
@@ -34,6 +39,9 @@
         && path.length() > REGISTRATION_PATH_PREFIX.length()) {
       return backendRequest(method, path, request);
     }
+    if (path.startsWith(EVACUATION_PATH_PREFIX)) {
+      return evacuationRequest(method, path);
+    }
     if (path.equals(CATALOG_PATH)) {
       return switch (method) {
         case "PUT" -> new ControlRequest.ReplaceCatalog(ByteBufUtil.getBytes(request.content()));
@@ -62,6 +70,33 @@
     };
   }
 
+  private static ControlRequest evacuationRequest(String method, String path) {
+    String encodedName = path.substring(EVACUATION_PATH_PREFIX.length());
+    String dataCentre;
+    try {
+      // In a path, unlike in a form, a plus sign stands for itself.
+      dataCentre = URLDecoder.decode(encodedName.replace("+", "%2B"), StandardCharsets.UTF_8);
+    } catch (IllegalArgumentException e) {
+      return new ControlRequest.Invalid(
+          BAD_REQUEST,
+          "the name '" + encodedName + "' of a zone is not percent-encoded: send % as %25");
+    }
+    if (dataCentre.isEmpty() || encodedName.contains("/")) {
+      return notFound(method, path);
+    }
+    return switch (method) {
+      case "POST" -> new ControlRequest.Evacuate(dataCentre);
+      case "DELETE" -> new ControlRequest.EndEvacuation(dataCentre);
+      default -> notFound(method, path);
+    };
+  }
+
+  /** Encodes an order to evacuate a data centre, or its withdrawal. */
+  static OperatorCall evacuationCall(String dataCentre, boolean ends) {
+    String encodedName = URLEncoder.encode(dataCentre, StandardCharsets.UTF_8).replace("+", "%20");
+    return new OperatorCall(ends ? "DELETE" : "POST", EVACUATION_PATH_PREFIX + encodedName);
+  }
+
   /** Returns the version; empty, as if there were none, if it is no text of a usual length. */
   private static String softwareVersion(JsonNode version) {
     return version.isTextual() && version.textValue().length() <= MAX_VERSION_LENGTH
--- a/src/main/java/org/curranthaven/platform/PlatformProtocol.java
+++ b/src/main/java/org/curranthaven/platform/PlatformProtocol.java
@@ -7,6 +7,7 @@
 import org.curranthaven.internal.relay.BackendRequest;
 import org.curranthaven.internal.relay.ControlRequest;
 import org.curranthaven.internal.relay.InboundRequest;
+import org.curranthaven.internal.relay.OperatorCall;
 import org.curranthaven.internal.relay.ResponseHead;
 import org.curranthaven.internal.relay.TransferResponse;
 import org.curranthaven.internal.relay.WireProtocol;
@@ -71,4 +72,9 @@
   public ControlRequest readControlRequest(FullHttpRequest request) {
     return ControlTranslation.read(request);
   }
+
+  @Override
+  public OperatorCall evacuationCall(String dataCentre, boolean ends) {
+    return ControlTranslation.evacuationCall(dataCentre, ends);
+  }
 }
--- a/src/test/java/org/curranthaven/internal/relay/CrashProbeTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/CrashProbeTest.java
@@ -49,6 +49,11 @@
       return false;
     }
 
+    @Override
+    public boolean isEvacuated(BackendRecord backend) {
+      return false;
+    }
+
     @Override
     public void reportCrash(String backend) {
       reports.add(backend);
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -41,6 +41,7 @@
   private final List<Map.Entry<String, Envelope>> sent = new ArrayList<>();
   private final List<HostRecord> gateways = new ArrayList<>(List.of(host("g1"), host("g2")));
   private final RecordedVersionLog versionLog = new RecordedVersionLog();
+  private final RecordedDataCentreLog dataCentreLog = new RecordedDataCentreLog();
   private boolean hasLease = true;
   private int sendFailures;
   private final Scheduler scheduler =
@@ -53,7 +54,8 @@
           () -> hasLease,
           this::connectedGateways,
           this::send,
-          versionLog);
+          versionLog,
+          dataCentreLog);
 
   private int gatewayReads;
 
@@ -80,6 +82,18 @@
     }
   }
 
+  /** Log that commits data centres when told. */
+  private static final class RecordedDataCentreLog implements DataCentreLog {
+    private final List<String> added = new ArrayList<>();
+    private final List<Consumer<Boolean>> uncommitted = new ArrayList<>();
+
+    @Override
+    public void add(String dataCentre, Consumer<Boolean> callback) {
+      added.add(dataCentre);
+      uncommitted.add(callback);
+    }
+  }
+
   private List<HostRecord> connectedGateways() {
     gatewayReads++;
     return gateways;
