--- a/src/test/java/org/curranthaven/internal/scheduler/LeadershipTrackerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/LeadershipTrackerTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.curranthaven.api.Outcome;
+import org.curranthaven.internal.catalog.EvacuationState;
 import org.curranthaven.internal.catalog.ServiceVersion;
 import org.curranthaven.internal.configuration.FleetCommand;
 import org.curranthaven.internal.configuration.FleetState;
@@ -42,6 +43,7 @@
     private final CountDownLatch leading = new CountDownLatch(1);
     private final CountDownLatch complete = new CountDownLatch(1);
     private volatile List<ServiceVersion> versions = List.of();
+    private volatile EvacuationState.Snapshot evacuation = EvacuationState.Snapshot.EMPTY;
     private final ConsensusLoop loop;
     private final Thread thread;
 
@@ -84,6 +86,7 @@
     public void leadershipChanged(long term, @Nullable FleetState state) {
       if (state != null) {
         versions = state.servedVersions().all();
+        evacuation = state.evacuation().snapshot();
         leading.countDown();
       }
     }
@@ -146,4 +149,26 @@
       assertThat(restarted.versions).containsExactly(version);
     }
   }
+
+  /** Guards against an order that is forgotten when all control hosts lose power. */
+  @Test
+  void a_restarted_host_knows_the_evacuated_data_centres_as_soon_as_it_leads()
+      throws InterruptedException {
+    DataFolder data = ((Outcome.Success<DataFolder>) DataFolder.open(folder)).value();
+    try (Host host = new Host(data)) {
+      assertThat(host.leading.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
+      CountDownLatch committed = new CountDownLatch(2);
+      host.loop.propose(
+          0, Json.write(new FleetCommand.AddDataCentre("east")), reply -> committed.countDown());
+      host.loop.propose(
+          0, Json.write(new FleetCommand.Evacuate("east")), reply -> committed.countDown());
+      assertThat(committed.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
+    }
+    try (Host restarted = new Host(data)) {
+      assertThat(restarted.leading.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
+
+      assertThat(restarted.evacuation)
+          .isEqualTo(new EvacuationState.Snapshot(1, List.of("east"), List.of("east")));
+    }
+  }
 }
--- a/src/test/java/org/curranthaven/platform/RoutedFleetFixture.java
+++ b/src/test/java/org/curranthaven/platform/RoutedFleetFixture.java
@@ -171,11 +171,24 @@
   void register(
       String id, FakeBackend backend, String state, long seq, String service, String version)
       throws Exception {
+    registerIn("here", id, backend, state, seq, service, version);
+  }
+
+  /** Sends a registration of a backend server in a data centre until it is accepted. */
+  void registerIn(
+      String dataCentre,
+      String id,
+      FakeBackend backend,
+      String state,
+      long seq,
+      String service,
+      String version)
+      throws Exception {
     String body =
         """
-        {"service":"%s","address":"%s","zone":"here","version":"%s","slots":4,"state":"%s","seq":%d}
+        {"service":"%s","address":"%s","zone":"%s","version":"%s","slots":4,"state":"%s","seq":%d}
         """
-            .formatted(service, backend.address(), version, state, seq);
+            .formatted(service, backend.address(), dataCentre, version, state, seq);
     while (sendControlRequest("PUT", "/api/runners/" + id, body).statusCode() != 200) {
       Thread.sleep(100);
     }
