--- a/src/main/java/org/curranthaven/internal/cli/EvacuateCommand.java
+++ b/src/main/java/org/curranthaven/internal/cli/EvacuateCommand.java
@@ -83,7 +83,9 @@
 
   private static Failure failure(Reply reply) {
     ResultCode code =
-        FINAL_STATUSES.contains(reply.status()) ? ResultCode.USAGE : ResultCode.CHANGE_UNKNOWN;
+        FINAL_STATUSES.contains(reply.status())
+            ? ResultCode.CONFIGURATION_INVALID
+            : ResultCode.CHANGE_UNKNOWN;
     return Failure.of(
         code, "the order was not acknowledged (status " + reply.status() + "): " + reply.text());
   }
--- a/src/test/java/org/curranthaven/platform/EvacuationTest.java
+++ b/src/test/java/org/curranthaven/platform/EvacuationTest.java
@@ -32,6 +32,8 @@
   /** Time for which clients send requests under an order. */
   private static final long LOAD_MILLIS = 1_500;
 
+  private static final long ARRIVAL_MILLIS = 200;
+
   private final List<FakeBackend> servers = new ArrayList<>();
 
   @AfterEach
@@ -116,6 +118,27 @@
     assertThat(east.received()).hasSizeGreaterThan(arrivedBefore);
   }
 
+  /** Guards against requests that are queued or placed when the order comes, and sent later. */
+  @Test
+  void no_request_arrives_after_an_order_that_is_given_under_load() throws Exception {
+    FakeBackend east = startPlain("east");
+    startPlain("west");
+    List<String> gateways = List.of(callerAddress, startGateway(2));
+    try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
+      Future<List<String>> load = executor.submit(() -> sendRequests(gateways, 2 * LOAD_MILLIS));
+      Thread.sleep(LOAD_MILLIS / 2);
+
+      assertThat(evacuate("east").statusCode()).isEqualTo(200);
+      // Time for what was sent before to be read by the server.
+      Thread.sleep(ARRIVAL_MILLIS);
+      int arrivedBefore = east.received().size();
+
+      assertThat(load.get()).filteredOn(response -> status(response) == 503).isEmpty();
+      assertThat(arrivedBefore).isPositive();
+      assertThat(east.received()).hasSize(arrivedBefore);
+    }
+  }
+
   @Test
   void a_gateway_that_starts_while_an_order_is_in_force_sends_nothing_there() throws Exception {
     FakeBackend east = startPlain("east");
@@ -276,6 +299,56 @@
     }
   }
 
+  /**
+   * The order comes when the engine that the stream leaves has stopped it, before the other engine
+   * resumes it. The engine that stopped it still holds its state.
+   */
+  @Test
+  void a_stream_that_was_stopped_for_its_migration_continues_at_its_source() throws Exception {
+    CountDownLatch stopping = new CountDownLatch(1);
+    CountDownLatch ordered = new CountDownLatch(1);
+    AtomicReference<Socket> streamConnection = new AtomicReference<>();
+    FakeBackend source =
+        start(
+            "west",
+            "engines",
+            (request, connection) -> {
+              if (request.line().contains("kv-move")) {
+                if (request.body().contains("\"last\":true")) {
+                  stopping.countDown();
+                  ordered.await();
+                  Objects.requireNonNull(streamConnection.get()).close();
+                }
+                String body = "{\"handle\":\"h7\",\"made\":1}";
+                FakeBackend.write(
+                    connection,
+                    "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+                return;
+              }
+              boolean resumed = !request.header("Kv-From").isEmpty();
+              FakeBackend.write(connection, FakeBackend.streamResponseHead(request));
+              FakeBackend.write(connection, FakeBackend.event(resumed ? 2 : 1));
+              if (resumed) {
+                FakeBackend.write(connection, FakeBackend.chunk(""));
+              } else {
+                streamConnection.set(connection);
+              }
+            });
+    try (Socket caller = openRawRequest("/stories/1", MODEL_HEADERS)) {
+      assertThat(readUntil(caller, "token 1")).contains("token 1");
+      FakeBackend target = start("east", "engines", (request, connection) -> connection.close());
+      registerIn("west", "i-1", source, "draining", 2, "engines", "");
+      assertThat(stopping.await(20, TimeUnit.SECONDS)).isTrue();
+
+      assertThat(evacuate("east").statusCode()).isEqualTo(200);
+      ordered.countDown();
+
+      String rest = new String(caller.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+      assertThat(rest).contains("token 2").endsWith("0\r\n\r\n");
+      assertThat(target.received()).isEmpty();
+    }
+  }
+
   /**
    * The order comes while the state of a stream is copied to an engine of the data centre; the
    * engine that it leaves still runs it.
