End the ejections of servers that are left when the others are evacuated

Cause: a server ejected in comparison with others stayed ejected when these were evacuated, so that all requests of the service were rejected (seen once in a loopback trial with failing responses). Change: an order ends the ejections of a service if more than half of its remaining servers are ejected.

--- a/src/main/java/org/curranthaven/internal/dispatch/Backends.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/Backends.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.Stream;
 import org.curranthaven.internal.catalog.Catalog;
@@ -22,6 +21,9 @@
 
 /** Backend servers, the requests that run on each, and which are usable. Not thread-safe. */
 final class Backends {
+  /** Share of a service's servers that may stay ejected when others of it are evacuated. */
+  private static final double MAX_EJECTED_SHARE_LEFT = 0.5;
+
   private final Map<String, BackendState> byId = new LinkedHashMap<>();
   private final Map<RequestId, BackendState> placements = new HashMap<>();
   private final OutlierEjector outlierEjector = new OutlierEjector();
@@ -47,9 +49,33 @@
     catalog = newCatalog;
   }
 
-  /** Replaces the data centres whose backend servers take no new requests. */
-  void setEvacuated(Set<String> dataCentres) {
+  /**
+   * Replaces the data centres whose backend servers take no new requests. Ends the ejections of a
+   * service if most of the servers that are left to it are ejected: they were ejected in comparison
+   * with servers that take no requests any more.
+   */
+  void setEvacuated(Set<String> dataCentres, long nowMillis) {
     evacuated = Set.copyOf(dataCentres);
+    if (!evacuated.isEmpty()) {
+      byId.values().stream()
+          .map(BackendState::service)
+          .distinct()
+          .forEach(service -> endExcessiveEjections(service, nowMillis));
+    }
+  }
+
+  private void endExcessiveEjections(String service, long nowMillis) {
+    List<String> open = notLeaving(service).map(BackendState::id).toList();
+    List<String> ejected = open.stream().filter(id -> isEjected(id, nowMillis)).toList();
+    if (ejected.size() > MAX_EJECTED_SHARE_LEFT * open.size()) {
+      ejected.forEach(outlierEjector::remove);
+      ejected.forEach(failureRateEjector::remove);
+    }
+  }
+
+  private boolean isEjected(String id, long nowMillis) {
+    return ejecting
+        && (outlierEjector.isEjected(id, nowMillis) || failureRateEjector.isEjected(id, nowMillis));
   }
 
   Set<String> evacuated() {
@@ -130,15 +156,10 @@
 
   /** Returns the backend servers that may run the request, regardless of their capacity. */
   Stream<BackendState> usableFor(RequestId requestId, PlacementRequest request, long nowMillis) {
-    Predicate<BackendState> notEjected =
-        state ->
-            !ejecting
-                || (!outlierEjector.isEjected(state.id(), nowMillis)
-                    && !failureRateEjector.isEjected(state.id(), nowMillis));
     return notLeavingFor(request)
         .filter(state -> !request.getExcludedList().contains(state.id()))
         .filter(state -> !restTimes.isResting(requestId.gateway(), state.id(), nowMillis))
-        .filter(notEjected);
+        .filter(state -> !isEjected(state.id(), nowMillis));
   }
 
   /**
--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -175,7 +175,7 @@
   public void setEvacuated(Set<String> dataCentres, long nowMillis) {
     List<String> ended =
         backends.evacuated().stream().filter(name -> !dataCentres.contains(name)).toList();
-    backends.setEvacuated(dataCentres);
+    backends.setEvacuated(dataCentres, nowMillis);
     ended.forEach(dataCentre -> evacuationEnded(dataCentre, nowMillis));
     queue.services().forEach(service -> serveQueueAfterEvacuation(service, nowMillis));
   }
--- a/src/test/java/org/curranthaven/internal/dispatch/EvacuationTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/EvacuationTest.java
@@ -287,6 +287,28 @@
     assertThat(rejection.reason()).isEqualTo(RejectionReason.NO_ROOM_IN_TIME);
   }
 
+  /**
+   * Guards against requests that are rejected although a server is left, which was ejected in
+   * comparison with those that are evacuated.
+   */
+  @Test
+  void a_server_that_was_ejected_takes_requests_when_it_is_the_only_one_left() {
+    core.updateBackend(server("w-1", "plain", "west"), 0);
+    core.updateBackend(server("e-1", "plain", "east"), 0);
+    for (int i = 0; i < 3; i++) {
+      RequestId failed = submit(plainRequest().addExcluded("e-1"), i);
+      core.requestEnded(failed, DispatchOutcome.DISPATCH_OUTCOME_FAILED, 0, i);
+    }
+    core.drainDecisions();
+    submit(plainRequest().addExcluded("e-1"), 5);
+    assertThat(onlyDecision()).isInstanceOf(DispatchDecision.Reject.class);
+
+    core.setEvacuated(EAST, 10);
+    submit(plainRequest(), 11);
+
+    assertThat(placements()).containsExactly("w-1");
+  }
+
   @Test
   void when_the_evacuation_ends_queued_requests_are_placed_there() {
     core.updateBackend(engine("w-1", "west"), 0);
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -41,7 +41,6 @@
   private final List<Map.Entry<String, Envelope>> sent = new ArrayList<>();
   private final List<HostRecord> gateways = new ArrayList<>(List.of(host("g1"), host("g2")));
   private final RecordedVersionLog versionLog = new RecordedVersionLog();
-  private final RecordedDataCentreLog dataCentreLog = new RecordedDataCentreLog();
   private boolean hasLease = true;
   private int sendFailures;
   private final Scheduler scheduler =
@@ -55,7 +54,7 @@
           this::connectedGateways,
           this::send,
           versionLog,
-          dataCentreLog);
+          (dataCentre, callback) -> callback.accept(true));
 
   private int gatewayReads;
 
@@ -82,18 +81,6 @@
     }
   }
 
-  /** Log that commits data centres when told. */
-  private static final class RecordedDataCentreLog implements DataCentreLog {
-    private final List<String> added = new ArrayList<>();
-    private final List<Consumer<Boolean>> uncommitted = new ArrayList<>();
-
-    @Override
-    public void add(String dataCentre, Consumer<Boolean> callback) {
-      added.add(dataCentre);
-      uncommitted.add(callback);
-    }
-  }
-
   private List<HostRecord> connectedGateways() {
     gatewayReads++;
     return gateways;
