--- a/src/main/java/org/curranthaven/internal/dispatch/Backends.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/Backends.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.Stream;
 import org.curranthaven.internal.catalog.Catalog;
@@ -22,6 +21,9 @@
 
 /** Backend servers, the requests that run on each, and which are usable. Not thread-safe. */
 final class Backends {
+  /** Share of a service's servers that may stay ejected when others of it are evacuated. */
+  private static final double MAX_EJECTED_SHARE_LEFT = 0.5;
+
   private final Map<String, BackendState> byId = new LinkedHashMap<>();
   private final Map<RequestId, BackendState> placements = new HashMap<>();
   private final OutlierEjector outlierEjector = new OutlierEjector();
@@ -30,6 +32,7 @@
   private final RestTimes restTimes;
   private final Set<String> servicesWithSeveralVersions = new HashSet<>();
   private Catalog catalog = Catalog.empty();
+  private Set<String> evacuated = Set.of();
 
   /**
    * Creates an empty set.
@@ -46,6 +49,58 @@
     catalog = newCatalog;
   }
 
+  /**
+   * Replaces the data centres whose backend servers take no new requests. Ends the ejections of a
+   * service if most of the servers that are left to it are ejected: they were ejected in comparison
+   * with servers that take no requests any more.
+   */
+  void setEvacuated(Set<String> dataCentres, long nowMillis) {
+    evacuated = Set.copyOf(dataCentres);
+    if (!evacuated.isEmpty()) {
+      byId.values().stream()
+          .map(BackendState::service)
+          .distinct()
+          .forEach(service -> endExcessiveEjections(service, nowMillis));
+    }
+  }
+
+  private void endExcessiveEjections(String service, long nowMillis) {
+    List<String> open = notLeaving(service).map(BackendState::id).toList();
+    List<String> ejected = open.stream().filter(id -> isEjected(id, nowMillis)).toList();
+    if (ejected.size() > MAX_EJECTED_SHARE_LEFT * open.size()) {
+      ejected.forEach(outlierEjector::remove);
+      ejected.forEach(failureRateEjector::remove);
+    }
+  }
+
+  private boolean isEjected(String id, long nowMillis) {
+    return ejecting
+        && (outlierEjector.isEjected(id, nowMillis) || failureRateEjector.isEjected(id, nowMillis));
+  }
+
+  Set<String> evacuated() {
+    return evacuated;
+  }
+
+  /** Returns whether the backend server takes no new requests, by its state or data centre. */
+  boolean isClosed(BackendState state) {
+    return state.isLeaving() || isEvacuated(state);
+  }
+
+  private boolean isEvacuated(BackendState state) {
+    return !evacuated.isEmpty() && evacuated.contains(state.registration().getDataCentre());
+  }
+
+  /**
+   * Returns whether the service has backend servers that are not leaving, all of them in evacuated
+   * data centres.
+   */
+  boolean isEvacuated(String service) {
+    return !evacuated.isEmpty()
+        && notLeaving(service).findAny().isEmpty()
+        && byId.values().stream().anyMatch(state -> state.serves(service) && !state.isLeaving());
+  }
+
   /** Returns the capabilities of the service's engines; null for a plain or unknown service. */
   @Nullable EngineCapabilities engineOf(String service) {
     ServiceSpec spec = catalog.service(service);
@@ -86,9 +141,12 @@
     return byId.values();
   }
 
-  /** Returns the service's backend servers that have not crashed and are not leaving. */
+  /**
+   * Returns the service's backend servers that have not crashed, are not leaving and are in no
+   * evacuated data centre.
+   */
   Stream<BackendState> notLeaving(String service) {
-    return byId.values().stream().filter(state -> state.serves(service) && !state.isLeaving());
+    return byId.values().stream().filter(state -> state.serves(service) && !isClosed(state));
   }
 
   /** Returns those of them whose software version may run the request. */
@@ -98,15 +156,10 @@
 
   /** Returns the backend servers that may run the request, regardless of their capacity. */
   Stream<BackendState> usableFor(RequestId requestId, PlacementRequest request, long nowMillis) {
-    Predicate<BackendState> notEjected =
-        state ->
-            !ejecting
-                || (!outlierEjector.isEjected(state.id(), nowMillis)
-                    && !failureRateEjector.isEjected(state.id(), nowMillis));
     return notLeavingFor(request)
         .filter(state -> !request.getExcludedList().contains(state.id()))
         .filter(state -> !restTimes.isResting(requestId.gateway(), state.id(), nowMillis))
-        .filter(notEjected);
+        .filter(state -> !isEjected(state.id(), nowMillis));
   }
 
   /**
@@ -215,7 +268,7 @@
   void recordFailure(BackendState backend, long nowMillis) {
     List<String> peers =
         byId.values().stream()
-            .filter(other -> other.serves(backend.service()))
+            .filter(other -> other.serves(backend.service()) && !isEvacuated(other))
             .map(BackendState::id)
             .toList();
     outlierEjector.recordFailure(backend.id(), peers, nowMillis);
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -53,7 +53,8 @@
           () -> hasLease,
           this::connectedGateways,
           this::send,
-          versionLog);
+          versionLog,
+          (dataCentre, callback) -> callback.accept(true));
 
   private int gatewayReads;
 
