Cold servers: requests to a backend server that has just started are limited to its cold rate

A service of the catalog may state a cold rate and time. A cold server gets at most that rate from all hosts together, with a burst of about one request. The limit is kept beside the stated limits in RequestRateLimits, and the lower one counts. It holds from the first registration on, whatever that states.

In local fallback each gateway sends at a random phase of its own interval, and all use 0.8 of the rate together: with 95 gateways and the redraw of lapsed tokens that RateLimiter uses, a jump of the load would bring about 48 requests in a second by calculation, where the bound is 41. A new leader leaves gateways that have not found it their share for 10 s; gateways report how many there were.

A registration that makes a server cold again, or for another time than known, is published. The remaining times travel with the records of backend servers; a new leader restores them from the gateways. DispatchCore.coldUntilRegistered is for the end of an evacuation.

--- a/src/main/java/org/curranthaven/internal/dispatch/BackendRegistry.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/BackendRegistry.java
@@ -18,6 +18,12 @@
   /** Time for which a removed id is remembered; longer than a delayed message takes to arrive. */
   static final long REMOVED_ID_RETENTION_MILLIS = 120_000;
 
+  /**
+   * Difference of two statements of one cold time that is not published: registrations are delayed
+   * by different times.
+   */
+  private static final long COLD_TOLERANCE_MILLIS = 20;
+
   private final Map<String, BackendRecord> records = new LinkedHashMap<>();
   private final Map<String, Long> registeredAtMillis = new HashMap<>();
   private final Map<String, Long> removedAtMillis = new HashMap<>();
@@ -25,6 +31,9 @@
   /** Ids of backend servers that leave, and when one last registered or stated it. */
   private final Map<String, Long> leavingAtMillis = new HashMap<>();
 
+  /** Until when backend servers are cold, as published last. */
+  private final Map<String, Long> coldUntilMillis = new HashMap<>();
+
   private long lastFirstSeen;
 
   /**
@@ -48,7 +57,13 @@
     BackendRecord current = update.toBuilder().setFirstSeen(firstSeen).setLeaving(leaving).build();
     records.put(current.getId(), current);
     registeredAtMillis.put(current.getId(), nowMillis);
-    return previous != null && isEquivalent(previous, current) ? null : current;
+    boolean published =
+        previous != null && isEquivalent(previous, current) && isColdTimeKnown(current, nowMillis);
+    if (published) {
+      return null;
+    }
+    coldUntilMillis.put(current.getId(), nowMillis + current.getColdLeftMillis());
+    return current;
   }
 
   /**
@@ -81,10 +96,22 @@
         && first.getLeaving() == second.getLeaving();
   }
 
+  /**
+   * Returns whether the cold time of a registration is the published one. A backend server that is
+   * cold again is always a change, also for the shortest time.
+   */
+  private boolean isColdTimeKnown(BackendRecord current, long nowMillis) {
+    long leftMillis = current.getColdLeftMillis();
+    long knownMillis = coldUntilMillis.getOrDefault(current.getId(), nowMillis) - nowMillis;
+    boolean coldAgain = leftMillis > 0 && knownMillis <= 0;
+    return !coldAgain && Math.abs(leftMillis - Math.max(0, knownMillis)) <= COLD_TOLERANCE_MILLIS;
+  }
+
   /** Removes a backend server that deregistered; returns whether it was registered. */
   public boolean remove(String id, long nowMillis) {
     removedAtMillis.put(id, nowMillis);
     registeredAtMillis.remove(id);
+    coldUntilMillis.remove(id);
     return records.remove(id) != null;
   }
 
@@ -111,6 +138,7 @@
     for (String id : expired) {
       records.remove(id);
       registeredAtMillis.remove(id);
+      coldUntilMillis.remove(id);
     }
     leavingAtMillis
         .values()
--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -101,7 +101,12 @@
         new QueueTimeForecast(
             backends, speeds, capacityRules, rateLimits, random, isEnabled(Mechanism.LEARNING));
     this.placementCost =
-        new PlacementCost(speeds, random, capacityShares > 1, isEnabled(Mechanism.PROMPT_AFFINITY));
+        new PlacementCost(
+            speeds,
+            rateLimits.coldServers(),
+            random,
+            capacityShares > 1,
+            isEnabled(Mechanism.PROMPT_AFFINITY));
     TransferTargets targets = new TransferTargets(backends, capacityRules);
     this.backupPlanner =
         new BackupPlanner(backends, targets, speeds, isEnabled(Mechanism.BACKUP_COPIES));
@@ -154,6 +159,7 @@
   /** Activates a catalog. */
   public void setCatalog(Catalog newCatalog) {
     backends.setCatalog(newCatalog);
+    rateLimits.coldServers().setCatalog(newCatalog);
   }
 
   /** Handles the registration of a new backend server or an update to a known one. */
@@ -162,6 +168,7 @@
       enforceBlocks(nowMillis);
     }
     backends.register(registration, nowMillis);
+    rateLimits.coldServers().register(registration, nowMillis);
     streamOrigins.recordServing(
         registration.getService(), registration.getSoftwareVersion(), nowMillis);
     migrateFrom(registration.getId(), nowMillis);
@@ -174,6 +181,7 @@
     if (backend == null) {
       return;
     }
+    rateLimits.coldServers().remove(id);
     versions.recordServing(backend, nowMillis);
     backend.updateRegistration(
         backend.registration().toBuilder().setLeaving(true).build(), nowMillis);
@@ -181,6 +189,19 @@
     backends.removeIfDrained(backend);
   }
 
+  /**
+   * Records that nothing is known of the temperature of the data centre's backend servers: each
+   * counts as cold until it registers.
+   */
+  public void coldUntilRegistered(String dataCentre, long nowMillis) {
+    rateLimits.coldServers().coldUntilRegistered(dataCentre, nowMillis);
+  }
+
+  /** Returns whether the backend server counts as cold only because it has not registered since. */
+  public boolean isColdUntilRegistered(String id) {
+    return rateLimits.coldServers().isColdUntilRegistered(id);
+  }
+
   /**
    * Handles the report that a backend server closed a connection before the end of a response and
    * refuses new ones. Takes it out of use; if a request or a part of prompts becomes blocked,
--- a/src/main/java/org/curranthaven/internal/dispatch/PlacementCost.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/PlacementCost.java
@@ -32,6 +32,7 @@
   private static final double LOCAL_JITTER_TOKENS = 3_000;
 
   private final EngineSpeeds speeds;
+  private final ColdServers coldServers;
   private final RandomGenerator random;
   private final boolean localFallback;
   private final boolean prefersCachedPrompts;
@@ -39,15 +40,19 @@
   /**
    * Creates a rating.
    *
+   * @param coldServers backend servers whose cold time limits their rate; the limit alone protects
+   *     them, so that they are used up to it
    * @param localFallback whether other hosts place requests on the same engines unknown to this one
    * @param prefersCachedPrompts whether engines that may have cached the prompt's parts cost less
    */
   PlacementCost(
       EngineSpeeds speeds,
+      ColdServers coldServers,
       RandomGenerator random,
       boolean localFallback,
       boolean prefersCachedPrompts) {
     this.speeds = speeds;
+    this.coldServers = coldServers;
     this.random = random;
     this.localFallback = localFallback;
     this.prefersCachedPrompts = prefersCachedPrompts;
@@ -67,8 +72,7 @@
       long nowMillis) {
     boolean sameDataCentre = request.getDataCentre().equals(backend.registration().getDataCentre());
     double commonCost =
-        (sameDataCentre ? 0 : OTHER_DATA_CENTRE_WEIGHT_TOKENS)
-            + (backend.isWarmingUp(nowMillis) ? WARM_UP_WEIGHT_TOKENS : 0);
+        (sameDataCentre ? 0 : OTHER_DATA_CENTRE_WEIGHT_TOKENS) + warmUpCost(backend, nowMillis);
     if (engine == null) {
       double load = (double) backend.requests.size() / backend.slots();
       return commonCost + load * MEMORY_WEIGHT_TOKENS + random.nextDouble();
@@ -84,6 +88,12 @@
         - cachedTokens(backend, request);
   }
 
+  private double warmUpCost(BackendState backend, long nowMillis) {
+    boolean unprotected =
+        backend.isWarmingUp(nowMillis) && !coldServers.isLimited(backend.id(), nowMillis);
+    return unprotected ? WARM_UP_WEIGHT_TOKENS : 0;
+  }
+
   private int cachedTokens(BackendState backend, PlacementRequest request) {
     return prefersCachedPrompts
         ? backend.promptPartCache.cachedPrefixTokens(request.getPartsList())
--- a/src/main/java/org/curranthaven/internal/dispatch/RateLimiter.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/RateLimiter.java
@@ -8,7 +8,7 @@
  * rate itself, with a burst of about one request, so that delays between a placement and its
  * arrival cannot bunch requests far beyond it. Not thread-safe.
  */
-final class RateLimiter {
+final class RateLimiter implements PlacementLimiter {
   /**
    * Lowest rate at which requests are sent. A backend server that states 0 gets one request in five
    * seconds, since only a response tells that its limit has ended.
@@ -50,25 +50,29 @@
     return spread == null ? 0 : spread.nextDouble();
   }
 
-  void setRate(double newRequestsPerSecond, long nowMillis) {
+  @Override
+  public void setRate(double newRequestsPerSecond, long nowMillis) {
     refill(nowMillis);
     requestsPerSecond = newRequestsPerSecond;
     tokens = Math.min(tokens, maxTokens());
   }
 
   /** Returns whether a request may be placed now. */
-  boolean allows(long nowMillis) {
+  @Override
+  public boolean allows(long nowMillis) {
     return tokens(nowMillis) >= 1;
   }
 
   /** Returns the tokens left; negative if requests were placed that could not wait. */
-  double tokens(long nowMillis) {
+  @Override
+  public double tokens(long nowMillis) {
     refill(nowMillis);
     return tokens;
   }
 
   /** Counts a request that was placed; also one that could not wait for a token. */
-  void recordPlacement(long nowMillis) {
+  @Override
+  public void recordPlacement(long nowMillis) {
     refill(nowMillis);
     tokens -= 1;
   }
--- a/src/main/java/org/curranthaven/internal/dispatch/RequestRateLimits.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/RequestRateLimits.java
@@ -15,9 +15,10 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Limits on requests that backend servers state in their responses, and the requests placed under
- * them. A limit holds for one incarnation of a backend server until a response without limit shows
- * that it has ended.
+ * Limits on requests that backend servers state in their responses, those of cold servers, and the
+ * requests placed under them; of two limits for one backend server, the lower counts. A stated
+ * limit holds for one incarnation of a backend server until a response without limit shows that it
+ * has ended.
  *
  * <pre>{@code
  * limits.state("i-7", 3.6, placedAtMillis, nowMillis);
@@ -53,6 +54,7 @@
 
   private final @Nullable RandomGenerator spread;
   private final Map<String, Limit> limits = new LinkedHashMap<>();
+  private final ColdServers coldServers;
   private double share = 1;
   private long version = 1;
 
@@ -98,6 +100,7 @@
 
   private RequestRateLimits(@Nullable RandomGenerator spread) {
     this.spread = spread;
+    this.coldServers = new ColdServers(spread);
   }
 
   /** Creates limits for the host that places the requests of all gateways. */
@@ -113,6 +116,12 @@
   /** Sets the share of the stated rates that this host may use. */
   public void setShare(double newShare) {
     share = newShare;
+    coldServers.setShare(newShare);
+  }
+
+  /** Returns the backend servers that are cold, and their limits. */
+  public ColdServers coldServers() {
+    return coldServers;
   }
 
   // ---- statements -------------------------------------------------------------------------------
@@ -191,7 +200,8 @@
   /** Returns whether a request may be placed on the backend server now. */
   boolean allows(String backend, long nowMillis) {
     Limit limit = currentLimit(backend, nowMillis);
-    return limit == null || limit.limiter.allows(nowMillis);
+    return (limit == null || limit.limiter.allows(nowMillis))
+        && coldServers.allows(backend, nowMillis);
   }
 
   /** Counts a request that reaches the backend server. */
@@ -200,10 +210,17 @@
     if (limit != null) {
       limit.limiter.recordPlacement(nowMillis);
     }
+    coldServers.recordPlacement(backend, nowMillis);
   }
 
   /** Returns the requests a second that this host may place; infinity if they are not limited. */
   double requestsPerSecond(String backend, long nowMillis) {
+    return Math.min(
+        statedRequestsPerSecond(backend, nowMillis),
+        coldServers.requestsPerSecond(backend, nowMillis));
+  }
+
+  private double statedRequestsPerSecond(String backend, long nowMillis) {
     Limit limit = limits.get(backend);
     return limit == null || limit.isOver(nowMillis)
         ? Double.POSITIVE_INFINITY
@@ -212,6 +229,10 @@
 
   /** Returns the part of a request that the rate has allowed already; 0 without a limit. */
   double accruedRequests(String backend, long nowMillis) {
+    double coldRate = coldServers.requestsPerSecond(backend, nowMillis);
+    if (coldRate < statedRequestsPerSecond(backend, nowMillis)) {
+      return coldServers.accruedRequests(backend, nowMillis);
+    }
     Limit limit = currentLimit(backend, nowMillis);
     return limit == null ? 0 : limit.limiter.tokens(nowMillis);
   }
@@ -227,6 +248,7 @@
 
   /** Discards limits that have ended, and those of backend servers that are gone. */
   public void discard(Predicate<String> isKnown, long nowMillis) {
+    coldServers.discard(isKnown);
     limits
         .entrySet()
         .removeIf(
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -280,11 +280,17 @@
 
   private void putBackend(BackendRecord record) {
     if (!removedBackends.contains(record.getId())) {
+      knowledge.rateLimits().coldServers().register(record, clock.nowMillis());
       boolean leaving = record.getLeaving() || leavingBackends.contains(record.getId());
       backends.put(record.getId(), record.toBuilder().setLeaving(leaving).build());
     }
   }
 
+  /** Returns the known backend servers with the cold times that they have left. */
+  private List<BackendRecord> currentBackends() {
+    return knowledge.rateLimits().coldServers().withColdTimes(backends.values(), clock.nowMillis());
+  }
+
   private void removeBackend(String id) {
     removedBackends.add(id);
     forgetBackend(id);
@@ -292,6 +298,7 @@
 
   private void forgetBackend(String id) {
     BackendRecord record = backends.remove(id);
+    knowledge.rateLimits().coldServers().remove(id);
     if (record != null) {
       recordServing(record);
     }
@@ -343,7 +350,8 @@
       backends.values().forEach(this::recordServing);
       StreamOrigins origins = knowledge.streamOrigins();
       status
-          .addAllBackends(backends.values())
+          .setMostGateways(mostGateways)
+          .addAllBackends(currentBackends())
           .addAllGone(removedBackends)
           .addAllCrashSuspects(knowledge.crashes().export(clock.nowMillis()))
           .addAllRateLimits(knowledge.rateLimits().export(clock.nowMillis()))
@@ -749,7 +757,7 @@
     localDispatch = core;
     knowledge.rateLimits().setShare(1.0 / mostGateways);
     core.setCatalog(catalog);
-    backends.values().forEach(record -> core.updateBackend(record, nowMillis));
+    currentBackends().forEach(record -> core.updateBackend(record, nowMillis));
     List<PlacementRequest> queued = new ArrayList<>();
     openRequests.forEach(
         (id, request) -> {
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -83,6 +84,12 @@
   /** Gateways that may place requests locally, and when their connections were lost. */
   private final Map<String, Long> lostGateways = new HashMap<>();
 
+  /**
+   * Most gateways that earlier leaders were connected to, as gateways report it. Those that have
+   * not found this leader yet place requests locally.
+   */
+  private int reportedGateways;
+
   private final List<PendingAcknowledgement> pendingAcknowledgements = new ArrayList<>();
   private final List<Runnable> deferredActions = new ArrayList<>();
   private Catalog catalog = Catalog.empty();
@@ -212,6 +219,7 @@
     registry = new BackendRegistry();
     gatewayViews.clear();
     lostGateways.clear();
+    reportedGateways = 0;
     viewVersion = 1;
     startedAtMillis = nowMillis;
     rebuilding = true;
@@ -300,6 +308,7 @@
       removeUnresponsiveBackends(nowMillis);
       versionGate.removeOutdated(registeredVersions(), nowMillis);
     }
+    publishColdServers();
     core.tick(nowMillis);
     sendDecisions();
     completeAcknowledged();
@@ -328,7 +337,11 @@
   private void updateRateShare(long nowMillis) {
     lostGateways.values().removeIf(lostAt -> nowMillis - lostAt > LOST_GATEWAY_SHARE_MILLIS);
     double connected = Math.max(1, gateways.get().size());
-    knowledge.rateLimits().setShare(connected / (connected + lostGateways.size()));
+    double all = connected + lostGateways.size();
+    knowledge.rateLimits().setShare(connected / all);
+    boolean recent = nowMillis - startedAtMillis <= LOST_GATEWAY_SHARE_MILLIS;
+    double allReported = recent ? Math.max(all, reportedGateways) : all;
+    knowledge.rateLimits().coldServers().setShare(connected / allReported);
   }
 
   private void sendView(HostRecord gateway, int gatewayCount) {
@@ -407,7 +420,7 @@
         gateway,
         newView(view, gatewayCount)
             .setVersion(viewVersion)
-            .addAllBackends(registry.all())
+            .addAllBackends(withColdTimes(registry.all()))
             .addAllGone(registry.removedIds())
             .addAllServedVersions(core.servedVersions(clock.nowMillis())));
   }
@@ -451,8 +464,11 @@
   }
 
   private void restore(HostRecord from, GatewayStatus status, long nowMillis) {
+    reportedGateways = Math.max(reportedGateways, status.getMostGateways());
+    updateRateShare(nowMillis);
     status.getGoneList().forEach(id -> registry.remove(id, nowMillis));
     for (BackendRecord record : status.getBackendsList()) {
+      knowledge.rateLimits().coldServers().restore(record, nowMillis);
       BackendRecord changedBackend = registry.restore(record, nowMillis);
       if (changedBackend != null) {
         core.updateBackend(changedBackend, nowMillis);
@@ -661,6 +677,9 @@
   private void applyRegistration(BackendRecord registration, Consumer<Boolean> callback) {
     long nowMillis = clock.nowMillis();
     BackendRecord changed = registry.register(registration, nowMillis);
+    if (changed == null && core.isColdUntilRegistered(registration.getId())) {
+      changed = registry.get(registration.getId());
+    }
     if (changed != null) {
       Logger.info(
           "backend server {} of service {} with software version \"{}\" {}",
@@ -699,7 +718,24 @@
   }
 
   private void pushBackendChange(List<BackendRecord> changed, List<String> removedIds) {
-    pushChange(view -> view.addAllBackends(changed).addAllGone(removedIds));
+    List<BackendRecord> current = withColdTimes(changed);
+    pushChange(view -> view.addAllBackends(current).addAllGone(removedIds));
+  }
+
+  private List<BackendRecord> withColdTimes(Collection<BackendRecord> records) {
+    return knowledge.rateLimits().coldServers().withColdTimes(records, clock.nowMillis());
+  }
+
+  /** Sends the gateways the backend servers that count as cold though they did not register so. */
+  private void publishColdServers() {
+    List<BackendRecord> changed =
+        knowledge.rateLimits().coldServers().takeUnpublished().stream()
+            .map(registry::get)
+            .filter(Objects::nonNull)
+            .toList();
+    if (!changed.isEmpty()) {
+      pushBackendChange(changed, List.of());
+    }
   }
 
   /** Sends every gateway a change of the backend servers, without those that stay the same. */
--- a/src/main/java/org/curranthaven/internal/settings/RoutedSettings.java
+++ b/src/main/java/org/curranthaven/internal/settings/RoutedSettings.java
@@ -36,6 +36,9 @@
  * @param retrySlack retries of a service allowed per window in addition to the ratio
  * @param retryWindowSeconds length of the sliding window in which retries are counted
  * @param registrationMillis interval at which a backend server renews its registration
+ * @param coldServerBound bound on the requests that arrive at a cold backend server, which the
+ *     system keeps by sending no more than the rate of its service; null if the platform states
+ *     none
  */
 public record RoutedSettings(
     String name,
@@ -53,7 +56,8 @@
     double retryRatio,
     double retrySlack,
     double retryWindowSeconds,
-    long registrationMillis) {
+    long registrationMillis,
+    @Nullable ColdServerBound coldServerBound) {
   private static final double MILLIS_PER_SECOND = 1_000;
 
   /** Most losses for which a voter group is practical: seven voters. */
@@ -76,7 +80,9 @@
           "retryRatio",
           "retrySlack",
           "retryWindowSeconds",
-          "registrationMillis");
+          "registrationMillis",
+          ColdServerBound.EXCESS_KEY,
+          ColdServerBound.SLACK_KEY);
 
   /** Number of consecutive missed registrations after which a backend server is removed. */
   private static final long MISSED_REGISTRATIONS_LIMIT = 5;
@@ -107,6 +113,44 @@
     }
   }
 
+  /** Creates settings without a bound for cold backend servers. */
+  public RoutedSettings(
+      String name,
+      String dataCentre,
+      String peerAddress,
+      @Nullable String callerAddress,
+      @Nullable String readyAddress,
+      @Nullable String controlAddress,
+      @Nullable String statusAddress,
+      @Nullable String dataFolder,
+      List<String> contacts,
+      boolean firstStart,
+      int toleratedLosses,
+      double drainSeconds,
+      double retryRatio,
+      double retrySlack,
+      double retryWindowSeconds,
+      long registrationMillis) {
+    this(
+        name,
+        dataCentre,
+        peerAddress,
+        callerAddress,
+        readyAddress,
+        controlAddress,
+        statusAddress,
+        dataFolder,
+        contacts,
+        firstStart,
+        toleratedLosses,
+        drainSeconds,
+        retryRatio,
+        retrySlack,
+        retryWindowSeconds,
+        registrationMillis,
+        null);
+  }
+
   private static void requireText(String key, @Nullable String text) {
     if (text == null || text.isBlank()) {
       throw new IllegalArgumentException(
@@ -166,7 +210,8 @@
         entries.decimal("retryRatio"),
         entries.decimal("retrySlack"),
         entries.decimal("retryWindowSeconds"),
-        entries.number("registrationMillis", 0, 1, Long.MAX_VALUE));
+        entries.number("registrationMillis", 0, 1, Long.MAX_VALUE),
+        ColdServerBound.read(entries));
   }
 
   /** Returns whether the host accepts requests from callers. */
--- a/src/main/java/org/curranthaven/platform/CatalogTranslation.java
+++ b/src/main/java/org/curranthaven/platform/CatalogTranslation.java
@@ -12,6 +12,7 @@
 import org.curranthaven.internal.catalog.Catalog;
 import org.curranthaven.internal.catalog.CatalogCodec;
 import org.curranthaven.internal.catalog.CatalogWorkspace;
+import org.curranthaven.internal.catalog.ColdStart;
 import org.curranthaven.internal.catalog.EngineCapabilities;
 import org.curranthaven.internal.catalog.Repeatability;
 import org.curranthaven.internal.catalog.RequestLimits;
@@ -105,7 +106,16 @@
     return new ServiceSpec(
         requiredText(node, "name"),
         node.path("maxConns").asInt(0),
-        engineCapabilities(node.get("engine")));
+        engineCapabilities(node.get("engine")),
+        coldStart(node));
+  }
+
+  /** Returns how a backend server behaves after its start; null if its rate is not limited. */
+  private static @Nullable ColdStart coldStart(JsonNode node) {
+    double requestsPerSecond = node.path("coldPerS").asDouble(0);
+    return requestsPerSecond == 0
+        ? null
+        : new ColdStart(node.path("coldStartS").asDouble(0), requestsPerSecond);
   }
 
   private static @Nullable EngineCapabilities engineCapabilities(@Nullable JsonNode node) {
--- a/src/test/java/org/curranthaven/internal/dispatch/BackendRegistryTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/BackendRegistryTest.java
@@ -85,4 +85,34 @@
 
     assertThat(registry.restore(record(5, true), 10)).matches(BackendRecord::getLeaving);
   }
+
+  private static BackendRecord cold(long sequence, long leftMillis) {
+    return record(sequence, false).toBuilder().setColdLeftMillis(leftMillis).build();
+  }
+
+  @Test
+  void a_backend_server_that_is_cold_again_or_for_longer_is_reported_as_a_change() {
+    registry.register(cold(1, 0), 0);
+
+    assertThat(registry.register(cold(2, 10), 1_200)).isNotNull();
+    assertThat(registry.register(cold(3, 3_000), 2_400)).isNotNull();
+    assertThat(registry.register(cold(4, 3_000), 3_600)).isNotNull();
+  }
+
+  @Test
+  void a_cold_time_that_passes_as_stated_is_not_reported_as_a_change() {
+    registry.register(cold(1, 3_000), 0);
+
+    // The second registration was on its way for 15 ms longer than the first one.
+    assertThat(registry.register(cold(2, 1_800), 1_215)).isNull();
+    assertThat(registry.register(cold(3, 600), 2_400)).isNull();
+    assertThat(registry.register(cold(4, 0), 3_600)).isNull();
+  }
+
+  @Test
+  void a_backend_server_that_is_warm_earlier_than_stated_is_reported_as_a_change() {
+    registry.register(cold(1, 3_000), 0);
+
+    assertThat(registry.register(cold(2, 0), 1_200)).isNotNull();
+  }
 }
--- a/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
@@ -8,6 +8,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import org.curranthaven.internal.catalog.Catalog;
+import org.curranthaven.internal.catalog.ColdStart;
+import org.curranthaven.internal.catalog.RequestLimits;
+import org.curranthaven.internal.catalog.ServiceSpec;
 import org.curranthaven.internal.dispatch.BackendStatements;
 import org.curranthaven.internal.dispatch.RetryLimits;
 import org.curranthaven.internal.dispatch.StatedRateLimit;
@@ -491,6 +495,40 @@
     assertThat(placeLocally(1, 8_000)).isBetween(5L, 10L);
   }
 
+  private void publishColdServer(long leftMillis) {
+    ServiceSpec service = new ServiceSpec("plain", 100, null, new ColdStart(1, 4));
+    link.activateCatalog(
+        new Catalog(1, List.of(), List.of(service), RequestLimits.standard(), null));
+    link.handle(
+        "control-1",
+        SchedulerView.newBuilder()
+            .setTerm(3)
+            .setVersion(1)
+            .setGateways(4)
+            .addBackends(backend("i-1").toBuilder().setColdLeftMillis(leftMillis))
+            .build());
+  }
+
+  @Test
+  void a_gateway_in_local_fallback_uses_its_share_of_the_cold_rate() {
+    publishColdServer(20_000);
+    time.advance(SchedulerLink.SCHEDULER_TIMEOUT_MILLIS + 200);
+
+    assertThat(placeLocally(1, 8_000)).isBetween(4L, 9L);
+  }
+
+  @Test
+  void the_next_scheduler_hears_the_cold_time_that_is_left() {
+    publishColdServer(5_000);
+    time.advance(2_000);
+
+    link.handle("control-2", SchedulerView.newBuilder().setTerm(4).build());
+
+    assertThat(lastStatus().getBackendsList())
+        .extracting(BackendRecord::getColdLeftMillis)
+        .containsExactly(3_000L);
+  }
+
   @Test
   void the_next_scheduler_hears_the_limits() {
     publishView("control-1", 3, 1, "i-1");
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -10,7 +10,9 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.curranthaven.internal.catalog.Catalog;
+import org.curranthaven.internal.catalog.ColdStart;
 import org.curranthaven.internal.catalog.RequestLimits;
+import org.curranthaven.internal.catalog.ServiceSpec;
 import org.curranthaven.internal.catalog.ServiceVersion;
 import org.curranthaven.internal.dispatch.RetryLimits;
 import org.curranthaven.internal.relay.ManualTime;
@@ -736,4 +738,53 @@
 
     assertThat(versionLog.removed).containsExactly(new ServiceVersion("plain", "v1"));
   }
+
+  private void applyColdCatalog() {
+    ServiceSpec service = new ServiceSpec("plain", 100, null, new ColdStart(1, 24));
+    scheduler.applyCatalog(
+        new Catalog(8, List.of(), List.of(service), RequestLimits.standard(), null),
+        ByteString.copyFromUtf8("document"));
+  }
+
+  private static BackendRecord cold(long sequence, long leftMillis) {
+    return backend(sequence, false).toBuilder().setColdLeftMillis(leftMillis).build();
+  }
+
+  private List<Long> publishedColdTimes() {
+    return viewsTo("g1").stream()
+        .flatMap(view -> view.getBackendsList().stream())
+        .map(BackendRecord::getColdLeftMillis)
+        .toList();
+  }
+
+  @Test
+  void a_new_server_is_published_as_cold_and_again_when_it_becomes_cold_again() {
+    applyColdCatalog();
+    startLeading();
+    sent.clear();
+
+    scheduler.register(cold(1, 0), new RecordedResult()::accept);
+    time.advance(1_200);
+    scheduler.register(cold(2, 0), new RecordedResult()::accept);
+    time.advance(1_200);
+    scheduler.register(cold(3, 700), new RecordedResult()::accept);
+
+    assertThat(publishedColdTimes().getFirst()).isEqualTo(1_000);
+    assertThat(publishedColdTimes().getLast()).isEqualTo(700);
+  }
+
+  @Test
+  void a_new_leader_learns_the_cold_times_that_are_left_from_the_gateways() {
+    applyColdCatalog();
+    scheduler.setTerm(5, List.of());
+    scheduler.handleStatus(
+        host("g1"),
+        GatewayStatus.newBuilder().setTerm(5).setFull(true).addBackends(cold(1, 4_000)).build());
+    receiveStatus("g2", 0, 0, true);
+    sent.clear();
+
+    time.advance(AFTER_REBUILD_MILLIS);
+
+    assertThat(publishedColdTimes()).isNotEmpty().allMatch(left -> left > 3_600 && left < 4_000);
+  }
 }
--- a/src/test/java/org/curranthaven/internal/settings/RoutedSettingsTest.java
+++ b/src/test/java/org/curranthaven/internal/settings/RoutedSettingsTest.java
@@ -75,6 +75,20 @@
     assertThat(settings.firstStart()).isTrue();
   }
 
+  @Test
+  void the_bound_for_cold_servers_is_optional_and_checked() {
+    String bound = "\"coldServerExcess\": 1.5, \"coldServerSlack\": 5, \"toleratedLosses\"";
+
+    assertThat(valid(GATEWAY).coldServerBound()).isNull();
+    assertThat(valid(GATEWAY.replace("\"toleratedLosses\"", bound)).coldServerBound())
+        .isEqualTo(new ColdServerBound(1.5, 5));
+    assertThat(
+            messageOf(
+                RoutedSettings.of(
+                    GATEWAY.replace("\"toleratedLosses\"", bound.replace("1.5", "0.5")))))
+        .contains("coldServerExcess is 0.5");
+  }
+
   @Test
   void all_faults_are_told_with_their_lines() {
     String text =
--- a/src/test/java/org/curranthaven/platform/CatalogTranslationTest.java
+++ b/src/test/java/org/curranthaven/platform/CatalogTranslationTest.java
@@ -3,8 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Objects;
 import org.curranthaven.api.Outcome;
 import org.curranthaven.internal.catalog.Catalog;
+import org.curranthaven.internal.catalog.ColdStart;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 
 class CatalogTranslationTest {
@@ -45,6 +48,21 @@
     assertThat(catalog.routeFor("other.example", "/a/c")).isEmpty();
   }
 
+  @Test
+  void the_cold_figures_of_a_service_are_decoded_and_a_rate_of_0_switches_them_off() {
+    String cold = DOCUMENT.replace("\"maxConns\":242", "\"coldPerS\":%s,\"coldStartS\":1.5");
+
+    assertThat(coldStartOf(decodeValid(cold.formatted("24")), "s1"))
+        .isEqualTo(new ColdStart(1.5, 24));
+    assertThat(coldStartOf(decodeValid(cold.formatted("0")), "s1")).isNull();
+    assertThat(coldStartOf(decodeValid(cold.formatted("24")), "s2")).isNull();
+    assertThat(decode(cold.formatted("-1"))).isInstanceOf(Outcome.Failed.class);
+  }
+
+  private static @Nullable ColdStart coldStartOf(Catalog catalog, String service) {
+    return Objects.requireNonNull(catalog.service(service)).coldStart();
+  }
+
   @Test
   void a_service_of_weight_0_gets_no_requests() {
     Catalog catalog = decodeValid(DOCUMENT);
--- a/src/test/java/org/curranthaven/platform/PlatformWordsTest.java
+++ b/src/test/java/org/curranthaven/platform/PlatformWordsTest.java
@@ -53,6 +53,8 @@
           "apiKeys",
           "kvCapacity",
           "coldLeftMs",
+          "coldPerS",
+          "coldStartS",
           "heartbeatAddr",
           "non_idempotent");
 
