Home regions: requests reach only backend servers in the regions that route and workspace allow

Routes and workspaces of the catalog may list allowed regions; the settings name the region of each data centre. The gateway turns them into the set of allowed data centres, which a placement request carries, so that the scheduler needs no regions. The set is checked beside the software version, which covers first attempts, retries, backup copies, migrations and local fallback; gateways check each placement again, since a scheduler with older software does not know the field. A request that no backend server may serve is rejected at once with NO_BACKEND_IN_REGIONS (2007).

A registration that changes only the data centre is published now. The dump of a gateway shows the cold times that are left.

--- a/src/main/java/org/curranthaven/api/ResultCode.java
+++ b/src/main/java/org/curranthaven/api/ResultCode.java
@@ -38,6 +38,8 @@
       2004, 503, 75, Ran.NO, "Retry immediately; the load balancer will choose another host."),
   HOST_NOT_FRESH(2005, 503, 75, Ran.NO, "Retry; another host may have the active configuration."),
   RETRY_BUDGET_SPENT(2006, 503, 75, Ran.NO, "Retry after the time in Retry-After."),
+  NO_BACKEND_IN_REGIONS(
+      2007, 503, 69, Ran.NO, "Allow a region in which the service has backend servers."),
   ENGINE_LOST(
       3001,
       502,
--- a/src/main/java/org/curranthaven/internal/catalog/CatalogWorkspace.java
+++ b/src/main/java/org/curranthaven/internal/catalog/CatalogWorkspace.java
@@ -5,5 +5,6 @@
  *
  * @param name name of the workspace
  * @param priority priority of its requests, which overrides the route's; negative if not set
+ * @param homeRegions regions in which its requests may run
  */
-public record CatalogWorkspace(String name, int priority) {}
+public record CatalogWorkspace(String name, int priority, HomeRegions homeRegions) {}
--- a/src/main/java/org/curranthaven/internal/catalog/Route.java
+++ b/src/main/java/org/curranthaven/internal/catalog/Route.java
@@ -18,6 +18,7 @@
  * @param anonymous whether requests need no API key
  * @param resumable whether a stream may resume on another backend server
  * @param services services that requests are distributed to; at least one has a weight above 0
+ * @param homeRegions regions in which requests may run
  */
 public record Route(
     String name,
@@ -31,7 +32,8 @@
     int attempts,
     boolean anonymous,
     boolean resumable,
-    List<ServiceWeight> services) {
+    List<ServiceWeight> services,
+    HomeRegions homeRegions) {
   public Route {
     services = List.copyOf(services);
     if (timeoutMillis <= 0) {
@@ -50,6 +52,36 @@
     }
   }
 
+  /** Creates a route whose requests may run in any region. */
+  public Route(
+      String name,
+      String host,
+      String pathPrefix,
+      Repeatability kind,
+      long timeoutMillis,
+      long targetMillis,
+      long gapTargetMillis,
+      int priority,
+      int attempts,
+      boolean anonymous,
+      boolean resumable,
+      List<ServiceWeight> services) {
+    this(
+        name,
+        host,
+        pathPrefix,
+        kind,
+        timeoutMillis,
+        targetMillis,
+        gapTargetMillis,
+        priority,
+        attempts,
+        anonymous,
+        resumable,
+        services,
+        HomeRegions.any());
+  }
+
   /** Returns whether a request may run more than once. */
   public boolean isRepeatable() {
     return kind == Repeatability.IDEMPOTENT || (kind == Repeatability.STREAM && resumable);
--- a/src/main/java/org/curranthaven/internal/dispatch/BackendRegistry.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/BackendRegistry.java
@@ -91,6 +91,7 @@
   private static boolean isEquivalent(BackendRecord first, BackendRecord second) {
     return first.getAddress().equals(second.getAddress())
         && first.getService().equals(second.getService())
+        && first.getDataCentre().equals(second.getDataCentre())
         && first.getSlots() == second.getSlots()
         && first.getSoftwareVersion().equals(second.getSoftwareVersion())
         && first.getLeaving() == second.getLeaving();
--- a/src/main/java/org/curranthaven/internal/dispatch/Backends.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/Backends.java
@@ -91,9 +91,11 @@
     return byId.values().stream().filter(state -> state.serves(service) && !state.isLeaving());
   }
 
-  /** Returns those of them whose software version may run the request. */
+  /** Returns those of them whose software version and region may run the request. */
   Stream<BackendState> notLeavingFor(PlacementRequest request) {
-    return notLeaving(request.getService()).filter(state -> VersionBinding.allows(state, request));
+    return notLeaving(request.getService())
+        .filter(state -> VersionBinding.allows(state, request))
+        .filter(state -> RegionBinding.allows(state.registration(), request));
   }
 
   /** Returns the backend servers that may run the request, regardless of their capacity. */
--- a/src/main/java/org/curranthaven/internal/dispatch/ColdServers.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/ColdServers.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.curranthaven.internal.catalog.Catalog;
@@ -79,7 +81,8 @@
     this.spread = spread;
   }
 
-  void setCatalog(Catalog newCatalog) {
+  /** Activates a catalog, which states the cold figures of the services. */
+  public void setCatalog(Catalog newCatalog) {
     catalog = newCatalog;
     servers.values().forEach(server -> server.coldStart = coldStartOf(server.service));
   }
@@ -169,6 +172,18 @@
     return current;
   }
 
+  /** Returns the times for which backend servers with a limit are cold still, for operators. */
+  public SortedMap<String, Long> coldLeftMillis(long nowMillis) {
+    SortedMap<String, Long> left = new TreeMap<>();
+    servers.forEach(
+        (id, server) -> {
+          if (Double.isFinite(requestsPerSecond(server, nowMillis))) {
+            left.put(id, Math.max(0, coldUntilMillis(server) - nowMillis));
+          }
+        });
+    return left;
+  }
+
   private BackendRecord withColdTime(BackendRecord record, long nowMillis) {
     ColdServer server = servers.get(record.getId());
     if (server == null) {
--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -304,7 +304,9 @@
       return;
     }
     PlacementRequest bound = versions.bind(request, nowMillis);
-    if (bound == null) {
+    if (RegionBinding.isUnservable(backends, request)) {
+      reject(requestId, NO_RETRY_HELPS, RejectionReason.NO_BACKEND_IN_REGIONS);
+    } else if (bound == null) {
       reject(requestId, NO_RETRY_HELPS, RejectionReason.STREAM_ORIGIN_UNKNOWN);
     } else if (versions.isVersionGone(bound)) {
       reject(requestId, NO_RETRY_HELPS, RejectionReason.STREAM_VERSION_GONE);
@@ -560,6 +562,7 @@
   /** Returns whether the request waits for something that keeps no request behind it waiting. */
   private boolean isHeldApart(QueuedRequest queued, long nowMillis) {
     return versions.waitsApart(queued.request())
+        || RegionBinding.waitsApart(backends, queued.request())
         || backendCrashes.isHeld(queued.id(), queued.request())
         || isHeldByRest(queued, nowMillis)
         || isRetryHeldByLimit(queued.id(), queued.request(), nowMillis);
--- a/src/main/java/org/curranthaven/internal/dispatch/RejectionReason.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/RejectionReason.java
@@ -20,5 +20,7 @@
    */
   STREAM_ORIGIN_UNKNOWN,
   /** The request takes up a stream, and no backend server has the software version of it. */
-  STREAM_VERSION_GONE
+  STREAM_VERSION_GONE,
+  /** No backend server is in the regions that the route and the workspace allow. */
+  NO_BACKEND_IN_REGIONS
 }
--- a/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
@@ -37,6 +37,7 @@
 import org.curranthaven.api.ResultCode;
 import org.curranthaven.internal.catalog.Catalog;
 import org.curranthaven.internal.catalog.CatalogWorkspace;
+import org.curranthaven.internal.catalog.HomeRegions;
 import org.curranthaven.internal.catalog.Repeatability;
 import org.curranthaven.internal.catalog.Route;
 import org.curranthaven.internal.catalog.ServiceSpec;
@@ -360,12 +361,20 @@
             workspace == null || !catalog.needsKey(route) ? "" : workspace.name(),
             arrivedAtMillis,
             timeoutMillis,
-            hasWorkspacePriority && workspace != null ? workspace.priority() : route.priority());
+            hasWorkspacePriority && workspace != null ? workspace.priority() : route.priority(),
+            homeRegions(catalog, route, workspace));
     currentRequest = routedRequest;
     context.requestOpened(routedRequest);
     routedRequest.start();
   }
 
+  private static HomeRegions homeRegions(
+      Catalog catalog, Route route, @Nullable CatalogWorkspace workspace) {
+    return workspace == null || !catalog.needsKey(route)
+        ? route.homeRegions()
+        : route.homeRegions().and(workspace.homeRegions());
+  }
+
   /**
    * Returns the number that selects the service of a request. A stream and its continuation have
    * the same, so that a caller that takes a stream up reaches the service that began it.
--- a/src/main/java/org/curranthaven/internal/relay/Gateway.java
+++ b/src/main/java/org/curranthaven/internal/relay/Gateway.java
@@ -18,6 +18,7 @@
 import org.curranthaven.api.Outcome;
 import org.curranthaven.api.ResultCode;
 import org.curranthaven.internal.catalog.Catalog;
+import org.curranthaven.internal.catalog.DataCentreRegions;
 import org.curranthaven.internal.catalog.Route;
 import org.curranthaven.internal.dispatch.RetryLimits;
 import org.curranthaven.internal.observe.RoutedMetrics;
@@ -299,6 +300,11 @@
     return settings.dataCentre();
   }
 
+  @Override
+  public DataCentreRegions regions() {
+    return settings.regions();
+  }
+
   @Override
   public Catalog catalog() {
     return catalog;
@@ -377,6 +383,8 @@
    * @param blockedRequests fingerprints of requests on which backend servers crashed, so that they
    *     are rejected
    * @param statedRateLimits requests a second that backend servers accept, by those that state it
+   * @param coldLeftMillis times for which backend servers are cold still and get only their cold
+   *     rate
    */
   public record Dump(
       String name,
@@ -390,6 +398,7 @@
       List<String> blockedPromptParts,
       List<String> blockedRequests,
       SortedMap<String, Double> statedRateLimits,
+      SortedMap<String, Long> coldLeftMillis,
       List<String> hosts) {}
 
   /** Returns the state of the gateway, read on its event loop. */
@@ -408,6 +417,7 @@
                 link.blockedPromptParts(),
                 link.blockedRequests(),
                 link.statedRateLimits(),
+                link.coldLeftMillis(),
                 connectedHosts()));
   }
 
--- a/src/main/java/org/curranthaven/internal/relay/RelayContext.java
+++ b/src/main/java/org/curranthaven/internal/relay/RelayContext.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import org.curranthaven.api.ResultCode;
 import org.curranthaven.internal.catalog.Catalog;
+import org.curranthaven.internal.catalog.DataCentreRegions;
 import org.curranthaven.internal.catalog.Route;
 import org.curranthaven.internal.supervision.Clock;
 import org.curranthaven.internal.transport.wire.BackendRecord;
@@ -26,6 +27,9 @@
 
   String dataCentre();
 
+  /** Returns the regions of the data centres. */
+  DataCentreRegions regions();
+
   /** Returns the active catalog. */
   Catalog catalog();
 
--- a/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
@@ -9,9 +9,11 @@
 import org.curranthaven.api.Failure;
 import org.curranthaven.api.ResultCode;
 import org.curranthaven.internal.catalog.EngineCapabilities;
+import org.curranthaven.internal.catalog.HomeRegions;
 import org.curranthaven.internal.catalog.Repeatability;
 import org.curranthaven.internal.catalog.Route;
 import org.curranthaven.internal.catalog.ServiceSpec;
+import org.curranthaven.internal.dispatch.RegionBinding;
 import org.curranthaven.internal.dispatch.RejectionReason;
 import org.curranthaven.internal.transport.wire.BackendRecord;
 import org.curranthaven.internal.transport.wire.DispatchOutcome;
@@ -66,6 +68,8 @@
   /** Software version that began the stream of the response, the only one that may continue it. */
   private @Nullable String streamVersion;
 
+  private final HomeRegions homeRegions;
+
   private boolean placed;
   private boolean finished;
 
@@ -78,7 +82,8 @@
       String workspace,
       long arrivedAtMillis,
       long timeoutMillis,
-      int priority) {
+      int priority,
+      HomeRegions homeRegions) {
     this.context = context;
     this.caller = caller;
     this.request = request;
@@ -86,6 +91,7 @@
     this.service = service;
     this.workspace = workspace;
     this.priority = priority;
+    this.homeRegions = homeRegions;
     EngineCapabilities engine = service.engine();
     int tokensPerEvent = engine == null ? DEFAULT_TOKENS_PER_EVENT : engine.tokensPerEvent();
     this.migration = new MigrationCoordinator(context, request, route, engine, this);
@@ -135,6 +141,7 @@
             .setIrreplaceable(engine != null && !route.isRepeatable())
             .setFingerprint(fingerprint);
     addStream(builder);
+    RegionBinding.bind(builder, homeRegions, context.regions());
     if (engine != null) {
       builder.addAllParts(request.parts());
     }
@@ -207,8 +214,9 @@
       onRejected(blockedMillis, RejectionReason.CRASHES_BACKENDS.name());
       return;
     }
-    if (context.placer().isRefusing(backendId)) {
-      // Decided before the scheduler heard of it.
+    boolean outOfRegions = target != null && !RegionBinding.allows(target, placementRequest());
+    if (outOfRegions || context.placer().isRefusing(backendId)) {
+      // Decided before the scheduler heard of it, or by one with older software.
       context.placer().reportEnd(placementId, DispatchOutcome.DISPATCH_OUTCOME_CANCELLED, 0);
       excludedBackends.add(backendId);
       requestPlacement(history.nextIsRepeat());
@@ -238,6 +246,16 @@
   }
 
   private void send(BackendRecord target, String stateReference) {
+    if (!RegionBinding.allows(target, placementRequest())) {
+      handleResult(
+          new AttemptResult.Interrupted(
+              "data centre "
+                  + target.getDataCentre()
+                  + " of backend server "
+                  + target.getId()
+                  + " is in none of the regions of the request"));
+      return;
+    }
     if (streamVersion != null && !streamVersion.equals(target.getSoftwareVersion())) {
       handleResult(
           new AttemptResult.Interrupted(
@@ -263,7 +281,9 @@
             service.engine() == null ? -1 : urgency,
             progress.lastEventId(),
             stateReference,
-            backupRecord != null ? backupRecord.getAddress() : "");
+            backupRecord != null && RegionBinding.allows(backupRecord, placementRequest())
+                ? backupRecord.getAddress()
+                : "");
     newAttempt.start(
         context.pool(),
         context.protocol().backendRequest(backendRequest),
@@ -339,8 +359,9 @@
           0);
       return;
     }
+    boolean outOfRegions = reason.equals(RejectionReason.NO_BACKEND_IN_REGIONS.name());
     fail(
-        ResultCode.SHED,
+        outOfRegions ? ResultCode.NO_BACKEND_IN_REGIONS : ResultCode.SHED,
         "the request was rejected before it ran (reason "
             + reason
             + (retryAfterMillis > 0 ? "); retry later" : "); the same request cannot be served"),
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -175,6 +175,11 @@
     return knowledge.rateLimits().stated();
   }
 
+  /** Returns the times for which backend servers are cold still, by backend server. */
+  SortedMap<String, Long> coldLeftMillis() {
+    return knowledge.rateLimits().coldServers().coldLeftMillis(clock.nowMillis());
+  }
+
   /** Returns whether a scheduler's view has been received at least once. */
   boolean hasReceivedView() {
     return viewReceived;
@@ -316,6 +321,7 @@
    */
   void activateCatalog(Catalog newCatalog) {
     catalog = newCatalog;
+    knowledge.rateLimits().coldServers().setCatalog(newCatalog);
     if (localDispatch != null) {
       localDispatch.setCatalog(newCatalog);
     }
--- a/src/main/java/org/curranthaven/internal/relay/WarmUpContext.java
+++ b/src/main/java/org/curranthaven/internal/relay/WarmUpContext.java
@@ -3,10 +3,12 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.curranthaven.api.ResultCode;
 import org.curranthaven.internal.catalog.Catalog;
+import org.curranthaven.internal.catalog.DataCentreRegions;
 import org.curranthaven.internal.catalog.EngineCapabilities;
 import org.curranthaven.internal.catalog.Repeatability;
 import org.curranthaven.internal.catalog.RequestLimits;
@@ -202,6 +204,11 @@
     return NAME;
   }
 
+  @Override
+  public DataCentreRegions regions() {
+    return new DataCentreRegions(Map.of());
+  }
+
   @Override
   public Catalog catalog() {
     return catalog;
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -682,11 +682,12 @@
     }
     if (changed != null) {
       Logger.info(
-          "backend server {} of service {} with software version \"{}\" {}",
+          "backend server {} of service {} with software version \"{}\" {}, cold for {} ms",
           changed.getId(),
           changed.getService(),
           changed.getSoftwareVersion(),
-          changed.getLeaving() ? "is leaving" : "registered");
+          changed.getLeaving() ? "is leaving" : "registered",
+          changed.getColdLeftMillis());
       core.updateBackend(changed, nowMillis);
       pushBackendChange(List.of(changed), List.of());
     }
--- a/src/main/java/org/curranthaven/internal/settings/RoutedSettings.java
+++ b/src/main/java/org/curranthaven/internal/settings/RoutedSettings.java
@@ -4,11 +4,13 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.curranthaven.api.Outcome;
 import org.curranthaven.api.ResultCode;
+import org.curranthaven.internal.catalog.DataCentreRegions;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -39,6 +41,7 @@
  * @param coldServerBound bound on the requests that arrive at a cold backend server, which the
  *     system keeps by sending no more than the rate of its service; null if the platform states
  *     none
+ * @param regions regions of the data centres
  */
 public record RoutedSettings(
     String name,
@@ -57,7 +60,8 @@
     double retrySlack,
     double retryWindowSeconds,
     long registrationMillis,
-    @Nullable ColdServerBound coldServerBound) {
+    @Nullable ColdServerBound coldServerBound,
+    DataCentreRegions regions) {
   private static final double MILLIS_PER_SECOND = 1_000;
 
   /** Most losses for which a voter group is practical: seven voters. */
@@ -82,7 +86,8 @@
           "retryWindowSeconds",
           "registrationMillis",
           ColdServerBound.EXCESS_KEY,
-          ColdServerBound.SLACK_KEY);
+          ColdServerBound.SLACK_KEY,
+          "regions");
 
   /** Number of consecutive missed registrations after which a backend server is removed. */
   private static final long MISSED_REGISTRATIONS_LIMIT = 5;
@@ -113,7 +118,7 @@
     }
   }
 
-  /** Creates settings without a bound for cold backend servers. */
+  /** Creates settings without a bound for cold backend servers and without regions. */
   public RoutedSettings(
       String name,
       String dataCentre,
@@ -148,7 +153,8 @@
         retrySlack,
         retryWindowSeconds,
         registrationMillis,
-        null);
+        null,
+        new DataCentreRegions(Map.of()));
   }
 
   private static void requireText(String key, @Nullable String text) {
@@ -211,7 +217,8 @@
         entries.decimal("retrySlack"),
         entries.decimal("retryWindowSeconds"),
         entries.number("registrationMillis", 0, 1, Long.MAX_VALUE),
-        ColdServerBound.read(entries));
+        ColdServerBound.read(entries),
+        new DataCentreRegions(entries.textsByName("regions")));
   }
 
   /** Returns whether the host accepts requests from callers. */
--- a/src/main/java/org/curranthaven/internal/settings/SettingsEntries.java
+++ b/src/main/java/org/curranthaven/internal/settings/SettingsEntries.java
@@ -147,6 +147,28 @@
     return result;
   }
 
+  /** Returns the members of an object of non-empty strings; empty if the key is missing. */
+  Map<String, String> textsByName(String key) {
+    LocatedValue value = valueOf(key);
+    if (value == null) {
+      return Map.of();
+    }
+    Map<String, String> texts = new LinkedHashMap<>();
+    value
+        .node()
+        .properties()
+        .forEach(member -> texts.put(member.getKey(), textOf(member.getValue())));
+    if (!value.node().isObject() || texts.containsValue("")) {
+      addFault(value.line(), key, "must be an object of non-empty strings", "Write {\"…\": \"…\"}");
+      return Map.of();
+    }
+    return texts;
+  }
+
+  private static String textOf(JsonNode node) {
+    return node.isTextual() ? node.asText() : "";
+  }
+
   /** Returns a required address of the form IP:PORT. */
   String address(String key) {
     String text = text(key);
--- a/src/main/java/org/curranthaven/platform/CatalogTranslation.java
+++ b/src/main/java/org/curranthaven/platform/CatalogTranslation.java
@@ -14,6 +14,7 @@
 import org.curranthaven.internal.catalog.CatalogWorkspace;
 import org.curranthaven.internal.catalog.ColdStart;
 import org.curranthaven.internal.catalog.EngineCapabilities;
+import org.curranthaven.internal.catalog.HomeRegions;
 import org.curranthaven.internal.catalog.Repeatability;
 import org.curranthaven.internal.catalog.RequestLimits;
 import org.curranthaven.internal.catalog.Route;
@@ -74,7 +75,8 @@
         Math.max(1, node.path("attempts").asInt(1)),
         node.path("anonymous").asBoolean(false),
         node.path("resumable").asBoolean(false),
-        serviceWeights(node));
+        serviceWeights(node),
+        homeRegions(node));
   }
 
   private static Repeatability repeatability(String kind) {
@@ -147,7 +149,9 @@
     for (JsonNode workspaceNode : workspaceNodes) {
       CatalogWorkspace workspace =
           new CatalogWorkspace(
-              requiredText(workspaceNode, "name"), workspaceNode.path("priority").asInt(-1));
+              requiredText(workspaceNode, "name"),
+              workspaceNode.path("priority").asInt(-1),
+              homeRegions(workspaceNode));
       for (JsonNode key : requiredArray(workspaceNode, "apiKeys")) {
         CatalogWorkspace other = byKey.put(key.asText(), workspace);
         if (other != null && !other.name().equals(workspace.name())) {
@@ -163,6 +167,22 @@
     return byKey;
   }
 
+  private static HomeRegions homeRegions(JsonNode node) {
+    JsonNode names = node.path("allowedRegions");
+    if (names.isMissingNode() || names.isNull()) {
+      return HomeRegions.any();
+    }
+    List<String> regions = new ArrayList<>();
+    for (JsonNode name : requiredArray(node, "allowedRegions")) {
+      if (!name.isTextual() || name.asText().isEmpty()) {
+        throw new IllegalArgumentException(
+            "'allowedRegions' holds " + name + "; list names of regions");
+      }
+      regions.add(name.asText());
+    }
+    return HomeRegions.of(regions);
+  }
+
   private static JsonNode requiredArray(JsonNode node, String name) {
     JsonNode array = node.get(name);
     if (array == null || !array.isArray()) {
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -787,4 +787,50 @@
 
     assertThat(publishedColdTimes()).isNotEmpty().allMatch(left -> left > 3_600 && left < 4_000);
   }
+
+  /** Offers 50 requests a second, each of which ends at once; returns how many were placed. */
+  private long placementsIn(long durationMillis) {
+    sent.clear();
+    for (long id = 1; id <= durationMillis / 20; id++) {
+      PlacementRequest request =
+          PlacementRequest.newBuilder()
+              .setId(id)
+              .setService("plain")
+              .setTargetLeftMillis(100)
+              .setDeadlineLeftMillis(3_000)
+              .build();
+      DispatchEnd end =
+          DispatchEnd.newBuilder()
+              .setId(id)
+              .setOutcome(DispatchOutcome.DISPATCH_OUTCOME_ANSWERED)
+              .build();
+      scheduler.handleRequests(
+          host("g1"), DispatchRequests.newBuilder().setTerm(5).addAsks(request).build());
+      time.advance(20);
+      scheduler.handleRequests(
+          host("g1"), DispatchRequests.newBuilder().setTerm(5).addEnds(end).build());
+    }
+    return sent.stream()
+        .mapToLong(message -> message.getValue().getDispatchOrders().getPlacementsCount())
+        .sum();
+  }
+
+  @Test
+  void a_new_leader_leaves_gateways_that_have_not_found_it_their_share_of_the_cold_rate() {
+    applyColdCatalog();
+    scheduler.setTerm(5, List.of());
+    receiveStatus("g1", 0, 0, true);
+    scheduler.handleStatus(
+        host("g2"),
+        GatewayStatus.newBuilder()
+            .setTerm(5)
+            .setFull(true)
+            .setMostGateways(8)
+            .addBackends(cold(1, 60_000))
+            .build());
+    time.advance(AFTER_REBUILD_MILLIS);
+
+    // 2 of 8 gateways are connected, so that 6 of 24 requests/s are this leader's.
+    assertThat(placementsIn(2_000)).isBetween(10L, 14L);
+  }
 }
--- a/src/test/java/org/curranthaven/internal/settings/RoutedSettingsTest.java
+++ b/src/test/java/org/curranthaven/internal/settings/RoutedSettingsTest.java
@@ -89,6 +89,19 @@
         .contains("coldServerExcess is 0.5");
   }
 
+  @Test
+  void the_regions_of_data_centres_are_optional_and_checked() {
+    String regions = "\"regions\": {\"a\": \"north\", \"b\": \"south\"}, \"toleratedLosses\"";
+    String faulty = regions.replace("\"south\"", "3");
+
+    assertThat(valid(GATEWAY).regions().byDataCentre()).isEmpty();
+    assertThat(valid(GATEWAY.replace("\"toleratedLosses\"", regions)).regions().byDataCentre())
+        .containsEntry("a", "north")
+        .containsEntry("b", "south");
+    assertThat(messageOf(RoutedSettings.of(GATEWAY.replace("\"toleratedLosses\"", faulty))))
+        .contains("must be an object of non-empty strings");
+  }
+
   @Test
   void all_faults_are_told_with_their_lines() {
     String text =
--- a/src/test/java/org/curranthaven/platform/CatalogTranslationTest.java
+++ b/src/test/java/org/curranthaven/platform/CatalogTranslationTest.java
@@ -3,10 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Objects;
 import org.curranthaven.api.Outcome;
 import org.curranthaven.internal.catalog.Catalog;
+import org.curranthaven.internal.catalog.CatalogWorkspace;
 import org.curranthaven.internal.catalog.ColdStart;
+import org.curranthaven.internal.catalog.HomeRegions;
+import org.curranthaven.internal.catalog.Route;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 
@@ -63,6 +67,28 @@
     return Objects.requireNonNull(catalog.service(service)).coldStart();
   }
 
+  @Test
+  void allowed_regions_of_routes_and_workspaces_are_decoded_and_an_empty_list_allows_any() {
+    String document =
+        DOCUMENT
+            .replace("\"name\":\"r-1\",", "\"name\":\"r-1\",\"allowedRegions\":%s,")
+            .replace("\"name\":\"t1\",", "\"name\":\"t1\",\"allowedRegions\":[\"south\"],");
+    Catalog catalog = decodeValid(document.formatted("[\"north\",\"south\"]"));
+    Route route = catalog.routeFor("stories.example", "/a/c").orElseThrow();
+    CatalogWorkspace workspace = Objects.requireNonNull(catalog.workspaceOf("k1"));
+
+    assertThat(route.homeRegions()).isEqualTo(HomeRegions.of(List.of("north", "south")));
+    assertThat(route.homeRegions().and(workspace.homeRegions()).names()).containsExactly("south");
+    assertThat(
+            decodeValid(document.formatted("[]"))
+                .routeFor("stories.example", "/a/c")
+                .orElseThrow()
+                .homeRegions())
+        .isEqualTo(HomeRegions.any());
+    assertThat(decode(document.formatted("[3]"))).isInstanceOf(Outcome.Failed.class);
+    assertThat(decode(document.formatted("\"north\""))).isInstanceOf(Outcome.Failed.class);
+  }
+
   @Test
   void a_service_of_weight_0_gets_no_requests() {
     Catalog catalog = decodeValid(DOCUMENT);
--- a/src/test/java/org/curranthaven/platform/PlatformWordsTest.java
+++ b/src/test/java/org/curranthaven/platform/PlatformWordsTest.java
@@ -54,6 +54,7 @@
           "kvCapacity",
           "coldLeftMs",
           "coldPerS",
+          "allowedRegions",
           "coldStartS",
           "heartbeatAddr",
           "non_idempotent");
--- a/src/test/java/org/curranthaven/platform/RoutedFleetFixture.java
+++ b/src/test/java/org/curranthaven/platform/RoutedFleetFixture.java
@@ -10,9 +10,11 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.curranthaven.api.Outcome;
+import org.curranthaven.internal.catalog.DataCentreRegions;
 import org.curranthaven.internal.consensus.DataFolder;
 import org.curranthaven.internal.relay.Gateway;
 import org.curranthaven.internal.scheduler.ControlHost;
@@ -136,7 +138,9 @@
         0.2,
         10,
         10,
-        60_000);
+        60_000,
+        null,
+        new DataCentreRegions(Map.of("here", "north", "there", "south")));
   }
 
   HttpResponse<String> sendControlRequest(String method, String path, String body)
