A backend server that crashed is cold until it registers again and for its cold time after that

In local fallback no registration arrives, so that a server that was back eight seconds after a crash got requests at any rate.

--- a/src/main/java/org/curranthaven/internal/dispatch/ColdServers.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/ColdServers.java
@@ -49,7 +49,10 @@
     final String dataCentre;
 
     /** When it registered for the first time; long ago if another host knew it. */
-    final long firstRegisteredAtMillis;
+    long firstRegisteredAtMillis;
+
+    /** Whether it crashed, so that its next registration is the first one after its start. */
+    boolean crashed;
 
     long coldUntilMillis;
     boolean coldUntilRegistered;
@@ -107,6 +110,10 @@
   public void register(BackendRecord record, long nowMillis) {
     long firstAtMillis = spread == null ? nowMillis : LONG_AGO_MILLIS;
     ColdServer server = find(record, firstAtMillis);
+    if (server.crashed) {
+      server.crashed = false;
+      server.firstRegisteredAtMillis = firstAtMillis;
+    }
     server.registered = true;
     server.coldUntilMillis = nowMillis + record.getColdLeftMillis();
     server.coldUntilRegistered = record.getColdUntilRegistered();
@@ -141,6 +148,20 @@
         });
   }
 
+  /**
+   * Handles the report that a backend server crashed: if it is back before it registers, it is
+   * cold.
+   */
+  void recordCrash(String id, long nowMillis) {
+    ColdServer server = servers.get(id);
+    if (server != null && server.coldStart != null && !server.crashed) {
+      server.crashed = true;
+      server.coldUntilRegistered = true;
+      unpublished.add(id);
+      limiterOf(id, nowMillis);
+    }
+  }
+
   /** Returns whether the backend server counts as cold because it has not registered since. */
   boolean isColdUntilRegistered(String id) {
     ColdServer server = servers.get(id);
--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -208,6 +208,7 @@
    * rejects the queued requests with it and stops the running ones that it may still crash.
    */
   public void backendCrashed(String id, long nowMillis) {
+    rateLimits.coldServers().recordCrash(id, nowMillis);
     BackendState backend = backends.get(id);
     if (backend != null && backendCrashes.handleCrash(backend, nowMillis)) {
       enforceBlocks(nowMillis);
--- a/src/test/java/org/curranthaven/internal/dispatch/ColdServersTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/ColdServersTest.java
@@ -128,6 +128,20 @@
     assertThat(placements("plain", 8_000, 9_000)).hasSizeGreaterThanOrEqualTo(100);
   }
 
+  @Test
+  void a_server_that_crashed_is_cold_when_it_is_used_again() {
+    core.updateBackend(backend("i-1", "plain", 0), 0);
+    placements("plain", 0, 2_000);
+
+    core.backendCrashed("i-1", 2_000);
+    placements("plain", 2_000, 20_000);
+    assertThat(placements("plain", 20_000, 21_000)).hasSizeBetween(22, 27);
+
+    core.updateBackend(backend("i-1", "plain", 0), 21_000);
+    assertThat(placements("plain", 21_000, 22_000)).hasSizeBetween(22, 27);
+    assertThat(placements("plain", 22_000, 23_000)).hasSizeGreaterThanOrEqualTo(100);
+  }
+
   @Test
   void a_request_that_continues_on_its_backup_engine_counts_against_the_cold_rate() {
     core.updateBackend(engine(1, LONG_COLD_MILLIS), 0);
--- a/src/test/java/org/curranthaven/internal/dispatch/RegionBindingTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/RegionBindingTest.java
@@ -149,6 +149,22 @@
     assertThat(placedOn(request("plain", "north"))).isEqualTo("i-n1");
   }
 
+  @Test
+  void a_stream_that_its_caller_takes_up_stays_in_its_regions() {
+    register("e-n1", "engines", "n1", false);
+    PlacementRequest.Builder first = request("engines", "north").setStream(7);
+    assertThat(placedOn(first)).isEqualTo("e-n1");
+    core.outputProgressed(new RequestId("g", first.getId()), 8, 10);
+    register("e-s1", "engines", "s1", false);
+
+    assertThat(placedOn(request("engines", "north").setResumes(true).setResumedStream(7)))
+        .isEqualTo("e-n1");
+    core.removeBackend("e-n1", 20);
+    core.drainDecisions();
+    assertThat(rejectionOf(request("engines", "north").setResumes(true).setResumedStream(7)))
+        .isEqualTo(RejectionReason.NO_BACKEND_IN_REGIONS);
+  }
+
   private PlacementRequest.Builder longStream(String region) {
     return request("engines", region)
         .setIrreplaceable(true)
