--- a/src/main/java/org/curranthaven/internal/dispatch/BackendRegistry.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/BackendRegistry.java
@@ -19,6 +19,12 @@
   /** Time for which a removed id is remembered; longer than a delayed message takes to arrive. */
   static final long REMOVED_ID_RETENTION_MILLIS = 120_000;
 
+  /**
+   * Difference of two statements of one cold time that is not published: registrations are delayed
+   * by different times.
+   */
+  private static final long COLD_TOLERANCE_MILLIS = 20;
+
   private final Map<String, BackendRecord> records = new LinkedHashMap<>();
   private final Map<String, Long> registeredAtMillis = new HashMap<>();
   private final Map<String, Long> removedAtMillis = new HashMap<>();
@@ -29,6 +35,9 @@
   /** Latest start of each instance, and when it was last heard of. */
   private final Map<String, Incarnation> incarnations = new HashMap<>();
 
+  /** Until when backend servers are cold, as published last. */
+  private final Map<String, Long> coldUntilMillis = new HashMap<>();
+
   private long lastFirstSeen;
 
   private record Incarnation(long startedAtMillis, long heardAtMillis) {}
@@ -55,7 +64,13 @@
     BackendRecord current = update.toBuilder().setFirstSeen(firstSeen).setLeaving(leaving).build();
     records.put(current.getId(), current);
     registeredAtMillis.put(current.getId(), nowMillis);
-    return previous != null && isEquivalent(previous, current) ? null : current;
+    boolean published =
+        previous != null && isEquivalent(previous, current) && isColdTimeKnown(current, nowMillis);
+    if (published) {
+      return null;
+    }
+    coldUntilMillis.put(current.getId(), nowMillis + current.getColdLeftMillis());
+    return current;
   }
 
   private boolean isSuperseded(BackendRecord update) {
@@ -119,15 +134,28 @@
   private static boolean isEquivalent(BackendRecord first, BackendRecord second) {
     return first.getAddress().equals(second.getAddress())
         && first.getService().equals(second.getService())
+        && first.getDataCentre().equals(second.getDataCentre())
         && first.getSlots() == second.getSlots()
         && first.getSoftwareVersion().equals(second.getSoftwareVersion())
         && first.getLeaving() == second.getLeaving();
   }
 
+  /**
+   * Returns whether the cold time of a registration is the published one. A backend server that is
+   * cold again is always a change, also for the shortest time.
+   */
+  private boolean isColdTimeKnown(BackendRecord current, long nowMillis) {
+    long leftMillis = current.getColdLeftMillis();
+    long knownMillis = coldUntilMillis.getOrDefault(current.getId(), nowMillis) - nowMillis;
+    boolean coldAgain = leftMillis > 0 && knownMillis <= 0;
+    return !coldAgain && Math.abs(leftMillis - Math.max(0, knownMillis)) <= COLD_TOLERANCE_MILLIS;
+  }
+
   /** Removes a backend server that deregistered; returns whether it was registered. */
   public boolean remove(String id, long nowMillis) {
     removedAtMillis.put(id, nowMillis);
     registeredAtMillis.remove(id);
+    coldUntilMillis.remove(id);
     return records.remove(id) != null;
   }
 
@@ -154,6 +182,7 @@
     for (String id : expired) {
       records.remove(id);
       registeredAtMillis.remove(id);
+      coldUntilMillis.remove(id);
     }
     leavingAtMillis
         .values()
--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -101,7 +101,12 @@
         new QueueTimeForecast(
             backends, speeds, capacityRules, rateLimits, random, isEnabled(Mechanism.LEARNING));
     this.placementCost =
-        new PlacementCost(speeds, random, capacityShares > 1, isEnabled(Mechanism.PROMPT_AFFINITY));
+        new PlacementCost(
+            speeds,
+            rateLimits.coldServers(),
+            random,
+            capacityShares > 1,
+            isEnabled(Mechanism.PROMPT_AFFINITY));
     TransferTargets targets = new TransferTargets(backends, capacityRules);
     this.backupPlanner =
         new BackupPlanner(backends, targets, speeds, isEnabled(Mechanism.BACKUP_COPIES));
@@ -154,6 +159,7 @@
   /** Activates a catalog. */
   public void setCatalog(Catalog newCatalog) {
     backends.setCatalog(newCatalog);
+    rateLimits.coldServers().setCatalog(newCatalog);
   }
 
   /** Handles the registration of a new backend server or an update to a known one. */
@@ -162,6 +168,7 @@
       enforceBlocks(nowMillis);
     }
     backends.register(registration, nowMillis);
+    rateLimits.coldServers().register(registration, nowMillis);
     streamOrigins.recordServing(
         registration.getService(), registration.getSoftwareVersion(), nowMillis);
     migrateFrom(registration.getId(), nowMillis);
@@ -176,7 +183,8 @@
     List<String> ended =
         backends.evacuated().stream().filter(name -> !dataCentres.contains(name)).toList();
     backends.setEvacuated(dataCentres, nowMillis);
-    ended.forEach(dataCentre -> evacuationEnded(dataCentre, nowMillis));
+    // They may have become cold meanwhile.
+    ended.forEach(dataCentre -> coldUntilRegistered(dataCentre, nowMillis));
     queue.services().forEach(service -> serveQueueAfterEvacuation(service, nowMillis));
   }
 
@@ -195,18 +203,13 @@
     reject(requestId, forecast.retryAfterMillis(Double.MAX_VALUE), RejectionReason.NO_BACKEND);
   }
 
-  /**
-   * Handles the end of an evacuation: the backend servers of the data centre may have become cold
-   * meanwhile. Called by {@link #setEvacuated} before a request is placed there.
-   */
-  public void evacuationEnded(String dataCentre, long nowMillis) {}
-
   /** Records that a backend server accepts no new requests; those running on it may continue. */
   public void removeBackend(String id, long nowMillis) {
     BackendState backend = backends.get(id);
     if (backend == null) {
       return;
     }
+    rateLimits.coldServers().remove(id);
     versions.recordServing(backend, nowMillis);
     backend.updateRegistration(
         backend.registration().toBuilder().setLeaving(true).build(), nowMillis);
@@ -214,12 +217,26 @@
     backends.removeIfDrained(backend);
   }
 
+  /**
+   * Records that nothing is known of the temperature of the data centre's backend servers: each
+   * counts as cold until it registers.
+   */
+  public void coldUntilRegistered(String dataCentre, long nowMillis) {
+    rateLimits.coldServers().coldUntilRegistered(dataCentre, nowMillis);
+  }
+
+  /** Returns whether the backend server counts as cold only because it has not registered since. */
+  public boolean isColdUntilRegistered(String id) {
+    return rateLimits.coldServers().isColdUntilRegistered(id);
+  }
+
   /**
    * Handles the report that a backend server closed a connection before the end of a response and
    * refuses new ones. Takes it out of use; if a request or a part of prompts becomes blocked,
    * rejects the queued requests with it and stops the running ones that it may still crash.
    */
   public void backendCrashed(String id, long nowMillis) {
+    rateLimits.coldServers().recordCrash(id, nowMillis);
     BackendState backend = backends.get(id);
     if (backend != null && backendCrashes.handleCrash(backend, nowMillis)) {
       enforceBlocks(nowMillis);
@@ -316,7 +333,9 @@
       return;
     }
     PlacementRequest bound = versions.bind(request, nowMillis);
-    if (bound == null) {
+    if (RegionBinding.isUnservable(backends, request)) {
+      reject(requestId, NO_RETRY_HELPS, RejectionReason.NO_BACKEND_IN_REGIONS);
+    } else if (bound == null) {
       reject(requestId, NO_RETRY_HELPS, RejectionReason.STREAM_ORIGIN_UNKNOWN);
     } else if (versions.isVersionGone(bound)) {
       reject(requestId, NO_RETRY_HELPS, RejectionReason.STREAM_VERSION_GONE);
@@ -576,6 +595,7 @@
   /** Returns whether the request waits for something that keeps no request behind it waiting. */
   private boolean isHeldApart(QueuedRequest queued, long nowMillis) {
     return versions.waitsApart(queued.request())
+        || RegionBinding.waitsApart(backends, queued.request())
         || backendCrashes.isHeld(queued.id(), queued.request())
         || isHeldByRest(queued, nowMillis)
         || isRetryHeldByLimit(queued.id(), queued.request(), nowMillis);
--- a/src/main/java/org/curranthaven/internal/relay/Gateway.java
+++ b/src/main/java/org/curranthaven/internal/relay/Gateway.java
@@ -18,6 +18,7 @@
 import org.curranthaven.api.Outcome;
 import org.curranthaven.api.ResultCode;
 import org.curranthaven.internal.catalog.Catalog;
+import org.curranthaven.internal.catalog.DataCentreRegions;
 import org.curranthaven.internal.catalog.Route;
 import org.curranthaven.internal.dispatch.RetryLimits;
 import org.curranthaven.internal.observe.RoutedMetrics;
@@ -306,6 +307,11 @@
     return settings.dataCentre();
   }
 
+  @Override
+  public DataCentreRegions regions() {
+    return settings.regions();
+  }
+
   @Override
   public Catalog catalog() {
     return catalog;
@@ -386,6 +392,8 @@
    * @param statedRateLimits requests a second that backend servers accept, by those that state it
    * @param evacuatedDataCentres data centres to whose backend servers nothing is sent
    * @param evacuationRevision number of changes to these
+   * @param coldLeftMillis times for which backend servers are cold still and get only their cold
+   *     rate
    */
   public record Dump(
       String name,
@@ -401,6 +409,7 @@
       SortedMap<String, Double> statedRateLimits,
       List<String> evacuatedDataCentres,
       long evacuationRevision,
+      SortedMap<String, Long> coldLeftMillis,
       List<String> hosts) {}
 
   /** Returns the state of the gateway, read on its event loop. */
@@ -421,6 +430,7 @@
                 link.statedRateLimits(),
                 link.evacuatedDataCentres(),
                 link.evacuationRevision(),
+                link.coldLeftMillis(),
                 connectedHosts()));
   }
 
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -190,6 +190,11 @@
     return evacuated.revision();
   }
 
+  /** Returns the times for which backend servers are cold still, by backend server. */
+  SortedMap<String, Long> coldLeftMillis() {
+    return knowledge.rateLimits().coldServers().coldLeftMillis(clock.nowMillis());
+  }
+
   /** Returns whether a scheduler's view has been received at least once. */
   boolean hasReceivedView() {
     return viewReceived;
@@ -298,11 +303,17 @@
 
   private void putBackend(BackendRecord record) {
     if (!removedBackends.contains(record.getId())) {
+      knowledge.rateLimits().coldServers().register(record, clock.nowMillis());
       boolean leaving = record.getLeaving() || leavingBackends.contains(record.getId());
       backends.put(record.getId(), record.toBuilder().setLeaving(leaving).build());
     }
   }
 
+  /** Returns the known backend servers with the cold times that they have left. */
+  private List<BackendRecord> currentBackends() {
+    return knowledge.rateLimits().coldServers().withColdTimes(backends.values(), clock.nowMillis());
+  }
+
   private void removeBackend(String id) {
     removedBackends.add(id);
     forgetBackend(id);
@@ -310,6 +321,7 @@
 
   private void forgetBackend(String id) {
     BackendRecord record = backends.remove(id);
+    knowledge.rateLimits().coldServers().remove(id);
     if (record != null) {
       recordServing(record);
     }
@@ -327,6 +339,7 @@
    */
   void activateCatalog(Catalog newCatalog) {
     catalog = newCatalog;
+    knowledge.rateLimits().coldServers().setCatalog(newCatalog);
     if (localDispatch != null) {
       localDispatch.setCatalog(newCatalog);
     }
@@ -362,7 +375,8 @@
       backends.values().forEach(this::recordServing);
       StreamOrigins origins = knowledge.streamOrigins();
       status
-          .addAllBackends(backends.values())
+          .setMostGateways(mostGateways)
+          .addAllBackends(currentBackends())
           .addAllGone(removedBackends)
           .addAllCrashSuspects(knowledge.crashes().export(clock.nowMillis()))
           .addAllRateLimits(knowledge.rateLimits().export(clock.nowMillis()))
@@ -776,7 +790,7 @@
     knowledge.rateLimits().setShare(1.0 / mostGateways);
     core.setCatalog(catalog);
     core.setEvacuated(evacuated.names(), nowMillis);
-    backends.values().forEach(record -> core.updateBackend(record, nowMillis));
+    currentBackends().forEach(record -> core.updateBackend(record, nowMillis));
     List<PlacementRequest> queued = new ArrayList<>();
     openRequests.forEach(
         (id, request) -> {
--- a/src/main/java/org/curranthaven/internal/settings/RoutedSettings.java
+++ b/src/main/java/org/curranthaven/internal/settings/RoutedSettings.java
@@ -4,11 +4,13 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.curranthaven.api.Outcome;
 import org.curranthaven.api.ResultCode;
+import org.curranthaven.internal.catalog.DataCentreRegions;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -36,6 +38,10 @@
  * @param retrySlack retries of a service allowed per window in addition to the ratio
  * @param retryWindowSeconds length of the sliding window in which retries are counted
  * @param registrationMillis interval at which a backend server renews its registration
+ * @param coldServerBound bound on the requests that arrive at a cold backend server, which the
+ *     system keeps by sending no more than the rate of its service; null if the platform states
+ *     none
+ * @param regions regions of the data centres
  */
 public record RoutedSettings(
     String name,
@@ -53,7 +59,9 @@
     double retryRatio,
     double retrySlack,
     double retryWindowSeconds,
-    long registrationMillis) {
+    long registrationMillis,
+    @Nullable ColdServerBound coldServerBound,
+    DataCentreRegions regions) {
   private static final double MILLIS_PER_SECOND = 1_000;
 
   /** Most losses for which a voter group is practical: seven voters. */
@@ -76,7 +84,10 @@
           "retryRatio",
           "retrySlack",
           "retryWindowSeconds",
-          "registrationMillis");
+          "registrationMillis",
+          ColdServerBound.EXCESS_KEY,
+          ColdServerBound.SLACK_KEY,
+          "regions");
 
   /** Number of consecutive missed registrations after which a backend server is removed. */
   private static final long MISSED_REGISTRATIONS_LIMIT = 5;
@@ -107,6 +118,45 @@
     }
   }
 
+  /** Creates settings without a bound for cold backend servers and without regions. */
+  public RoutedSettings(
+      String name,
+      String dataCentre,
+      String peerAddress,
+      @Nullable String callerAddress,
+      @Nullable String readyAddress,
+      @Nullable String controlAddress,
+      @Nullable String statusAddress,
+      @Nullable String dataFolder,
+      List<String> contacts,
+      boolean firstStart,
+      int toleratedLosses,
+      double drainSeconds,
+      double retryRatio,
+      double retrySlack,
+      double retryWindowSeconds,
+      long registrationMillis) {
+    this(
+        name,
+        dataCentre,
+        peerAddress,
+        callerAddress,
+        readyAddress,
+        controlAddress,
+        statusAddress,
+        dataFolder,
+        contacts,
+        firstStart,
+        toleratedLosses,
+        drainSeconds,
+        retryRatio,
+        retrySlack,
+        retryWindowSeconds,
+        registrationMillis,
+        null,
+        new DataCentreRegions(Map.of()));
+  }
+
   private static void requireText(String key, @Nullable String text) {
     if (text == null || text.isBlank()) {
       throw new IllegalArgumentException(
@@ -166,7 +216,9 @@
         entries.decimal("retryRatio"),
         entries.decimal("retrySlack"),
         entries.decimal("retryWindowSeconds"),
-        entries.number("registrationMillis", 0, 1, Long.MAX_VALUE));
+        entries.number("registrationMillis", 0, 1, Long.MAX_VALUE),
+        ColdServerBound.read(entries),
+        new DataCentreRegions(entries.textsByName("regions")));
   }
 
   /** Returns whether the host accepts requests from callers. */
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -10,7 +10,9 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.curranthaven.internal.catalog.Catalog;
+import org.curranthaven.internal.catalog.ColdStart;
 import org.curranthaven.internal.catalog.RequestLimits;
+import org.curranthaven.internal.catalog.ServiceSpec;
 import org.curranthaven.internal.catalog.ServiceVersion;
 import org.curranthaven.internal.dispatch.RetryLimits;
 import org.curranthaven.internal.relay.ManualTime;
@@ -737,4 +739,99 @@
 
     assertThat(versionLog.removed).containsExactly(new ServiceVersion("plain", "v1"));
   }
+
+  private void applyColdCatalog() {
+    ServiceSpec service = new ServiceSpec("plain", 100, null, new ColdStart(1, 24));
+    scheduler.applyCatalog(
+        new Catalog(8, List.of(), List.of(service), RequestLimits.standard(), null),
+        ByteString.copyFromUtf8("document"));
+  }
+
+  private static BackendRecord cold(long sequence, long leftMillis) {
+    return backend(sequence, false).toBuilder().setColdLeftMillis(leftMillis).build();
+  }
+
+  private List<Long> publishedColdTimes() {
+    return viewsTo("g1").stream()
+        .flatMap(view -> view.getBackendsList().stream())
+        .map(BackendRecord::getColdLeftMillis)
+        .toList();
+  }
+
+  @Test
+  void a_new_server_is_published_as_cold_and_again_when_it_becomes_cold_again() {
+    applyColdCatalog();
+    startLeading();
+    sent.clear();
+
+    scheduler.register(cold(1, 0), new RecordedResult()::accept);
+    time.advance(1_200);
+    scheduler.register(cold(2, 0), new RecordedResult()::accept);
+    time.advance(1_200);
+    scheduler.register(cold(3, 700), new RecordedResult()::accept);
+
+    assertThat(publishedColdTimes().getFirst()).isEqualTo(1_000);
+    assertThat(publishedColdTimes().getLast()).isEqualTo(700);
+  }
+
+  @Test
+  void a_new_leader_learns_the_cold_times_that_are_left_from_the_gateways() {
+    applyColdCatalog();
+    scheduler.setTerm(5, List.of());
+    scheduler.handleStatus(
+        host("g1"),
+        GatewayStatus.newBuilder().setTerm(5).setFull(true).addBackends(cold(1, 4_000)).build());
+    receiveStatus("g2", 0, 0, true);
+    sent.clear();
+
+    time.advance(AFTER_REBUILD_MILLIS);
+
+    assertThat(publishedColdTimes()).isNotEmpty().allMatch(left -> left > 3_600 && left < 4_000);
+  }
+
+  /** Offers 50 requests a second, each of which ends at once; returns how many were placed. */
+  private long placementsIn(long durationMillis) {
+    sent.clear();
+    for (long id = 1; id <= durationMillis / 20; id++) {
+      PlacementRequest request =
+          PlacementRequest.newBuilder()
+              .setId(id)
+              .setService("plain")
+              .setTargetLeftMillis(100)
+              .setDeadlineLeftMillis(3_000)
+              .build();
+      DispatchEnd end =
+          DispatchEnd.newBuilder()
+              .setId(id)
+              .setOutcome(DispatchOutcome.DISPATCH_OUTCOME_ANSWERED)
+              .build();
+      scheduler.handleRequests(
+          host("g1"), DispatchRequests.newBuilder().setTerm(5).addAsks(request).build());
+      time.advance(20);
+      scheduler.handleRequests(
+          host("g1"), DispatchRequests.newBuilder().setTerm(5).addEnds(end).build());
+    }
+    return sent.stream()
+        .mapToLong(message -> message.getValue().getDispatchOrders().getPlacementsCount())
+        .sum();
+  }
+
+  @Test
+  void a_new_leader_leaves_gateways_that_have_not_found_it_their_share_of_the_cold_rate() {
+    applyColdCatalog();
+    scheduler.setTerm(5, List.of());
+    receiveStatus("g1", 0, 0, true);
+    scheduler.handleStatus(
+        host("g2"),
+        GatewayStatus.newBuilder()
+            .setTerm(5)
+            .setFull(true)
+            .setMostGateways(8)
+            .addBackends(cold(1, 60_000))
+            .build());
+    time.advance(AFTER_REBUILD_MILLIS);
+
+    // 2 of 8 gateways are connected, so that 6 of 24 requests/s are this leader's.
+    assertThat(placementsIn(2_000)).isBetween(10L, 14L);
+  }
 }
--- a/src/test/java/org/curranthaven/internal/settings/RoutedSettingsTest.java
+++ b/src/test/java/org/curranthaven/internal/settings/RoutedSettingsTest.java
@@ -75,6 +75,33 @@
     assertThat(settings.firstStart()).isTrue();
   }
 
+  @Test
+  void the_bound_for_cold_servers_is_optional_and_checked() {
+    String bound = "\"coldServerExcess\": 1.5, \"coldServerSlack\": 5, \"toleratedLosses\"";
+
+    assertThat(valid(GATEWAY).coldServerBound()).isNull();
+    assertThat(valid(GATEWAY.replace("\"toleratedLosses\"", bound)).coldServerBound())
+        .isEqualTo(new ColdServerBound(1.5, 5));
+    assertThat(
+            messageOf(
+                RoutedSettings.of(
+                    GATEWAY.replace("\"toleratedLosses\"", bound.replace("1.5", "0.5")))))
+        .contains("coldServerExcess is 0.5");
+  }
+
+  @Test
+  void the_regions_of_data_centres_are_optional_and_checked() {
+    String regions = "\"regions\": {\"a\": \"north\", \"b\": \"south\"}, \"toleratedLosses\"";
+    String faulty = regions.replace("\"south\"", "3");
+
+    assertThat(valid(GATEWAY).regions().byDataCentre()).isEmpty();
+    assertThat(valid(GATEWAY.replace("\"toleratedLosses\"", regions)).regions().byDataCentre())
+        .containsEntry("a", "north")
+        .containsEntry("b", "south");
+    assertThat(messageOf(RoutedSettings.of(GATEWAY.replace("\"toleratedLosses\"", faulty))))
+        .contains("must be an object of non-empty strings");
+  }
+
   @Test
   void all_faults_are_told_with_their_lines() {
     String text =
--- a/src/test/java/org/curranthaven/platform/PlatformWordsTest.java
+++ b/src/test/java/org/curranthaven/platform/PlatformWordsTest.java
@@ -53,6 +53,9 @@
           "apiKeys",
           "kvCapacity",
           "coldLeftMs",
+          "coldPerS",
+          "allowedRegions",
+          "coldStartS",
           "heartbeatAddr",
           "non_idempotent");
 
