--- a/src/main/java/org/curranthaven/internal/dispatch/Backends.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/Backends.java
@@ -92,13 +92,15 @@
   }
 
   /**
-   * Returns whether the service has backend servers that are not leaving, all of them in evacuated
-   * data centres.
+   * Returns whether backend servers that are not leaving could serve the request, all of them in
+   * evacuated data centres.
    */
-  boolean isEvacuated(String service) {
+  boolean isEvacuated(PlacementRequest request) {
     return !evacuated.isEmpty()
-        && notLeaving(service).findAny().isEmpty()
-        && byId.values().stream().anyMatch(state -> state.serves(service) && !state.isLeaving());
+        && notLeavingFor(request).findAny().isEmpty()
+        && byId.values().stream()
+            .filter(state -> state.serves(request.getService()) && !state.isLeaving())
+            .anyMatch(state -> VersionBinding.allows(state, request));
   }
 
   /** Returns the capabilities of the service's engines; null for a plain or unknown service. */
--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -177,17 +177,14 @@
         backends.evacuated().stream().filter(name -> !dataCentres.contains(name)).toList();
     backends.setEvacuated(dataCentres, nowMillis);
     ended.forEach(dataCentre -> evacuationEnded(dataCentre, nowMillis));
-    queue.services().forEach(service -> serveQueueAfterEvacuation(service, nowMillis));
+    queue.ids().forEach(this::rejectIfEvacuated);
+    queue.services().forEach(service -> serveQueue(service, nowMillis));
   }
 
-  private void serveQueueAfterEvacuation(String service, long nowMillis) {
-    if (!backends.isEvacuated(service)) {
-      serveQueue(service, nowMillis);
-      return;
-    }
-    for (QueuedRequest queued : List.copyOf(queue.requestsOf(service))) {
-      queue.remove(queued.id());
-      rejectEvacuated(queued.id());
+  private void rejectIfEvacuated(RequestId requestId) {
+    if (backends.isEvacuated(queue.requestOf(requestId))) {
+      queue.remove(requestId);
+      rejectEvacuated(requestId);
     }
   }
 
@@ -365,7 +362,7 @@
       reject(requestId, QueueTimeForecast.MIN_RETRY_AFTER_MILLIS, RejectionReason.ALL_TRIED);
       return;
     }
-    if (!mayWait && backends.isEvacuated(request.getService())) {
+    if (!mayWait && backends.isEvacuated(request)) {
       rejectEvacuated(requestId);
       return;
     }
--- a/src/test/java/org/curranthaven/internal/dispatch/EvacuationTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/EvacuationTest.java
@@ -152,6 +152,23 @@
     assertThat(core.queuedRequests()).isZero();
   }
 
+  /** Guards against a resumed stream that waits for its version until its time is up. */
+  @Test
+  void a_queued_stream_whose_version_no_other_data_centre_has_is_rejected_at_once() {
+    core.updateBackend(withVersion(engine("e-1", "east"), "v1"), 0);
+    core.updateBackend(withVersion(engine("w-1", "west"), "v2"), 0);
+    PlacementRequest.Builder stream =
+        draftRequest(6_000, 100).setVersionBound(true).setSoftwareVersion("v1");
+    submit(stream, 0);
+    RequestId queued = submit(stream, 1);
+    core.drainDecisions();
+    assertThat(core.isQueued(queued)).isTrue();
+
+    core.setEvacuated(EAST, 2);
+
+    assertThat(((DispatchDecision.Reject) onlyDecision()).requestId()).isEqualTo(queued);
+  }
+
   @Test
   void a_request_that_only_an_evacuated_data_centre_could_serve_is_rejected_at_once() {
     core.updateBackend(server("e-1", "plain", "east"), 0);
