Memory that more urgent requests are expected to need is kept from less urgent ones, where the deployment asks for it

The core learns arrival rate, memory and time held per service and priority, ranks clients that come back as told oldest first, and places queued requests of the workspace with the least memory in use first under overload. The queue keeps sums, so that a rejection does not read it.

--- a/src/main/java/org/curranthaven/internal/dispatch/CapacityRules.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/CapacityRules.java
@@ -79,11 +79,38 @@
       double maxRequests = backend.slots() * PLAIN_REQUESTS_PER_SLOT / capacityShares;
       return backend.requests.size() < Math.max(1, maxRequests);
     }
-    int slots = Math.max(1, engine.slots() / capacityShares);
+    int slots = slots(engine);
     double usableMemoryTokens = memoryShare * engine.memoryTokens() / capacityShares;
     boolean fitsShare = backend.memoryTokens() + requestTokens <= usableMemoryTokens;
     // A request that needs more than the share can only run alone on an engine.
     boolean fitsIdleEngine = backend.isIdle() && requestTokens <= engine.memoryTokens();
     return backend.requests.size() < slots && (fitsShare || fitsIdleEngine);
   }
+
+  private int slots(EngineCapabilities engine) {
+    return Math.max(1, engine.slots() / capacityShares);
+  }
+
+  /** Returns the memory of the engine that is not reserved; 0 for a plain service. */
+  double freeTokens(BackendState backend, @Nullable EngineCapabilities engine) {
+    return engine == null
+        ? 0
+        : Math.max(0, engine.memoryTokens() / (double) capacityShares - backend.memoryTokens());
+  }
+
+  /**
+   * Returns how many requests of equal size the engine has room for.
+   *
+   * @param requestTokens memory of one of them
+   * @param takenTokens memory of a further request that is placed before them; 0 for none
+   */
+  int places(
+      BackendState backend, EngineCapabilities engine, double requestTokens, double takenTokens) {
+    int takenSlots = takenTokens > 0 ? 1 : 0;
+    int freeSlots = slots(engine) - backend.requests.size() - takenSlots;
+    int byMemory = (int) Math.max(0, (freeTokens(backend, engine) - takenTokens) / requestTokens);
+    // As in hasRoom: an idle engine has room for a request that needs more than the share.
+    int byIdleness = takenSlots == 0 && backend.isIdle() ? 1 : 0;
+    return Math.max(0, Math.min(freeSlots, Math.max(byMemory, byIdleness)));
+  }
 }
--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -57,6 +57,7 @@
   private final EngineSpeeds speeds;
   private final QueueTimeForecast forecast;
   private final PlacementCost placementCost;
+  private final Admission admission;
   private final OverloadGauge overloadGauge = new OverloadGauge();
   private final BackupPlanner backupPlanner;
   private final MigrationPlanner migrationPlanner;
@@ -77,6 +78,16 @@
     this(retryLimits, capacityShares, random, Set.of(), SharedKnowledge.ofScheduler());
   }
 
+  /** Creates a core without some of its mechanisms, of a deployment that asks for no features. */
+  public DispatchCore(
+      RetryLimits retryLimits,
+      int capacityShares,
+      RandomGenerator random,
+      Set<Mechanism> disabled,
+      SharedKnowledge knowledge) {
+    this(retryLimits, capacityShares, random, disabled, knowledge, DispatchFeatures.none());
+  }
+
   /**
    * Creates a core without some of its mechanisms.
    *
@@ -84,13 +95,15 @@
    *     local fallback; 1 for the scheduler
    * @param disabled mechanisms to switch off
    * @param knowledge what is known so far; the core adds what is reported to it
+   * @param features functions that the deployment asks for
    */
   public DispatchCore(
       RetryLimits retryLimits,
       int capacityShares,
       RandomGenerator random,
       Set<Mechanism> disabled,
-      SharedKnowledge knowledge) {
+      SharedKnowledge knowledge,
+      DispatchFeatures features) {
     this.disabled = Set.copyOf(disabled);
     this.retryLimits = retryLimits.dividedAmong(capacityShares);
     this.backends = new Backends(isEnabled(Mechanism.EJECTION), knowledge.restTimes());
@@ -99,7 +112,15 @@
     this.speeds = new EngineSpeeds(isEnabled(Mechanism.LEARNING));
     this.forecast =
         new QueueTimeForecast(
-            backends, speeds, capacityRules, rateLimits, random, isEnabled(Mechanism.LEARNING));
+            backends,
+            speeds,
+            capacityRules,
+            rateLimits,
+            random,
+            isEnabled(Mechanism.LEARNING),
+            features);
+    this.admission =
+        new Admission(features, backends, capacityRules, forecast, speeds, overloadGauge);
     this.placementCost =
         new PlacementCost(speeds, random, capacityShares > 1, isEnabled(Mechanism.PROMPT_AFFINITY));
     TransferTargets targets = new TransferTargets(backends, capacityRules);
@@ -134,6 +155,11 @@
     return drained;
   }
 
+  /** Returns and clears the changes of memory reserves since the last invocation, to be logged. */
+  public List<ReserveChange> drainReserveChanges() {
+    return admission.drainChanges();
+  }
+
   /** Returns the number of queued requests. */
   public int queuedRequests() {
     return queue.size();
@@ -302,10 +328,12 @@
       reject(requestId, QueueTimeForecast.MIN_RETRY_AFTER_MILLIS, RejectionReason.RETRIES_USED_UP);
       return;
     }
+    admission.recordArrival(request, nowMillis);
     SortedSet<QueuedRequest> serviceQueue = queue.requestsOf(request.getService());
     boolean ranksFirst =
         serviceQueue.isEmpty()
             || request.getPriority() < serviceQueue.first().request().getPriority()
+            || admission.ranksBefore(request, serviceQueue.first())
             || isHeldApart(serviceQueue.first(), nowMillis);
     PlacementResult result =
         ranksFirst
@@ -344,7 +372,7 @@
                 : targetLeftMillis > expectedMillis);
     if (!inTime || queue.isFull() || !isEnabled(Mechanism.QUEUE)) {
       if (!hasBackend || !placeLate(requestId, request, nowMillis)) {
-        rejectForCapacity(requestId, hasBackend, expectedMillis);
+        rejectForCapacity(requestId, request, hasBackend, expectedMillis, nowMillis);
       }
       return;
     }
@@ -360,8 +388,10 @@
         new QueuedRequest(
             requestId,
             request,
-            rankMillis,
+            admission.rankMillis(request, rankMillis),
             queue.takeSequenceNumber(),
+            forecast.neededMemoryTokens(request),
+            admission.isReturned(request),
             dueAtMillis,
             expiresAtMillis));
   }
@@ -378,7 +408,10 @@
     // brings the start of this request nearer all the time, so nothing needs to be freed for it.
     return result == PlacementResult.LATE
         ? 0
-        : forecast.expectedQueueMillis(request, queue.requestsOf(request.getService()), nowMillis);
+        : forecast.expectedQueueMillis(
+            request,
+            admission.ahead(request, queue.of(request.getService()), nowMillis),
+            nowMillis);
   }
 
   /** Records how many tokens a request has output so far. */
@@ -421,6 +454,9 @@
           migrationPlanner.migrationFailed(requestId, backend, nowMillis);
       default -> finishRunning(requestId, backend, outcome, outputTokens, nowMillis);
     }
+    if (backends.backendOf(requestId) == null) {
+      admission.recordGone(requestId);
+    }
     migrationPlanner.migrateFrom(backend, nowMillis);
     serveQueue(backend.service(), nowMillis);
   }
@@ -436,6 +472,7 @@
     if (running == null) {
       return;
     }
+    admission.recordEnd(running, nowMillis);
     if (outputTokens > 0) {
       versions.recordOutput(running, backend, nowMillis);
     }
@@ -478,6 +515,7 @@
     running.restored = true;
     running.outputProgressed(dispatch.getOutputTokens());
     backends.addPlacement(running, backend);
+    admission.recordPlacement(running, nowMillis);
     backupPlanner.restore(running, dispatch.getBackup());
     if (!dispatch.getMigrationTarget().isEmpty()) {
       migrationPlanner.restoreMigration(
@@ -502,6 +540,7 @@
    */
   public void tick(long nowMillis) {
     backendCrashes.tick(nowMillis);
+    admission.tick(nowMillis);
     rateLimits.discard(id -> backends.get(id) != null, nowMillis);
     for (QueuedRequest queued : queue.expired(nowMillis)) {
       queue.remove(queued.id());
@@ -509,7 +548,11 @@
         double expectedMillis =
             expectedQueueMillis(queued.request(), PlacementResult.NO_CAPACITY, nowMillis);
         rejectForCapacity(
-            queued.id(), hasCandidates(queued.id(), queued.request(), nowMillis), expectedMillis);
+            queued.id(),
+            queued.request(),
+            hasCandidates(queued.id(), queued.request(), nowMillis),
+            expectedMillis,
+            nowMillis);
       }
     }
     queue.services().forEach(service -> serveQueue(service, nowMillis));
@@ -521,6 +564,9 @@
   // ---- placement --------------------------------------------------------------------------------
 
   private void serveQueue(String service, long nowMillis) {
+    if (!serveByUse(service, nowMillis)) {
+      return;
+    }
     NavigableSet<QueuedRequest> serviceQueue = queue.requestsOf(service);
     QueuedRequest queued = serviceQueue.isEmpty() ? null : serviceQueue.first();
     while (queued != null) {
@@ -536,6 +582,26 @@
     }
   }
 
+  /**
+   * Places queued requests of the workspaces that use the least memory while the service is
+   * overloaded.
+   *
+   * @return whether other queued requests may be placed too
+   */
+  private boolean serveByUse(String service, long nowMillis) {
+    QueuedRequest queued = admission.firstByUse(queue.of(service), service);
+    while (queued != null) {
+      PlacementResult result =
+          place(queued.id(), queued.request(), queued.dueAtMillis() - nowMillis, nowMillis);
+      if (result != PlacementResult.PLACED) {
+        return result == PlacementResult.LATE || isHeldApart(queued, nowMillis);
+      }
+      queue.remove(queued.id());
+      queued = admission.firstByUse(queue.of(service), service);
+    }
+    return true;
+  }
+
   /** Returns whether the request waits for something that keeps no request behind it waiting. */
   private boolean isHeldApart(QueuedRequest queued, long nowMillis) {
     return versions.waitsApart(queued.request())
@@ -664,7 +730,11 @@
                     capacityRules.hasCapacity(
                         backend, engine, requestTokens, memoryShare, nowMillis))
             .toList();
-    return versions.withoutAwaited(candidates, request, queue.requestsOf(request.getService()));
+    return admission.withoutReserved(
+        versions.withoutAwaited(
+            candidates, request, queue.of(request.getService()).awaitedVersions()),
+        running,
+        nowMillis);
   }
 
   private @Nullable BackendState cheapest(
@@ -679,6 +749,7 @@
     running.promptTokensToFirstReply =
         chosen.pendingPromptTokens() + running.request.getPromptTokens();
     backends.addPlacement(running, chosen);
+    admission.recordPlacement(running, nowMillis);
     rateLimits.recordPlacement(chosen.id(), nowMillis);
     chosen.promptPartCache.add(running.request.getPartsList());
     backupPlanner.assign(chosen, running, nowMillis);
@@ -692,10 +763,17 @@
 
   // ---- rejection --------------------------------------------------------------------------------
 
-  private void rejectForCapacity(RequestId requestId, boolean hasBackend, double expectedMillis) {
+  private void rejectForCapacity(
+      RequestId requestId,
+      PlacementRequest request,
+      boolean hasBackend,
+      double expectedMillis,
+      long nowMillis) {
+    long retryAfterMillis = forecast.retryAfterMillis(expectedMillis);
+    admission.recordRejection(request, retryAfterMillis, nowMillis);
     reject(
         requestId,
-        forecast.retryAfterMillis(expectedMillis),
+        retryAfterMillis,
         hasBackend ? RejectionReason.NO_ROOM_IN_TIME : RejectionReason.NO_BACKEND);
   }
 
--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchQueue.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchQueue.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableSet;
-import java.util.TreeSet;
 import org.curranthaven.internal.transport.wire.PlacementRequest;
 import org.jspecify.annotations.Nullable;
 
@@ -13,7 +12,7 @@
 final class DispatchQueue {
   private static final int MAX_QUEUED = 20_000;
 
-  private final Map<String, NavigableSet<QueuedRequest>> byService = new HashMap<>();
+  private final Map<String, ServiceQueue> byService = new HashMap<>();
   private final Map<RequestId, QueuedRequest> byId = new HashMap<>();
   private long nextSequenceNumber;
 
@@ -35,7 +34,12 @@
 
   /** Returns the queued requests of the service in the order in which they are to be served. */
   NavigableSet<QueuedRequest> requestsOf(String service) {
-    return byService.computeIfAbsent(service, key -> new TreeSet<>(QueuedRequest.BY_RANK));
+    return of(service).byRank();
+  }
+
+  /** Returns the queue of the service. */
+  ServiceQueue of(String service) {
+    return byService.computeIfAbsent(service, key -> new ServiceQueue());
   }
 
   List<String> services() {
@@ -47,7 +51,7 @@
   }
 
   void add(QueuedRequest queued) {
-    requestsOf(queued.request().getService()).add(queued);
+    of(queued.request().getService()).add(queued);
     byId.put(queued.id(), queued);
   }
 
@@ -61,7 +65,7 @@
   @Nullable QueuedRequest remove(RequestId requestId) {
     QueuedRequest queued = byId.remove(requestId);
     if (queued != null) {
-      requestsOf(queued.request().getService()).remove(queued);
+      of(queued.request().getService()).remove(queued);
     }
     return queued;
   }
--- a/src/main/java/org/curranthaven/internal/dispatch/QueueTimeForecast.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/QueueTimeForecast.java
@@ -1,7 +1,6 @@
 package org.curranthaven.internal.dispatch;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -34,6 +33,13 @@
 
   static final long MIN_RETRY_AFTER_MILLIS = 200;
   private static final long MAX_RETRY_AFTER_MILLIS = 15_000;
+
+  /**
+   * Longest delay where clients that come back as told are served first: as long as a backlog of
+   * long streams takes after 20 s at twice the load, so that they are not told too early.
+   */
+  private static final long MAX_TRUE_RETRY_AFTER_MILLIS = 30_000;
+
   private static final double RETRY_AFTER_JITTER = 0.3;
   private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -45,6 +51,7 @@
   private final RequestRateLimits rateLimits;
   private final RandomGenerator random;
   private final boolean learning;
+  private final DispatchFeatures features;
   private final Map<String, OutputLengthForecast> outputLengthsByRoute = new HashMap<>();
   private final Map<String, Double> plainMillisByService = new HashMap<>();
   private final EngineSpeeds speeds;
@@ -60,7 +67,9 @@
       CapacityRules capacityRules,
       RequestRateLimits rateLimits,
       RandomGenerator random,
-      boolean learning) {
+      boolean learning,
+      DispatchFeatures features) {
+    this.features = features;
     this.speeds = speeds;
     this.learning = learning;
     this.backends = backends;
@@ -116,19 +125,19 @@
    */
   long retryAfterMillis(double expectedMillis) {
     double withJitter = expectedMillis * (1 + RETRY_AFTER_JITTER * random.nextDouble());
-    return Math.clamp((long) withJitter, MIN_RETRY_AFTER_MILLIS, MAX_RETRY_AFTER_MILLIS);
+    long maxMillis =
+        features.reservesForUrgent() ? MAX_TRUE_RETRY_AFTER_MILLIS : MAX_RETRY_AFTER_MILLIS;
+    return Math.clamp((long) withJitter, MIN_RETRY_AFTER_MILLIS, maxMillis);
   }
 
   /** Returns the expected time until capacity is free for a request behind those queued. */
-  double expectedQueueMillis(
-      PlacementRequest request, Collection<QueuedRequest> queue, long nowMillis) {
+  double expectedQueueMillis(PlacementRequest request, QueueAhead ahead, long nowMillis) {
     return request.getEngine()
-        ? engineQueueMillis(request, queue, nowMillis)
-        : plainQueueMillis(request, queue, nowMillis);
+        ? engineQueueMillis(request, ahead, nowMillis)
+        : plainQueueMillis(request, ahead, nowMillis);
   }
 
-  private double plainQueueMillis(
-      PlacementRequest request, Collection<QueuedRequest> queue, long nowMillis) {
+  private double plainQueueMillis(PlacementRequest request, QueueAhead ahead, long nowMillis) {
     double millisPerRequest =
         plainMillisByService.getOrDefault(request.getService(), INITIAL_PLAIN_MILLIS);
     List<BackendState> servers = backends.notLeavingFor(request).toList();
@@ -142,7 +151,8 @@
             .sum();
     return requestsPerMilli == 0
         ? UNKNOWN_SERVICE_TIMEOUT_MILLIS
-        : Math.max(0, queue.size() + 1 - accruedRequests(servers, nowMillis)) / requestsPerMilli;
+        : Math.max(0, ahead.serviceRequests() + 1 - accruedRequests(servers, nowMillis))
+            / requestsPerMilli;
   }
 
   private double accruedRequests(List<BackendState> servers, long nowMillis) {
@@ -159,16 +169,8 @@
    * Engines with a stated limit are forecast apart from the others: they have capacity once their
    * rate allows the requests ahead, also if none of their memory becomes free until then.
    */
-  private double engineQueueMillis(
-      PlacementRequest request, Collection<QueuedRequest> queue, long nowMillis) {
-    int requestsAhead = 0;
-    double neededTokens = neededMemoryTokens(request);
-    for (QueuedRequest queued : queue) {
-      if (queued.request().getPriority() <= request.getPriority()) {
-        neededTokens += neededMemoryTokens(queued.request());
-        requestsAhead++;
-      }
-    }
+  private double engineQueueMillis(PlacementRequest request, QueueAhead ahead, long nowMillis) {
+    double neededTokens = neededMemoryTokens(request) + ahead.memoryTokens();
     Map<Boolean, List<BackendState>> byLimited =
         backends
             .notLeavingFor(request)
@@ -178,18 +180,19 @@
     List<BackendState> limited = byLimited.getOrDefault(true, List.of());
     List<BackendState> unlimited = byLimited.getOrDefault(false, List.of());
     if (limited.isEmpty()) {
-      return releaseMillis(unlimited, neededTokens);
+      return releaseMillis(unlimited, neededTokens, ahead.fromPriority());
     }
     double limitPerMilli =
         limited.stream().mapToDouble(backend -> limitPerMilli(backend, nowMillis)).sum();
     double limitedMillis =
-        Math.max(0, requestsAhead + 1 - accruedRequests(limited, nowMillis)) / limitPerMilli;
+        Math.max(0, ahead.requests() + 1 - accruedRequests(limited, nowMillis)) / limitPerMilli;
     if (!hasRoom(limited, request)) {
-      limitedMillis = Math.max(limitedMillis, releaseMillis(limited, neededTokens));
+      limitedMillis =
+          Math.max(limitedMillis, releaseMillis(limited, neededTokens, ahead.fromPriority()));
     }
     return unlimited.isEmpty()
         ? limitedMillis
-        : Math.min(limitedMillis, releaseMillis(unlimited, neededTokens));
+        : Math.min(limitedMillis, releaseMillis(unlimited, neededTokens, ahead.fromPriority()));
   }
 
   private boolean hasRoom(List<BackendState> candidates, PlacementRequest request) {
@@ -202,23 +205,32 @@
   }
 
   /** Returns the expected time until requests that end free the needed memory. */
-  private double releaseMillis(List<BackendState> engines, double neededTokens) {
+  private double releaseMillis(List<BackendState> engines, double neededTokens, int fromPriority) {
     double freedTokens = 0;
-    List<Release> releases = expectedReleases(engines);
+    List<Release> releases = expectedReleases(engines, fromPriority);
     for (Release release : releases) {
       freedTokens += release.tokens();
       if (freedTokens >= neededTokens) {
         return release.afterMillis();
       }
     }
-    return releases.isEmpty() ? UNKNOWN_SERVICE_TIMEOUT_MILLIS : releases.getLast().afterMillis();
+    if (releases.isEmpty()) {
+      return UNKNOWN_SERVICE_TIMEOUT_MILLIS;
+    }
+    double allReleasedMillis = releases.getLast().afterMillis();
+    // What runs next is expected to release memory as fast as what runs now.
+    return features.reservesForUrgent()
+        ? allReleasedMillis * neededTokens / Math.max(1, freedTokens)
+        : allReleasedMillis;
   }
 
-  private List<Release> expectedReleases(List<BackendState> engines) {
+  private List<Release> expectedReleases(List<BackendState> engines, int fromPriority) {
     List<Release> releases = new ArrayList<>();
     for (BackendState engine : engines) {
       for (RunningRequest running : engine.requests.values()) {
-        releases.add(new Release(remainingMillis(running), running.memoryTokens()));
+        if (running.request.getPriority() >= fromPriority) {
+          releases.add(new Release(remainingMillis(running), running.memoryTokens()));
+        }
       }
     }
     releases.sort(Comparator.comparingDouble(Release::afterMillis));
--- a/src/main/java/org/curranthaven/internal/dispatch/QueuedRequest.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/QueuedRequest.java
@@ -8,6 +8,8 @@
  *
  * @param rankMillis time by which requests of equal priority are ordered
  * @param sequenceNumber arrival order, which ranks requests of equal priority and time
+ * @param memoryTokens memory that it must find free
+ * @param returned whether its client was rejected before and came back as told
  * @param dueAtMillis when its first reply is due
  * @param expiresAtMillis when it leaves the queue: placed late if capacity allows, else rejected
  */
@@ -16,6 +18,8 @@
     PlacementRequest request,
     long rankMillis,
     long sequenceNumber,
+    double memoryTokens,
+    boolean returned,
     long dueAtMillis,
     long expiresAtMillis) {
   static final Comparator<QueuedRequest> BY_RANK =
--- a/src/main/java/org/curranthaven/internal/dispatch/VersionBinding.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/VersionBinding.java
@@ -1,6 +1,5 @@
 package org.curranthaven.internal.dispatch;
 
-import java.util.Collection;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -68,17 +67,14 @@
   /**
    * Returns the candidates for a request that may begin at any version, without those of versions
    * that queued streams wait for.
+   *
+   * @param awaited versions that queued requests are bound to
    */
   List<BackendState> withoutAwaited(
-      List<BackendState> candidates, PlacementRequest request, Collection<QueuedRequest> queue) {
+      List<BackendState> candidates, PlacementRequest request, Set<String> awaited) {
     if (request.getVersionBound() || !backends.hasSeveralVersions(request.getService())) {
       return candidates;
     }
-    Set<String> awaited =
-        queue.stream()
-            .filter(queued -> queued.request().getVersionBound())
-            .map(queued -> queued.request().getSoftwareVersion())
-            .collect(Collectors.toSet());
     return candidates.stream()
         .filter(backend -> !awaited.contains(backend.softwareVersion()))
         .toList();
--- a/src/main/java/org/curranthaven/internal/relay/Gateway.java
+++ b/src/main/java/org/curranthaven/internal/relay/Gateway.java
@@ -106,7 +106,8 @@
             new RetryLimits(
                 settings.retryRatio(), settings.retrySlack(), settings.retryWindowMillis()),
             network::send,
-            new SchedulerViewListener());
+            new SchedulerViewListener(),
+            protocol.features(settings.protocolFeatures()));
     this.awaitingInitialization = new DeferredActions(loop);
     this.pool = new BackendPool(loop, clock, protocol);
     this.crashProbe = new CrashProbe(pool, link);
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -18,6 +18,7 @@
 import org.curranthaven.internal.dispatch.BackendStatements;
 import org.curranthaven.internal.dispatch.DispatchCore;
 import org.curranthaven.internal.dispatch.DispatchDecision;
+import org.curranthaven.internal.dispatch.DispatchFeatures;
 import org.curranthaven.internal.dispatch.RequestId;
 import org.curranthaven.internal.dispatch.RetryLimits;
 import org.curranthaven.internal.dispatch.SharedKnowledge;
@@ -87,6 +88,7 @@
   private final RetryLimits retryLimits;
   private final BiConsumer<String, Envelope.Builder> sender;
   private final ViewListener listener;
+  private final DispatchFeatures features;
   private final Map<Long, PlacementListener> openRequests = new LinkedHashMap<>();
   private final Map<String, BackendRecord> backends = new HashMap<>();
   private final Set<String> removedBackends = new HashSet<>();
@@ -139,7 +141,9 @@
       RandomGenerator random,
       RetryLimits retryLimits,
       BiConsumer<String, Envelope.Builder> sender,
-      ViewListener listener) {
+      ViewListener listener,
+      DispatchFeatures features) {
+    this.features = features;
     this.self = self;
     this.loop = loop;
     this.clock = clock;
@@ -689,6 +693,9 @@
     }
     if (localDispatch != null) {
       localDispatch.tick(clock.nowMillis());
+      localDispatch
+          .drainReserveChanges()
+          .forEach(change -> Logger.info("memory reserve in local fallback: {}", change));
       applyLocalDecisions();
     }
     reportProgress();
@@ -745,7 +752,8 @@
 
   private DispatchCore startLocalFallback() {
     long nowMillis = clock.nowMillis();
-    DispatchCore core = new DispatchCore(retryLimits, gatewayCount, random, Set.of(), knowledge);
+    DispatchCore core =
+        new DispatchCore(retryLimits, gatewayCount, random, Set.of(), knowledge, features);
     localDispatch = core;
     knowledge.rateLimits().setShare(1.0 / mostGateways);
     core.setCatalog(catalog);
--- a/src/main/java/org/curranthaven/internal/relay/WarmUpContext.java
+++ b/src/main/java/org/curranthaven/internal/relay/WarmUpContext.java
@@ -13,6 +13,7 @@
 import org.curranthaven.internal.catalog.Route;
 import org.curranthaven.internal.catalog.ServiceSpec;
 import org.curranthaven.internal.catalog.ServiceWeight;
+import org.curranthaven.internal.dispatch.DispatchFeatures;
 import org.curranthaven.internal.dispatch.RetryLimits;
 import org.curranthaven.internal.supervision.Clock;
 import org.curranthaven.internal.transport.wire.BackendRecord;
@@ -63,7 +64,8 @@
             random,
             new RetryLimits(1, 1, TARGET_MILLIS),
             (host, message) -> schedule(message.build()),
-            new IgnoringListener());
+            new IgnoringListener(),
+            DispatchFeatures.none());
     this.crashProbe = new CrashProbe(pool, link);
   }
 
--- a/src/main/java/org/curranthaven/internal/relay/WireProtocol.java
+++ b/src/main/java/org/curranthaven/internal/relay/WireProtocol.java
@@ -2,8 +2,10 @@
 
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.List;
 import org.curranthaven.api.Outcome;
 import org.curranthaven.internal.catalog.CatalogCodec;
+import org.curranthaven.internal.dispatch.DispatchFeatures;
 import org.curranthaven.internal.transport.wire.BackendRecord;
 
 /**
@@ -14,6 +16,13 @@
   /** Returns the name by which the settings select the protocol. */
   String name();
 
+  /**
+   * Returns the functions of the dispatch core that a deployment asks for.
+   *
+   * @param names their names in the platform's terms; unknown ones are ignored
+   */
+  DispatchFeatures features(List<String> names);
+
   /** Returns the codec for catalog documents. */
   CatalogCodec catalogs();
 
--- a/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
@@ -121,7 +121,8 @@
             () -> leadership.hasLease(clock.nowMillis()),
             this::connectedGateways,
             network::send,
-            new ReplicatedVersionLog());
+            new ReplicatedVersionLog(),
+            protocol.features(settings.protocolFeatures()));
     this.leaderClient = new LeaderClient(eventLoop, clock, network, leadership::leaderHost);
     this.controlServer = new ControlServer(eventLoopGroup, protocol, this::handleControlRequest);
   }
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -21,6 +21,7 @@
 import org.curranthaven.internal.dispatch.BackendRegistry;
 import org.curranthaven.internal.dispatch.DispatchCore;
 import org.curranthaven.internal.dispatch.DispatchDecision;
+import org.curranthaven.internal.dispatch.DispatchFeatures;
 import org.curranthaven.internal.dispatch.RequestId;
 import org.curranthaven.internal.dispatch.RetryLimits;
 import org.curranthaven.internal.dispatch.SharedKnowledge;
@@ -78,6 +79,7 @@
   private final Supplier<Collection<HostRecord>> gateways;
   private final BiConsumer<String, Envelope.Builder> sender;
   private final VersionGate versionGate;
+  private final DispatchFeatures features;
   private final Map<String, GatewayView> gatewayViews = new HashMap<>();
 
   /** Gateways that may place requests locally, and when their connections were lost. */
@@ -148,6 +150,7 @@
    * @param gateways supplies the connected gateways
    * @param sender sends a message to the host with the given name, best effort
    * @param versionLog replicates the software versions that backend servers serve with
+   * @param features functions of the dispatch core that the deployment asks for
    */
   Scheduler(
       EventLoop loop,
@@ -158,7 +161,9 @@
       BooleanSupplier hasLease,
       Supplier<Collection<HostRecord>> gateways,
       BiConsumer<String, Envelope.Builder> sender,
-      VersionLog versionLog) {
+      VersionLog versionLog,
+      DispatchFeatures features) {
+    this.features = features;
     this.loop = loop;
     this.clock = clock;
     this.random = random;
@@ -172,7 +177,7 @@
   }
 
   private DispatchCore newCore() {
-    return new DispatchCore(retryLimits, 1, random, Set.of(), knowledge);
+    return new DispatchCore(retryLimits, 1, random, Set.of(), knowledge, features);
   }
 
   boolean isLeading() {
@@ -301,6 +306,7 @@
       versionGate.removeOutdated(registeredVersions(), nowMillis);
     }
     core.tick(nowMillis);
+    core.drainReserveChanges().forEach(change -> Logger.info("memory reserve: {}", change));
     sendDecisions();
     completeAcknowledged();
   }
--- a/src/main/java/org/curranthaven/internal/settings/RoutedSettings.java
+++ b/src/main/java/org/curranthaven/internal/settings/RoutedSettings.java
@@ -36,6 +36,7 @@
  * @param retrySlack retries of a service allowed per window in addition to the ratio
  * @param retryWindowSeconds length of the sliding window in which retries are counted
  * @param registrationMillis interval at which a backend server renews its registration
+ * @param protocolFeatures functions that the deployment asks for, by their names in the protocol
  */
 public record RoutedSettings(
     String name,
@@ -53,7 +54,8 @@
     double retryRatio,
     double retrySlack,
     double retryWindowSeconds,
-    long registrationMillis) {
+    long registrationMillis,
+    List<String> protocolFeatures) {
   private static final double MILLIS_PER_SECOND = 1_000;
 
   /** Most losses for which a voter group is practical: seven voters. */
@@ -76,7 +78,8 @@
           "retryRatio",
           "retrySlack",
           "retryWindowSeconds",
-          "registrationMillis");
+          "registrationMillis",
+          "protocolFeatures");
 
   /** Number of consecutive missed registrations after which a backend server is removed. */
   private static final long MISSED_REGISTRATIONS_LIMIT = 5;
@@ -91,6 +94,7 @@
             Objects.requireNonNull(
                 contacts, "the key contacts is missing; list the addresses of the control hosts"));
     contacts.forEach(Addresses::parse);
+    protocolFeatures = List.copyOf(protocolFeatures);
     if (toleratedLosses < 0 || toleratedLosses > MAX_TOLERATED_LOSSES) {
       throw new IllegalArgumentException(
           "toleratedLosses is "
@@ -166,7 +170,8 @@
         entries.decimal("retryRatio"),
         entries.decimal("retrySlack"),
         entries.decimal("retryWindowSeconds"),
-        entries.number("registrationMillis", 0, 1, Long.MAX_VALUE));
+        entries.number("registrationMillis", 0, 1, Long.MAX_VALUE),
+        entries.optionalTextList("protocolFeatures"));
   }
 
   /** Returns whether the host accepts requests from callers. */
--- a/src/main/java/org/curranthaven/internal/settings/SettingsEntries.java
+++ b/src/main/java/org/curranthaven/internal/settings/SettingsEntries.java
@@ -138,8 +138,7 @@
       addFault(0, key, "the key is missing", "Add it; see 'settings example'");
       return List.of();
     }
-    List<String> result = new ArrayList<>();
-    value.node().forEach(item -> result.add(item.isTextual() ? item.asText() : ""));
+    List<String> result = textItems(value);
     if (!value.node().isArray() || result.isEmpty() || result.contains("")) {
       addFault(value.line(), key, "must be a non-empty list of strings", "Write [\"…\", \"…\"]");
       return List.of();
@@ -147,6 +146,26 @@
     return result;
   }
 
+  /** Returns a list of non-empty strings; empty if the key is missing or null. */
+  List<String> optionalTextList(String key) {
+    LocatedValue value = valueOf(key);
+    if (value == null) {
+      return List.of();
+    }
+    List<String> result = textItems(value);
+    if (!value.node().isArray() || result.contains("")) {
+      addFault(value.line(), key, "must be a list of strings", "Write [\"…\", \"…\"] or []");
+      return List.of();
+    }
+    return result;
+  }
+
+  private static List<String> textItems(LocatedValue value) {
+    List<String> result = new ArrayList<>();
+    value.node().forEach(item -> result.add(item.isTextual() ? item.asText() : ""));
+    return result;
+  }
+
   /** Returns a required address of the form IP:PORT. */
   String address(String key) {
     String text = text(key);
--- a/src/main/java/org/curranthaven/platform/PlatformProtocol.java
+++ b/src/main/java/org/curranthaven/platform/PlatformProtocol.java
@@ -2,8 +2,10 @@
 
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.List;
 import org.curranthaven.api.Outcome;
 import org.curranthaven.internal.catalog.CatalogCodec;
+import org.curranthaven.internal.dispatch.DispatchFeatures;
 import org.curranthaven.internal.relay.BackendRequest;
 import org.curranthaven.internal.relay.ControlRequest;
 import org.curranthaven.internal.relay.InboundRequest;
@@ -14,6 +16,9 @@
 
 /** Encodes and decodes the HTTP messages of the platform. Thread-safe. */
 public final class PlatformProtocol implements WireProtocol {
+  /** Name under which a deployment states that requests compete for insufficient memory. */
+  private static final String PRESSURE = "pressure";
+
   private final CatalogTranslation catalogs = new CatalogTranslation();
 
   @Override
@@ -21,6 +26,11 @@
     return "platform";
   }
 
+  @Override
+  public DispatchFeatures features(List<String> names) {
+    return new DispatchFeatures(names.contains(PRESSURE));
+  }
+
   @Override
   public CatalogCodec catalogs() {
     return catalogs;
--- a/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import org.curranthaven.internal.dispatch.BackendStatements;
+import org.curranthaven.internal.dispatch.DispatchFeatures;
 import org.curranthaven.internal.dispatch.RetryLimits;
 import org.curranthaven.internal.dispatch.StatedRateLimit;
 import org.curranthaven.internal.transport.wire.BackendRecord;
@@ -48,7 +49,8 @@
 
             @Override
             public void backendsChanged(Collection<BackendRecord> backends) {}
-          });
+          },
+          DispatchFeatures.none());
 
   /** A request that records where it was placed. */
   private static final class RecordingListener implements RequestPlacer.PlacementListener {
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -12,6 +12,7 @@
 import org.curranthaven.internal.catalog.Catalog;
 import org.curranthaven.internal.catalog.RequestLimits;
 import org.curranthaven.internal.catalog.ServiceVersion;
+import org.curranthaven.internal.dispatch.DispatchFeatures;
 import org.curranthaven.internal.dispatch.RetryLimits;
 import org.curranthaven.internal.relay.ManualTime;
 import org.curranthaven.internal.transport.wire.BackendRecord;
@@ -53,7 +54,8 @@
           () -> hasLease,
           this::connectedGateways,
           this::send,
-          versionLog);
+          versionLog,
+          DispatchFeatures.none());
 
   private int gatewayReads;
 
--- a/src/test/java/org/curranthaven/platform/RoutedFleetFixture.java
+++ b/src/test/java/org/curranthaven/platform/RoutedFleetFixture.java
@@ -136,7 +136,8 @@
         0.2,
         10,
         10,
-        60_000);
+        60_000,
+        List.of());
   }
 
   HttpResponse<String> sendControlRequest(String method, String path, String body)
