--- a/src/main/java/org/curranthaven/internal/dispatch/Admission.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/Admission.java
@@ -179,7 +179,9 @@
     double ownTokens =
         queue.of(priority, request.getWorkspace()).memoryTokens()
             + returning.awaitedTokens(kind, request.getWorkspace());
-    return Math.min(allTokens, ownTokens * Math.max(1, queue.workspaces(priority)));
+    int workspaces =
+        Math.max(1, Math.max(queue.workspaces(priority), returning.awaitedWorkspaces(kind)));
+    return Math.min(allTokens, ownTokens * workspaces);
   }
 
   /** Returns the memory that the reserve lacks. */
@@ -219,6 +221,9 @@
     if (!concerns(request) || candidates.isEmpty() || engine == null) {
       return candidates;
     }
+    if (isKeptForReturning(running, engine, nowMillis)) {
+      return List.of();
+    }
     UrgentReserve.Need need = needAbove(kind, nowMillis);
     recordReserve(kind, need, engine, nowMillis);
     double missingTokens = need.memoryTokens() - memoryInUse.tokensAbove(kind);
@@ -229,19 +234,39 @@
     int places =
         backends
             .notLeavingFor(request)
-            .mapToInt(backend -> capacityRules.places(backend, engine, need.requestTokens(), 0))
+            .mapToInt(
+                backend -> capacityRules.lastingPlaces(backend, engine, need.requestTokens(), 0))
             .sum();
     int sparePlaces = places - neededPlaces;
     return candidates.stream()
         .filter(
             backend ->
-                capacityRules.places(backend, engine, need.requestTokens(), 0)
-                        - capacityRules.places(
-                            backend, engine, need.requestTokens(), running.memoryTokens())
+                capacityRules.lastingPlaces(backend, engine, need.requestTokens(), 0)
+                        - capacityRules.lastingPlaces(
+                            backend, engine, need.requestTokens(), running.finalMemoryTokens())
                     <= sparePlaces)
         .toList();
   }
 
+  /**
+   * Returns whether the free memory is needed by clients of the same kind that were told to come
+   * back about now.
+   */
+  private boolean isKeptForReturning(
+      RunningRequest running, EngineCapabilities engine, long nowMillis) {
+    PlacementRequest request = running.request;
+    double dueTokens = returning.dueTokens(RequestKind.of(request), nowMillis);
+    if (dueTokens <= 0 || isReturned(request)) {
+      return false;
+    }
+    double freeTokens =
+        backends
+            .notLeavingFor(request)
+            .mapToDouble(backend -> capacityRules.freeTokens(backend, engine))
+            .sum();
+    return freeTokens < dueTokens + running.memoryTokens();
+  }
+
   // ---- reports ----------------------------------------------------------------------------------
 
   private void recordReserve(
--- a/src/main/java/org/curranthaven/internal/dispatch/BackendState.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/BackendState.java
@@ -147,6 +147,18 @@
     return tokens;
   }
 
+  /** Returns the memory that running requests and backup copies are forecast to use at most. */
+  double finalMemoryTokens() {
+    double tokens = 0;
+    for (RunningRequest request : requests.values()) {
+      tokens += request.finalMemoryTokens();
+    }
+    for (RunningRequest backupCopy : backupCopies.values()) {
+      tokens += backupCopy.finalMemoryTokens();
+    }
+    return tokens;
+  }
+
   /** Returns the prompt tokens of all requests that have no output yet. */
   int pendingPromptTokens() {
     int tokens = 0;
--- a/src/main/java/org/curranthaven/internal/dispatch/CapacityRules.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/CapacityRules.java
@@ -93,22 +93,26 @@
 
   /** Returns the memory of the engine that is not reserved; 0 for a plain service. */
   double freeTokens(BackendState backend, @Nullable EngineCapabilities engine) {
-    return engine == null
-        ? 0
-        : Math.max(0, engine.memoryTokens() / (double) capacityShares - backend.memoryTokens());
+    return engine == null ? 0 : Math.max(0, shareTokens(engine) - backend.memoryTokens());
+  }
+
+  private double shareTokens(EngineCapabilities engine) {
+    return (double) engine.memoryTokens() / capacityShares;
   }
 
   /**
-   * Returns how many requests of equal size the engine has room for.
+   * Returns how many requests of equal size the engine still has room for once the outputs of what
+   * runs there are complete.
    *
    * @param requestTokens memory of one of them
    * @param takenTokens memory of a further request that is placed before them; 0 for none
    */
-  int places(
+  int lastingPlaces(
       BackendState backend, EngineCapabilities engine, double requestTokens, double takenTokens) {
     int takenSlots = takenTokens > 0 ? 1 : 0;
     int freeSlots = slots(engine) - backend.requests.size() - takenSlots;
-    int byMemory = (int) Math.max(0, (freeTokens(backend, engine) - takenTokens) / requestTokens);
+    double freeTokens = shareTokens(engine) - backend.finalMemoryTokens() - takenTokens;
+    int byMemory = (int) Math.max(0, freeTokens / requestTokens);
     // As in hasRoom: an idle engine has room for a request that needs more than the share.
     int byIdleness = takenSlots == 0 && backend.isIdle() ? 1 : 0;
     return Math.max(0, Math.min(freeSlots, Math.max(byMemory, byIdleness)));
--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -367,6 +367,7 @@
     long firstReplyMillis = forecast.idleFirstReplyMillis(request);
     boolean inTime =
         !isEnabled(Mechanism.EARLY_REJECTION)
+            || (admission.isReturned(request) && firstReplyMillis <= targetLeftMillis)
             || (mayWait
                 ? expectedMillis + firstReplyMillis <= targetLeftMillis
                 : targetLeftMillis > expectedMillis);
--- a/src/main/java/org/curranthaven/internal/dispatch/QueueTimeForecast.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/QueueTimeForecast.java
@@ -38,9 +38,16 @@
    * Longest delay where clients that come back as told are served first: as long as a backlog of
    * long streams takes after 20 s at twice the load, so that they are not told too early.
    */
-  private static final long MAX_TRUE_RETRY_AFTER_MILLIS = 30_000;
+  private static final long MAX_TRUE_RETRY_AFTER_MILLIS = 60_000;
 
   private static final double RETRY_AFTER_JITTER = 0.3;
+
+  /**
+   * Jitter where each rejected request is told a time of its own: without need to spread them, and
+   * a client that is told too late leaves its memory unused.
+   */
+  private static final double TRUE_RETRY_AFTER_JITTER = 0.05;
+
   private static final double MILLIS_PER_SECOND = 1_000;
 
   /** Memory that becomes free when a running request ends. */
@@ -124,10 +131,12 @@
    * together.
    */
   long retryAfterMillis(double expectedMillis) {
+    if (features.reservesForUrgent()) {
+      double delayMillis = expectedMillis * (1 + TRUE_RETRY_AFTER_JITTER * random.nextDouble());
+      return Math.clamp((long) delayMillis, MIN_RETRY_AFTER_MILLIS, MAX_TRUE_RETRY_AFTER_MILLIS);
+    }
     double withJitter = expectedMillis * (1 + RETRY_AFTER_JITTER * random.nextDouble());
-    long maxMillis =
-        features.reservesForUrgent() ? MAX_TRUE_RETRY_AFTER_MILLIS : MAX_RETRY_AFTER_MILLIS;
-    return Math.clamp((long) withJitter, MIN_RETRY_AFTER_MILLIS, maxMillis);
+    return Math.clamp((long) withJitter, MIN_RETRY_AFTER_MILLIS, MAX_RETRY_AFTER_MILLIS);
   }
 
   /** Returns the expected time until capacity is free for a request behind those queued. */
@@ -218,12 +227,34 @@
       return UNKNOWN_SERVICE_TIMEOUT_MILLIS;
     }
     double allReleasedMillis = releases.getLast().afterMillis();
-    // What runs next is expected to release memory as fast as what runs now.
     return features.reservesForUrgent()
-        ? allReleasedMillis * neededTokens / Math.max(1, freedTokens)
+        ? laterReleaseMillis(releases, freedTokens, neededTokens, allReleasedMillis)
         : allReleasedMillis;
   }
 
+  /**
+   * Returns the expected time until memory is free that what runs now does not release. Requests
+   * that run next take the memory in the order in which it is released, and release it again after
+   * as long as the last of those that run now.
+   */
+  private static double laterReleaseMillis(
+      List<Release> releases, double freedTokens, double neededTokens, double periodMillis) {
+    if (freedTokens <= 0) {
+      return periodMillis;
+    }
+    double periods = Math.floor(neededTokens / freedTokens);
+    double restTokens = neededTokens - periods * freedTokens;
+    double restMillis = 0;
+    for (Release release : releases) {
+      if (restTokens <= 0) {
+        break;
+      }
+      restTokens -= release.tokens();
+      restMillis = release.afterMillis();
+    }
+    return periods * periodMillis + restMillis;
+  }
+
   private List<Release> expectedReleases(List<BackendState> engines, int fromPriority) {
     List<Release> releases = new ArrayList<>();
     for (BackendState engine : engines) {
--- a/src/main/java/org/curranthaven/internal/dispatch/ReturningClients.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/ReturningClients.java
@@ -1,9 +1,12 @@
 package org.curranthaven.internal.dispatch;
 
+import java.util.ArrayDeque;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.PriorityQueue;
 import org.curranthaven.internal.transport.wire.PlacementRequest;
 import org.jspecify.annotations.Nullable;
 
@@ -15,27 +18,35 @@
   private static final int MAX_RECORDS = 20_000;
 
   /** Time after the one that a client was told until which it counts as coming back as told. */
-  private static final long GRACE_MILLIS = 10_000;
+  private static final long GRACE_MILLIS = 4_000;
 
   /** Time by which a client may be early; its clock starts when it receives the rejection. */
   private static final long EARLY_MILLIS = 50;
 
+  /** Time before the one that a client was told from which memory is kept for it. */
+  private static final long DUE_MILLIS = 300;
+
+  /** Time after it until which memory is kept; covers a round trip to the client. */
+  private static final long OVERDUE_MILLIS = 500;
+
   /** Weight of the latest client in the share of those that come back as told. */
-  private static final double LATEST_CLIENT_WEIGHT = 0.02;
+  private static final double LATEST_CLIENT_WEIGHT = 0.05;
 
   /** Share of the clients expected to come back until any did or did not. */
-  private static final double INITIAL_RETURN_SHARE = 0.5;
+  private static final double INITIAL_RETURN_SHARE = 1;
 
   /** What identifies a request that is sent again under another id. */
   private record Key(RequestKind kind, String workspace, long fingerprint) {}
 
-  private record Owner(RequestKind kind, String workspace) {}
+  /** When the client of a rejected request was told to come back. */
+  private record Told(long atMillis, Key key, Rejected rejected) {}
 
   private static final class Rejected {
     final long firstArrivalMillis;
     final double memoryTokens;
     long toldAtMillis;
     boolean returned;
+    boolean due;
 
     Rejected(long firstArrivalMillis, double memoryTokens) {
       this.firstArrivalMillis = firstArrivalMillis;
@@ -45,7 +56,11 @@
 
   private final Map<Key, Rejected> rejected = new LinkedHashMap<>();
   private final Map<RequestKind, Double> awaitedByKind = new HashMap<>();
-  private final Map<Owner, Double> awaitedByOwner = new HashMap<>();
+  private final Map<RequestKind, Map<String, Double>> awaitedByWorkspace = new HashMap<>();
+  private final Map<RequestKind, Double> dueByKind = new HashMap<>();
+  private final PriorityQueue<Told> notYetDue =
+      new PriorityQueue<>(Comparator.comparingLong(Told::atMillis));
+  private final ArrayDeque<Told> due = new ArrayDeque<>();
   private final Map<RequestKind, Double> returnShares = new HashMap<>();
 
   /**
@@ -60,8 +75,8 @@
       return false;
     }
     if (!known.returned && nowMillis >= known.toldAtMillis - EARLY_MILLIS) {
+      changeAwaited(key, known, -1);
       known.returned = true;
-      changeAwaited(key, -known.memoryTokens);
       recordReturn(key.kind(), 1);
     }
     return true;
@@ -79,7 +94,8 @@
         new Rejected(known == null ? nowMillis : known.firstArrivalMillis, memoryTokens);
     next.toldAtMillis = nowMillis + retryAfterMillis;
     rejected.put(key, next);
-    changeAwaited(key, memoryTokens);
+    notYetDue.add(new Told(next.toldAtMillis, key, next));
+    changeAwaited(key, next, 1);
     if (rejected.size() > MAX_RECORDS) {
       remove(rejected.keySet().iterator().next());
     }
@@ -98,7 +114,7 @@
       if (nowMillis > entry.getValue().toldAtMillis + GRACE_MILLIS) {
         entries.remove();
         if (!entry.getValue().returned) {
-          changeAwaited(entry.getKey(), -entry.getValue().memoryTokens);
+          changeAwaited(entry.getKey(), entry.getValue(), -1);
           recordReturn(entry.getKey().kind(), 0);
         }
       }
@@ -108,7 +124,7 @@
   private @Nullable Rejected remove(Key key) {
     Rejected known = rejected.remove(key);
     if (known != null && !known.returned) {
-      changeAwaited(key, -known.memoryTokens);
+      changeAwaited(key, known, -1);
     }
     return known;
   }
@@ -126,7 +142,34 @@
 
   /** Returns the part of that memory that one workspace needs. */
   double awaitedTokens(RequestKind kind, String workspace) {
-    return awaitedByOwner.getOrDefault(new Owner(kind, workspace), 0.0) * returnShare(kind);
+    Map<String, Double> ofKind = awaitedByWorkspace.getOrDefault(kind, Map.of());
+    return ofKind.getOrDefault(workspace, 0.0) * returnShare(kind);
+  }
+
+  /** Returns the number of workspaces with clients of the kind that may come back. */
+  int awaitedWorkspaces(RequestKind kind) {
+    return awaitedByWorkspace.getOrDefault(kind, Map.of()).size();
+  }
+
+  /** Returns the memory that clients need which were told to come back about now. */
+  double dueTokens(RequestKind kind, long nowMillis) {
+    while (!notYetDue.isEmpty() && notYetDue.peek().atMillis() <= nowMillis + DUE_MILLIS) {
+      Told told = notYetDue.remove();
+      if (rejected.get(told.key()) == told.rejected() && !told.rejected().returned) {
+        told.rejected().due = true;
+        due.add(told);
+        change(dueByKind, told.key().kind(), told.rejected().memoryTokens);
+      }
+    }
+    while (!due.isEmpty() && due.peek().atMillis() <= nowMillis - OVERDUE_MILLIS) {
+      Told told = due.remove();
+      boolean awaited = rejected.get(told.key()) == told.rejected() && !told.rejected().returned;
+      if (awaited && told.rejected().due) {
+        told.rejected().due = false;
+        change(dueByKind, told.key().kind(), -told.rejected().memoryTokens);
+      }
+    }
+    return dueByKind.getOrDefault(kind, 0.0) * returnShare(kind);
   }
 
   private double returnShare(RequestKind kind) {
@@ -138,9 +181,15 @@
     returnShares.put(kind, share + LATEST_CLIENT_WEIGHT * (returned - share));
   }
 
-  private void changeAwaited(Key key, double tokens) {
+  private void changeAwaited(Key key, Rejected client, int count) {
+    double tokens = count * client.memoryTokens;
+    if (client.due) {
+      change(dueByKind, key.kind(), tokens);
+    }
     change(awaitedByKind, key.kind(), tokens);
-    change(awaitedByOwner, new Owner(key.kind(), key.workspace()), tokens);
+    Map<String, Double> ofKind =
+        awaitedByWorkspace.computeIfAbsent(key.kind(), kind -> new HashMap<>());
+    change(ofKind, key.workspace(), tokens);
   }
 
   private static <K> void change(Map<K, Double> sums, K key, double tokens) {
--- a/src/main/java/org/curranthaven/internal/dispatch/RunningRequest.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/RunningRequest.java
@@ -131,6 +131,11 @@
     return promptTokens + RESERVED_GROWTH_SHARE * forecastTokens;
   }
 
+  /** Returns the memory that the request is forecast to use at its end, in tokens. */
+  double finalMemoryTokens() {
+    return (double) request.getPromptTokens() + outputTokens + remainingTokens();
+  }
+
   /** Returns the memory to reserve for the request, in tokens. */
   double memoryTokens() {
     return request.getPromptTokens() + outputTokens + growthShare * remainingTokens();
