--- a/src/main/java/org/curranthaven/internal/dispatch/ReturningClients.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/ReturningClients.java
@@ -115,7 +115,6 @@
         entries.remove();
         if (!entry.getValue().returned) {
           changeAwaited(entry.getKey(), entry.getValue(), -1);
-          recordReturn(entry.getKey().kind(), 0);
         }
       }
     }
@@ -167,6 +166,7 @@
       if (awaited && told.rejected().due) {
         told.rejected().due = false;
         change(dueByKind, told.key().kind(), -told.rejected().memoryTokens);
+        recordReturn(told.key().kind(), 0);
       }
     }
     return dueByKind.getOrDefault(kind, 0.0) * returnShare(kind);
--- a/src/main/java/org/curranthaven/internal/dispatch/UrgentReserve.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/UrgentReserve.java
@@ -21,7 +21,7 @@
   private static final double LATEST_REQUEST_WEIGHT = 0.05;
 
   /** Requests beyond the mean that are reserved for, in standard deviations of a Poisson count. */
-  private static final double DEVIATIONS = 0.5;
+  private static final double DEVIATIONS = 1.5;
 
   /** Expected number of urgent requests below which nothing is reserved for them. */
   private static final double MIN_EXPECTED_REQUESTS = 0.05;
--- a/src/test/java/org/curranthaven/internal/dispatch/CompetingLoad.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/CompetingLoad.java
@@ -34,6 +34,7 @@
   private static final long TICK_MILLIS = 50;
   private static final long PROGRESS_MILLIS = 500;
   private static final long AT_ONCE_MILLIS = 10;
+  private static final long PAUSE_STEP_MILLIS = 10;
 
   /** Requests that are alike. */
   record Kind(int priority, int promptTokens, int outputTokens, long targetMillis) {
@@ -66,7 +67,6 @@
     final long arrivedAtMillis;
     final long fingerprint;
     int attempts;
-    long told;
     boolean cameBack;
     boolean servedAfterReturn;
     boolean served;
@@ -168,7 +168,11 @@
       LongToRate perSecond) {
     double atMillis = 0;
     while (atMillis < endMillis) {
-      double rate = Math.max(0.01, perSecond.at((long) atMillis));
+      double rate = perSecond.at((long) atMillis);
+      if (rate <= 0) {
+        atMillis += PAUSE_STEP_MILLIS;
+        continue;
+      }
       atMillis += -Math.log(1 - random.nextDouble()) * 1_000 / rate;
       Client client =
           new Client(kind, workspace, manner(manners), (long) atMillis, random.nextLong() | 1);
@@ -316,7 +320,6 @@
       }
       case COMES_BACK -> {
         if (client.attempts <= 1) {
-          client.told = reject.retryAfterMillis();
           at(
               nowMillis + reject.retryAfterMillis(),
               () -> {
@@ -365,7 +368,7 @@
     return client -> client.arrivedAtMillis >= fromMillis && client.arrivedAtMillis < toMillis;
   }
 
-  static Predicate<Client> of(Kind kind) {
+  static Predicate<Client> ofKind(Kind kind) {
     return client -> client.kind.equals(kind);
   }
 }
