--- a/src/test/java/org/curranthaven/internal/settings/RoutedSettingsTest.java
+++ b/src/test/java/org/curranthaven/internal/settings/RoutedSettingsTest.java
@@ -45,6 +45,18 @@
     };
   }
 
+  @Test
+  void features_of_the_protocol_are_an_optional_list_of_strings() {
+    String stated = GATEWAY.replace("1200", "1200, \"protocolFeatures\": [\"a\", \"b\"]");
+    String empty = GATEWAY.replace("1200", "1200, \"protocolFeatures\": []");
+    String faulty = GATEWAY.replace("1200", "1200, \"protocolFeatures\": [1]");
+
+    assertThat(valid(stated).protocolFeatures()).containsExactly("a", "b");
+    assertThat(valid(empty).protocolFeatures()).isEmpty();
+    assertThat(valid(GATEWAY).protocolFeatures()).isEmpty();
+    assertThat(messageOf(RoutedSettings.of(faulty))).contains("protocolFeatures");
+  }
+
   @Test
   void each_entry_reaches_the_settings() {
     RoutedSettings settings = valid(GATEWAY);
