--- a/src/main/java/org/curranthaven/internal/dispatch/Admission.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/Admission.java
@@ -1,6 +1,7 @@
 package org.curranthaven.internal.dispatch;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -97,9 +98,11 @@
     }
   }
 
-  /** Forgets what is outdated. */
+  /** Forgets what is outdated, and finds the reserves that have ended. */
   void tick(long nowMillis) {
     returning.tick(nowMillis);
+    List.copyOf(reported.keySet())
+        .forEach(kind -> recordReserve(kind, needAbove(kind, nowMillis), nowMillis));
   }
 
   // ---- order ------------------------------------------------------------------------------------
@@ -197,15 +200,17 @@
   }
 
   private UrgentReserve.Need needAbove(RequestKind kind, long nowMillis) {
-    EngineCapabilities engine = backends.engineOf(kind.service());
-    if (engine == null) {
-      return UrgentReserve.Need.NONE;
-    }
-    double capacityTokens =
-        (double) backends.notLeaving(kind.service()).count()
+    return reserve.needAbove(kind, capacityTokens(kind.service()), nowMillis);
+  }
+
+  /** Returns the memory of all engines of the service that this host may use. */
+  private double capacityTokens(String service) {
+    EngineCapabilities engine = backends.engineOf(service);
+    return engine == null
+        ? 0
+        : (double) backends.notLeaving(service).count()
             * engine.memoryTokens()
             / capacityRules.capacityShares();
-    return reserve.needAbove(kind, capacityTokens, nowMillis);
   }
 
   /**
@@ -225,7 +230,7 @@
       return List.of();
     }
     UrgentReserve.Need need = needAbove(kind, nowMillis);
-    recordReserve(kind, need, engine, nowMillis);
+    recordReserve(kind, need, nowMillis);
     double missingTokens = need.memoryTokens() - memoryInUse.tokensAbove(kind);
     if (missingTokens <= 0) {
       return candidates;
@@ -269,15 +274,12 @@
 
   // ---- reports ----------------------------------------------------------------------------------
 
-  private void recordReserve(
-      RequestKind kind, UrgentReserve.Need need, EngineCapabilities engine, long nowMillis) {
+  private void recordReserve(RequestKind kind, UrgentReserve.Need need, long nowMillis) {
     ReserveChange last = reported.get(kind);
     double lastTokens = last == null ? 0 : last.reservedTokens();
-    double capacityTokens =
-        (double) backends.notLeaving(kind.service()).count() * engine.memoryTokens();
     boolean startsOrEnds = need.isNone() != (lastTokens <= 0);
     double changedTokens = Math.abs(need.memoryTokens() - lastTokens);
-    if (!startsOrEnds && changedTokens < REPORTED_CHANGE_SHARE * capacityTokens) {
+    if (!startsOrEnds && changedTokens < REPORTED_CHANGE_SHARE * capacityTokens(kind.service())) {
       return;
     }
     ReserveChange change =
@@ -292,6 +294,11 @@
     changes.add(change);
   }
 
+  /** Returns the reserves as they were reported last. */
+  Collection<ReserveChange> reported() {
+    return reported.values();
+  }
+
   /** Returns and clears the changes of reserves since the last invocation. */
   List<ReserveChange> drainChanges() {
     if (changes.isEmpty()) {
--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -160,6 +160,11 @@
     return admission.drainChanges();
   }
 
+  /** Returns the memory reserves as they were reported last, for the state dump. */
+  public List<String> memoryReserves() {
+    return admission.reported().stream().map(ReserveChange::toString).sorted().toList();
+  }
+
   /** Returns the number of queued requests. */
   public int queuedRequests() {
     return queue.size();
--- a/src/main/java/org/curranthaven/internal/relay/Gateway.java
+++ b/src/main/java/org/curranthaven/internal/relay/Gateway.java
@@ -378,6 +378,7 @@
    * @param blockedRequests fingerprints of requests on which backend servers crashed, so that they
    *     are rejected
    * @param statedRateLimits requests a second that backend servers accept, by those that state it
+   * @param memoryReserves memory that the gateway keeps for more urgent requests in local fallback
    */
   public record Dump(
       String name,
@@ -391,6 +392,7 @@
       List<String> blockedPromptParts,
       List<String> blockedRequests,
       SortedMap<String, Double> statedRateLimits,
+      List<String> memoryReserves,
       List<String> hosts) {}
 
   /** Returns the state of the gateway, read on its event loop. */
@@ -409,6 +411,7 @@
                 link.blockedPromptParts(),
                 link.blockedRequests(),
                 link.statedRateLimits(),
+                link.memoryReserves(),
                 connectedHosts()));
   }
 
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -159,6 +159,11 @@
     return backends.get(id);
   }
 
+  /** Returns the memory reserves of this gateway; empty while a scheduler places its requests. */
+  List<String> memoryReserves() {
+    return localDispatch == null ? List.of() : localDispatch.memoryReserves();
+  }
+
   /** Returns the ids of the known backend servers, sorted. */
   List<String> backendNames() {
     return backends.keySet().stream().sorted().toList();
