--- a/src/main/java/org/curranthaven/internal/dispatch/ReturningClients.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/ReturningClients.java
@@ -17,6 +17,12 @@
 final class ReturningClients {
   private static final int MAX_RECORDS = 20_000;
 
+  /** Bound of the times told, of which a client that repeats at once leaves several behind. */
+  private static final int MAX_TOLD = 2 * MAX_RECORDS;
+
+  /** Interval at which outdated records are looked for, which reads all of them. */
+  private static final long SWEEP_INTERVAL_MILLIS = 1_000;
+
   /** Time after the one that a client was told until which it counts as coming back as told. */
   private static final long GRACE_MILLIS = 4_000;
 
@@ -61,6 +67,7 @@
   private final PriorityQueue<Told> notYetDue =
       new PriorityQueue<>(Comparator.comparingLong(Told::atMillis));
   private final ArrayDeque<Told> due = new ArrayDeque<>();
+  private long nextSweepMillis;
   private final Map<RequestKind, Double> returnShares = new HashMap<>();
 
   /**
@@ -94,7 +101,9 @@
         new Rejected(known == null ? nowMillis : known.firstArrivalMillis, memoryTokens);
     next.toldAtMillis = nowMillis + retryAfterMillis;
     rejected.put(key, next);
-    notYetDue.add(new Told(next.toldAtMillis, key, next));
+    if (notYetDue.size() < MAX_TOLD) {
+      notYetDue.add(new Told(next.toldAtMillis, key, next));
+    }
     changeAwaited(key, next, 1);
     if (rejected.size() > MAX_RECORDS) {
       remove(rejected.keySet().iterator().next());
@@ -108,6 +117,11 @@
 
   /** Forgets the clients that have not come back in time. */
   void tick(long nowMillis) {
+    updateDue(nowMillis);
+    if (nowMillis < nextSweepMillis) {
+      return;
+    }
+    nextSweepMillis = nowMillis + SWEEP_INTERVAL_MILLIS;
     for (Iterator<Map.Entry<Key, Rejected>> entries = rejected.entrySet().iterator();
         entries.hasNext(); ) {
       Map.Entry<Key, Rejected> entry = entries.next();
@@ -152,6 +166,11 @@
 
   /** Returns the memory that clients need which were told to come back about now. */
   double dueTokens(RequestKind kind, long nowMillis) {
+    updateDue(nowMillis);
+    return dueByKind.getOrDefault(kind, 0.0) * returnShare(kind);
+  }
+
+  private void updateDue(long nowMillis) {
     while (!notYetDue.isEmpty() && notYetDue.peek().atMillis() <= nowMillis + DUE_MILLIS) {
       Told told = notYetDue.remove();
       if (rejected.get(told.key()) == told.rejected() && !told.rejected().returned) {
@@ -160,6 +179,10 @@
         change(dueByKind, told.key().kind(), told.rejected().memoryTokens);
       }
     }
+    endOverdue(nowMillis);
+  }
+
+  private void endOverdue(long nowMillis) {
     while (!due.isEmpty() && due.peek().atMillis() <= nowMillis - OVERDUE_MILLIS) {
       Told told = due.remove();
       boolean awaited = rejected.get(told.key()) == told.rejected() && !told.rejected().returned;
@@ -169,7 +192,6 @@
         recordReturn(told.key().kind(), 0);
       }
     }
-    return dueByKind.getOrDefault(kind, 0.0) * returnShare(kind);
   }
 
   private double returnShare(RequestKind kind) {
