--- a/src/main/java/org/curranthaven/internal/relay/Gateway.java
+++ b/src/main/java/org/curranthaven/internal/relay/Gateway.java
@@ -107,7 +107,8 @@
             new RetryLimits(
                 settings.retryRatio(), settings.retrySlack(), settings.retryWindowMillis()),
             network::send,
-            new SchedulerViewListener());
+            new SchedulerViewListener(),
+            protocol.features(settings.protocolFeatures()));
     this.awaitingInitialization = new DeferredActions(loop);
     this.pool = new BackendPool(loop, clock, protocol);
     this.crashProbe = new CrashProbe(pool, link);
@@ -394,6 +395,7 @@
    * @param evacuationRevision number of changes to these
    * @param coldLeftMillis times for which backend servers are cold still and get only their cold
    *     rate
+   * @param memoryReserves memory that the gateway keeps for more urgent requests in local fallback
    */
   public record Dump(
       String name,
@@ -410,6 +412,7 @@
       List<String> evacuatedDataCentres,
       long evacuationRevision,
       SortedMap<String, Long> coldLeftMillis,
+      List<String> memoryReserves,
       List<String> hosts) {}
 
   /** Returns the state of the gateway, read on its event loop. */
@@ -431,6 +434,7 @@
                 link.evacuatedDataCentres(),
                 link.evacuationRevision(),
                 link.coldLeftMillis(),
+                link.memoryReserves(),
                 connectedHosts()));
   }
 
--- a/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
@@ -124,7 +124,8 @@
             this::connectedGateways,
             network::send,
             new ReplicatedVersionLog(),
-            this::addDataCentre);
+            this::addDataCentre,
+            protocol.features(settings.protocolFeatures()));
     this.evacuationHandler =
         new EvacuationHandler(scheduler, leadership::canAcceptCatalogs, this::commitEvacuation);
     this.leaderClient = new LeaderClient(eventLoop, clock, network, leadership::leaderHost);
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -23,6 +23,7 @@
 import org.curranthaven.internal.dispatch.BackendRegistry;
 import org.curranthaven.internal.dispatch.DispatchCore;
 import org.curranthaven.internal.dispatch.DispatchDecision;
+import org.curranthaven.internal.dispatch.DispatchFeatures;
 import org.curranthaven.internal.dispatch.RequestId;
 import org.curranthaven.internal.dispatch.RetryLimits;
 import org.curranthaven.internal.dispatch.SharedKnowledge;
@@ -81,6 +82,7 @@
   private final BiConsumer<String, Envelope.Builder> sender;
   private final VersionGate versionGate;
   private final EvacuationOrders evacuation;
+  private final DispatchFeatures features;
   private final Map<String, GatewayView> gatewayViews = new HashMap<>();
 
   /** Gateways that may place requests locally, and when their connections were lost. */
@@ -160,6 +162,7 @@
    * @param sender sends a message to the host with the given name, best effort
    * @param versionLog replicates the software versions that backend servers serve with
    * @param dataCentreLog replicates the data centres that backend servers register from
+   * @param features functions of the dispatch core that the deployment asks for
    */
   Scheduler(
       EventLoop loop,
@@ -171,7 +174,9 @@
       Supplier<Collection<HostRecord>> gateways,
       BiConsumer<String, Envelope.Builder> sender,
       VersionLog versionLog,
-      DataCentreLog dataCentreLog) {
+      DataCentreLog dataCentreLog,
+      DispatchFeatures features) {
+    this.features = features;
     this.loop = loop;
     this.clock = clock;
     this.random = random;
@@ -186,7 +191,7 @@
   }
 
   private DispatchCore newCore() {
-    return new DispatchCore(retryLimits, 1, random, Set.of(), knowledge);
+    return new DispatchCore(retryLimits, 1, random, Set.of(), knowledge, features);
   }
 
   boolean isLeading() {
@@ -322,6 +327,7 @@
     }
     publishColdServers();
     core.tick(nowMillis);
+    core.drainReserveChanges().forEach(change -> Logger.info("memory reserve: {}", change));
     sendDecisions();
     completeAcknowledged();
   }
--- a/src/main/java/org/curranthaven/internal/settings/RoutedSettings.java
+++ b/src/main/java/org/curranthaven/internal/settings/RoutedSettings.java
@@ -42,6 +42,7 @@
  *     system keeps by sending no more than the rate of its service; null if the platform states
  *     none
  * @param regions regions of the data centres
+ * @param protocolFeatures functions that the deployment asks for, by their names in the protocol
  */
 public record RoutedSettings(
     String name,
@@ -61,7 +62,8 @@
     double retryWindowSeconds,
     long registrationMillis,
     @Nullable ColdServerBound coldServerBound,
-    DataCentreRegions regions) {
+    DataCentreRegions regions,
+    List<String> protocolFeatures) {
   private static final double MILLIS_PER_SECOND = 1_000;
 
   /** Most losses for which a voter group is practical: seven voters. */
@@ -87,7 +89,8 @@
           "registrationMillis",
           ColdServerBound.EXCESS_KEY,
           ColdServerBound.SLACK_KEY,
-          "regions");
+          "regions",
+          "protocolFeatures");
 
   /** Number of consecutive missed registrations after which a backend server is removed. */
   private static final long MISSED_REGISTRATIONS_LIMIT = 5;
@@ -102,6 +105,7 @@
             Objects.requireNonNull(
                 contacts, "the key contacts is missing; list the addresses of the control hosts"));
     contacts.forEach(Addresses::parse);
+    protocolFeatures = List.copyOf(protocolFeatures);
     if (toleratedLosses < 0 || toleratedLosses > MAX_TOLERATED_LOSSES) {
       throw new IllegalArgumentException(
           "toleratedLosses is "
@@ -118,7 +122,7 @@
     }
   }
 
-  /** Creates settings without a bound for cold backend servers and without regions. */
+  /** Creates settings without what a deployment may ask for beyond the required keys. */
   public RoutedSettings(
       String name,
       String dataCentre,
@@ -154,7 +158,8 @@
         retryWindowSeconds,
         registrationMillis,
         null,
-        new DataCentreRegions(Map.of()));
+        new DataCentreRegions(Map.of()),
+        List.of());
   }
 
   private static void requireText(String key, @Nullable String text) {
@@ -218,7 +223,8 @@
         entries.decimal("retryWindowSeconds"),
         entries.number("registrationMillis", 0, 1, Long.MAX_VALUE),
         ColdServerBound.read(entries),
-        new DataCentreRegions(entries.textsByName("regions")));
+        new DataCentreRegions(entries.textsByName("regions")),
+        entries.optionalTextList("protocolFeatures"));
   }
 
   /** Returns whether the host accepts requests from callers. */
--- a/src/test/java/org/curranthaven/internal/relay/EvacuatedDataCentresTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/EvacuatedDataCentresTest.java
@@ -6,6 +6,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.SplittableRandom;
+import org.curranthaven.internal.dispatch.DispatchFeatures;
 import org.curranthaven.internal.dispatch.RetryLimits;
 import org.curranthaven.internal.supervision.Clock;
 import org.curranthaven.internal.transport.wire.BackendRecord;
@@ -44,7 +45,8 @@
             shown.clear();
             shown.addAll(dataCentres);
           }
-        });
+        },
+        DispatchFeatures.none());
   }
 
   /** A request that records where it was placed. */
--- a/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
@@ -13,6 +13,7 @@
 import org.curranthaven.internal.catalog.RequestLimits;
 import org.curranthaven.internal.catalog.ServiceSpec;
 import org.curranthaven.internal.dispatch.BackendStatements;
+import org.curranthaven.internal.dispatch.DispatchFeatures;
 import org.curranthaven.internal.dispatch.RetryLimits;
 import org.curranthaven.internal.dispatch.StatedRateLimit;
 import org.curranthaven.internal.transport.wire.BackendRecord;
@@ -52,7 +53,8 @@
 
             @Override
             public void backendsChanged(Collection<BackendRecord> backends) {}
-          });
+          },
+          DispatchFeatures.none());
 
   /** A request that records where it was placed. */
   private static final class RecordingListener implements RequestPlacer.PlacementListener {
--- a/src/test/java/org/curranthaven/internal/scheduler/EvacuationHandlerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/EvacuationHandlerTest.java
@@ -13,6 +13,7 @@
 import org.curranthaven.internal.catalog.ServiceVersion;
 import org.curranthaven.internal.configuration.FleetCommand;
 import org.curranthaven.internal.configuration.FleetState;
+import org.curranthaven.internal.dispatch.DispatchFeatures;
 import org.curranthaven.internal.dispatch.RetryLimits;
 import org.curranthaven.internal.relay.ManualTime;
 import org.curranthaven.internal.settings.Json;
@@ -75,7 +76,8 @@
         () -> gateways,
         (name, message) -> sent.add(Map.entry(name, message.build())),
         new CommittingVersionLog(),
-        this::addDataCentre);
+        this::addDataCentre,
+        DispatchFeatures.none());
   }
 
   private EvacuationHandler newHandler() {
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -14,6 +14,7 @@
 import org.curranthaven.internal.catalog.RequestLimits;
 import org.curranthaven.internal.catalog.ServiceSpec;
 import org.curranthaven.internal.catalog.ServiceVersion;
+import org.curranthaven.internal.dispatch.DispatchFeatures;
 import org.curranthaven.internal.dispatch.RetryLimits;
 import org.curranthaven.internal.relay.ManualTime;
 import org.curranthaven.internal.transport.wire.BackendRecord;
@@ -56,7 +57,8 @@
           this::connectedGateways,
           this::send,
           versionLog,
-          (dataCentre, callback) -> callback.accept(true));
+          (dataCentre, callback) -> callback.accept(true),
+          DispatchFeatures.none());
 
   private int gatewayReads;
 
--- a/src/test/java/org/curranthaven/platform/RoutedFleetFixture.java
+++ b/src/test/java/org/curranthaven/platform/RoutedFleetFixture.java
@@ -140,7 +140,8 @@
         10,
         60_000,
         null,
-        new DataCentreRegions(Map.of("here", "north", "there", "south")));
+        new DataCentreRegions(Map.of("here", "north", "there", "south")),
+        List.of());
   }
 
   HttpResponse<String> sendControlRequest(String method, String path, String body)
