--- a/src/main/java/org/curranthaven/internal/dispatch/CapacityRules.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/CapacityRules.java
@@ -29,6 +29,7 @@
 
   private final int capacityShares;
   private final RequestRateLimits rateLimits;
+  private final CapacityView capacityView;
 
   /**
    * Creates the rules.
@@ -36,9 +37,11 @@
    * @param capacityShares number of hosts that each place requests on the same backend servers in
    *     local fallback; each uses an equal share of their capacity
    * @param rateLimits limits on requests that backend servers have stated
+   * @param capacityView what has been learnt of each backend server
    */
-  CapacityRules(int capacityShares, RequestRateLimits rateLimits) {
+  CapacityRules(int capacityShares, RequestRateLimits rateLimits, CapacityView capacityView) {
     this.rateLimits = rateLimits;
+    this.capacityView = capacityView;
     this.capacityShares = Math.max(1, capacityShares);
   }
 
@@ -61,7 +64,7 @@
       long nowMillis) {
     return !backend.isFull(nowMillis)
         && rateLimits.allows(backend.id(), nowMillis)
-        && hasRoom(backend, engine, requestTokens, memoryShare);
+        && hasRoom(backend, engine, requestTokens, memoryShare, nowMillis);
   }
 
   /** Returns whether the backend server accepts no request now because of its stated limit. */
@@ -74,9 +77,11 @@
       BackendState backend,
       @Nullable EngineCapabilities engine,
       double requestTokens,
-      double memoryShare) {
+      double memoryShare,
+      long nowMillis) {
     if (engine == null) {
-      double maxRequests = backend.slots() * PLAIN_REQUESTS_PER_SLOT / capacityShares;
+      int usefulRequests = capacityView.usefulRequests(backend, nowMillis);
+      double maxRequests = usefulRequests * PLAIN_REQUESTS_PER_SLOT / capacityShares;
       return backend.requests.size() < Math.max(1, maxRequests);
     }
     int slots = Math.max(1, engine.slots() / capacityShares);
--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -15,6 +15,7 @@
 import org.curranthaven.internal.catalog.EngineCapabilities;
 import org.curranthaven.internal.transport.wire.BackendRecord;
 import org.curranthaven.internal.transport.wire.DispatchOutcome;
+import org.curranthaven.internal.transport.wire.LearntCapacity;
 import org.curranthaven.internal.transport.wire.PlacementRequest;
 import org.curranthaven.internal.transport.wire.RunningDispatch;
 import org.curranthaven.internal.transport.wire.ServedVersion;
@@ -53,6 +54,8 @@
   private final Backends backends;
   private final DispatchQueue queue = new DispatchQueue();
   private final Map<String, ServiceRetryBudget> retryBudgets = new HashMap<>();
+  private final ServerCapacities capacities;
+  private final CapacityView capacityView;
   private final CapacityRules capacityRules;
   private final EngineSpeeds speeds;
   private final QueueTimeForecast forecast;
@@ -95,14 +98,24 @@
     this.retryLimits = retryLimits.dividedAmong(capacityShares);
     this.backends = new Backends(isEnabled(Mechanism.EJECTION), knowledge.restTimes());
     this.rateLimits = knowledge.rateLimits();
-    this.capacityRules = new CapacityRules(capacityShares, rateLimits);
+    this.capacities = knowledge.capacities();
+    this.capacityView =
+        new CapacityView(capacities, capacityShares, isEnabled(Mechanism.SERVER_CAPACITY));
+    this.capacityRules = new CapacityRules(capacityShares, rateLimits, capacityView);
     this.speeds = new EngineSpeeds(isEnabled(Mechanism.LEARNING));
     this.forecast =
         new QueueTimeForecast(
-            backends, speeds, capacityRules, rateLimits, random, isEnabled(Mechanism.LEARNING));
+            backends,
+            speeds,
+            capacityView,
+            capacityRules,
+            rateLimits,
+            random,
+            isEnabled(Mechanism.LEARNING));
     this.placementCost =
-        new PlacementCost(speeds, random, capacityShares > 1, isEnabled(Mechanism.PROMPT_AFFINITY));
-    TransferTargets targets = new TransferTargets(backends, capacityRules);
+        new PlacementCost(
+            speeds, capacityView, random, capacityShares > 1, isEnabled(Mechanism.PROMPT_AFFINITY));
+    TransferTargets targets = new TransferTargets(backends, capacityRules, capacityView);
     this.backupPlanner =
         new BackupPlanner(backends, targets, speeds, isEnabled(Mechanism.BACKUP_COPIES));
     this.migrationPlanner =
@@ -187,6 +200,7 @@
    * rejects the queued requests with it and stops the running ones that it may still crash.
    */
   public void backendCrashed(String id, long nowMillis) {
+    capacities.forget(id);
     BackendState backend = backends.get(id);
     if (backend != null && backendCrashes.handleCrash(backend, nowMillis)) {
       enforceBlocks(nowMillis);
@@ -259,6 +273,24 @@
     return true;
   }
 
+  /** Handles a response that states how slow the machine of its backend server is. */
+  public void slownessStated(String backendId, int percent, long nowMillis) {
+    BackendState backend = backends.get(backendId);
+    if (backend != null) {
+      capacities.state(backend.registration(), percent, nowMillis);
+    }
+  }
+
+  /** Adds what another host has learnt of the capacity of backend servers. */
+  public void restoreCapacities(Collection<LearntCapacity> learnt, long nowMillis) {
+    capacities.merge(learnt, this::registrationOf, nowMillis);
+  }
+
+  private @Nullable BackendRecord registrationOf(String backendId) {
+    BackendState backend = backends.get(backendId);
+    return backend == null ? null : backend.registration();
+  }
+
   private @Nullable RunningRequest runningOn(String backendId, RequestId requestId) {
     BackendState backend = backends.get(backendId);
     return backend == null ? null : backend.requests.get(requestId);
@@ -390,6 +422,7 @@
     }
     boolean isFirstOutput = running.outputTokens() == 0 && outputTokens > 0;
     boolean progressed = outputTokens > running.outputTokens();
+    capacityView.recordOutput(running, backend, outputTokens, nowMillis);
     running.outputProgressed(outputTokens, backend, nowMillis, speeds);
     if (progressed) {
       backendCrashes.recordOutput(running, backend, nowMillis);
@@ -446,16 +479,20 @@
     switch (outcome) {
       case DISPATCH_OUTCOME_ANSWERED -> {
         backends.recordSuccess(backend);
+        capacityView.recordAnswer(running, backend, outputTokens, nowMillis);
         backendCrashes.recordCompletion(running, outputTokens, nowMillis);
         if (running.request.getEngine() || !rateLimits.isLimited(backend.id())) {
           // A plain backend server with a limit takes longer than its service usually does.
           forecast.recordCompletion(running, outputTokens, nowMillis);
         }
       }
-      case DISPATCH_OUTCOME_FAILED, DISPATCH_OUTCOME_UNREACHABLE ->
-          backends.recordFailure(backend, nowMillis);
+      case DISPATCH_OUTCOME_FAILED, DISPATCH_OUTCOME_UNREACHABLE -> {
+        backends.recordFailure(backend, nowMillis);
+        capacityView.recordFailure(backend, nowMillis);
+      }
       case DISPATCH_OUTCOME_CONNECTION_LOST -> {
         backends.recordFailure(backend, nowMillis);
+        capacityView.recordFailure(backend, nowMillis);
         backend.recordLostConnection(running, nowMillis);
       }
       case DISPATCH_OUTCOME_REJECTED ->
@@ -503,6 +540,7 @@
   public void tick(long nowMillis) {
     backendCrashes.tick(nowMillis);
     rateLimits.discard(id -> backends.get(id) != null, nowMillis);
+    capacities.discard(id -> backends.get(id) != null);
     for (QueuedRequest queued : queue.expired(nowMillis)) {
       queue.remove(queued.id());
       if (!placeLate(queued.id(), queued.request(), nowMillis)) {
@@ -567,7 +605,7 @@
             backend ->
                 capacityRules.isHeldByLimit(backend, nowMillis)
                     && capacityRules.hasRoom(
-                        backend, engine, requestTokens, CapacityRules.MEMORY_SHARE));
+                        backend, engine, requestTokens, CapacityRules.MEMORY_SHARE, nowMillis));
   }
 
   /** Outcome of trying to place a request. */
@@ -617,15 +655,17 @@
       long targetLeftMillis,
       long nowMillis) {
     return cheapest(
-        candidates.stream().filter(backend -> isInTime(backend, request, targetLeftMillis)),
+        candidates.stream()
+            .filter(backend -> isInTime(backend, request, targetLeftMillis, nowMillis)),
         request,
         nowMillis);
   }
 
-  private boolean isInTime(BackendState backend, PlacementRequest request, long targetLeftMillis) {
+  private boolean isInTime(
+      BackendState backend, PlacementRequest request, long targetLeftMillis, long nowMillis) {
     int promptTokens = backend.pendingPromptTokens() + request.getPromptTokens();
     return !request.getEngine()
-        || forecast.firstReplyMillis(request, promptTokens) <= targetLeftMillis;
+        || forecast.firstReplyMillis(backend, request, promptTokens, nowMillis) <= targetLeftMillis;
   }
 
   /**
@@ -679,6 +719,7 @@
     running.promptTokensToFirstReply =
         chosen.pendingPromptTokens() + running.request.getPromptTokens();
     backends.addPlacement(running, chosen);
+    capacityView.recordPlacement(running, chosen, nowMillis);
     rateLimits.recordPlacement(chosen.id(), nowMillis);
     chosen.promptPartCache.add(running.request.getPartsList());
     backupPlanner.assign(chosen, running, nowMillis);
--- a/src/main/java/org/curranthaven/internal/dispatch/Mechanism.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/Mechanism.java
@@ -24,5 +24,7 @@
   /** A request that will be late runs if no other request needs the capacity. */
   LATE_PLACEMENT,
   /** Speeds and output lengths are learnt; otherwise the start values hold. */
-  LEARNING
+  LEARNING,
+  /** Requests are placed by the capacity of each server, where servers state their slowness. */
+  SERVER_CAPACITY
 }
--- a/src/main/java/org/curranthaven/internal/dispatch/PlacementCost.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/PlacementCost.java
@@ -1,5 +1,6 @@
 package org.curranthaven.internal.dispatch;
 
+import java.util.OptionalDouble;
 import java.util.random.RandomGenerator;
 import org.curranthaven.internal.catalog.EngineCapabilities;
 import org.curranthaven.internal.transport.wire.PlacementRequest;
@@ -31,7 +32,17 @@
    */
   private static final double LOCAL_JITTER_TOKENS = 3_000;
 
+  /**
+   * Cost of an engine on which the longest pause of a stream is expected to be twice its target, in
+   * prompt tokens; above the other costs, since no other figure makes up for a late stream.
+   */
+  private static final double PAUSE_WEIGHT_TOKENS = 20_000;
+
+  /** Excess of a pause over its target beyond which more of it makes no difference. */
+  private static final double MAX_PAUSE_EXCESS = 3;
+
   private final EngineSpeeds speeds;
+  private final CapacityView capacityView;
   private final RandomGenerator random;
   private final boolean localFallback;
   private final boolean prefersCachedPrompts;
@@ -44,10 +55,12 @@
    */
   PlacementCost(
       EngineSpeeds speeds,
+      CapacityView capacityView,
       RandomGenerator random,
       boolean localFallback,
       boolean prefersCachedPrompts) {
     this.speeds = speeds;
+    this.capacityView = capacityView;
     this.random = random;
     this.localFallback = localFallback;
     this.prefersCachedPrompts = prefersCachedPrompts;
@@ -70,20 +83,53 @@
         (sameDataCentre ? 0 : OTHER_DATA_CENTRE_WEIGHT_TOKENS)
             + (backend.isWarmingUp(nowMillis) ? WARM_UP_WEIGHT_TOKENS : 0);
     if (engine == null) {
-      double load = (double) backend.requests.size() / backend.slots();
-      return commonCost + load * MEMORY_WEIGHT_TOKENS + random.nextDouble();
+      return commonCost + plainCost(backend, nowMillis) + random.nextDouble();
     }
     double memoryUsed = backend.memoryTokens() / Math.max(1, engine.memoryTokens());
     double slownessCost = SLOWNESS_WEIGHT * outputTokens * speeds.relativeSlowness(backend);
     double jitter = localFallback ? LOCAL_JITTER_TOKENS * random.nextDouble() : 0;
     return commonCost
-        + backend.pendingPromptTokens()
+        + promptCost(backend, request, nowMillis)
+        + pauseCost(backend, engine, request, outputTokens, nowMillis)
         + memoryUsed * MEMORY_WEIGHT_TOKENS
         + slownessCost
         + jitter
         - cachedTokens(backend, request);
   }
 
+  private double plainCost(BackendState backend, long nowMillis) {
+    OptionalDouble learnt = capacityView.plainCost(backend, nowMillis);
+    if (learnt.isEmpty()) {
+      double load = (double) backend.requests.size() / backend.slots();
+      return load * MEMORY_WEIGHT_TOKENS;
+    }
+    // Hosts do not know each other's placements in local fallback, and would otherwise all choose
+    // the server with the best figures.
+    double jitter = localFallback ? 1 + random.nextDouble() : 1;
+    return MEMORY_WEIGHT_TOKENS * learnt.getAsDouble() * jitter;
+  }
+
+  /** Returns the prompt tokens that an average engine processes in the time until the reply. */
+  private double promptCost(BackendState backend, PlacementRequest request, long nowMillis) {
+    int pendingTokens = backend.pendingPromptTokens();
+    if (!capacityView.isActive(backend.service())) {
+      return pendingTokens;
+    }
+    double millisPerToken = speeds.millisPerPromptToken(backend.service());
+    double averageMillis = (pendingTokens + request.getPromptTokens()) * millisPerToken;
+    return capacityView.promptMillis(backend, averageMillis, nowMillis) / millisPerToken;
+  }
+
+  private double pauseCost(
+      BackendState backend,
+      EngineCapabilities engine,
+      PlacementRequest request,
+      int outputTokens,
+      long nowMillis) {
+    double excess = capacityView.pauseExcess(backend, engine, request, outputTokens, nowMillis);
+    return PAUSE_WEIGHT_TOKENS * Math.min(MAX_PAUSE_EXCESS, excess);
+  }
+
   private int cachedTokens(BackendState backend, PlacementRequest request) {
     return prefersCachedPrompts
         ? backend.promptPartCache.cachedPrefixTokens(request.getPartsList())
--- a/src/main/java/org/curranthaven/internal/dispatch/QueueTimeForecast.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/QueueTimeForecast.java
@@ -48,6 +48,7 @@
   private final Map<String, OutputLengthForecast> outputLengthsByRoute = new HashMap<>();
   private final Map<String, Double> plainMillisByService = new HashMap<>();
   private final EngineSpeeds speeds;
+  private final CapacityView capacityView;
 
   /**
    * Creates a forecast.
@@ -57,11 +58,13 @@
   QueueTimeForecast(
       Backends backends,
       EngineSpeeds speeds,
+      CapacityView capacityView,
       CapacityRules capacityRules,
       RequestRateLimits rateLimits,
       RandomGenerator random,
       boolean learning) {
     this.speeds = speeds;
+    this.capacityView = capacityView;
     this.learning = learning;
     this.backends = backends;
     this.capacityRules = capacityRules;
@@ -110,6 +113,13 @@
         (promptTokens * speeds.millisPerPromptToken(request.getService()) * FIRST_REPLY_MARGIN);
   }
 
+  /** Returns the same for an engine whose speed may be known. */
+  double firstReplyMillis(
+      BackendState engine, PlacementRequest request, int promptTokens, long nowMillis) {
+    double averageMillis = firstReplyMillis(request, promptTokens);
+    return capacityView.promptMillis(engine, averageMillis, nowMillis);
+  }
+
   /**
    * Returns the retry delay, with jitter so that requests rejected together are not retried
    * together.
@@ -137,7 +147,7 @@
             .mapToDouble(
                 backend ->
                     Math.min(
-                        backend.slots() / (millisPerRequest * capacityRules.capacityShares()),
+                        plainRequestsPerMilli(backend, millisPerRequest, nowMillis),
                         limitPerMilli(backend, nowMillis)))
             .sum();
     return requestsPerMilli == 0
@@ -145,6 +155,13 @@
         : Math.max(0, queue.size() + 1 - accruedRequests(servers, nowMillis)) / requestsPerMilli;
   }
 
+  private double plainRequestsPerMilli(BackendState backend, double averageMillis, long nowMillis) {
+    double millisPerRequest =
+        capacityView.fullPlainMillis(backend, nowMillis).orElse(averageMillis);
+    return capacityView.usefulRequests(backend, nowMillis)
+        / (millisPerRequest * capacityRules.capacityShares());
+  }
+
   private double accruedRequests(List<BackendState> servers, long nowMillis) {
     return servers.stream()
         .mapToDouble(backend -> rateLimits.accruedRequests(backend.id(), nowMillis))
@@ -178,33 +195,37 @@
     List<BackendState> limited = byLimited.getOrDefault(true, List.of());
     List<BackendState> unlimited = byLimited.getOrDefault(false, List.of());
     if (limited.isEmpty()) {
-      return releaseMillis(unlimited, neededTokens);
+      return releaseMillis(unlimited, neededTokens, nowMillis);
     }
     double limitPerMilli =
         limited.stream().mapToDouble(backend -> limitPerMilli(backend, nowMillis)).sum();
     double limitedMillis =
         Math.max(0, requestsAhead + 1 - accruedRequests(limited, nowMillis)) / limitPerMilli;
-    if (!hasRoom(limited, request)) {
-      limitedMillis = Math.max(limitedMillis, releaseMillis(limited, neededTokens));
+    if (!hasRoom(limited, request, nowMillis)) {
+      limitedMillis = Math.max(limitedMillis, releaseMillis(limited, neededTokens, nowMillis));
     }
     return unlimited.isEmpty()
         ? limitedMillis
-        : Math.min(limitedMillis, releaseMillis(unlimited, neededTokens));
+        : Math.min(limitedMillis, releaseMillis(unlimited, neededTokens, nowMillis));
   }
 
-  private boolean hasRoom(List<BackendState> candidates, PlacementRequest request) {
+  private boolean hasRoom(List<BackendState> candidates, PlacementRequest request, long nowMillis) {
     EngineCapabilities engine = backends.engineOf(request.getService());
     return candidates.stream()
         .anyMatch(
             backend ->
                 capacityRules.hasRoom(
-                    backend, engine, neededMemoryTokens(request), CapacityRules.MEMORY_SHARE));
+                    backend,
+                    engine,
+                    neededMemoryTokens(request),
+                    CapacityRules.MEMORY_SHARE,
+                    nowMillis));
   }
 
   /** Returns the expected time until requests that end free the needed memory. */
-  private double releaseMillis(List<BackendState> engines, double neededTokens) {
+  private double releaseMillis(List<BackendState> engines, double neededTokens, long nowMillis) {
     double freedTokens = 0;
-    List<Release> releases = expectedReleases(engines);
+    List<Release> releases = expectedReleases(engines, nowMillis);
     for (Release release : releases) {
       freedTokens += release.tokens();
       if (freedTokens >= neededTokens) {
@@ -214,20 +235,23 @@
     return releases.isEmpty() ? UNKNOWN_SERVICE_TIMEOUT_MILLIS : releases.getLast().afterMillis();
   }
 
-  private List<Release> expectedReleases(List<BackendState> engines) {
+  private List<Release> expectedReleases(List<BackendState> engines, long nowMillis) {
     List<Release> releases = new ArrayList<>();
     for (BackendState engine : engines) {
       for (RunningRequest running : engine.requests.values()) {
-        releases.add(new Release(remainingMillis(running), running.memoryTokens()));
+        releases.add(
+            new Release(remainingMillis(running, engine, nowMillis), running.memoryTokens()));
       }
     }
     releases.sort(Comparator.comparingDouble(Release::afterMillis));
     return releases;
   }
 
-  private double remainingMillis(RunningRequest running) {
-    return speeds.remainingOutputMillis(running)
-        + running.pendingPromptTokens() * speeds.millisPerPromptToken(running.request.getService());
+  private double remainingMillis(RunningRequest running, BackendState engine, long nowMillis) {
+    double promptMillis =
+        running.pendingPromptTokens() * speeds.millisPerPromptToken(running.request.getService());
+    return speeds.remainingOutputMillis(running) * capacityView.outputFactor(engine, nowMillis)
+        + capacityView.promptMillis(engine, promptMillis, nowMillis);
   }
 
   /** Returns the memory that a request must find free to be placed. */
--- a/src/main/java/org/curranthaven/internal/dispatch/RunningRequest.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/RunningRequest.java
@@ -38,6 +38,15 @@
   /** Prompt tokens to process before the first output, including this request's; 0 if unknown. */
   int promptTokensToFirstReply;
 
+  /** Requests on the backend server when this one was placed, including it; 0 if unknown. */
+  int requestsAtPlacement;
+
+  /**
+   * Integral of the machine's slowness up to the placement or the last output, as {@link
+   * PresentSlowness#elapsedSlowedMillis} states it; NaN if unknown.
+   */
+  double slowedMillisMark = Double.NaN;
+
   /** Whether the request is being migrated away from this engine. */
   boolean migratingAway;
 
@@ -103,6 +112,11 @@
     return outputTokens;
   }
 
+  /** Returns when output was last reported; 0 if not yet. */
+  long progressedAtMillis() {
+    return progressedAtMillis;
+  }
+
   /** Returns whether output has continued well beyond its beginning, at which engines may crash. */
   boolean hasContinuedOutput() {
     // Without the time of the first output, the output was produced on another engine.
--- a/src/main/java/org/curranthaven/internal/dispatch/SharedKnowledge.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/SharedKnowledge.java
@@ -10,12 +10,23 @@
  * @param rateLimits limits on requests that backend servers have stated
  * @param streamOrigins software versions that began streams
  * @param restTimes until when backend servers want no requests
+ * @param capacities how much each backend server takes well
  */
 public record SharedKnowledge(
     CrashEvidence crashes,
     RequestRateLimits rateLimits,
     StreamOrigins streamOrigins,
-    RestTimes restTimes) {
+    RestTimes restTimes,
+    ServerCapacities capacities) {
+  /** Creates knowledge without anything learnt of capacities. */
+  public SharedKnowledge(
+      CrashEvidence crashes,
+      RequestRateLimits rateLimits,
+      StreamOrigins streamOrigins,
+      RestTimes restTimes) {
+    this(crashes, rateLimits, streamOrigins, restTimes, new ServerCapacities());
+  }
+
   /** Returns the empty knowledge of a host that places the requests of all gateways. */
   public static SharedKnowledge ofScheduler() {
     return new SharedKnowledge(
--- a/src/main/java/org/curranthaven/internal/dispatch/TransferTargets.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/TransferTargets.java
@@ -17,11 +17,16 @@
   /** Cost of each migration that already uses the target's network link; 1 is a full memory. */
   private static final double BUSY_LINK_COST = 0.7;
 
+  /** Cost of an engine on which the longest pause is twice the target; 1 is a full memory. */
+  private static final double PAUSE_COST = 2;
+
   private final Backends backends;
   private final CapacityRules capacityRules;
+  private final CapacityView capacityView;
 
-  TransferTargets(Backends backends, CapacityRules capacityRules) {
+  TransferTargets(Backends backends, CapacityRules capacityRules, CapacityView capacityView) {
     this.backends = backends;
+    this.capacityView = capacityView;
     this.capacityRules = capacityRules;
   }
 
@@ -47,7 +52,15 @@
                 candidate ->
                     capacityRules.hasCapacity(
                         candidate, engine, requestTokens, memoryShare, nowMillis)),
-        candidate -> cost(source, candidate, engine));
+        candidate ->
+            cost(source, candidate, engine) + pauseCost(candidate, engine, running, nowMillis));
+  }
+
+  private double pauseCost(
+      BackendState target, EngineCapabilities engine, RunningRequest running, long nowMillis) {
+    int outputTokens = running.remainingTokens();
+    return PAUSE_COST
+        * capacityView.pauseExcess(target, engine, running.request, outputTokens, nowMillis);
   }
 
   private static double cost(BackendState source, BackendState target, EngineCapabilities engine) {
--- a/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
@@ -134,6 +134,9 @@
             .setEngine(engine != null)
             .setIrreplaceable(engine != null && !route.isRepeatable())
             .setFingerprint(fingerprint);
+    if (route.kind() == Repeatability.STREAM) {
+      builder.setGapTargetMillis(Math.toIntExact(route.gapTargetMillis()));
+    }
     addStream(builder);
     if (engine != null) {
       builder.addAllParts(request.parts());
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -21,6 +21,7 @@
 import org.curranthaven.internal.dispatch.RequestId;
 import org.curranthaven.internal.dispatch.RetryLimits;
 import org.curranthaven.internal.dispatch.SharedKnowledge;
+import org.curranthaven.internal.dispatch.StatedLoad;
 import org.curranthaven.internal.dispatch.StatedRateLimit;
 import org.curranthaven.internal.dispatch.StreamOrigins;
 import org.curranthaven.internal.supervision.Clock;
@@ -98,6 +99,8 @@
   /** Backend servers that stated something malformed, which was logged. */
   private final Set<String> malformedStatements = new HashSet<>();
 
+  private final StatedLoadReports loadReports = new StatedLoadReports();
+
   /** Backend servers that stated to this gateway that they leave, whatever they register. */
   private final Set<String> leavingBackends = new LinkedHashSet<>();
 
@@ -221,6 +224,7 @@
     }
     knowledge.streamOrigins().merge(List.of(), view.getServedVersionsList(), clock.nowMillis());
     boolean updated = applyBackendUpdate(view);
+    knowledge.capacities().merge(view.getCapacitiesList(), backends::get, clock.nowMillis());
     if (viewVersion > 0) {
       knowledge.streamOrigins().setCompleteUntil(lastMessageMillis + VERSIONS_COMPLETE_MILLIS);
     }
@@ -261,6 +265,7 @@
     viewVersion = view.getVersion();
     viewReceived = true;
     knowledge.rateLimits().discard(backends::containsKey, clock.nowMillis());
+    knowledge.capacities().discard(backends::containsKey);
     malformedStatements.retainAll(backends.keySet());
     listener.backendsChanged(backends.values());
     return true;
@@ -349,7 +354,8 @@
           .addAllRateLimits(knowledge.rateLimits().export(clock.nowMillis()))
           .addAllStreamOrigins(origins.exportOrigins(clock.nowMillis()))
           .addAllServedVersions(origins.exportServed(clock.nowMillis()))
-          .addAllRests(knowledge.restTimes().export(self, clock.nowMillis()));
+          .addAllRests(knowledge.restTimes().export(self, clock.nowMillis()))
+          .addAllCapacities(knowledge.capacities().export(clock.nowMillis()));
       for (PlacementListener request : openRequests.values()) {
         if (!request.backend().isEmpty()) {
           status.addOpen(runningDispatch(request));
@@ -473,6 +479,7 @@
     if (backends.containsKey(backend)) {
       stated.malformed().forEach(statement -> warnMalformed(backend, statement));
       handleStatedRateLimit(id, backend, stated.rateLimit(), attemptStartedAtMillis);
+      handleStatedLoad(id, backend, stated.load());
     }
   }
 
@@ -517,6 +524,22 @@
     }
   }
 
+  private void handleStatedLoad(long id, String backend, StatedLoad load) {
+    BackendRecord record = backends.get(backend);
+    if (record == null || !(load instanceof StatedLoad.Slowness slowness)) {
+      return;
+    }
+    long nowMillis = clock.nowMillis();
+    knowledge.capacities().state(record, slowness.percent(), nowMillis);
+    if (isConnected() && loadReports.isDue(backend, nowMillis)) {
+      sendStatement(
+          BackendStatement.newBuilder()
+              .setId(id)
+              .setBackend(backend)
+              .setSlownessPercent(slowness.percent()));
+    }
+  }
+
   private void handleStatedRateLimit(
       long id, String backend, StatedRateLimit stated, long attemptStartedAtMillis) {
     switch (stated) {
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -105,6 +105,7 @@
     long incarnation;
     long crashEvidenceVersion;
     long rateLimitsVersion;
+    long capacitiesVersion;
     long statusNumber;
 
     /** Catalog revision and version sent last, and when. */
@@ -316,6 +317,10 @@
   private void heartbeat(long nowMillis) {
     lastHeartbeatMillis = nowMillis;
     updateRateShare(nowMillis);
+    knowledge
+        .capacities()
+        .publishChanged(nowMillis)
+        .forEach(change -> Logger.info("capacity changed: {}", change));
     sendViews();
   }
 
@@ -392,9 +397,21 @@
           RateLimitList.newBuilder()
               .addAllLimits(knowledge.rateLimits().export(clock.nowMillis())));
     }
+    addCapacities(builder, view);
     return builder;
   }
 
+  /** Adds the learnt capacities that changed noticeably since they were last sent. */
+  private void addCapacities(SchedulerView.Builder builder, GatewayView view) {
+    long version = knowledge.capacities().version();
+    // A gateway that has not reported its state may not know the backend servers yet.
+    if (view.capacitiesVersion < version && view.hasReportedState && !rebuilding) {
+      builder.addAllCapacities(
+          knowledge.capacities().exportSince(view.capacitiesVersion, clock.nowMillis()));
+      view.capacitiesVersion = version;
+    }
+  }
+
   private void sendFullViews() {
     Collection<HostRecord> connected = gateways.get();
     connected.forEach(gateway -> sendFullView(gateway, connected.size()));
@@ -439,6 +456,7 @@
     if (status.getFull()) {
       view.statusNumber = status.getNumber();
       view.rateLimitsVersion = 0;
+      view.capacitiesVersion = 0;
       restore(from, status, nowMillis);
       view.hasReportedState = true;
       if (rebuilding) {
@@ -466,6 +484,7 @@
     knowledge.rateLimits().merge(status.getRateLimitsList(), nowMillis);
     knowledge.restTimes().merge(from.getName(), status.getRestsList(), nowMillis);
     core.restoreStreams(status.getStreamOriginsList(), status.getServedVersionsList(), nowMillis);
+    core.restoreCapacities(status.getCapacitiesList(), nowMillis);
     core.removeGateway(from.getName(), nowMillis);
     for (RunningDispatch running : status.getOpenList()) {
       RequestId key = new RequestId(from.getName(), running.getAsk().getId());
@@ -529,6 +548,8 @@
       handleLeaving(gateway, statement.getBackend(), nowMillis);
     } else if (statement.getRestMillis() > 0) {
       handleRest(gateway, statement, nowMillis);
+    } else if (statement.getSlownessPercent() > 0) {
+      core.slownessStated(statement.getBackend(), statement.getSlownessPercent(), nowMillis);
     } else {
       handleRateLimit(gateway, statement, nowMillis);
     }
--- a/src/main/java/org/curranthaven/platform/BackendTranslation.java
+++ b/src/main/java/org/curranthaven/platform/BackendTranslation.java
@@ -17,8 +17,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.curranthaven.internal.dispatch.BackendStatements;
+import org.curranthaven.internal.dispatch.StatedLoad;
 import org.curranthaven.internal.dispatch.StatedRateLimit;
 import org.curranthaven.internal.relay.BackendRequest;
 import org.curranthaven.internal.relay.InboundRequest;
@@ -47,6 +49,11 @@
   /** A number without sign or exponent, of at most seven digits before the decimal point. */
   private static final Pattern DECIMAL_NUMBER = Pattern.compile("\\d{1,7}(\\.\\d{1,9})?");
 
+  /** Requests that run and wait, slots, and the percentage, if there is one. */
+  private static final Pattern LOAD_FIGURES =
+      Pattern.compile(
+          "\\d{1,7} *, *\\d{1,7} *, *\\d{1,7}( *, *(?<percent>\\d{1,5})(\\.\\d{1,9})?)?");
+
   /** Characters of a malformed header value that are kept for the log. */
   private static final int MAX_QUOTED_LENGTH = 40;
 
@@ -143,7 +150,29 @@
       malformed.add("a time of \"" + shortened(restText) + "\" s in which it wants no requests");
     }
     return new BackendStatements(
-        rateLimit(headers.getAll(Headers.RATE_LIMIT)), leaving, Math.max(0, restMillis), malformed);
+        rateLimit(headers.getAll(Headers.RATE_LIMIT)),
+        leaving,
+        Math.max(0, restMillis),
+        load(headers.getAll(Headers.SERVER_LOAD), malformed),
+        malformed);
+  }
+
+  /** Decodes the load; adds what is none to the malformed statements. */
+  private static StatedLoad load(List<String> values, List<String> malformed) {
+    if (values.isEmpty()) {
+      return new StatedLoad.None();
+    }
+    String text = String.join(";", values).strip();
+    Matcher figures = LOAD_FIGURES.matcher(text);
+    boolean wellFormed = figures.matches();
+    String percent = wellFormed ? figures.group("percent") : null;
+    if (!wellFormed || (percent != null && Integer.parseInt(percent) == 0)) {
+      malformed.add("a load of \"" + shortened(text) + "\"");
+      return new StatedLoad.None();
+    }
+    return percent == null
+        ? new StatedLoad.None()
+        : new StatedLoad.Slowness(Integer.parseInt(percent));
   }
 
   /** Returns the time; 0 if none is stated, -1 if it is no number of seconds or far too long. */
--- a/src/main/java/org/curranthaven/platform/Headers.java
+++ b/src/main/java/org/curranthaven/platform/Headers.java
@@ -34,6 +34,13 @@
   /** Requests a second that a backend server accepts from all hosts together. */
   static final String RATE_LIMIT = "Server-Limit";
 
+  /**
+   * Load of a backend server, as {@code running,waiting,slots} or {@code
+   * running,waiting,slots,percent}; the percentage is the time that work takes on its machine at
+   * this moment compared with the usual time.
+   */
+  static final String SERVER_LOAD = "Runner-Load";
+
   /** States that a backend server leaves. */
   static final String LEAVING = "Server-Leaving";
 
--- a/src/test/java/org/curranthaven/DecodedFieldsTest.java
+++ b/src/test/java/org/curranthaven/DecodedFieldsTest.java
@@ -20,6 +20,7 @@
 import org.curranthaven.internal.catalog.ServiceSpec;
 import org.curranthaven.internal.catalog.ServiceWeight;
 import org.curranthaven.internal.dispatch.BackendStatements;
+import org.curranthaven.internal.dispatch.StatedLoad;
 import org.curranthaven.internal.dispatch.StatedRateLimit;
 import org.curranthaven.internal.relay.InboundRequest;
 import org.curranthaven.internal.relay.ResponseHead;
@@ -40,6 +41,7 @@
           ResponseHead.class,
           BackendStatements.class,
           StatedRateLimit.RequestsPerSecond.class,
+          StatedLoad.Slowness.class,
           TransferResponse.class,
           Route.class,
           ServiceSpec.class,
--- a/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
@@ -10,6 +10,7 @@
 import java.util.SplittableRandom;
 import org.curranthaven.internal.dispatch.BackendStatements;
 import org.curranthaven.internal.dispatch.RetryLimits;
+import org.curranthaven.internal.dispatch.StatedLoad;
 import org.curranthaven.internal.dispatch.StatedRateLimit;
 import org.curranthaven.internal.transport.wire.BackendRecord;
 import org.curranthaven.internal.transport.wire.BackendStatement;
@@ -17,6 +18,7 @@
 import org.curranthaven.internal.transport.wire.DispatchOutcome;
 import org.curranthaven.internal.transport.wire.Envelope;
 import org.curranthaven.internal.transport.wire.GatewayStatus;
+import org.curranthaven.internal.transport.wire.LearntCapacity;
 import org.curranthaven.internal.transport.wire.Placement;
 import org.curranthaven.internal.transport.wire.PlacementRequest;
 import org.curranthaven.internal.transport.wire.PromptPart;
@@ -504,6 +506,57 @@
         .containsExactly(3.0);
   }
 
+  // ---- load of backend servers
+  // ------------------------------------------------------------------------------------
+
+  private void stateLoad(String backend, int percent) {
+    BackendStatements statements =
+        new BackendStatements(
+            new StatedRateLimit.None(), false, 0, new StatedLoad.Slowness(percent), List.of());
+    link.reportStatements(1, backend, statements, time.nowMillis());
+  }
+
+  @Test
+  void how_slow_a_machine_is_reaches_the_scheduler_at_most_every_200_ms() {
+    publishView("control-1", 3, 1, "i-1", "i-2");
+    sent.clear();
+
+    for (int i = 0; i < 40; i++) {
+      stateLoad("i-1", 250);
+      time.advance(10);
+    }
+    stateLoad("i-2", 100);
+    stateLoad("i-9", 300);
+
+    assertThat(reportedStatements())
+        .extracting(statement -> statement.getBackend() + " " + statement.getSlownessPercent())
+        .containsExactly("i-1 250", "i-1 250", "i-2 100");
+  }
+
+  @Test
+  void the_next_scheduler_hears_the_learnt_capacities() {
+    publishView("control-1", 3, 1, "i-1");
+    link.handle(
+        "control-1",
+        SchedulerView.newBuilder()
+            .setTerm(3)
+            .addCapacities(
+                LearntCapacity.newBuilder()
+                    .setBackend("i-1")
+                    .setLightMicros(20_000)
+                    .setKneeRequests(2)
+                    .setSlowdownPermille(300))
+            .addCapacities(LearntCapacity.newBuilder().setBackend("i-9").setLightMicros(20_000))
+            .build());
+
+    link.handle("control-2", SchedulerView.newBuilder().setTerm(4).build());
+
+    assertThat(lastStatus().getCapacitiesList())
+        .extracting(LearntCapacity::getBackend)
+        .containsExactly("i-1");
+    assertThat(lastStatus().getCapacities(0).getLightMicros()).isBetween(15_000, 25_000);
+  }
+
   // ---- suspended processes
   // -----------------------------------------------------------------------
 
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -22,6 +22,7 @@
 import org.curranthaven.internal.transport.wire.Envelope;
 import org.curranthaven.internal.transport.wire.GatewayStatus;
 import org.curranthaven.internal.transport.wire.HostRecord;
+import org.curranthaven.internal.transport.wire.LearntCapacity;
 import org.curranthaven.internal.transport.wire.PlacementRequest;
 import org.curranthaven.internal.transport.wire.PromptPart;
 import org.curranthaven.internal.transport.wire.RateLimitRecord;
@@ -499,6 +500,59 @@
     assertThat(placementsSent()).isBetween(3L, 5L);
   }
 
+  @Test
+  void capacities_that_a_gateway_knows_reach_a_new_leader_and_from_it_the_others() {
+    scheduler.setTerm(5, List.of());
+    scheduler.handleStatus(
+        host("g1"),
+        GatewayStatus.newBuilder()
+            .setTerm(5)
+            .setFull(true)
+            .addBackends(backend(1, false))
+            .addCapacities(
+                LearntCapacity.newBuilder()
+                    .setBackend("i-1")
+                    .setLightMicros(20_000)
+                    .setKneeRequests(2))
+            .build());
+    receiveStatus("g2", 0, 0, true);
+    time.advance(AFTER_REBUILD_MILLIS);
+    time.advance(2_000);
+
+    assertThat(viewsTo("g2"))
+        .flatExtracting(SchedulerView::getCapacitiesList)
+        .extracting(LearntCapacity::getBackend)
+        .containsExactly("i-1");
+  }
+
+  @Test
+  void a_statement_of_slowness_does_not_end_a_limit() {
+    startLeading();
+    scheduler.register(backend(1, false), new RecordedResult()::accept);
+    receiveRequests(
+        "g1",
+        DispatchRequests.newBuilder()
+            .addStatements(
+                BackendStatement.newBuilder()
+                    .setBackend("i-1")
+                    .setLimited(true)
+                    .setRequestsPerSecond(2)));
+    time.advance(1_000);
+    receiveRequests("g1", DispatchRequests.newBuilder().addAsks(placementRequest(2)));
+    sent.clear();
+
+    receiveRequests(
+        "g1",
+        DispatchRequests.newBuilder()
+            .addStatements(
+                BackendStatement.newBuilder().setId(2).setBackend("i-1").setSlownessPercent(250)));
+    time.advance(500);
+
+    assertThat(viewsTo("g2"))
+        .filteredOn(SchedulerView::hasRateLimits)
+        .allMatch(view -> view.getRateLimits().getLimitsCount() == 1);
+  }
+
   @Test
   void a_gateway_that_was_lost_keeps_its_share_of_a_limit() {
     startLeading();
--- a/src/test/java/org/curranthaven/platform/BackendTranslationTest.java
+++ b/src/test/java/org/curranthaven/platform/BackendTranslationTest.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.curranthaven.internal.dispatch.BackendStatements;
+import org.curranthaven.internal.dispatch.StatedLoad;
 import org.curranthaven.internal.dispatch.StatedRateLimit;
 import org.curranthaven.internal.relay.TransferResponse;
 import org.junit.jupiter.api.Test;
@@ -76,6 +77,43 @@
     assertThat(statements("Retry-After", "1", "2").restMillis()).isZero();
   }
 
+  @Test
+  void the_fourth_figure_of_a_load_states_how_slow_the_machine_is() {
+    assertThat(statements("Runner-Load", "3,0,24,250").load())
+        .isEqualTo(new StatedLoad.Slowness(250));
+    assertThat(statements("Runner-Load", "3, 0, 24, 100").load())
+        .isEqualTo(new StatedLoad.Slowness(100));
+    assertThat(statements("Runner-Load", "3,0,24,87.5").load())
+        .isEqualTo(new StatedLoad.Slowness(87));
+    assertThat(statements("Runner-Load", "3,0,24").load()).isEqualTo(new StatedLoad.None());
+    assertThat(statements("Runner-Load", "3,0,24").malformed()).isEmpty();
+  }
+
+  @Test
+  void what_is_no_load_states_nothing() {
+    for (String value :
+        new String[] {
+          "",
+          "3",
+          "3,0",
+          "3,0,24,",
+          "3,0,24,0",
+          "3,0,24,-5",
+          "3,0,24,NaN",
+          "3,0,24,1e3",
+          "a,0,24,100",
+          "3,0,24,100,7",
+          "3,0,24,999999"
+        }) {
+      assertThat(statements("Runner-Load", value).load())
+          .as(value)
+          .isEqualTo(new StatedLoad.None());
+      assertThat(statements("Runner-Load", value).malformed()).as(value).hasSize(1);
+    }
+    assertThat(statements("Runner-Load", "3,0,24,100", "3,0,24,250").load())
+        .isEqualTo(new StatedLoad.None());
+  }
+
   @Test
   void a_copy_has_a_handle() {
     assertThat(read(200, "{\"handle\":\"h7\",\"made\":3}"))
