--- a/src/main/java/org/curranthaven/internal/dispatch/CapacityRules.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/CapacityRules.java
@@ -27,6 +27,12 @@
   /** Requests per slot of a plain backend server; above 1, since a short queue keeps it busy. */
   private static final double PLAIN_REQUESTS_PER_SLOT = 1.5;
 
+  /**
+   * Requests for each one that a plain backend server runs to advantage. Beyond these, throughput
+   * hardly falls, while too low an estimate of them would leave the server idle in part.
+   */
+  private static final double PLAIN_REQUESTS_PER_USEFUL = 2;
+
   private final int capacityShares;
   private final RequestRateLimits rateLimits;
   private final CapacityView capacityView;
@@ -81,7 +87,11 @@
       long nowMillis) {
     if (engine == null) {
       int usefulRequests = capacityView.usefulRequests(backend, nowMillis);
-      double maxRequests = usefulRequests * PLAIN_REQUESTS_PER_SLOT / capacityShares;
+      double maxRequests =
+          Math.min(
+                  backend.slots() * PLAIN_REQUESTS_PER_SLOT,
+                  usefulRequests * PLAIN_REQUESTS_PER_USEFUL + 1)
+              / capacityShares;
       return backend.requests.size() < Math.max(1, maxRequests);
     }
     int slots = Math.max(1, engine.slots() / capacityShares);
--- a/src/main/java/org/curranthaven/internal/dispatch/CapacityView.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/CapacityView.java
@@ -29,6 +29,9 @@
    */
   private static final double LONG_STREAM_MILLIS = PresentSlowness.FRESH_MILLIS;
 
+  /** Factor of slowness up to which a machine counts as about as fast as usual. */
+  private static final double USUAL_FACTOR = 1.2;
+
   private final ServerCapacities capacities;
   private final int capacityShares;
   private final boolean enabled;
@@ -150,10 +153,15 @@
     // The response that ends the time states how slow the machine is; it is the first to tell of a
     // phase that began since the request was placed.
     double averageFactor = (slowedMillis - mark) / elapsedMillis;
-    double factor = (averageFactor + capacity.slowness().factor(nowMillis)) / 2;
+    double presentFactor = capacity.slowness().factor(nowMillis);
     boolean ofAnotherServer =
         averageFactor < PresentSlowness.MIN_FACTOR || averageFactor > PresentSlowness.MAX_FACTOR;
-    return ofAnotherServer ? OptionalDouble.empty() : OptionalDouble.of(elapsedMillis / factor);
+    // Requests pile up in slow phases. Learnt from, these would look like a server with a low knee.
+    boolean slowPhase = Math.max(averageFactor, presentFactor) > USUAL_FACTOR;
+    boolean learnt = capacity.certainty(nowMillis) >= 1;
+    return ofAnotherServer || (slowPhase && learnt)
+        ? OptionalDouble.empty()
+        : OptionalDouble.of(elapsedMillis / ((averageFactor + presentFactor) / 2));
   }
 
   // ---- plain servers ----------------------------------------------------------------------------
@@ -195,16 +203,18 @@
   }
 
   /**
-   * Returns the time that a plain backend server takes for a request while it is fully used; empty
-   * if the part is not active.
+   * Returns the time that a plain backend server takes for a request while it is fully used, slow
+   * phases to come included; empty if the part is not active.
    */
   OptionalDouble fullPlainMillis(BackendState backend, long nowMillis) {
     ServerCapacity capacity = of(backend, nowMillis);
     if (capacity == null) {
       return OptionalDouble.empty();
     }
-    double workMillis = capacity.curve(nowMillis).millisAt(capacity.usefulRequests(nowMillis));
-    return OptionalDouble.of(capacity.slowness().slowedMillis(workMillis, nowMillis));
+    double usualMillis = capacity.curve(nowMillis).millisAt(capacity.usefulRequests(nowMillis));
+    double slowness =
+        Math.max(capacity.service().averageSlowness(), capacity.slowness().factor(nowMillis));
+    return OptionalDouble.of(usualMillis * slowness);
   }
 
   // ---- engines ----------------------------------------------------------------------------------
--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -368,7 +368,7 @@
         hasBackend
             ? expectedQueueMillis(request, result, nowMillis)
             : restLeftMillis.orElse(QueueTimeForecast.UNKNOWN_SERVICE_TIMEOUT_MILLIS);
-    long firstReplyMillis = forecast.idleFirstReplyMillis(request);
+    long firstReplyMillis = forecast.idleFirstReplyMillis(request, nowMillis);
     boolean inTime =
         !isEnabled(Mechanism.EARLY_REJECTION)
             || (mayWait
--- a/src/main/java/org/curranthaven/internal/dispatch/QueueTimeForecast.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/QueueTimeForecast.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.curranthaven.internal.catalog.EngineCapabilities;
@@ -23,6 +24,13 @@
    */
   private static final double FIRST_REPLY_MARGIN = 1.8;
 
+  /**
+   * Factor on the learnt time of plain requests on fully used servers. Of the worth of plain
+   * requests at 0.95 of the capacity, 0.76 was earned without it and 0.86 with it: requests at the
+   * edge of their time were placed late, and took the capacity of others.
+   */
+  private static final double LEARNT_PLAIN_MARGIN = 2;
+
   /** Duration of a request to a plain service, used until completions have been observed. */
   private static final double INITIAL_PLAIN_MILLIS = 100;
 
@@ -98,9 +106,26 @@
     }
   }
 
-  /** Returns the time from placement on an idle engine to the first reply; 0 for plain services. */
-  long idleFirstReplyMillis(PlacementRequest request) {
-    return request.getEngine() ? firstReplyMillis(request, request.getPromptTokens()) : 0;
+  /**
+   * Returns the time from placement on an idle engine to the first reply. For plain services, the
+   * time that a fully used server takes if it is learnt, else 0.
+   */
+  long idleFirstReplyMillis(PlacementRequest request, long nowMillis) {
+    return request.getEngine()
+        ? firstReplyMillis(request, request.getPromptTokens())
+        : (long) learntPlainMillis(request, nowMillis);
+  }
+
+  private double learntPlainMillis(PlacementRequest request, long nowMillis) {
+    if (!capacityView.isActive(request.getService())) {
+      return 0;
+    }
+    return LEARNT_PLAIN_MARGIN
+        * backends
+            .notLeavingFor(request)
+            .mapToDouble(backend -> capacityView.fullPlainMillis(backend, nowMillis).orElse(0))
+            .average()
+            .orElse(0);
   }
 
   /**
@@ -156,8 +181,9 @@
   }
 
   private double plainRequestsPerMilli(BackendState backend, double averageMillis, long nowMillis) {
+    OptionalDouble learntMillis = capacityView.fullPlainMillis(backend, nowMillis);
     double millisPerRequest =
-        capacityView.fullPlainMillis(backend, nowMillis).orElse(averageMillis);
+        learntMillis.isPresent() ? LEARNT_PLAIN_MARGIN * learntMillis.getAsDouble() : averageMillis;
     return capacityView.usefulRequests(backend, nowMillis)
         / (millisPerRequest * capacityRules.capacityShares());
   }
--- a/src/main/java/org/curranthaven/internal/dispatch/ServerCapacities.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/ServerCapacities.java
@@ -51,8 +51,8 @@
    */
   public void state(BackendRecord backend, int percent, long nowMillis) {
     ServerCapacity capacity = serverOf(backend, nowMillis);
-    capacity.service().activate();
     capacity.slowness().state(percent, nowMillis);
+    capacity.service().recordSlowness(capacity.slowness().factor(nowMillis));
   }
 
   /** Returns whether the backend servers of the service state how slow their machines are. */
--- a/src/main/java/org/curranthaven/internal/dispatch/ServiceCapacity.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/ServiceCapacity.java
@@ -27,6 +27,7 @@
   private static final int RETAINED_SAMPLES = 300;
   private static final double LATEST_PROMPT_WEIGHT = 0.02;
   private static final double LATEST_FAILURE_WEIGHT = 0.01;
+  private static final double LATEST_SLOWNESS_WEIGHT = 0.01;
   private static final double LATEST_ROUTE_WEIGHT = 0.02;
   private static final long REFIT_MILLIS = 100;
 
@@ -36,6 +37,7 @@
       new LearntAverage(START_PROMPT_MILLIS, LATEST_PROMPT_WEIGHT);
   private final Map<String, LearntAverage> millisByRoute = new HashMap<>();
   private @Nullable LearntAverage millisOfAllRoutes;
+  private final LearntAverage slowness = new LearntAverage(1, LATEST_SLOWNESS_WEIGHT);
   private double failureShare;
   private boolean active;
   private boolean hasPrompts;
@@ -48,10 +50,22 @@
     return active;
   }
 
+  /** Records how slow a machine is; from then on the service is placed by capacity. */
+  void recordSlowness(double factor) {
+    active = true;
+    slowness.record(factor);
+  }
+
+  /** Records that another host places the service by capacity. */
   void activate() {
     active = true;
   }
 
+  /** Returns the factor by which work takes longer than usual on average. */
+  double averageSlowness() {
+    return slowness.value();
+  }
+
   void recordWork(int requests, double millis, int slots, long nowMillis) {
     samples.record(requests, millis, curve(slots, nowMillis), nowMillis);
   }
--- a/src/main/java/org/curranthaven/internal/emulator/CorePolicy.java
+++ b/src/main/java/org/curranthaven/internal/emulator/CorePolicy.java
@@ -42,6 +42,11 @@
     core.requestEnded(requestId, outcome, outputTokens, nowMillis);
   }
 
+  @Override
+  public void slownessStated(String backend, int percent, long nowMillis) {
+    core.slownessStated(backend, percent, nowMillis);
+  }
+
   @Override
   public void tick(long nowMillis) {
     core.tick(nowMillis);
--- a/src/main/java/org/curranthaven/internal/emulator/Deployment.java
+++ b/src/main/java/org/curranthaven/internal/emulator/Deployment.java
@@ -8,6 +8,7 @@
 import org.curranthaven.api.Outcome;
 import org.curranthaven.api.ResultCode;
 import org.curranthaven.internal.settings.Json;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A deployment to emulate, read from JSON with comments.
@@ -21,6 +22,8 @@
  * @param placementMillis time from the arrival of a request to its arrival at a backend server, if
  *     it is not queued
  * @param dataCentres names of the data centres; engines and callers are distributed evenly
+ * @param noise slow phases of the machines; null for none. With it, backend servers state with
+ *     their responses how slow their machines are
  * @param kinds kinds of requests
  * @param days days that can be played
  */
@@ -31,6 +34,7 @@
     List<String> dataCentres,
     Engines engines,
     PlainServers plainServers,
+    @Nullable MachineNoise noise,
     List<RequestKind> kinds,
     List<Day> days) {
   public Deployment {
@@ -101,12 +105,54 @@
    * @param workMillis mean duration of a request
    * @param workSpread standard deviation of the logarithm of the duration
    * @param failureShare share of the requests that fail after they ran
+   * @param slowdowns factors on the durations, assigned to the servers in turn; absent if all take
+   *     the same
+   * @param kneeRequests number of requests at once beyond which each takes longer; 0 or absent for
+   *     the number of slots
+   * @param slowdownPerRequest growth of the duration with each request beyond the knee, as a share
    */
   public record PlainServers(
-      int count, int slots, double workMillis, double workSpread, double failureShare) {
+      int count,
+      int slots,
+      double workMillis,
+      double workSpread,
+      double failureShare,
+      @Nullable List<Double> slowdowns,
+      int kneeRequests,
+      double slowdownPerRequest) {
     public PlainServers {
       requirePositive("plainServers.count", count);
       requirePositive("plainServers.slots", slots);
+      slowdowns = slowdowns == null ? null : List.copyOf(slowdowns);
+    }
+
+    /** Returns the factor on the durations of the server with the given number. */
+    double slowdownOf(int number) {
+      return slowdowns == null || slowdowns.isEmpty()
+          ? 1
+          : slowdowns.get(number % slowdowns.size());
+    }
+
+    /** Returns the factor on the durations while a number of requests run. */
+    double loadFactor(int requests) {
+      int beyondKnee = kneeRequests == 0 ? 0 : Math.max(0, requests - kneeRequests);
+      return 1 + slowdownPerRequest * beyondKnee;
+    }
+  }
+
+  /**
+   * Phases in which a machine is slow.
+   *
+   * @param share share of the time in such phases
+   * @param phaseMillis duration of a phase
+   * @param factor factor on the duration of work
+   */
+  public record MachineNoise(double share, long phaseMillis, double factor) {
+    public MachineNoise {
+      if (share < 0 || share > 1 || phaseMillis <= 0 || factor <= 0) {
+        throw new IllegalArgumentException(
+            "noise needs a share from 0 to 1, and phaseMillis and factor above 0");
+      }
     }
   }
 
@@ -193,6 +239,7 @@
         dataCentres,
         engines.slowedBy(factor),
         plainServers,
+        noise,
         kinds,
         days);
   }
--- a/src/main/java/org/curranthaven/internal/emulator/DispatchSimulation.java
+++ b/src/main/java/org/curranthaven/internal/emulator/DispatchSimulation.java
@@ -49,6 +49,7 @@
   private final Map<String, EmulatedPlainServer> plainServers = new LinkedHashMap<>();
   private final EngineFleet fleet;
   private final RequestTransfers transfers;
+  private final NoisePhases noise;
   private PlacementPolicy policy;
   private boolean hostsUp = true;
   private long nextPlacementId = 1;
@@ -65,6 +66,7 @@
         new RequestTransfers(
             events, new TransferLinks(deployment.engines().transferMicrosPerToken()));
     this.policy = variant.create(random.split());
+    this.noise = new NoisePhases(deployment.noise(), seed);
   }
 
   /** Plays the day; the same seed gives the same arrivals to every policy. */
@@ -81,6 +83,9 @@
     day.faults().forEach(this::schedule);
     events.scheduleAfterMillis(TICK_MILLIS, this::tick);
     events.scheduleAfterMillis(PROGRESS_MILLIS, this::reportProgress);
+    if (deployment.noise() != null) {
+      applyNoise(deployment.noise().phaseMillis());
+    }
     long endMillis = day.seconds() * 1_000L + DRAIN_MILLIS;
     events.runUntil(endMillis * EventQueue.MICROS_PER_MILLI);
     List.copyOf(openRequests.values()).forEach(request -> finish(request, Cause.ABANDONED));
@@ -102,6 +107,8 @@
               "plain-" + i,
               dataCentre,
               deployment.plainServers(),
+              deployment.plainServers().slowdownOf(i),
+              noise,
               events,
               random.split(),
               this::handlePlainEnd);
@@ -157,6 +164,24 @@
         null);
   }
 
+  // ---- noise ------------------------------------------------------------------------------------
+
+  /** Sets the slowness of the engines' machines at the beginning of each phase. */
+  private void applyNoise(long phaseMillis) {
+    fleet
+        .ready()
+        .forEach(engine -> engine.model().setSlowdown(noise.factor(engine.id(), nowMillis())));
+    events.scheduleAfterMillis(phaseMillis, () -> applyNoise(phaseMillis));
+  }
+
+  /** Lets the policy know what a response of the backend server states. */
+  private void stateSlowness(String server) {
+    int percent = noise.statedPercent(server, nowMillis());
+    if (percent > 0) {
+      policy.slownessStated(server, percent, nowMillis());
+    }
+  }
+
   // ---- faults -----------------------------------------------------------------------------------
 
   private void schedule(Fault fault) {
@@ -317,6 +342,7 @@
             .setRepeat(request.received)
             .setDataCentre(request.arrival().dataCentre())
             .setEngine(kind.engine())
+            .setGapTargetMillis(Math.toIntExact(kind.gapTargetMillis()))
             .setIrreplaceable(kind.engine() && !kind.repeatable());
     if (kind.engine()) {
       placement
@@ -399,7 +425,9 @@
         });
   }
 
-  private void handlePlainEnd(SimulatedRequest request, boolean succeeded) {
+  private void handlePlainEnd(
+      EmulatedPlainServer server, SimulatedRequest request, boolean succeeded) {
+    stateSlowness(server.id());
     if (request.finished) {
       return;
     }
@@ -450,6 +478,9 @@
     }
     boolean first = request.firstReplyAtMillis < 0;
     request.recordEvent(nowMillis());
+    if (first) {
+      stateSlowness(engine.id());
+    }
     if (token.last()) {
       engine.forget(request);
       transfers.abandonMigration(request);
--- a/src/main/java/org/curranthaven/internal/emulator/EmulatedPlainServer.java
+++ b/src/main/java/org/curranthaven/internal/emulator/EmulatedPlainServer.java
@@ -2,34 +2,47 @@
 
 import java.util.ArrayDeque;
 import java.util.SplittableRandom;
-import java.util.function.BiConsumer;
 
 /** A plain backend server: runs a few requests at once and queues the others. Not thread-safe. */
 final class EmulatedPlainServer {
+  /** Receives requests that ended. */
+  @FunctionalInterface
+  interface EndListener {
+    void onEnded(EmulatedPlainServer server, SimulatedRequest request, boolean succeeded);
+  }
+
   private final String id;
   private final String dataCentre;
   private final Deployment.PlainServers options;
+  private final double slowdown;
+  private final NoisePhases noise;
   private final EventQueue events;
   private final SplittableRandom random;
-  private final BiConsumer<SimulatedRequest, Boolean> onEnded;
+  private final EndListener onEnded;
   private final ArrayDeque<SimulatedRequest> waiting = new ArrayDeque<>();
   private int running;
 
   /**
    * Creates an idle server.
    *
+   * @param slowdown factor on the duration of requests
+   * @param noise when its machine is slow
    * @param onEnded receives each request that ended and whether it succeeded
    */
   EmulatedPlainServer(
       String id,
       String dataCentre,
       Deployment.PlainServers options,
+      double slowdown,
+      NoisePhases noise,
       EventQueue events,
       SplittableRandom random,
-      BiConsumer<SimulatedRequest, Boolean> onEnded) {
+      EndListener onEnded) {
     this.id = id;
     this.dataCentre = dataCentre;
     this.options = options;
+    this.slowdown = slowdown;
+    this.noise = noise;
     this.events = events;
     this.random = random;
     this.onEnded = onEnded;
@@ -55,7 +68,8 @@
       Deployment.Size work =
           new Deployment.Size(
               options.workMillis(), options.workSpread(), 10 * options.workMillis());
-      long workMicros = (long) (Arrival.draw(work, random) * EventQueue.MICROS_PER_MILLI);
+      double factor = slowdown * options.loadFactor(running) * noise.factor(id, events.nowMillis());
+      long workMicros = (long) (Arrival.draw(work, random) * EventQueue.MICROS_PER_MILLI * factor);
       boolean failed = random.nextDouble() < options.failureShare();
       events.scheduleAt(events.nowMicros() + workMicros, () -> end(request, !failed));
     }
@@ -64,6 +78,6 @@
   private void end(SimulatedRequest request, boolean succeeded) {
     running--;
     startWaiting();
-    onEnded.accept(request, succeeded);
+    onEnded.onEnded(this, request, succeeded);
   }
 }
--- a/src/main/java/org/curranthaven/internal/emulator/PlacementPolicy.java
+++ b/src/main/java/org/curranthaven/internal/emulator/PlacementPolicy.java
@@ -24,6 +24,9 @@
 
   void requestEnded(RequestId requestId, DispatchOutcome outcome, int outputTokens, long nowMillis);
 
+  /** Handles a response that states how slow the machine of its backend server is. */
+  default void slownessStated(String backend, int percent, long nowMillis) {}
+
   void tick(long nowMillis);
 
   /** Returns and clears the decisions made since the last invocation, in order. */
--- a/src/test/java/org/curranthaven/internal/dispatch/CapacityPolicies.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/CapacityPolicies.java
@@ -27,9 +27,15 @@
     private final List<String> servers;
     private final Map<String, BackendRecord> records = new HashMap<>();
     private final Map<Long, PlainServerSimulation.Request> open = new HashMap<>();
+    private final boolean serversStateSlowness;
     private int rejected;
 
     Core(PlainServerSimulation simulation, Set<Mechanism> disabled) {
+      this(simulation, disabled, true);
+    }
+
+    Core(PlainServerSimulation simulation, Set<Mechanism> disabled, boolean serversStateSlowness) {
+      this.serversStateSlowness = serversStateSlowness;
       core =
           new DispatchCore(
               new RetryLimits(0.2, 10, 10_000), 1, new SplittableRandom(1), disabled, knowledge);
@@ -77,7 +83,9 @@
     @Override
     public void ended(
         PlainServerSimulation.Request request, boolean failed, int percent, long nowMillis) {
-      core.slownessStated(request.server, percent, nowMillis);
+      if (serversStateSlowness) {
+        core.slownessStated(request.server, percent, nowMillis);
+      }
       core.requestEnded(
           new RequestId("g", request.id),
           failed
@@ -116,10 +124,6 @@
       return rejected;
     }
 
-    ServerCapacities capacities() {
-      return knowledge.capacities();
-    }
-
     LoadCurve curveOf(String id, long nowMillis) {
       BackendRecord record = records.get(id);
       if (record == null) {
--- a/src/test/java/org/curranthaven/internal/dispatch/PlacementByCapacityTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/PlacementByCapacityTest.java
@@ -199,4 +199,26 @@
       }
     }
   }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void without_stated_slowness_decisions_are_as_before(long seed) {
+    Setting setting =
+        new Setting(
+            servers(FAST, SLOW, FAST), requests(300), CHANGE_MILLIS, 2 * CHANGE_MILLIS, seed);
+
+    PlainServerSimulation notStated =
+        new PlainServerSimulation(
+                setting, created -> new CapacityPolicies.Core(created, Set.of(), false))
+            .run();
+    PlainServerSimulation switchedOff =
+        new PlainServerSimulation(
+                setting,
+                created ->
+                    new CapacityPolicies.Core(created, Set.of(Mechanism.SERVER_CAPACITY), true))
+            .run();
+
+    assertThat(notStated.window(0, END_MILLIS).servers())
+        .isEqualTo(switchedOff.window(0, END_MILLIS).servers());
+  }
 }
--- a/src/test/java/org/curranthaven/internal/dispatch/PlainServerSimulation.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/PlainServerSimulation.java
@@ -103,6 +103,10 @@
 
   /** What happened from one time to another. */
   record Window(List<Ended> ended) {
+    List<String> servers() {
+      return ended.stream().map(Ended::server).toList();
+    }
+
     double shareOf(String server) {
       long ofServer = ended.stream().filter(request -> request.server().equals(server)).count();
       return (double) ofServer / Math.max(1, ended.size());
--- a/src/test/java/org/curranthaven/internal/emulator/DeploymentTest.java
+++ b/src/test/java/org/curranthaven/internal/emulator/DeploymentTest.java
@@ -23,7 +23,7 @@
       files = listing.toList();
     }
 
-    assertThat(files).hasSize(6);
+    assertThat(files).hasSize(7);
     assertThat(files)
         .allSatisfy(file -> assertThat(Deployment.read(file)).isInstanceOf(Outcome.Success.class));
   }
