--- a/src/main/java/org/curranthaven/internal/dispatch/LoadCurveSamples.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/LoadCurveSamples.java
@@ -14,7 +14,7 @@
    * Largest weight of samples of an idle server. It bounds the time after which a server that was
    * slow is tried again with a few requests.
    */
-  private static final double MAX_IDLE_WEIGHT = 20;
+  private static final double MAX_IDLE_WEIGHT = 10;
 
   /** Samples that each end of the prior curve counts as. */
   private static final double PRIOR_WEIGHT = 1;
--- a/src/main/java/org/curranthaven/internal/dispatch/ServiceCapacity.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/ServiceCapacity.java
@@ -19,7 +19,7 @@
    * Time without samples in which the figures of a plain backend server move most of the way to the
    * average, so that it is tried again: a request to it takes little time.
    */
-  private static final double PLAIN_RETENTION_MILLIS = 4_000;
+  private static final double PLAIN_RETENTION_MILLIS = 2_500;
 
   /** Same time for an engine, on which a try costs a stream that is late. */
   private static final double ENGINE_RETENTION_MILLIS = 60_000;
--- a/src/main/java/org/curranthaven/internal/relay/Gateway.java
+++ b/src/main/java/org/curranthaven/internal/relay/Gateway.java
@@ -377,6 +377,8 @@
    * @param blockedRequests fingerprints of requests on which backend servers crashed, so that they
    *     are rejected
    * @param statedRateLimits requests a second that backend servers accept, by those that state it
+   * @param backendCapacities what is known of the capacity of each backend server whose service
+   *     states how slow its machines are
    */
   public record Dump(
       String name,
@@ -390,6 +392,7 @@
       List<String> blockedPromptParts,
       List<String> blockedRequests,
       SortedMap<String, Double> statedRateLimits,
+      List<String> backendCapacities,
       List<String> hosts) {}
 
   /** Returns the state of the gateway, read on its event loop. */
@@ -408,6 +411,7 @@
                 link.blockedPromptParts(),
                 link.blockedRequests(),
                 link.statedRateLimits(),
+                link.backendCapacities(),
                 connectedHosts()));
   }
 
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -178,6 +178,11 @@
     return knowledge.rateLimits().stated();
   }
 
+  /** Returns what is known of the capacity of each backend server. */
+  List<String> backendCapacities() {
+    return knowledge.capacities().describe(clock.nowMillis());
+  }
+
   /** Returns whether a scheduler's view has been received at least once. */
   boolean hasReceivedView() {
     return viewReceived;
