--- a/src/main/java/org/curranthaven/internal/dispatch/ServerCapacities.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/ServerCapacities.java
@@ -30,9 +30,21 @@
   private final Map<String, ServiceCapacity> services = new HashMap<>();
   private final Map<String, ServerCapacity> servers = new LinkedHashMap<>();
   private final Map<String, Published> published = new HashMap<>();
+
+  /** What other hosts sent last; it holds until they send a noticeable change. */
+  private final Map<String, Received> received = new HashMap<>();
+
   private long version;
   private long comparedAtMillis = Long.MIN_VALUE / 2;
 
+  /** Figures that another host learnt until a time. */
+  private record Received(LearntCapacity figures, long learntAtMillis) {
+    LearntCapacity agedTo(long nowMillis) {
+      long ageMillis = Math.clamp(nowMillis - learntAtMillis, 0L, Integer.MAX_VALUE);
+      return figures.toBuilder().setAgeMillis((int) ageMillis).build();
+    }
+  }
+
   /** Figures of a server as they were last published. */
   private record Published(LoadCurve curve, double promptMillis, long version) {
     boolean differsFrom(LoadCurve newCurve, double newPromptMillis) {
@@ -81,12 +93,14 @@
   void forget(String backend) {
     servers.remove(backend);
     published.remove(backend);
+    received.remove(backend);
   }
 
   /** Forgets the backend servers that are not known. */
   public void discard(Predicate<String> isKnown) {
     servers.keySet().removeIf(id -> !isKnown.test(id));
     published.keySet().removeIf(id -> !isKnown.test(id));
+    received.keySet().removeIf(id -> !isKnown.test(id));
   }
 
   // ---- exchange between hosts -------------------------------------------------------------------
@@ -121,7 +135,8 @@
   }
 
   private boolean isNoticeablyChanged(String id, ServerCapacity capacity, long nowMillis) {
-    if (!capacity.service().isActive() || capacity.certainty(nowMillis) < 1) {
+    boolean known = capacity.certainty(nowMillis) >= 1 || received.containsKey(id);
+    if (!capacity.service().isActive() || !known) {
       return false;
     }
     Published before = published.get(id);
@@ -142,7 +157,7 @@
     List<LearntCapacity> learnt = new ArrayList<>();
     for (ServerCapacity capacity : servers.values()) {
       if (capacity.service().isActive()) {
-        learnt.add(capacity.export(nowMillis));
+        learnt.add(export(capacity, nowMillis));
       }
     }
     return learnt;
@@ -155,12 +170,31 @@
         (id, figures) -> {
           ServerCapacity capacity = servers.get(id);
           if (capacity != null && figures.version() > earlierVersion) {
-            learnt.add(capacity.export(nowMillis));
+            learnt.add(export(capacity, nowMillis));
           }
         });
     return learnt;
   }
 
+  /** Returns the figures learnt here, or those received if hardly any are. */
+  private LearntCapacity export(ServerCapacity capacity, long nowMillis) {
+    Received elsewhere = received.get(capacity.id());
+    return elsewhere == null || capacity.certainty(nowMillis) >= 1
+        ? capacity.export(nowMillis)
+        : elsewhere.agedTo(nowMillis);
+  }
+
+  /** Takes up the received figures again, which age while nothing is learnt here. */
+  public void restoreReceived(long nowMillis) {
+    received.forEach(
+        (id, elsewhere) -> {
+          ServerCapacity capacity = servers.get(id);
+          if (capacity != null && capacity.certainty(nowMillis) < 1) {
+            capacity.restore(elsewhere.figures(), nowMillis);
+          }
+        });
+  }
+
   /** Adds what another host learnt of backend servers; ignores those that are unknown here. */
   public void merge(Collection<LearntCapacity> learnt, BackendLookup backends, long nowMillis) {
     for (LearntCapacity record : learnt) {
@@ -168,7 +202,10 @@
       if (backend != null) {
         ServerCapacity capacity = serverOf(backend, nowMillis);
         capacity.service().activate();
-        capacity.merge(record, nowMillis);
+        if (capacity.merge(record, nowMillis)) {
+          long learntAtMillis = nowMillis - record.getAgeMillis();
+          received.put(record.getBackend(), new Received(record, learntAtMillis));
+        }
       }
     }
   }
--- a/src/main/java/org/curranthaven/internal/dispatch/ServerCapacity.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/ServerCapacity.java
@@ -68,6 +68,10 @@
     this.fittedAtMillis = nowMillis;
   }
 
+  String id() {
+    return id;
+  }
+
   ServiceCapacity service() {
     return service;
   }
@@ -203,14 +207,23 @@
         .build();
   }
 
-  /** Takes over what another host learnt, unless more recent figures are known here. */
-  void merge(LearntCapacity learnt, long nowMillis) {
+  /**
+   * Takes over what another host learnt, unless more recent figures are known here; returns whether
+   * it did.
+   */
+  boolean merge(LearntCapacity learnt, long nowMillis) {
     long learntElsewhereMillis = nowMillis - learnt.getAgeMillis();
     boolean known = certainty(nowMillis) > 0 || promptMillis != null;
     if (known && learntElsewhereMillis <= learntAtMillis) {
-      return;
+      return false;
     }
     learntAtMillis = learntElsewhereMillis;
+    restore(learnt, nowMillis);
+    return true;
+  }
+
+  /** Takes over figures as if they had just been learnt: a noticeable change would be known. */
+  void restore(LearntCapacity learnt, long nowMillis) {
     if (learnt.getPromptNanos() > 0) {
       double millisPerToken = learnt.getPromptNanos() / NANOS_PER_MILLI;
       promptMillis = new LearntAverage(millisPerToken, LATEST_PROMPT_WEIGHT);
@@ -222,7 +235,7 @@
               learnt.getLightMicros() / MICROS_PER_MILLI,
               Math.max(1, learnt.getKneeRequests()),
               learnt.getSlowdownPermille() / PERMILLE);
-      samples.restore(elsewhere, slots, RESTORED_SAMPLES, learntElsewhereMillis);
+      samples.restore(elsewhere, slots, RESTORED_SAMPLES, nowMillis);
       service.recordWork(1, elsewhere.lightMillis(), slots, nowMillis);
       curve = samples.fit(service.curve(slots, nowMillis), slots, nowMillis);
       fittedAtMillis = nowMillis;
--- a/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
@@ -135,7 +135,7 @@
             .setIrreplaceable(engine != null && !route.isRepeatable())
             .setFingerprint(fingerprint);
     if (route.kind() == Repeatability.STREAM) {
-      builder.setGapTargetMillis(Math.toIntExact(route.gapTargetMillis()));
+      builder.setGapTargetMillis((int) Math.clamp(route.gapTargetMillis(), 0L, Integer.MAX_VALUE));
     }
     addStream(builder);
     if (engine != null) {
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -775,6 +775,7 @@
     long nowMillis = clock.nowMillis();
     DispatchCore core = new DispatchCore(retryLimits, gatewayCount, random, Set.of(), knowledge);
     localDispatch = core;
+    knowledge.capacities().restoreReceived(nowMillis);
     knowledge.rateLimits().setShare(1.0 / mostGateways);
     core.setCatalog(catalog);
     backends.values().forEach(record -> core.updateBackend(record, nowMillis));
--- a/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
@@ -533,6 +533,20 @@
         .containsExactly("i-1 250", "i-1 250", "i-2 100");
   }
 
+  @Test
+  void a_scheduler_much_later_hears_the_capacities_that_have_not_changed_since() {
+    publishView("control-1", 3, 1, "i-1");
+    LearntCapacity learnt =
+        LearntCapacity.newBuilder().setBackend("i-1").setLightMicros(20_000).build();
+    link.handle("control-1", SchedulerView.newBuilder().setTerm(3).addCapacities(learnt).build());
+    time.advance(60_000);
+
+    link.handle("control-2", SchedulerView.newBuilder().setTerm(4).build());
+
+    assertThat(lastStatus().getCapacitiesList())
+        .containsExactly(learnt.toBuilder().setAgeMillis(60_000).build());
+  }
+
   @Test
   void the_next_scheduler_hears_the_learnt_capacities() {
     publishView("control-1", 3, 1, "i-1");
