--- a/src/test/java/org/curranthaven/platform/RequestTranslationTest.java
+++ b/src/test/java/org/curranthaven/platform/RequestTranslationTest.java
@@ -77,7 +77,9 @@
             HttpMethod.PUT,
             "/api/runners/i-1",
             Unpooled.copiedBuffer(
-                "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"seq\":1" + statement + "}",
+                "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\",\"slots\":4,\"state\":\"ready\",\"seq\":1"
+                    + statement
+                    + "}",
                 StandardCharsets.UTF_8));
     ControlRequest request = ControlTranslation.read(registration);
     return ((ControlRequest.Register) request).backend().getSoftwareVersion();
