--- /dev/null
+++ b/src/main/java/org/curranthaven/internal/scheduler/GatewayView.java
@@ -0,0 +1,53 @@
+package org.curranthaven.internal.scheduler;
+
+/**
+ * What the scheduler knows of one gateway: the versions that it has acknowledged, those that were
+ * sent last, and whether it has sent a full status. Confined to the event loop.
+ */
+final class GatewayView {
+  /**
+   * Time after which a catalog or list of backend servers that a gateway has not acknowledged is
+   * sent again; longer than the larger of them takes to arrive over the link of a small gateway.
+   */
+  static final long RESEND_MILLIS = 650;
+
+  long version;
+  long catalogRevision;
+  long evacuationRevision;
+  boolean hasReportedState;
+  long incarnation;
+  long crashEvidenceVersion;
+  long rateLimitsVersion;
+  long capacitiesVersion;
+  long statusNumber;
+
+  /** Catalog revision and version sent last, and when. */
+  long sentCatalogRevision;
+
+  long catalogSentMillis;
+  long sentVersion;
+  long versionSentMillis;
+
+  /** Returns whether the catalog is missing at the gateway and not on its way to it. */
+  boolean needsCatalog(long revision, long nowMillis) {
+    boolean onItsWay =
+        sentCatalogRevision == revision && nowMillis - catalogSentMillis < RESEND_MILLIS;
+    return catalogRevision < revision && !onItsWay;
+  }
+
+  /** Returns whether the version is missing at the gateway and not on its way to it. */
+  boolean needsVersion(long newVersion, long nowMillis) {
+    boolean onItsWay = sentVersion == newVersion && nowMillis - versionSentMillis < RESEND_MILLIS;
+    return version < newVersion && !onItsWay;
+  }
+
+  /** Returns what the gateway obeys. */
+  ActiveVersions active() {
+    return new ActiveVersions(version, catalogRevision, evacuationRevision);
+  }
+
+  void recordVersionSent(long newVersion, long nowMillis) {
+    sentVersion = newVersion;
+    versionSentMillis = nowMillis;
+  }
+}
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -60,12 +60,6 @@
    */
   private static final long LOST_GATEWAY_SHARE_MILLIS = 10_000;
 
-  /**
-   * Time after which a catalog or list of backend servers that a gateway has not acknowledged is
-   * sent again; longer than the larger of them takes to arrive over the link of a small gateway.
-   */
-  static final long RESEND_MILLIS = 650;
-
   /** Longest time for which a new leader waits for the gateways to report their open requests. */
   private static final long MAX_REBUILD_MILLIS = 250;
 
@@ -94,7 +88,7 @@
    */
   private int reportedGateways;
 
-  private final List<PendingAcknowledgement> pendingAcknowledgements = new ArrayList<>();
+  private final PendingAcknowledgements pendingAcknowledgements = new PendingAcknowledgements();
   private final List<Runnable> deferredActions = new ArrayList<>();
   private Catalog catalog = Catalog.empty();
   private ByteString catalogDocument = ByteString.EMPTY;
@@ -108,52 +102,6 @@
   private long lastHeartbeatMillis;
   private boolean tickScheduled;
 
-  /** The versions that a gateway has acknowledged, and whether it has sent a full status. */
-  private static final class GatewayView {
-    long version;
-    long catalogRevision;
-    long evacuationRevision;
-    boolean hasReportedState;
-    long incarnation;
-    long crashEvidenceVersion;
-    long rateLimitsVersion;
-    long capacitiesVersion;
-    long statusNumber;
-
-    /** Catalog revision and version sent last, and when. */
-    long sentCatalogRevision;
-
-    long catalogSentMillis;
-    long sentVersion;
-    long versionSentMillis;
-
-    /** Returns whether the catalog is missing at the gateway and not on its way to it. */
-    boolean needsCatalog(long revision, long nowMillis) {
-      boolean onItsWay =
-          sentCatalogRevision == revision && nowMillis - catalogSentMillis < RESEND_MILLIS;
-      return catalogRevision < revision && !onItsWay;
-    }
-
-    /** Returns whether the version is missing at the gateway and not on its way to it. */
-    boolean needsVersion(long newVersion, long nowMillis) {
-      boolean onItsWay = sentVersion == newVersion && nowMillis - versionSentMillis < RESEND_MILLIS;
-      return version < newVersion && !onItsWay;
-    }
-
-    void recordVersionSent(long newVersion, long nowMillis) {
-      sentVersion = newVersion;
-      versionSentMillis = nowMillis;
-    }
-  }
-
-  /**
-   * A callback to run once every connected gateway has acknowledged the view version and activated
-   * the catalog revision and obeys the revision of the evacuated data centres; 0 stands for no
-   * requirement.
-   */
-  private record PendingAcknowledgement(
-      long version, long catalogRevision, long evacuationRevision, Consumer<Boolean> callback) {}
-
   /**
    * Creates a scheduler, which {@link #setTerm} starts.
    *
@@ -256,17 +204,11 @@
     for (HostRecord gateway : gateways.get()) {
       sender.accept(gateway.getName(), Envelope.newBuilder().setSchedulerView(view));
     }
-    failPendingAcknowledgements();
+    pendingAcknowledgements.failAll();
     deferredActions.clear();
     rebuilding = false;
   }
 
-  private void failPendingAcknowledgements() {
-    List<PendingAcknowledgement> unacknowledged = List.copyOf(pendingAcknowledgements);
-    pendingAcknowledgements.clear();
-    unacknowledged.forEach(pending -> pending.callback().accept(false));
-  }
-
   /**
    * Ends the rebuild once every connected gateway has reported its state, but not before {@link
    * #MIN_REBUILD_MILLIS}; ends it in any case after {@link #MAX_REBUILD_MILLIS}.
@@ -738,7 +680,7 @@
       pushBackendChange(List.of(changed), earlierStarts);
     }
     if (registration.getLeaving()) {
-      notifyWhenAcknowledged(viewVersion, 0, callback);
+      notifyWhenActive(ActiveVersions.ofBackends(viewVersion), callback);
     } else {
       callback.accept(true);
     }
@@ -759,7 +701,7 @@
             Logger.info("backend server {} deregistered", id);
             pushBackendChange(List.of(), List.of(id));
           }
-          notifyWhenAcknowledged(viewVersion, 0, callback);
+          notifyWhenActive(ActiveVersions.ofBackends(viewVersion), callback);
         });
   }
 
@@ -830,7 +772,7 @@
     if (term == 0) {
       callback.accept(false);
     } else {
-      notifyWhenAcknowledged(0, revision, callback);
+      notifyWhenActive(ActiveVersions.ofCatalog(revision), callback);
     }
   }
 
@@ -868,20 +810,14 @@
     if (term == 0) {
       callback.accept(false);
     } else {
-      notifyWhenAcknowledged(new PendingAcknowledgement(0, 0, revision, callback));
+      notifyWhenActive(ActiveVersions.ofEvacuation(revision), callback);
     }
   }
 
   // ---- acknowledgements -------------------------------------------------------------------------
 
-  private void notifyWhenAcknowledged(
-      long requiredVersion, long requiredRevision, Consumer<Boolean> callback) {
-    notifyWhenAcknowledged(
-        new PendingAcknowledgement(requiredVersion, requiredRevision, 0, callback));
-  }
-
-  private void notifyWhenAcknowledged(PendingAcknowledgement pending) {
-    pendingAcknowledgements.add(pending);
+  private void notifyWhenActive(ActiveVersions required, Consumer<Boolean> callback) {
+    pendingAcknowledgements.add(required, callback);
     completeAcknowledged();
   }
 
@@ -891,25 +827,13 @@
     }
     if (!hasLease.getAsBoolean()) {
       // Gateways may follow another scheduler by now, and only seem to be gone.
-      failPendingAcknowledgements();
+      pendingAcknowledgements.failAll();
       return;
     }
-    long leastVersion = Long.MAX_VALUE;
-    long leastRevision = Long.MAX_VALUE;
-    long leastEvacuation = Long.MAX_VALUE;
+    ActiveVersions active = ActiveVersions.ALL;
     for (HostRecord gateway : gateways.get()) {
-      GatewayView view = viewOf(gateway);
-      leastVersion = Math.min(leastVersion, view.version);
-      leastRevision = Math.min(leastRevision, view.catalogRevision);
-      leastEvacuation = Math.min(leastEvacuation, view.evacuationRevision);
-    }
-    for (PendingAcknowledgement pending : List.copyOf(pendingAcknowledgements)) {
-      if (pending.version() <= leastVersion
-          && pending.catalogRevision() <= leastRevision
-          && pending.evacuationRevision() <= leastEvacuation) {
-        pendingAcknowledgements.remove(pending);
-        pending.callback().accept(true);
-      }
+      active = active.least(viewOf(gateway).active());
     }
+    pendingAcknowledgements.complete(active);
   }
 }
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -670,7 +670,7 @@
     time.advance(4 * ONE_HEARTBEAT_MILLIS);
     assertThat(viewsTo("g1")).filteredOn(view -> !view.getCatalog().isEmpty()).hasSize(1);
     receiveStatus("g1", 0, 8, false);
-    time.advance(Scheduler.RESEND_MILLIS);
+    time.advance(GatewayView.RESEND_MILLIS);
 
     assertThat(viewsTo("g1")).filteredOn(view -> !view.getCatalog().isEmpty()).hasSize(1);
     assertThat(viewsTo("g2")).filteredOn(view -> !view.getCatalog().isEmpty()).hasSize(2);
@@ -685,7 +685,7 @@
 
     time.advance(4 * ONE_HEARTBEAT_MILLIS);
     assertThat(viewsTo("g1")).filteredOn(view -> view.getBackendsCount() > 0).hasSize(1);
-    time.advance(Scheduler.RESEND_MILLIS);
+    time.advance(GatewayView.RESEND_MILLIS);
 
     assertThat(viewsTo("g1").stream().filter(view -> view.getBackendsCount() > 0).toList().get(1))
         .satisfies(view -> assertThat(view.getBaseVersion()).isZero());
--- a/src/test/java/org/curranthaven/platform/RequestTranslationTest.java
+++ b/src/test/java/org/curranthaven/platform/RequestTranslationTest.java
@@ -77,9 +77,10 @@
             HttpMethod.PUT,
             "/api/runners/i-1",
             Unpooled.copiedBuffer(
-                "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\",\"slots\":4,\"state\":\"ready\",\"seq\":1"
-                    + statement
-                    + "}",
+                """
+                {"service":"s","address":"10.0.0.1:80","zone":"a","slots":4,"state":"ready","seq":1%s}
+                """
+                    .formatted(statement),
                 StandardCharsets.UTF_8));
     ControlRequest request = ControlTranslation.read(registration);
     return ((ControlRequest.Register) request).backend().getSoftwareVersion();
