--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -75,9 +74,6 @@
    */
   private static final long VERSIONS_COMPLETE_MILLIS = 1_000;
 
-  /** Leaving backend servers remembered; many times more than leave before they are removed. */
-  private static final int MAX_LEAVING_BACKENDS = 4_096;
-
   private static final long CHECK_INTERVAL_MILLIS = 100;
   private static final long MIN_CHECK_INTERVAL_MILLIS = 20;
   private static final long PROGRESS_INTERVAL_MILLIS = 500;
@@ -91,21 +87,18 @@
   private final ViewListener listener;
   private final DispatchFeatures features;
   private final Map<Long, PlacementListener> openRequests = new LinkedHashMap<>();
-  private final Map<String, BackendRecord> backends = new HashMap<>();
-  private final Set<String> removedBackends = new HashSet<>();
   private final Map<Long, Integer> reportedTokens = new HashMap<>();
 
   /** What the scheduler published, and what this gateway learnt itself. */
   private final SharedKnowledge knowledge;
 
+  private final KnownBackends backends;
+
   /** Backend servers that stated something malformed, which was logged. */
   private final Set<String> malformedStatements = new HashSet<>();
 
   private final StatedLoadReports loadReports = new StatedLoadReports();
 
-  /** Backend servers that stated to this gateway that they leave, whatever they register. */
-  private final Set<String> leavingBackends = new LinkedHashSet<>();
-
   /** Ids of placement requests that the scheduler has neither decided nor reported as queued. */
   private final Set<Long> unacknowledged = new HashSet<>();
 
@@ -160,6 +153,7 @@
     this.sender = sender;
     this.listener = listener;
     this.knowledge = SharedKnowledge.ofGateway(random);
+    this.backends = new KnownBackends(knowledge);
   }
 
   /** Returns the backend server with the given id, or null if it is unknown or removed. */
@@ -174,7 +168,7 @@
 
   /** Returns the ids of the known backend servers, sorted. */
   List<String> backendNames() {
-    return backends.keySet().stream().sorted().toList();
+    return backends.ids().stream().sorted().toList();
   }
 
   /** Returns the ids of the parts of prompts that are blocked, sorted. */
@@ -288,70 +282,20 @@
   }
 
   private boolean applyBackendUpdate(SchedulerView view) {
-    if (view.getBaseVersion() == 0 && view.getVersion() > 0 && view.getVersion() > viewVersion) {
-      replaceBackends(view.getBackendsList());
-    } else if (view.getBaseVersion() > 0 && view.getBaseVersion() == viewVersion) {
-      view.getBackendsList().forEach(record -> putBackend(record));
-    } else {
+    boolean complete =
+        view.getBaseVersion() == 0 && view.getVersion() > 0 && view.getVersion() > viewVersion;
+    boolean nextChange = view.getBaseVersion() > 0 && view.getBaseVersion() == viewVersion;
+    if (!complete && !nextChange) {
       return false;
     }
-    for (String id : view.getGoneList()) {
-      removeBackend(id);
-    }
-    view.getExpiredList().forEach(this::forgetBackend);
+    backends.apply(view, clock.nowMillis());
     viewVersion = view.getVersion();
     viewReceived = true;
-    knowledge.rateLimits().discard(backends::containsKey, clock.nowMillis());
-    knowledge.capacities().discard(backends::containsKey);
-    malformedStatements.retainAll(backends.keySet());
-    listener.backendsChanged(backends.values());
+    malformedStatements.retainAll(backends.ids());
+    listener.backendsChanged(backends.all());
     return true;
   }
 
-  /**
-   * Replaces the known backend servers by a complete list, but never restores one that was removed.
-   */
-  private void replaceBackends(List<BackendRecord> records) {
-    Set<String> listed = new HashSet<>();
-    records.forEach(record -> listed.add(record.getId()));
-    List.copyOf(backends.keySet()).stream()
-        .filter(id -> !listed.contains(id))
-        .forEach(this::forgetBackend);
-    records.forEach(this::putBackend);
-  }
-
-  private void putBackend(BackendRecord record) {
-    if (!removedBackends.contains(record.getId())) {
-      knowledge.rateLimits().coldServers().register(record, clock.nowMillis());
-      boolean leaving = record.getLeaving() || leavingBackends.contains(record.getId());
-      backends.put(record.getId(), record.toBuilder().setLeaving(leaving).build());
-    }
-  }
-
-  /** Returns the known backend servers with the cold times that they have left. */
-  private List<BackendRecord> currentBackends() {
-    return knowledge.rateLimits().coldServers().withColdTimes(backends.values(), clock.nowMillis());
-  }
-
-  private void removeBackend(String id) {
-    removedBackends.add(id);
-    forgetBackend(id);
-  }
-
-  private void forgetBackend(String id) {
-    BackendRecord record = backends.remove(id);
-    knowledge.rateLimits().coldServers().remove(id);
-    if (record != null) {
-      recordServing(record);
-    }
-  }
-
-  private void recordServing(BackendRecord record) {
-    knowledge
-        .streamOrigins()
-        .recordServing(record.getService(), record.getSoftwareVersion(), clock.nowMillis());
-  }
-
   /**
    * Activates a catalog for local placement. The scheduler learns its revision with the next status
    * message.
@@ -391,12 +335,12 @@
       statusNumber++;
       status.setNumber(statusNumber);
       fullStatusSentMillis = clock.nowMillis();
-      backends.values().forEach(this::recordServing);
+      backends.recordServing(clock.nowMillis());
       StreamOrigins origins = knowledge.streamOrigins();
       status
           .setMostGateways(mostGateways)
-          .addAllBackends(currentBackends())
-          .addAllGone(removedBackends)
+          .addAllBackends(backends.withColdTimes(clock.nowMillis()))
+          .addAllGone(backends.removedIds())
           .addAllCrashSuspects(knowledge.crashes().export(clock.nowMillis()))
           .addAllRateLimits(knowledge.rateLimits().export(clock.nowMillis()))
           .addAllStreamOrigins(origins.exportOrigins(clock.nowMillis()))
@@ -523,7 +467,7 @@
     if (stated.restMillis() > 0) {
       handleStatedRest(id, backend, stated.restMillis());
     }
-    if (backends.containsKey(backend)) {
+    if (backends.contains(backend)) {
       stated.malformed().forEach(statement -> warnMalformed(backend, statement));
       handleStatedRateLimit(id, backend, stated.rateLimit(), attemptStartedAtMillis);
       handleStatedLoad(id, backend, stated.load());
@@ -533,7 +477,7 @@
   @Override
   public boolean isRefusing(String backend) {
     BackendRecord record = backends.get(backend);
-    return leavingBackends.contains(backend)
+    return backends.isLeaving(backend)
         || knowledge.restTimes().isResting(self, backend, clock.nowMillis())
         || (record != null && isEvacuated(record));
   }
@@ -559,21 +503,15 @@
 
   /** Obeys at once what a backend server states, and tells the others through the scheduler. */
   private void handleStatedLeaving(long id, String backend) {
-    if (!leavingBackends.add(backend)) {
+    if (!backends.recordLeaving(backend)) {
       return;
     }
-    if (leavingBackends.size() > MAX_LEAVING_BACKENDS) {
-      leavingBackends.remove(leavingBackends.iterator().next());
-    }
     Logger.info("backend server {} states that it leaves (placement request {})", backend, id);
     BackendRecord record = backends.get(backend);
-    if (record != null) {
-      putBackend(record);
-    }
     if (isConnected()) {
       sendStatement(BackendStatement.newBuilder().setId(id).setBackend(backend).setLeaving(true));
     } else if (localDispatch != null && record != null) {
-      localDispatch.updateBackend(record.toBuilder().setLeaving(true).build(), clock.nowMillis());
+      localDispatch.updateBackend(record, clock.nowMillis());
       applyLocalDecisions();
     }
   }
@@ -832,7 +770,7 @@
     knowledge.rateLimits().setShare(1.0 / mostGateways);
     core.setCatalog(catalog);
     core.setEvacuated(evacuated.names(), nowMillis);
-    currentBackends().forEach(record -> core.updateBackend(record, nowMillis));
+    backends.withColdTimes(nowMillis).forEach(record -> core.updateBackend(record, nowMillis));
     List<PlacementRequest> queued = new ArrayList<>();
     openRequests.forEach(
         (id, request) -> {
