What a newcomer's read of the change found: faults and names

Faults, found by reading, each mended: a load curve that was read often never let go of old samples; a service's curve was cached without its slots; an evacuation counted as a failure of its servers; a request whose regions were evacuated was told that none is allowed; the log of an evacuation in force could name another one's data centres; the end of a reserve was logged as one of 0 tokens and stayed in the dump; a client that came back late counted twice; a deregistration with a malformed start was taken for the latest one. Tests: LoadCurveSamplesTest, RegionBindingTest, ControlTranslationTest.

--- a/src/main/java/org/curranthaven/internal/dispatch/Admission.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/Admission.java
@@ -102,7 +102,7 @@
   void tick(long nowMillis) {
     returning.tick(nowMillis);
     List.copyOf(reported.keySet())
-        .forEach(kind -> recordReserve(kind, needAbove(kind, nowMillis), nowMillis));
+        .forEach(kind -> recordReserve(kind, needOfMoreUrgent(kind, nowMillis), nowMillis));
   }
 
   // ---- order ------------------------------------------------------------------------------------
@@ -150,14 +150,16 @@
   QueueAhead ahead(PlacementRequest request, ServiceQueue queue, long nowMillis) {
     int priority = request.getPriority();
     int serviceRequests = queue.byRank().size();
-    ServiceQueue.Sum upTo = queue.upTo(priority);
+    ServiceQueue.Sum upTo = queue.atLeastAsUrgentAs(priority);
     if (!concerns(request)) {
       return new QueueAhead(serviceRequests, upTo.requests(), upTo.memoryTokens(), 0);
     }
     RequestKind kind = RequestKind.of(request);
-    UrgentReserve.Need need = needAbove(kind, nowMillis);
+    UrgentReserve.Need need = needOfMoreUrgent(kind, nowMillis);
     double aheadTokens =
-        queue.above(priority).memoryTokens() + sameKindTokens(request, queue) + missing(kind, need);
+        queue.moreUrgentThan(priority).memoryTokens()
+            + sameKindTokens(request, queue)
+            + missing(kind, need);
     int fromPriority = need.isNone() ? 0 : priority;
     return new QueueAhead(serviceRequests, upTo.requests(), aheadTokens, fromPriority);
   }
@@ -173,8 +175,8 @@
     }
     RequestKind kind = RequestKind.of(request);
     double allTokens =
-        queue.upTo(priority).memoryTokens()
-            - queue.above(priority).memoryTokens()
+        queue.atLeastAsUrgentAs(priority).memoryTokens()
+            - queue.moreUrgentThan(priority).memoryTokens()
             + returning.awaitedTokens(kind);
     if (!overloadGauge.isOverloaded(kind.service())) {
       return allTokens;
@@ -196,11 +198,11 @@
     for (BackendState backend : backends.notLeaving(kind.service()).toList()) {
       freeTokens += capacityRules.freeTokens(backend, backends.engineOf(kind.service()));
     }
-    return Math.max(0, need.memoryTokens() - memoryInUse.tokensAbove(kind) - freeTokens);
+    return Math.max(0, need.memoryTokens() - memoryInUse.tokensOfMoreUrgent(kind) - freeTokens);
   }
 
-  private UrgentReserve.Need needAbove(RequestKind kind, long nowMillis) {
-    return reserve.needAbove(kind, capacityTokens(kind.service()), nowMillis);
+  private UrgentReserve.Need needOfMoreUrgent(RequestKind kind, long nowMillis) {
+    return reserve.needOfMoreUrgent(kind, capacityTokens(kind.service()), nowMillis);
   }
 
   /** Returns the memory of all engines of the service that this host may use. */
@@ -229,9 +231,9 @@
     if (isKeptForReturning(running, engine, nowMillis)) {
       return List.of();
     }
-    UrgentReserve.Need need = needAbove(kind, nowMillis);
+    UrgentReserve.Need need = needOfMoreUrgent(kind, nowMillis);
     recordReserve(kind, need, nowMillis);
-    double missingTokens = need.memoryTokens() - memoryInUse.tokensAbove(kind);
+    double missingTokens = need.memoryTokens() - memoryInUse.tokensOfMoreUrgent(kind);
     if (missingTokens <= 0) {
       return candidates;
     }
@@ -287,11 +289,15 @@
             kind.service(),
             kind.priority(),
             need.memoryTokens(),
-            memoryInUse.tokensAbove(kind),
+            memoryInUse.tokensOfMoreUrgent(kind),
             need.ageMillis(),
             nowMillis);
-    reported.put(kind, change);
     changes.add(change);
+    if (need.isNone()) {
+      reported.remove(kind);
+    } else {
+      reported.put(kind, change);
+    }
   }
 
   /** Returns the reserves as they were reported last. */
--- a/src/main/java/org/curranthaven/internal/dispatch/Backends.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/Backends.java
@@ -98,11 +98,20 @@
   boolean isEvacuated(PlacementRequest request) {
     return !evacuated.isEmpty()
         && notLeavingFor(request).findAny().isEmpty()
-        && byId.values().stream()
-            .filter(state -> state.serves(request.getService()) && !state.isLeaving())
+        && present(request.getService())
+            .filter(this::isEvacuated)
+            .filter(state -> RegionBinding.allows(state.registration(), request))
             .anyMatch(state -> VersionBinding.allows(state, request));
   }
 
+  /**
+   * Returns the service's backend servers that have not crashed and are not leaving, also those in
+   * evacuated data centres.
+   */
+  Stream<BackendState> present(String service) {
+    return byId.values().stream().filter(state -> state.serves(service) && !state.isLeaving());
+  }
+
   /** Returns the capabilities of the service's engines; null for a plain or unknown service. */
   @Nullable EngineCapabilities engineOf(String service) {
     ServiceSpec spec = catalog.service(service);
--- a/src/main/java/org/curranthaven/internal/dispatch/CapacityRules.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/CapacityRules.java
@@ -28,8 +28,8 @@
   private static final double PLAIN_REQUESTS_PER_SLOT = 1.5;
 
   /**
-   * Requests for each one that a plain backend server runs to advantage. Beyond these, throughput
-   * hardly falls, while too low an estimate of them would leave the server idle in part.
+   * Requests for each one at the highest throughput of a plain backend server. Beyond these,
+   * throughput hardly falls, while too low an estimate of them would leave the server idle in part.
    */
   private static final double PLAIN_REQUESTS_PER_USEFUL = 2;
 
--- a/src/main/java/org/curranthaven/internal/dispatch/CapacityView.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/CapacityView.java
@@ -169,7 +169,7 @@
   /**
    * Returns the cost of a further request on a plain backend server: its expected time, compared
    * with the service's average, and growing with the load so that equal servers share equally.
-   * Empty if the part is not active for the service.
+   * Empty if placement does not go by capacity for the service.
    */
   OptionalDouble plainCost(BackendState backend, long nowMillis) {
     ServerCapacity capacity = of(backend, nowMillis);
@@ -196,7 +196,10 @@
         : (1 - ofService) / Math.max(MIN_SUCCESS_SHARE, 1 - ofServer);
   }
 
-  /** Returns the number of requests that a plain backend server runs to advantage at once. */
+  /**
+   * Returns the number of concurrent requests at which a plain backend server has its highest
+   * throughput.
+   */
   int usefulRequests(BackendState backend, long nowMillis) {
     ServerCapacity capacity = of(backend, nowMillis);
     return capacity == null ? backend.slots() : capacity.usefulRequests(nowMillis);
@@ -204,7 +207,7 @@
 
   /**
    * Returns the time that a plain backend server takes for a request while it is fully used, slow
-   * phases to come included; empty if the part is not active.
+   * phases to come included; empty if placement does not go by capacity.
    */
   OptionalDouble fullPlainMillis(BackendState backend, long nowMillis) {
     ServerCapacity capacity = of(backend, nowMillis);
@@ -239,8 +242,8 @@
 
   /**
    * Returns by what share of the target the longest pause between events of a stream on the engine
-   * is expected to exceed it; 0 if the target is kept, if there is none, or if the part is not
-   * active.
+   * is expected to exceed it; 0 if the target is kept, if there is none, or if placement does not
+   * go by capacity.
    *
    * @param outputTokens forecast number of tokens of the stream
    */
--- a/src/main/java/org/curranthaven/internal/dispatch/ColdServers.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/ColdServers.java
@@ -137,7 +137,7 @@
   }
 
   /** Counts the data centre's backend servers as cold until each registers again. */
-  void coldUntilRegistered(String dataCentre, long nowMillis) {
+  void markColdUntilRegistered(String dataCentre, long nowMillis) {
     servers.forEach(
         (id, server) -> {
           if (server.dataCentre.equals(dataCentre)) {
--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -223,7 +223,7 @@
         backends.evacuated().stream().filter(name -> !dataCentres.contains(name)).toList();
     backends.setEvacuated(dataCentres, nowMillis);
     // They may have become cold meanwhile.
-    ended.forEach(dataCentre -> coldUntilRegistered(dataCentre, nowMillis));
+    ended.forEach(dataCentre -> markColdUntilRegistered(dataCentre, nowMillis));
     queue.ids().forEach(this::rejectIfEvacuated);
     queue.services().forEach(service -> serveQueue(service, nowMillis));
   }
@@ -253,12 +253,9 @@
     backends.removeIfDrained(backend);
   }
 
-  /**
-   * Records that nothing is known of the temperature of the data centre's backend servers: each
-   * counts as cold until it registers.
-   */
-  public void coldUntilRegistered(String dataCentre, long nowMillis) {
-    rateLimits.coldServers().coldUntilRegistered(dataCentre, nowMillis);
+  /** Marks the data centre's backend servers as cold until each registers again. */
+  public void markColdUntilRegistered(String dataCentre, long nowMillis) {
+    rateLimits.coldServers().markColdUntilRegistered(dataCentre, nowMillis);
   }
 
   /** Returns whether the backend server counts as cold only because it has not registered since. */
--- a/src/main/java/org/curranthaven/internal/dispatch/LoadCurveSamples.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/LoadCurveSamples.java
@@ -14,7 +14,7 @@
    * Largest weight of samples of an idle server. It bounds the time after which a server that was
    * slow is tried again with a few requests.
    */
-  private static final double MAX_IDLE_WEIGHT = 10;
+  static final double MAX_IDLE_WEIGHT = 10;
 
   /** Samples that each end of the prior curve counts as. */
   private static final double PRIOR_WEIGHT = 1;
@@ -54,6 +54,9 @@
   private double sumOfSquares;
   private long updatedAtMillis;
 
+  /** When the latest sample was recorded; fits age the samples too, but are none. */
+  private long sampledAtMillis;
+
   /**
    * Creates an estimate without samples.
    *
@@ -84,6 +87,7 @@
     sums[index] += bounded;
     totalWeight += 1;
     sumOfSquares += bounded * bounded;
+    sampledAtMillis = nowMillis;
   }
 
   /** Returns the weight of the samples, in samples; those long ago count less. */
@@ -119,6 +123,7 @@
   /** Makes the curve known as if it had been learnt from some samples. */
   void restore(LoadCurve curve, int slots, double samples, long nowMillis) {
     age(nowMillis);
+    sampledAtMillis = nowMillis;
     decay(0);
     add(1, curve.millisAt(1), samples / 2);
     int far = farEnd(slots);
@@ -146,7 +151,7 @@
   private double retained(long nowMillis) {
     double idleMillis = Math.max(0, nowMillis - updatedAtMillis);
     double bounded =
-        idleMillis < IDLE_MILLIS || totalWeight <= MAX_IDLE_WEIGHT
+        nowMillis - sampledAtMillis < IDLE_MILLIS || totalWeight <= MAX_IDLE_WEIGHT
             ? 1
             : MAX_IDLE_WEIGHT / totalWeight;
     return bounded * Math.exp(-idleMillis / retentionMillis.getAsDouble());
--- a/src/main/java/org/curranthaven/internal/dispatch/MemoryInUse.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/MemoryInUse.java
@@ -50,7 +50,7 @@
   }
 
   /** Returns the memory in use by requests that are more urgent than the kind. */
-  double tokensAbove(RequestKind kind) {
+  double tokensOfMoreUrgent(RequestKind kind) {
     NavigableMap<Integer, Double> ofService = byPriority.get(kind.service());
     return ofService == null
         ? 0
--- a/src/main/java/org/curranthaven/internal/dispatch/QueueTimeForecast.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/QueueTimeForecast.java
@@ -24,9 +24,8 @@
   private static final double FIRST_REPLY_MARGIN = 1.8;
 
   /**
-   * Factor on the learnt time of plain requests on fully used servers. Of the worth of plain
-   * requests at 0.95 of the capacity, 0.76 was earned without it and 0.86 with it: requests at the
-   * edge of their time were placed late, and took the capacity of others.
+   * Safety factor on the learnt time of plain requests on fully used servers. Without it, requests
+   * near their due time are placed, end late, and take the capacity of others.
    */
   private static final double LEARNT_PLAIN_MARGIN = 2;
 
@@ -43,18 +42,18 @@
   private static final long MAX_RETRY_AFTER_MILLIS = 15_000;
 
   /**
-   * Longest delay where clients that come back as told are served first: as long as a backlog of
-   * long streams takes after 20 s at twice the load, so that they are not told too early.
+   * Longest delay where clients that come back as told are served first; longer than the other one,
+   * since a backlog of long streams may take that long and nobody is told too early.
    */
-  private static final long MAX_TRUE_RETRY_AFTER_MILLIS = 60_000;
+  private static final long MAX_RETRY_AFTER_WITH_RESERVE_MILLIS = 60_000;
 
   private static final double RETRY_AFTER_JITTER = 0.3;
 
   /**
-   * Jitter where each rejected request is told a time of its own: without need to spread them, and
-   * a client that is told too late leaves its memory unused.
+   * Jitter where each rejected request is told a time of its own, so that they are spread already;
+   * memory stays unused for a client that is told too late.
    */
-  private static final double TRUE_RETRY_AFTER_JITTER = 0.05;
+  private static final double RETRY_AFTER_JITTER_WITH_RESERVE = 0.05;
 
   private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -167,8 +166,10 @@
    */
   long retryAfterMillis(double expectedMillis) {
     if (features.reservesForUrgent()) {
-      double delayMillis = expectedMillis * (1 + TRUE_RETRY_AFTER_JITTER * random.nextDouble());
-      return Math.clamp((long) delayMillis, MIN_RETRY_AFTER_MILLIS, MAX_TRUE_RETRY_AFTER_MILLIS);
+      double delayMillis =
+          expectedMillis * (1 + RETRY_AFTER_JITTER_WITH_RESERVE * random.nextDouble());
+      return Math.clamp(
+          (long) delayMillis, MIN_RETRY_AFTER_MILLIS, MAX_RETRY_AFTER_WITH_RESERVE_MILLIS);
     }
     double withJitter = expectedMillis * (1 + RETRY_AFTER_JITTER * random.nextDouble());
     return Math.clamp((long) withJitter, MIN_RETRY_AFTER_MILLIS, MAX_RETRY_AFTER_MILLIS);
--- a/src/main/java/org/curranthaven/internal/dispatch/RegionBinding.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/RegionBinding.java
@@ -35,17 +35,18 @@
   }
 
   /**
-   * Returns whether the service has backend servers that take requests, but none in the regions.
+   * Returns whether the service has backend servers, but none in the regions; those in evacuated
+   * data centres count, since an evacuation ends.
    */
   static boolean isUnservable(Backends backends, PlacementRequest request) {
     if (!request.getRegionBound()) {
       return false;
     }
-    boolean hasBackend = backends.notLeaving(request.getService()).findAny().isPresent();
+    boolean hasBackend = backends.present(request.getService()).findAny().isPresent();
     return request.getAllowedDataCentresCount() == 0
         || (hasBackend
             && backends
-                .notLeaving(request.getService())
+                .present(request.getService())
                 .noneMatch(backend -> allows(backend.registration(), request)));
   }
 }
--- a/src/main/java/org/curranthaven/internal/dispatch/ReserveChange.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/ReserveChange.java
@@ -20,6 +20,13 @@
     long atMillis) {
   @Override
   public String toString() {
+    if (reservedTokens <= 0) {
+      return String.format(
+          Locale.ROOT,
+          "service %s: no memory is kept from requests of priority %d any more",
+          service,
+          priority);
+    }
     return String.format(
         Locale.ROOT,
         "service %s: %.0f tokens of memory kept from requests of priority %d for more urgent ones,"
--- a/src/main/java/org/curranthaven/internal/dispatch/ReturningClients.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/ReturningClients.java
@@ -54,6 +54,9 @@
     boolean returned;
     boolean due;
 
+    /** Whether its client was counted as one that did not come back as told. */
+    boolean missed;
+
     Rejected(long firstArrivalMillis, double memoryTokens) {
       this.firstArrivalMillis = firstArrivalMillis;
       this.memoryTokens = memoryTokens;
@@ -84,7 +87,9 @@
     if (!known.returned && nowMillis >= known.toldAtMillis - EARLY_MILLIS) {
       changeAwaited(key, known, -1);
       known.returned = true;
-      recordReturn(key.kind(), 1);
+      if (!known.missed) {
+        recordReturn(key.kind(), 1);
+      }
     }
     return true;
   }
@@ -188,6 +193,7 @@
       boolean awaited = rejected.get(told.key()) == told.rejected() && !told.rejected().returned;
       if (awaited && told.rejected().due) {
         told.rejected().due = false;
+        told.rejected().missed = true;
         change(dueByKind, told.key().kind(), -told.rejected().memoryTokens);
         recordReturn(told.key().kind(), 0);
       }
--- a/src/main/java/org/curranthaven/internal/dispatch/ServerCapacity.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/ServerCapacity.java
@@ -5,9 +5,9 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * What one backend server takes well: its time for a unit of work by load, its time per prompt
- * token, how often it fails, and how slow its machine is at present. A unit of work is an output
- * token of an engine, or a request to a plain backend server. Not thread-safe.
+ * Learnt performance of one backend server: its time for a unit of work by load, its time per
+ * prompt token, how often it fails, and how slow its machine is at present. A unit of work is an
+ * output token of an engine, or a request to a plain backend server. Not thread-safe.
  */
 final class ServerCapacity {
   /**
--- a/src/main/java/org/curranthaven/internal/dispatch/ServiceCapacity.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/ServiceCapacity.java
@@ -42,7 +42,10 @@
   private boolean active;
   private boolean hasPrompts;
   private LoadCurve curve = LoadCurve.ofSlots(START_MILLIS, 1);
-  private boolean fitted;
+
+  /** Slots that the curve was fitted for; 0 if it was not. */
+  private int fittedSlots;
+
   private long fittedAtMillis;
 
   /** Returns whether a backend server of the service has stated how slow its machine is. */
@@ -100,9 +103,9 @@
   }
 
   LoadCurve curve(int slots, long nowMillis) {
-    if (!fitted || nowMillis - fittedAtMillis >= REFIT_MILLIS) {
+    if (slots != fittedSlots || nowMillis - fittedAtMillis >= REFIT_MILLIS) {
       curve = samples.fit(LoadCurve.ofSlots(START_MILLIS, slots), slots, nowMillis);
-      fitted = true;
+      fittedSlots = slots;
       fittedAtMillis = nowMillis;
     }
     return curve;
--- a/src/main/java/org/curranthaven/internal/dispatch/ServiceQueue.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/ServiceQueue.java
@@ -105,12 +105,12 @@
   }
 
   /** Returns the sum of the requests of a priority and of more urgent ones. */
-  Sum upTo(int priority) {
+  Sum atLeastAsUrgentAs(int priority) {
     return sumOf(priority, true);
   }
 
   /** Returns the sum of the requests that are more urgent than a priority. */
-  Sum above(int priority) {
+  Sum moreUrgentThan(int priority) {
     return sumOf(priority, false);
   }
 
--- a/src/main/java/org/curranthaven/internal/dispatch/SharedKnowledge.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/SharedKnowledge.java
@@ -10,7 +10,7 @@
  * @param rateLimits limits on requests that backend servers have stated
  * @param streamOrigins software versions that began streams
  * @param restTimes until when backend servers want no requests
- * @param capacities how much each backend server takes well
+ * @param capacities learnt performance of each backend server
  */
 public record SharedKnowledge(
     CrashEvidence crashes,
--- a/src/main/java/org/curranthaven/internal/dispatch/UrgentReserve.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/UrgentReserve.java
@@ -13,7 +13,7 @@
  * <pre>{@code
  * reserve.recordArrival(kind, 2_200, 600, nowMillis);
  * reserve.recordEnd(kind, 2_213, 540);
- * UrgentReserve.Need need = reserve.needAbove(lessUrgentKind, capacityTokens, nowMillis);
+ * UrgentReserve.Need need = reserve.needOfMoreUrgent(lessUrgentKind, capacityTokens, nowMillis);
  * }</pre>
  */
 final class UrgentReserve {
@@ -111,7 +111,7 @@
    *
    * @param capacityTokens memory of all engines of the service
    */
-  Need needAbove(RequestKind kind, double capacityTokens, long nowMillis) {
+  Need needOfMoreUrgent(RequestKind kind, double capacityTokens, long nowMillis) {
     NavigableMap<Integer, Demand> ofService = demandsOf(kind.service());
     Collection<Demand> urgentKinds = ofService.headMap(kind.priority(), false).values();
     TotalDemand urgent = TotalDemand.of(urgentKinds, nowMillis);
--- a/src/main/java/org/curranthaven/internal/relay/Attempt.java
+++ b/src/main/java/org/curranthaven/internal/relay/Attempt.java
@@ -98,7 +98,8 @@
             acquired.close();
             end(
                 new AttemptResult.Unreachable(
-                    "the data centre of backend server " + backend.getId() + " is evacuated"));
+                    "the data centre of backend server " + backend.getId() + " is evacuated",
+                    false));
           } else {
             connection = acquired;
             sent = true;
--- a/src/main/java/org/curranthaven/internal/relay/AttemptResult.java
+++ b/src/main/java/org/curranthaven/internal/relay/AttemptResult.java
@@ -2,8 +2,18 @@
 
 /** The result of one attempt at a backend server. */
 sealed interface AttemptResult {
-  /** No connection could be made; no byte of the request was sent. */
-  record Unreachable(String reason) implements AttemptResult {}
+  /**
+   * No byte of the request was sent.
+   *
+   * @param backendFailed whether no connection could be made; otherwise the backend server may not
+   *     receive the request, which is no fault of it
+   */
+  record Unreachable(String reason, boolean backendFailed) implements AttemptResult {
+    /** Creates the result of an attempt for which no connection could be made. */
+    Unreachable(String reason) {
+      this(reason, true);
+    }
+  }
 
   /** The backend server stated that the request did not run, or that it is not the expected one. */
   record NotRun(ResponseHead head) implements AttemptResult {}
--- a/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
@@ -251,12 +251,13 @@
   private void send(BackendRecord target, String stateReference) {
     if (!RegionBinding.allows(target, placementRequest())) {
       handleResult(
-          new AttemptResult.Interrupted(
+          new AttemptResult.Unreachable(
               "data centre "
                   + target.getDataCentre()
                   + " of backend server "
                   + target.getId()
-                  + " is in none of the regions of the request"));
+                  + " is in none of the regions of the request",
+              false));
       return;
     }
     if (streamVersion != null && !streamVersion.equals(target.getSoftwareVersion())) {
@@ -504,7 +505,10 @@
     placed = false;
     DispatchOutcome outcome =
         switch (result) {
-          case AttemptResult.Unreachable ignored -> DispatchOutcome.DISPATCH_OUTCOME_UNREACHABLE;
+          case AttemptResult.Unreachable unreachable ->
+              unreachable.backendFailed()
+                  ? DispatchOutcome.DISPATCH_OUTCOME_UNREACHABLE
+                  : DispatchOutcome.DISPATCH_OUTCOME_CANCELLED;
           case AttemptResult.NotRun notRun ->
               notRun.head().misdirected()
                   ? DispatchOutcome.DISPATCH_OUTCOME_UNREACHABLE
--- a/src/main/java/org/curranthaven/internal/scheduler/ActiveVersions.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/ActiveVersions.java
@@ -1,16 +1,16 @@
 package org.curranthaven.internal.scheduler;
 
 /**
- * Versions that a gateway obeys, or that it must obey before something is acknowledged; 0 stands
- * for no requirement.
+ * Versions that a gateway has applied, or must apply before something is acknowledged; 0 stands for
+ * no requirement.
  *
  * @param backends version of the list of backend servers
  * @param catalog revision of the catalog
  * @param evacuation revision of the evacuated data centres
  */
 record ActiveVersions(long backends, long catalog, long evacuation) {
-  /** Versions of no gateway, which fulfil every requirement. */
-  static final ActiveVersions ALL =
+  /** Versions above every requirement, as if no gateway were connected. */
+  static final ActiveVersions UNBOUNDED =
       new ActiveVersions(Long.MAX_VALUE, Long.MAX_VALUE, Long.MAX_VALUE);
 
   static ActiveVersions ofBackends(long version) {
@@ -25,7 +25,7 @@
     return new ActiveVersions(0, 0, revision);
   }
 
-  /** Returns the versions that both obey. */
+  /** Returns the versions that both have applied. */
   ActiveVersions least(ActiveVersions other) {
     return new ActiveVersions(
         Math.min(backends, other.backends),
--- a/src/main/java/org/curranthaven/internal/scheduler/EvacuationOrders.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/EvacuationOrders.java
@@ -58,13 +58,15 @@
         .forEach(dataCentre -> Logger.info(message, dataCentre, newer.revision()));
   }
 
-  /** Logs that every connected gateway obeys a revision. */
-  void logInForce(long revision, int gatewayCount) {
-    Logger.info(
-        "evacuated data centres {} by revision {}: in force at all {} connected gateways",
-        committed.evacuated(),
-        revision,
-        gatewayCount);
+  /** Logs that every connected gateway has applied a revision. */
+  static void logInForce(Set<String> dataCentres, long revision, int gatewayCount) {
+    if (gatewayCount > 0) {
+      Logger.info(
+          "evacuated data centres {} by revision {}: in force at all {} connected gateways",
+          dataCentres,
+          revision,
+          gatewayCount);
+    }
   }
 
   /** Adds the evacuated data centres to a view unless its gateway has acknowledged them. */
--- a/src/main/java/org/curranthaven/internal/scheduler/GatewayView.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/GatewayView.java
@@ -41,7 +41,7 @@
     return version < newVersion && !onItsWay;
   }
 
-  /** Returns what the gateway obeys. */
+  /** Returns the versions that the gateway has applied. */
   ActiveVersions active() {
     return new ActiveVersions(version, catalogRevision, evacuationRevision);
   }
--- a/src/main/java/org/curranthaven/internal/scheduler/PendingAcknowledgements.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/PendingAcknowledgements.java
@@ -5,8 +5,8 @@
 import java.util.function.Consumer;
 
 /**
- * Changes that are acknowledged once every connected gateway obeys them. Confined to the event
- * loop.
+ * Changes that are acknowledged once every connected gateway has applied them. Confined to the
+ * event loop.
  */
 final class PendingAcknowledgements {
   private final List<Pending> pending = new ArrayList<>();
@@ -17,7 +17,7 @@
     return pending.isEmpty();
   }
 
-  /** Adds a callback that receives whether the gateways obey the required versions. */
+  /** Adds a callback that receives whether the gateways have applied the required versions. */
   void add(ActiveVersions required, Consumer<Boolean> callback) {
     pending.add(new Pending(required, callback));
   }
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -796,16 +796,19 @@
 
   private void logWhenInForce() {
     long revision = evacuation.revision();
+    Set<String> dataCentres = evacuation.dataCentres();
     notifyWhenEvacuated(
         revision,
         inForce -> {
           if (inForce) {
-            evacuation.logInForce(revision, gateways.get().size());
+            EvacuationOrders.logInForce(dataCentres, revision, gateways.get().size());
           }
         });
   }
 
-  /** Runs the callback once every gateway obeys the revision of the evacuated data centres. */
+  /**
+   * Runs the callback once every gateway has applied the revision of the evacuated data centres.
+   */
   void notifyWhenEvacuated(long revision, Consumer<Boolean> callback) {
     if (term == 0) {
       callback.accept(false);
@@ -830,7 +833,7 @@
       pendingAcknowledgements.failAll();
       return;
     }
-    ActiveVersions active = ActiveVersions.ALL;
+    ActiveVersions active = ActiveVersions.UNBOUNDED;
     for (HostRecord gateway : gateways.get()) {
       active = active.least(viewOf(gateway).active());
     }
--- a/src/main/java/org/curranthaven/platform/ControlTranslation.java
+++ b/src/main/java/org/curranthaven/platform/ControlTranslation.java
@@ -122,15 +122,16 @@
   }
 
   /**
-   * Decodes a registration. Others than backend servers may send some: one that lacks a field, or
-   * has one of another type, names no backend server that may be used.
+   * Decodes a registration. Rejects one that lacks a field or has one of another type, since any
+   * client may send registrations.
    */
   private static BackendRecord record(String name, JsonNode node) {
     String address = requiredText(node, "address");
     Addresses.parse(address);
     long slots = requiredWholeNumber(node, "slots");
     if (slots < 1 || slots > Integer.MAX_VALUE) {
-      throw new IllegalArgumentException("'slots' is " + slots + "; it must be at least 1");
+      throw new IllegalArgumentException(
+          "'slots' is " + slots + "; it must be from 1 to " + Integer.MAX_VALUE);
     }
     BackendRecord.Builder record =
         BackendRecord.newBuilder()
@@ -191,10 +192,10 @@
   private static ControlRequest deregistration(String name, byte[] body) {
     try {
       JsonNode node = JsonTrees.read(body);
-      boolean statesStart = node != null && node.path("born").isIntegralNumber();
+      boolean statesStart = node != null && node.has("born");
       return new ControlRequest.Deregister(
-          statesStart ? incarnationId(name, node.path("born").longValue()) : name);
-    } catch (IOException e) {
+          statesStart ? incarnationId(name, requiredWholeNumber(node, "born")) : name);
+    } catch (IOException | IllegalArgumentException e) {
       return new ControlRequest.Invalid(
           BAD_REQUEST, "deregistration of backend server " + name + " rejected: " + e.getMessage());
     }
--- a/src/test/java/org/curranthaven/internal/dispatch/ColdServersTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/ColdServersTest.java
@@ -116,9 +116,9 @@
     core.updateBackend(backend("i-1", "plain", 0), 0);
     placements("plain", 0, 2_000);
 
-    core.coldUntilRegistered("other", 2_000);
+    core.markColdUntilRegistered("other", 2_000);
     assertThat(placements("plain", 2_000, 3_000)).hasSizeGreaterThanOrEqualTo(100);
-    core.coldUntilRegistered("a", 3_000);
+    core.markColdUntilRegistered("a", 3_000);
     assertThat(placements("plain", 3_000, 8_000)).hasSizeBetween(118, 124);
     assertThat(limits.coldServers().takeUnpublished()).containsExactly("i-1");
     assertThat(limits.coldServers().withColdTimes(List.of(backend("i-1", "plain", 0)), 8_000))
--- a/src/test/java/org/curranthaven/internal/dispatch/LoadCurveSamplesTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/LoadCurveSamplesTest.java
@@ -50,6 +50,22 @@
     assertThat(fit().lightMillis()).isCloseTo(50, within(3.0));
   }
 
+  /**
+   * Guards against a server that was slow and is not tried again, since its curve is read often.
+   */
+  @Test
+  void a_curve_that_is_read_meanwhile_returns_to_the_prior_one_as_soon() {
+    record(300, new LoadCurve(110, SLOTS, 0));
+    assertThat(samples.weight(nowMillis)).isGreaterThan(LoadCurveSamples.MAX_IDLE_WEIGHT);
+
+    for (int i = 0; i < 30; i++) {
+      nowMillis += 50;
+      fit();
+    }
+
+    assertThat(samples.weight(nowMillis)).isLessThanOrEqualTo(LoadCurveSamples.MAX_IDLE_WEIGHT);
+  }
+
   @Test
   void throughput_beyond_the_useful_requests_grows_no_more() {
     assertThat(new LoadCurve(50, 2, 0.5).usefulRequests(SLOTS)).isEqualTo(2);
--- a/src/test/java/org/curranthaven/internal/dispatch/RegionBindingTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/RegionBindingTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.curranthaven.internal.catalog.Catalog;
 import org.curranthaven.internal.catalog.DataCentreRegions;
@@ -106,6 +107,17 @@
     assertThat(rejectionOf(second)).isEqualTo(RejectionReason.ALL_TRIED);
   }
 
+  /** Guards against the advice to allow another region while an evacuation is the reason. */
+  @Test
+  void a_request_whose_regions_are_evacuated_is_told_to_come_back() {
+    register("i-n1", "plain", "n1", false);
+    register("i-s1", "plain", "s1", false);
+    core.setEvacuated(Set.of("n1"), 0);
+
+    assertThat(rejectionOf(request("plain", "north"))).isEqualTo(RejectionReason.NO_BACKEND);
+    assertThat(placedOn(request("plain", "south"))).isEqualTo("i-s1");
+  }
+
   @Test
   void a_request_without_a_server_in_its_regions_is_rejected_at_once() {
     register("i-n1", "plain", "n1", false);
--- a/src/test/java/org/curranthaven/internal/dispatch/UrgentReserveTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/UrgentReserveTest.java
@@ -27,7 +27,7 @@
     long nowMillis = arrive(URGENT, 100, 2_000, 500);
 
     // 50 requests at a time, and 1.5 standard deviations.
-    assertThat(reserve.needAbove(OTHER, CAPACITY_TOKENS, nowMillis).memoryTokens())
+    assertThat(reserve.needOfMoreUrgent(OTHER, CAPACITY_TOKENS, nowMillis).memoryTokens())
         .isBetween(115_000.0, 125_000.0);
   }
 
@@ -37,25 +37,27 @@
       reserve.recordArrival(URGENT, 2_000, 500, i * 10L);
     }
 
-    assertThat(reserve.needAbove(OTHER, CAPACITY_TOKENS, 2_000).memoryTokens())
+    assertThat(reserve.needOfMoreUrgent(OTHER, CAPACITY_TOKENS, 2_000).memoryTokens())
         .isGreaterThan(85_000);
   }
 
   @Test
   void nothing_is_reserved_before_a_request_has_arrived_and_after_the_urgent_load_has_ended() {
-    assertThat(reserve.needAbove(OTHER, CAPACITY_TOKENS, 0).isNone()).isTrue();
+    assertThat(reserve.needOfMoreUrgent(OTHER, CAPACITY_TOKENS, 0).isNone()).isTrue();
 
     long nowMillis = arrive(URGENT, 100, 2_000, 500);
 
-    assertThat(reserve.needAbove(OTHER, CAPACITY_TOKENS, nowMillis + 8_000).isNone()).isTrue();
+    assertThat(reserve.needOfMoreUrgent(OTHER, CAPACITY_TOKENS, nowMillis + 8_000).isNone())
+        .isTrue();
   }
 
   @Test
   void nothing_is_reserved_against_the_most_urgent_requests_or_for_another_service() {
     long nowMillis = arrive(URGENT, 100, 2_000, 500);
 
-    assertThat(reserve.needAbove(URGENT, CAPACITY_TOKENS, nowMillis).isNone()).isTrue();
-    assertThat(reserve.needAbove(new RequestKind("x", 2), CAPACITY_TOKENS, nowMillis).isNone())
+    assertThat(reserve.needOfMoreUrgent(URGENT, CAPACITY_TOKENS, nowMillis).isNone()).isTrue();
+    assertThat(
+            reserve.needOfMoreUrgent(new RequestKind("x", 2), CAPACITY_TOKENS, nowMillis).isNone())
         .isTrue();
   }
 
@@ -64,7 +66,7 @@
     arrive(OTHER, 100, 2_000, 5_000);
     long nowMillis = arrive(URGENT, 100, 2_000, 5_000);
 
-    assertThat(reserve.needAbove(OTHER, CAPACITY_TOKENS, nowMillis).memoryTokens())
+    assertThat(reserve.needOfMoreUrgent(OTHER, CAPACITY_TOKENS, nowMillis).memoryTokens())
         .isLessThan(0.85 * CAPACITY_TOKENS);
   }
 
@@ -75,7 +77,7 @@
       reserve.recordEnd(URGENT, 4_000, 1_000);
     }
 
-    assertThat(reserve.needAbove(OTHER, CAPACITY_TOKENS, nowMillis).memoryTokens())
+    assertThat(reserve.needOfMoreUrgent(OTHER, CAPACITY_TOKENS, nowMillis).memoryTokens())
         .isBetween(440_000.0, 470_000.0);
   }
 }
--- a/src/test/java/org/curranthaven/platform/ControlTranslationTest.java
+++ b/src/test/java/org/curranthaven/platform/ControlTranslationTest.java
@@ -98,5 +98,7 @@
             new ControlRequest.Deregister(
                 registered(REGISTRATION.replace("{", "{\"born\":100,")).getId()));
     assertThat(read(HttpMethod.DELETE, "")).isEqualTo(new ControlRequest.Deregister("i-1"));
+    assertThat(read(HttpMethod.DELETE, "{\"born\":\"100\"}"))
+        .isInstanceOf(ControlRequest.Invalid.class);
   }
 }
