Decide the same on x86-64 and arm64

Cause: Math.exp, Math.log and Math.pow may differ in the last bit between processors. On arm64 both runs of TraceReplayTest had other decisionsSha256 than the repository's; all counts agreed. Done: StrictMath, which is defined bit for bit, for these three wherever code decides or draws seeded inputs (11 files), and a rule in ArchitectureTest that keeps the methods of java.lang.Math out of these packages. Not run: x86-64.

--- a/src/main/java/org/curranthaven/internal/dispatch/ArrivalRate.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/ArrivalRate.java
@@ -23,6 +23,6 @@
   }
 
   private double recentArrivals(long nowMillis) {
-    return recentArrivals * Math.exp(-ageMillis(nowMillis) / TIME_CONSTANT_MILLIS);
+    return recentArrivals * StrictMath.exp(-ageMillis(nowMillis) / TIME_CONSTANT_MILLIS);
   }
 }
--- a/src/main/java/org/curranthaven/internal/dispatch/LoadCurveSamples.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/LoadCurveSamples.java
@@ -154,7 +154,7 @@
         nowMillis - sampledAtMillis < IDLE_MILLIS || totalWeight <= MAX_IDLE_WEIGHT
             ? 1
             : MAX_IDLE_WEIGHT / totalWeight;
-    return bounded * Math.exp(-idleMillis / retentionMillis.getAsDouble());
+    return bounded * StrictMath.exp(-idleMillis / retentionMillis.getAsDouble());
   }
 
   private void decay(double factor) {
--- a/src/main/java/org/curranthaven/internal/dispatch/PresentSlowness.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/PresentSlowness.java
@@ -42,7 +42,7 @@
 
   /** Returns the factor of the slowest recent phase, at least 1: such a phase may come again. */
   double peakFactor(long nowMillis) {
-    double retained = Math.exp(-(nowMillis - statedAtMillis) / PEAK_RETENTION_MILLIS);
+    double retained = StrictMath.exp(-(nowMillis - statedAtMillis) / PEAK_RETENTION_MILLIS);
     return 1 + (peakFactor - 1) * retained;
   }
 
--- a/src/main/java/org/curranthaven/internal/dispatch/RequestRateLimits.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/RequestRateLimits.java
@@ -90,7 +90,7 @@
     /** Returns the rate to keep, which grows after the limit has ended. */
     double rate(long nowMillis) {
       double rate = Math.max(RateLimiter.MIN_REQUESTS_PER_SECOND, requestsPerSecond);
-      return ended ? rate * Math.pow(2, (nowMillis - endedAtMillis) / DOUBLING_MILLIS) : rate;
+      return ended ? rate * StrictMath.pow(2, (nowMillis - endedAtMillis) / DOUBLING_MILLIS) : rate;
     }
 
     boolean isOver(long nowMillis) {
--- a/src/main/java/org/curranthaven/internal/dispatch/ServerCapacity.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/ServerCapacity.java
@@ -170,7 +170,7 @@
   }
 
   private double retained(long sinceMillis, long nowMillis) {
-    return Math.exp(-Math.max(0, nowMillis - sinceMillis) / service.retentionMillis());
+    return StrictMath.exp(-Math.max(0, nowMillis - sinceMillis) / service.retentionMillis());
   }
 
   /** Returns the figures and their age, for logs and dumps. */
--- a/src/main/java/org/curranthaven/internal/emulator/Arrival.java
+++ b/src/main/java/org/curranthaven/internal/emulator/Arrival.java
@@ -57,7 +57,7 @@
     double peakPerSecond = kind.perSecond() * day.loadFactor() * peakFactor;
     double atMillis = 0;
     while (true) {
-      atMillis += -Math.log(1 - random.nextDouble()) * MILLIS_PER_SECOND / peakPerSecond;
+      atMillis += -StrictMath.log(1 - random.nextDouble()) * MILLIS_PER_SECOND / peakPerSecond;
       if (atMillis >= day.seconds() * MILLIS_PER_SECOND) {
         return;
       }
@@ -101,7 +101,7 @@
       Deployment deployment, Deployment.RequestKind kind, long atMillis, SplittableRandom random) {
     int promptTokens = (int) draw(kind.prompt(), random);
     int outputTokens = (int) draw(kind.output(), random);
-    double hint = outputTokens * Math.exp(HINT_SPREAD * random.nextGaussian());
+    double hint = outputTokens * StrictMath.exp(HINT_SPREAD * random.nextGaussian());
     double sizeFactor =
         kind.engine()
             ? (promptTokens + OUTPUT_TOKEN_WEIGHT * outputTokens)
@@ -123,8 +123,8 @@
 
   /** Draws a size from a log-normal distribution with the given mean, up to its limit. */
   static double draw(Deployment.Size size, SplittableRandom random) {
-    double logMean = Math.log(size.mean()) - size.spread() * size.spread() / 2;
-    double value = Math.exp(logMean + size.spread() * random.nextGaussian());
+    double logMean = StrictMath.log(size.mean()) - size.spread() * size.spread() / 2;
+    double value = StrictMath.exp(logMean + size.spread() * random.nextGaussian());
     return Math.clamp(value, 1, size.max());
   }
 }
--- a/src/main/java/org/curranthaven/internal/experiment/Scenario.java
+++ b/src/main/java/org/curranthaven/internal/experiment/Scenario.java
@@ -125,7 +125,7 @@
     double atMillis = 0;
     while (true) {
       double requestsPerSecond = baseRequestsPerSecond() * rateFactor((long) atMillis);
-      atMillis += -Math.log(1 - random.nextDouble()) * 1_000 / requestsPerSecond;
+      atMillis += -StrictMath.log(1 - random.nextDouble()) * 1_000 / requestsPerSecond;
       if (atMillis >= ARRIVAL_DURATION_MILLIS) {
         return arrivals;
       }
--- a/src/main/java/org/curranthaven/internal/routing/BackendServerState.java
+++ b/src/main/java/org/curranthaven/internal/routing/BackendServerState.java
@@ -231,6 +231,8 @@
   /** Returns the confidence that the backend server's cache contains the prefix, from 0 to 1. */
   double prefixCacheConfidence(long prefixHash, long nowMillis, double halfLifeMillis) {
     Long seenAtMillis = prefixHash == 0 ? null : prefixSeenAtMillis.get(prefixHash);
-    return seenAtMillis == null ? 0 : Math.pow(0.5, (nowMillis - seenAtMillis) / halfLifeMillis);
+    return seenAtMillis == null
+        ? 0
+        : StrictMath.pow(0.5, (nowMillis - seenAtMillis) / halfLifeMillis);
   }
 }
--- a/src/main/java/org/curranthaven/internal/routing/LengthModel.java
+++ b/src/main/java/org/curranthaven/internal/routing/LengthModel.java
@@ -78,7 +78,7 @@
     double totalWeight = outputCount() + PRIOR_WEIGHT;
     for (int i = 0; i < SURVIVAL_TABLE_SIZE; i++) {
       int tokens = tokensAt(i);
-      double prior = Math.exp(-tokens / PRIOR_MEAN_TOKENS);
+      double prior = StrictMath.exp(-tokens / PRIOR_MEAN_TOKENS);
       survivalTable[i] =
           (countAbove(newerWindow, tokens)
                   + countAbove(olderWindow, tokens)
@@ -95,7 +95,7 @@
   }
 
   private static int tokensAt(int index) {
-    return (int) Math.round(Math.pow(2, (double) index / STEPS_PER_DOUBLING)) - 1;
+    return (int) Math.round(StrictMath.pow(2, (double) index / STEPS_PER_DOUBLING)) - 1;
   }
 
   /**
@@ -103,6 +103,6 @@
    * #tokensAt}.
    */
   private static double tablePosition(int tokens) {
-    return Math.log(tokens + 1.0) / Math.log(2) * STEPS_PER_DOUBLING;
+    return StrictMath.log(tokens + 1.0) / StrictMath.log(2) * STEPS_PER_DOUBLING;
   }
 }
--- a/src/main/java/org/curranthaven/internal/standin/LoadGenerator.java
+++ b/src/main/java/org/curranthaven/internal/standin/LoadGenerator.java
@@ -94,7 +94,7 @@
     long startNanos = System.nanoTime();
     double dueMillis = 0;
     while (true) {
-      dueMillis += -Math.log(1 - random.nextDouble()) * 1_000 / requestsPerSecond;
+      dueMillis += -StrictMath.log(1 - random.nextDouble()) * 1_000 / requestsPerSecond;
       if (dueMillis >= millis) {
         return;
       }
--- a/src/main/java/org/curranthaven/internal/standin/RequestKind.java
+++ b/src/main/java/org/curranthaven/internal/standin/RequestKind.java
@@ -27,7 +27,7 @@
 
   /** Draws an output length from a log-normal distribution. */
   public int drawOutputTokens(RandomGenerator random) {
-    double length = medianOutputTokens * Math.exp(lengthLogDeviation * random.nextGaussian());
+    double length = medianOutputTokens * StrictMath.exp(lengthLogDeviation * random.nextGaussian());
     return Math.clamp(Math.round(length), 1, MAX_OUTPUT_TOKENS);
   }
 }
--- a/src/test/java/org/curranthaven/ArchitectureTest.java
+++ b/src/test/java/org/curranthaven/ArchitectureTest.java
@@ -76,4 +76,23 @@
           .dependOnClassesThat()
           .resideInAnyPackage(
               "java.net..", "java.nio..", "java.util.concurrent..", "io.netty..", "org.tinylog..");
+
+  @ArchTest
+  static final ArchRule decisions_and_seeded_inputs_are_equal_on_every_processor =
+      noClasses()
+          .that()
+          .resideInAnyPackage(
+              "org.curranthaven.internal.routing..",
+              "org.curranthaven.internal.dispatch..",
+              "org.curranthaven.internal.emulator..",
+              "org.curranthaven.internal.experiment..",
+              "org.curranthaven.internal.standin..")
+          .should()
+          .callMethod(Math.class, "exp", double.class)
+          .orShould()
+          .callMethod(Math.class, "log", double.class)
+          .orShould()
+          .callMethod(Math.class, "pow", double.class, double.class)
+          .because(
+              "their last bit may differ between processors; StrictMath is defined bit for bit");
 }
