Review case 3: streams cut by a crash reach their requesters as complete

Cause: whether an unframed stream was cut by a crash is decided by a probe, which a killed process may still accept while it closes its other sockets.

--- a/review/lab/Manifest.java
+++ b/review/lab/Manifest.java
@@ -11,11 +11,11 @@
         + "," + route("notes", "/notes/", "stream", 20_000, 2_000, "llm", 2, true)
         + "," + route("drafts", "/drafts/", "stream", 39_000, 4_000, "llm", 1, false)
         + "],\"services\":["
-        + "{\"name\":\"llm\",\"healthPath\":\"/health\",\"maxConns\":442,\"protocol\":\"h1\",\"tls\":false,"
+        + "{\"name\":\"llm\",\"healthPath\":\"/health\",\"maxConns\":622,\"protocol\":\"h1\",\"tls\":false,"
         + "\"engine\":{\"slots\":24,\"kvCapacity\":34586,\"kvBytes\":18432,\"linkMbps\":2700.0,"
         + "\"moves\":true,\"backups\":true,\"stride\":4,\"most\":12,\"pinMs\":4000.0,"
         + "\"holdMs\":2000.0,\"handleS\":5.0,\"models\":[{\"name\":\"m\"}]}},"
-        + "{\"name\":\"app\",\"healthPath\":\"/health\",\"maxConns\":442,\"protocol\":\"h1\",\"tls\":false}],"
+        + "{\"name\":\"app\",\"healthPath\":\"/health\",\"maxConns\":622,\"protocol\":\"h1\",\"tls\":false}],"
         + "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,"
         + "\"idleTimeoutMs\":15000},"
         + "\"tenants\":[{\"name\":\"huka270\",\"apiKeys\":[\"" + KEY + "\"],\"priority\":1}]}";
--- a/review/lab/Play.java
+++ b/review/lab/Play.java
@@ -21,6 +21,7 @@
     return switch (name) {
       case "LongBodies" -> LongBodies::main;
       case "ForeignPings" -> ForeignPings::main;
+      case "CrashedStreams" -> CrashedStreams::main;
       default -> throw new IllegalArgumentException("no case " + name);
     };
   }
