--- a/review/lab/ForeignPings.java
+++ b/review/lab/ForeignPings.java
@@ -10,12 +10,12 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Two runners of a service have different software versions. Channels of some streams are reset
+ * Two runners of a service have different software versions. Half of the channels of streams are reset
  * after a few events, so that the streams have to go on. Another writer sends pings about both
  * runners in which fields are missing.
  */
 final class ForeignPings {
-  private static final int STREAMS = 40;
+  private static final int STREAMS = 80;
   private static final int EVENTS = 60;
   private static final int EVENTS_BEFORE_RESET = 30;
 
@@ -98,7 +98,7 @@
         "HTTP/1.1 200 OK\r\nAttempt-Id: " + attemptId + "\r\nResponse-Seal: s" + version
             + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
     for (int event = next; event <= EVENTS; event++) {
-      if (number == 1 && event == next + EVENTS_BEFORE_RESET) {
+      if (number == 1 && isReset(attemptId) && event == next + EVENTS_BEFORE_RESET) {
         channel.setSoLinger(true, 0);
         channel.close();
         return;
@@ -112,6 +112,11 @@
     Lab.write(channel.getOutputStream(), "0\r\n\r\n");
   }
 
+  /** Half of the channels are reset, as reset_conns has it. */
+  private static boolean isReset(String attemptId) {
+    return Integer.parseInt(attemptId.substring(14), 16) % 2 == 0;
+  }
+
   private static void requester(Lab lab, String id, AtomicInteger mixed, AtomicInteger complete) {
     StringBuilder text = new StringBuilder();
     String outcome;
