--- a/review/lab/CrashedStreams.java
+++ b/review/lab/CrashedStreams.java
@@ -13,13 +13,13 @@
   private static final long DURATION_MILLIS = 85_000;
 
   /** Runners of the service that do not crash. */
-  private static final int OTHER_RUNNERS = 2;
+  private static final int OTHER_RUNNERS = 5;
 
   /** Channels of other callers to the runner that crashes. */
   private static final int IDLE_CHANNELS = 580;
 
-  private static final int LONG_STREAMS = 46;
-  private static final int SHORT_REQUESTERS = 18;
+  private static final int LONG_STREAMS = 92;
+  private static final int SHORT_REQUESTERS = 36;
 
   private final Lab lab;
   private final AtomicInteger whole = new AtomicInteger();
