Log each operator's order where it is taken in and where it ends

Nothing told which host took in which order: only the leader wrote a line, and only when the evacuated data centres changed. The host that takes in an order now logs it and the status of its answer, and the leader logs whether it was committed, with the revision.

--- a/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
@@ -79,6 +79,7 @@
   private final Scheduler scheduler;
   private final EvacuationHandler evacuationHandler;
   private final LeaderClient leaderClient;
+  private final EvacuationCalls evacuationCalls;
   private final ControlServer controlServer;
   private final long incarnation;
 
@@ -127,8 +128,10 @@
             this::addDataCentre,
             protocol.features(settings.protocolFeatures()));
     this.evacuationHandler =
-        new EvacuationHandler(scheduler, leadership::canAcceptCatalogs, this::commitEvacuation);
+        new EvacuationHandler(
+            scheduler, clock, leadership::canAcceptCatalogs, this::commitEvacuation);
     this.leaderClient = new LeaderClient(eventLoop, clock, network, leadership::leaderHost);
+    this.evacuationCalls = new EvacuationCalls(settings.name(), clock, this::sendEvacuation);
     this.controlServer = new ControlServer(eventLoopGroup, protocol, this::handleControlRequest);
   }
 
@@ -308,10 +311,9 @@
               ByteString.EMPTY,
               LeaderClient.READ_TIMEOUT_MILLIS,
               callback);
-      case ControlRequest.Evacuate order ->
-          sendEvacuation(new FleetCommand.Evacuate(order.dataCentre()), callback);
+      case ControlRequest.Evacuate order -> evacuationCalls.evacuate(order.dataCentre(), callback);
       case ControlRequest.EndEvacuation end ->
-          sendEvacuation(new FleetCommand.EndEvacuation(end.dataCentre()), callback);
+          evacuationCalls.endEvacuation(end.dataCentre(), callback);
       case ControlRequest.Invalid invalid ->
           callback.accept(ControlResponse.error(invalid.status(), invalid.message()));
     }
--- a/src/main/java/org/curranthaven/internal/scheduler/EvacuationHandler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/EvacuationHandler.java
@@ -6,6 +6,7 @@
 import org.curranthaven.internal.catalog.EvacuationState;
 import org.curranthaven.internal.configuration.FleetCommand;
 import org.curranthaven.internal.settings.Json;
+import org.curranthaven.internal.supervision.Clock;
 import org.curranthaven.internal.transport.wire.AdminReply;
 import org.jspecify.annotations.Nullable;
 
@@ -15,6 +16,8 @@
  */
 final class EvacuationHandler {
   private final Scheduler scheduler;
+  private final Clock clock;
+  private final OrderLog orderLog = new OrderLog();
   private final BooleanSupplier canAccept;
   private final Log log;
 
@@ -32,8 +35,9 @@
    *
    * @param canAccept whether this host leads with enough voters to survive the tolerated losses
    */
-  EvacuationHandler(Scheduler scheduler, BooleanSupplier canAccept, Log log) {
+  EvacuationHandler(Scheduler scheduler, Clock clock, BooleanSupplier canAccept, Log log) {
     this.scheduler = scheduler;
+    this.clock = clock;
     this.canAccept = canAccept;
     this.log = log;
   }
@@ -47,6 +51,7 @@
     log.commit(
         order,
         result -> {
+          logResult(order, result);
           if (result == null) {
             reply.accept(statusOnly(LeaderClient.NOT_LEADER));
           } else if (result.accepted()) {
@@ -57,6 +62,18 @@
         });
   }
 
+  private void logResult(ByteString order, EvacuationState.@Nullable Result result) {
+    String outcome =
+        result == null ? "not committed" : result.accepted() ? "committed" : "rejected";
+    long revision = result == null ? 0 : result.state().revision();
+    orderLog.write(
+        clock.nowMillis(),
+        "leader: order {} {}, revision {}",
+        order.toStringUtf8(),
+        outcome,
+        revision);
+  }
+
   private void enforce(EvacuationState.Snapshot committed, Consumer<AdminReply.Builder> reply) {
     scheduler.setEvacuation(committed);
     scheduler.notifyWhenEvacuated(
--- a/src/test/java/org/curranthaven/internal/scheduler/EvacuationHandlerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/EvacuationHandlerTest.java
@@ -81,7 +81,7 @@
   }
 
   private EvacuationHandler newHandler() {
-    return new EvacuationHandler(scheduler, () -> canAccept, this::commit);
+    return new EvacuationHandler(scheduler, time, () -> canAccept, this::commit);
   }
 
   private void addDataCentre(String dataCentre, Consumer<Boolean> callback) {
