Show late orders to evacuate a data centre, known red

A control host that stood still forwards a withdrawal that it reads after a later evacuation was acknowledged.

--- a/src/test/java/org/curranthaven/internal/scheduler/EvacuationHandlerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/EvacuationHandlerTest.java
@@ -28,6 +28,7 @@
 import org.curranthaven.internal.transport.wire.PlacementRequest;
 import org.curranthaven.internal.transport.wire.SchedulerView;
 import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -398,4 +399,42 @@
 
     assertThat(placeRequests(4)).contains("e-1");
   }
+
+  // ---- copies of orders that were held up -------------------------------------------------------
+
+  @Tag("known-red")
+  @Test
+  void a_withdrawal_that_was_held_up_does_not_end_a_later_evacuation() {
+    startLeading();
+    registerServers();
+    evacuate("east");
+    acknowledge(1);
+    order(new FleetCommand.EndEvacuation("east"));
+    acknowledge(2);
+    ReceivedReply later = evacuate("east");
+    acknowledge(3);
+    assertThat(later.status()).isEqualTo(LeaderClient.OK);
+
+    handler.handle(Json.write(new FleetCommand.EndEvacuation("east")), reply -> {});
+
+    assertThat(log.evacuation().snapshot().evacuated()).containsExactly("east");
+    assertThat(placeRequests(4)).hasSize(4).containsOnly("w-1");
+  }
+
+  @Tag("known-red")
+  @Test
+  void an_evacuation_that_was_held_up_does_not_follow_its_withdrawal() {
+    startLeading();
+    registerServers();
+    evacuate("east");
+    acknowledge(1);
+    ReceivedReply later = order(new FleetCommand.EndEvacuation("east"));
+    acknowledge(2);
+    assertThat(later.status()).isEqualTo(LeaderClient.OK);
+
+    handler.handle(Json.write(new FleetCommand.Evacuate("east")), reply -> {});
+
+    assertThat(log.evacuation().snapshot().evacuated()).isEmpty();
+    assertThat(placeRequests(4)).contains("e-1");
+  }
 }
--- a/src/test/java/org/curranthaven/platform/FleetProcesses.java
+++ b/src/test/java/org/curranthaven/platform/FleetProcesses.java
@@ -17,6 +17,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.curranthaven.internal.cli.Main;
@@ -35,7 +36,8 @@
   private final Map<String, Process> processes = new LinkedHashMap<>();
   private final List<String> controlAddresses = new ArrayList<>();
   private final List<String> gatewayAddresses = new ArrayList<>();
-  private final HttpClient client = HttpClient.newHttpClient();
+  private final HttpClient client =
+      HttpClient.newBuilder().followRedirects(HttpClient.Redirect.NORMAL).build();
 
   FleetProcesses(Path folder) throws IOException {
     this.folder = folder;
@@ -140,10 +142,38 @@
     }
   }
 
+  /** Returns the control address of a control host, whose number starts at 1. */
+  String controlAddress(int number) {
+    return controlAddresses.get(number - 1);
+  }
+
+  /** Stops a control host in the middle of its work until {@link #resumeControl}. */
+  void pauseControl(int number) throws Exception {
+    signal("-STOP", number);
+  }
+
+  /** Lets a control host that was paused go on. */
+  void resumeControl(int number) throws Exception {
+    signal("-CONT", number);
+  }
+
+  private void signal(String signal, int number) throws Exception {
+    long pid = Objects.requireNonNull(processes.get(CONTROL + number)).pid();
+    int status = new ProcessBuilder("kill", signal, Long.toString(pid)).start().waitFor();
+    if (status != 0) {
+      throw new IllegalStateException("kill " + signal + " ended with " + status);
+    }
+  }
+
   /** Sends a control request to one host after the other until it is accepted. */
   void control(String method, String path, String body) throws Exception {
+    control(controlAddresses, method, path, body);
+  }
+
+  /** Sends a control request to some hosts, one after the other, until it is accepted. */
+  void control(List<String> addresses, String method, String path, String body) throws Exception {
     for (int attempt = 0; ; attempt++) {
-      String address = controlAddresses.get(attempt % HOSTS_OF_A_ROLE);
+      String address = addresses.get(attempt % addresses.size());
       if (controlStatus(address, method, path, body) == 200) {
         return;
       }
