Begin the numbers of requests to other hosts at random in each process

A restarted control host could acknowledge an order, a catalog or a registration that had not been committed. Replies are matched with requests by a number that began at 1 in each process, and are sent to a host's name: the leader's reply to the process before, which may come late, completed whichever request of the new process had the same number.

LeaderClient, ControlClient and ChangeClient now take their numbers from RequestNumbers, whose first one is random (48 bits), so that a reply to another process is discarded.

LeaderClient takes a sender instead of the whole network, so that the test can stand in for it.

--- a/src/main/java/org/curranthaven/internal/host/ChangeClient.java
+++ b/src/main/java/org/curranthaven/internal/host/ChangeClient.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.concurrent.atomic.AtomicLong;
 import org.curranthaven.api.Outcome;
 import org.curranthaven.api.ResultCode;
 import org.curranthaven.internal.configuration.ChangeResult;
@@ -18,6 +17,7 @@
 import org.curranthaven.internal.supervision.Clock;
 import org.curranthaven.internal.transport.ControlClient;
 import org.curranthaven.internal.transport.PeerNetwork;
+import org.curranthaven.internal.transport.RequestNumbers;
 import org.curranthaven.internal.transport.wire.AdminReply;
 import org.curranthaven.internal.transport.wire.AdminRequest;
 import org.curranthaven.internal.transport.wire.Envelope;
@@ -42,7 +42,7 @@
   private final ControlClient control;
   private final Clock clock;
   private final Map<Long, CompletableFuture<AdminReply>> pendingReplies = new ConcurrentHashMap<>();
-  private final AtomicLong nextRequestId = new AtomicLong(1);
+  private final RequestNumbers requestNumbers = new RequestNumbers();
 
   ChangeClient(PeerNetwork network, ControlClient control, Clock clock) {
     this.network = network;
@@ -98,7 +98,7 @@
 
   private AdminReply attempt(String host, String path, ByteString json)
       throws InterruptedException {
-    long requestId = nextRequestId.getAndIncrement();
+    long requestId = requestNumbers.next();
     CompletableFuture<AdminReply> future = new CompletableFuture<>();
     pendingReplies.put(requestId, future);
     AdminRequest request =
--- a/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
@@ -130,7 +130,7 @@
     this.evacuationHandler =
         new EvacuationHandler(
             scheduler, clock, leadership::canAcceptCatalogs, this::commitEvacuation);
-    this.leaderClient = new LeaderClient(eventLoop, clock, network, leadership::leaderHost);
+    this.leaderClient = new LeaderClient(eventLoop, clock, network::send, leadership::leaderHost);
     this.evacuationCalls =
         new EvacuationCalls(settings.name(), clock, this::sendEvacuation, protocol::evacuationCall);
     this.controlServer = new ControlServer(eventLoopGroup, protocol, this::handleControlRequest);
--- a/src/main/java/org/curranthaven/internal/scheduler/LeaderClient.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/LeaderClient.java
@@ -8,7 +8,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.curranthaven.internal.supervision.Clock;
-import org.curranthaven.internal.transport.PeerNetwork;
+import org.curranthaven.internal.transport.RequestNumbers;
 import org.curranthaven.internal.transport.wire.AdminReply;
 import org.curranthaven.internal.transport.wire.AdminRequest;
 import org.curranthaven.internal.transport.wire.Envelope;
@@ -51,10 +51,16 @@
 
   private final EventLoop loop;
   private final Clock clock;
-  private final PeerNetwork network;
+  private final Sender sender;
   private final Supplier<String> leaderHost;
   private final Map<Long, PendingRequest> pendingRequests = new HashMap<>();
-  private long nextRequestId = 1;
+  private final RequestNumbers requestNumbers = new RequestNumbers();
+
+  /** Sends messages to other hosts. */
+  interface Sender {
+    /** Returns whether the message was handed to a connection to the named host. */
+    boolean send(String host, Envelope.Builder message);
+  }
 
   /** A request that awaits the leader's reply. */
   private static final class PendingRequest {
@@ -80,10 +86,10 @@
     }
   }
 
-  LeaderClient(EventLoop loop, Clock clock, PeerNetwork network, Supplier<String> leaderHost) {
+  LeaderClient(EventLoop loop, Clock clock, Sender sender, Supplier<String> leaderHost) {
     this.loop = loop;
     this.clock = clock;
-    this.network = network;
+    this.sender = sender;
     this.leaderHost = leaderHost;
   }
 
@@ -104,7 +110,7 @@
       return;
     }
     String leader = leaderHost.get();
-    long requestId = nextRequestId++;
+    long requestId = requestNumbers.next();
     pendingRequests.put(requestId, pending);
     AdminRequest request =
         AdminRequest.newBuilder()
@@ -113,7 +119,7 @@
             .setJson(pending.body)
             .build();
     boolean sent =
-        !leader.isEmpty() && network.send(leader, Envelope.newBuilder().setAdminRequest(request));
+        !leader.isEmpty() && sender.send(leader, Envelope.newBuilder().setAdminRequest(request));
     long nextAttemptDelayMillis =
         sent
             ? Math.min(pending.attemptTimeoutMillis(), pending.deadlineMillis - nowMillis)
--- a/src/main/java/org/curranthaven/internal/transport/ControlClient.java
+++ b/src/main/java/org/curranthaven/internal/transport/ControlClient.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.concurrent.atomic.AtomicLong;
 import org.curranthaven.internal.supervision.Clock;
 import org.curranthaven.internal.transport.wire.CommandReply;
 import org.curranthaven.internal.transport.wire.CommandRequest;
@@ -30,7 +29,7 @@
   private final Map<Integer, String> leaderByGroup = new ConcurrentHashMap<>();
   private final Map<Long, CompletableFuture<CommandReply>> pendingReplies =
       new ConcurrentHashMap<>();
-  private final AtomicLong nextRequestId = new AtomicLong(1);
+  private final RequestNumbers requestNumbers = new RequestNumbers();
 
   /** Creates a client over the host's connections. */
   public ControlClient(PeerNetwork network, Clock clock) {
@@ -96,7 +95,7 @@
 
   private CommandReply sendOnce(int groupId, String target, ByteString command, long deadlineMillis)
       throws InterruptedException {
-    long requestId = nextRequestId.getAndIncrement();
+    long requestId = requestNumbers.next();
     CompletableFuture<CommandReply> future = new CompletableFuture<>();
     pendingReplies.put(requestId, future);
     CommandRequest request =
