--- a/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
@@ -79,6 +79,7 @@
   private final Scheduler scheduler;
   private final EvacuationHandler evacuationHandler;
   private final LeaderClient leaderClient;
+  private final EvacuationCalls evacuationCalls;
   private final ControlServer controlServer;
   private final long incarnation;
 
@@ -127,8 +128,11 @@
             this::addDataCentre,
             protocol.features(settings.protocolFeatures()));
     this.evacuationHandler =
-        new EvacuationHandler(scheduler, leadership::canAcceptCatalogs, this::commitEvacuation);
-    this.leaderClient = new LeaderClient(eventLoop, clock, network, leadership::leaderHost);
+        new EvacuationHandler(
+            scheduler, clock, leadership::canAcceptCatalogs, this::commitEvacuation);
+    this.leaderClient = new LeaderClient(eventLoop, clock, network::send, leadership::leaderHost);
+    this.evacuationCalls =
+        new EvacuationCalls(settings.name(), clock, this::sendEvacuation, protocol::evacuationCall);
     this.controlServer = new ControlServer(eventLoopGroup, protocol, this::handleControlRequest);
   }
 
@@ -309,15 +313,18 @@
               LeaderClient.READ_TIMEOUT_MILLIS,
               callback);
       case ControlRequest.Evacuate order ->
-          sendEvacuation(new FleetCommand.Evacuate(order.dataCentre()), callback);
+          evacuationCalls.handle(
+              new FleetCommand.Evacuate(order.dataCentre(), order.revision()), callback);
       case ControlRequest.EndEvacuation end ->
-          sendEvacuation(new FleetCommand.EndEvacuation(end.dataCentre()), callback);
+          evacuationCalls.handle(
+              new FleetCommand.EndEvacuation(end.dataCentre(), end.revision()), callback);
       case ControlRequest.Invalid invalid ->
           callback.accept(ControlResponse.error(invalid.status(), invalid.message()));
     }
   }
 
-  private void sendEvacuation(FleetCommand order, Consumer<ControlResponse> callback) {
+  private void sendEvacuation(
+      FleetCommand.EvacuationOrder order, Consumer<ControlResponse> callback) {
     leaderClient.send(
         LeaderClient.EVACUATE, Json.write(order), LeaderClient.EVACUATION_TIMEOUT_MILLIS, callback);
   }
