Keep the longest rest that a backend server states

Servers that had answered 503 with a time to wait got requests before its end: a response with a shorter time, made earlier and read later, replaced it. The longest stated rest holds now.

--- a/src/main/java/org/curranthaven/internal/dispatch/RestTimes.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/RestTimes.java
@@ -21,10 +21,13 @@
 
   private final Map<Key, Long> untilMillis = new HashMap<>();
 
-  /** Records that a backend server rests for a gateway; replaces what it stated to it before. */
+  /**
+   * Records that a backend server rests for a gateway. The longest rest that it stated holds, since
+   * responses may arrive in another order than they were made in.
+   */
   public void state(String gateway, String backend, long restUntilMillis, long nowMillis) {
     untilMillis.values().removeIf(until -> until <= nowMillis);
-    untilMillis.put(new Key(gateway, backend), restUntilMillis);
+    untilMillis.merge(new Key(gateway, backend), restUntilMillis, Math::max);
   }
 
   /** Returns whether no backend server has stated a rest that may still last. */
--- a/src/test/java/org/curranthaven/internal/dispatch/RestTimesTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/RestTimesTest.java
@@ -65,6 +65,22 @@
     assertThat(placements()).contains("i-1");
   }
 
+  /** Guards against requests during a rest that an earlier response, read later, ends too soon. */
+  @Test
+  void a_shorter_rest_that_is_stated_later_does_not_end_a_longer_one() {
+    register("i-1");
+    register("i-2");
+    rest("g1", "i-1", 5_000);
+    rest("g1", "i-1", 200);
+    nowMillis += 300;
+
+    for (int i = 0; i < 4; i++) {
+      submit("g1", 500);
+    }
+
+    assertThat(placements()).hasSize(4).containsOnly("i-2");
+  }
+
   @Test
   void a_request_waits_for_the_end_of_a_rest_that_comes_in_time_and_holds_up_no_other_gateway() {
     register("i-1");
