--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -173,6 +173,14 @@
     return admission.drainChanges();
   }
 
+  /**
+   * Returns and clears lines that tell by what the software versions of resumed streams were
+   * decided, to be logged.
+   */
+  public List<String> drainVersionDecisions() {
+    return versions.drainDecisions();
+  }
+
   /** Returns the memory reserves as they were reported last, for the state dump. */
   public List<String> memoryReserves() {
     return admission.reported().stream().map(ReserveChange::toString).sorted().toList();
--- a/src/main/java/org/curranthaven/internal/dispatch/StreamOrigins.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/StreamOrigins.java
@@ -89,6 +89,12 @@
     return origin == null ? null : origin.at();
   }
 
+  /** Returns the time since the latest known output of a stream; 0 if its origin is unknown. */
+  long outputAgeMillis(long stream, long nowMillis) {
+    Origin origin = origins.get(stream);
+    return origin == null ? 0 : Math.max(0, nowMillis - origin.outputAtMillis());
+  }
+
   /** Records that backend servers with a software version serve a service. */
   public void recordServing(String service, String version, long nowMillis) {
     servedMillis
--- a/src/main/java/org/curranthaven/internal/dispatch/VersionBinding.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/VersionBinding.java
@@ -15,6 +15,7 @@
 final class VersionBinding {
   private final Backends backends;
   private final StreamOrigins origins;
+  private final VersionDecisions decisions = new VersionDecisions();
 
   VersionBinding(Backends backends, StreamOrigins origins) {
     this.backends = backends;
@@ -39,13 +40,33 @@
   private @Nullable String versionOfResumed(PlacementRequest request, long nowMillis) {
     ServiceVersion origin = origins.originOf(request.getResumedStream());
     if (origin != null) {
-      return origin.service().equals(request.getService()) ? origin.version() : null;
+      if (!origin.service().equals(request.getService())) {
+        decisions.recordUnknown(request, "it began at service " + origin.service(), nowMillis);
+        return null;
+      }
+      long ageMillis = origins.outputAgeMillis(request.getResumedStream(), nowMillis);
+      decisions.recordByOrigin(request, origin.version(), ageMillis, nowMillis);
+      return origin.version();
     }
     if (request.getSeveralServices()) {
+      decisions.recordUnknown(
+          request, "its origin is unknown, and its route has several services", nowMillis);
       return null;
     }
     recordServing(nowMillis);
-    return origins.onlyVersion(request.getService(), nowMillis);
+    String onlyVersion = origins.onlyVersion(request.getService(), nowMillis);
+    if (onlyVersion == null) {
+      decisions.recordUnknown(
+          request, "its origin is unknown, and several versions may have begun it", nowMillis);
+    } else {
+      decisions.recordByOnlyVersion(request, onlyVersion, nowMillis);
+    }
+    return onlyVersion;
+  }
+
+  /** Returns and clears lines that tell by what versions were decided. */
+  List<String> drainDecisions() {
+    return decisions.drain();
   }
 
   /** Returns whether a backend server may run the request, by its software version. */
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -809,6 +809,13 @@
     if (core == null) {
       return;
     }
+    core.drainVersionDecisions()
+        .forEach(
+            line ->
+                Logger.info(
+                    "in local fallback, {} ms after the scheduler's last message: {}",
+                    clock.nowMillis() - lastMessageMillis,
+                    line));
     for (DispatchDecision decision : core.drainDecisions()) {
       PlacementListener request = openRequests.get(decision.requestId().id());
       if (request == null) {
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -597,6 +597,7 @@
   }
 
   private void sendDecisions() {
+    core.drainVersionDecisions().forEach(line -> Logger.info("{}", line));
     Map<String, DispatchOrders.Builder> ordersByGateway = new LinkedHashMap<>();
     for (DispatchDecision decision : core.drainDecisions()) {
       DispatchOrders.Builder orders =
--- a/src/main/java/org/curranthaven/internal/scheduler/VersionGate.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/VersionGate.java
@@ -57,6 +57,11 @@
     }
     List<Consumer<Boolean>> newActions = new ArrayList<>(List.of(action));
     awaiting.put(version, newActions);
+    Logger.info(
+        "software version \"{}\" of service {} is new; its backend servers are held back until it is"
+            + " in the replicated log",
+        version.version(),
+        version.service());
     log.add(version, accepted -> addFinished(version, newActions, accepted));
   }
 
@@ -68,9 +73,11 @@
     }
     if (accepted) {
       Logger.info(
-          "software version \"{}\" of service {} is in the replicated log",
+          "software version \"{}\" of service {} is in the replicated log; {} registrations of it are"
+              + " released",
           version.version(),
-          version.service());
+          version.service(),
+          actions.size());
       committed.add(version);
     }
     actions.forEach(action -> action.accept(accepted));
