Tests: a gateway or leader out of step lets a stream go on at another version

On given time: a gateway in local fallback, one that reads a message late, a leader whose lease has run out. Gateway.setBlockedHosts passes on the simulated partition that PeerNetwork has.

--- a/src/main/java/org/curranthaven/internal/relay/Gateway.java
+++ b/src/main/java/org/curranthaven/internal/relay/Gateway.java
@@ -442,6 +442,11 @@
                 connectedHosts()));
   }
 
+  /** Drops messages to and from the hosts, as a network partition does; for failure tests. */
+  public void setBlockedHosts(Collection<String> hosts) {
+    network.setBlockedHosts(hosts);
+  }
+
   private List<String> connectedHosts() {
     return network.connectedHosts().stream().map(HostRecord::getName).sorted().toList();
   }
--- a/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
@@ -36,6 +36,7 @@
 import org.curranthaven.internal.transport.wire.StreamOrigin;
 import org.curranthaven.internal.transport.wire.SuspectRecord;
 import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 class SchedulerLinkTest {
@@ -732,6 +733,38 @@
     assertThat(late.rejectionReason).isEqualTo("STREAM_ORIGIN_UNKNOWN");
   }
 
+  /** Guards against a stream that goes on at another version of which a gateway has not heard. */
+  @Test
+  @Tag("known-red")
+  void a_gateway_that_lost_its_scheduler_does_not_rely_on_the_one_version_that_it_knows() {
+    publishVersions(Map.of("i-1", "v1"));
+    loseScheduler(100);
+    RecordingListener resumption = resumption(8, STREAM);
+    requestPlacement(resumption);
+    time.advance(2_000);
+
+    assertThat(resumption.backend()).isEmpty();
+    assertThat(resumption.rejectionReason).isEqualTo("STREAM_ORIGIN_UNKNOWN");
+  }
+
+  /**
+   * Guards against a message that was held up on the way and counts as knowledge of the present.
+   */
+  @Test
+  @Tag("known-red")
+  void a_message_that_is_read_late_does_not_make_the_known_versions_complete() {
+    publishVersions(Map.of("i-1", "v1"));
+    time.suspend(5_000);
+    link.handle("control-1", SchedulerView.newBuilder().setTerm(3).build());
+    loseScheduler(100);
+    RecordingListener resumption = resumption(8, STREAM);
+    requestPlacement(resumption);
+    time.advance(2_000);
+
+    assertThat(resumption.backend()).isEmpty();
+    assertThat(resumption.rejectionReason).isEqualTo("STREAM_ORIGIN_UNKNOWN");
+  }
+
   @Test
   void a_new_scheduler_hears_of_the_streams_that_this_gateway_forwarded_and_of_past_versions() {
     publishVersions(Map.of("i-1", "v1", "i-2", "v2"));
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -33,6 +33,7 @@
 import org.curranthaven.internal.transport.wire.RunningDispatch;
 import org.curranthaven.internal.transport.wire.SchedulerView;
 import org.curranthaven.internal.transport.wire.SuspectRecord;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 class SchedulerTest {
@@ -748,6 +749,20 @@
     assertThat(placementsSent()).isZero();
   }
 
+  /** Guards against a leader that was suspended while another leader published a new version. */
+  @Test
+  @Tag("known-red")
+  void a_leader_whose_lease_has_run_out_does_not_rely_on_the_one_version_that_it_knows() {
+    startLeading();
+    scheduler.register(backend("i-1", "v1"), new RecordedResult()::accept);
+    hasLease = false;
+
+    receiveRequests("g1", DispatchRequests.newBuilder().addAsks(resumption(1)));
+
+    assertThat(rejections()).containsExactly("STREAM_ORIGIN_UNKNOWN");
+    assertThat(placementsSent()).isZero();
+  }
+
   /** Guards against a stream that begins at a version which the next leader cannot know. */
   @Test
   void a_server_is_not_published_before_its_version_is_committed() {
