--- a/src/test/java/org/curranthaven/platform/FleetProcesses.java
+++ b/src/test/java/org/curranthaven/platform/FleetProcesses.java
@@ -17,6 +17,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.curranthaven.internal.cli.Main;
@@ -117,6 +118,20 @@
             .start());
   }
 
+  /** Suspends the gateway with the given number until {@link #resumeGateway}. */
+  void suspendGateway(int number) throws Exception {
+    sendSignal(GATEWAY + number, "STOP");
+  }
+
+  void resumeGateway(int number) throws Exception {
+    sendSignal(GATEWAY + number, "CONT");
+  }
+
+  private void sendSignal(String name, String signal) throws Exception {
+    Process process = Objects.requireNonNull(processes.get(name));
+    new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+  }
+
   /** Kills all gateways at once, without a planned stop. */
   void killGateways() throws InterruptedException {
     kill(GATEWAY);
