--- a/src/test/java/org/curranthaven/internal/dispatch/VersionBindingTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/VersionBindingTest.java
@@ -17,6 +17,7 @@
 import org.curranthaven.internal.transport.wire.DispatchOutcome;
 import org.curranthaven.internal.transport.wire.PlacementRequest;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Guards against streams that go on at another software version than the one that began them. */
@@ -171,6 +172,28 @@
         .isEqualTo(RejectionReason.STREAM_VERSION_GONE);
   }
 
+  /**
+   * Guards against streams that are broken off although a server of their version takes requests.
+   */
+  @Test
+  @Tag("known-red")
+  void a_stream_goes_on_at_the_last_server_of_its_version_though_that_is_ejected() {
+    for (int failure = 0; failure < 8; failure++) {
+      PlacementRequest.Builder failing = request().addAllExcluded(List.of("a2", "b1", "b2"));
+      RequestId id = submit(failing);
+      if (core.drainDecisions().getFirst() instanceof DispatchDecision.Reject) {
+        break; // The server is ejected.
+      }
+      core.requestEnded(id, DispatchOutcome.DISPATCH_OUTCOME_FAILED, 0, nowMillis);
+    }
+    PlacementRequest.Builder unbound = request().addAllExcluded(List.of("a2", "b1", "b2"));
+    PlacementRequest.Builder bound = request().setVersionBound(true).setSoftwareVersion("v1");
+
+    assertThat(rejectionOf(unbound)).isEqualTo(RejectionReason.ALL_TRIED);
+    assertThat(place(bound.clone().setId(nextId++))).isEqualTo("a2");
+    assertThat(place(bound.clone().setId(nextId++).addExcluded("a2"))).isEqualTo("a1");
+  }
+
   @Test
   void a_stream_that_waits_for_its_version_holds_up_no_other_and_gets_the_next_room_there() {
     List<RequestId> onFirstVersion = fillVersion("v1");
