--- a/src/test/java/org/curranthaven/platform/FleetProcesses.java
+++ b/src/test/java/org/curranthaven/platform/FleetProcesses.java
@@ -119,6 +119,20 @@
             .start());
   }
 
+  /** Suspends the gateway with the given number until {@link #resumeGateway}. */
+  void suspendGateway(int number) throws Exception {
+    sendSignal(GATEWAY + number, "STOP");
+  }
+
+  void resumeGateway(int number) throws Exception {
+    sendSignal(GATEWAY + number, "CONT");
+  }
+
+  private void sendSignal(String name, String signal) throws Exception {
+    Process process = Objects.requireNonNull(processes.get(name));
+    new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+  }
+
   /** Kills all gateways at once, without a planned stop. */
   void killGateways() throws InterruptedException {
     kill(GATEWAY);
