--- a/src/test/java/org/curranthaven/platform/FleetProcesses.java
+++ b/src/test/java/org/curranthaven/platform/FleetProcesses.java
@@ -128,9 +128,21 @@
     sendSignal(GATEWAY + number, "CONT");
   }
 
+  /** Suspends the control host with the given number until {@link #resumeControl}. */
+  void suspendControl(int number) throws Exception {
+    sendSignal(CONTROL + number, "STOP");
+  }
+
+  void resumeControl(int number) throws Exception {
+    sendSignal(CONTROL + number, "CONT");
+  }
+
   private void sendSignal(String name, String signal) throws Exception {
-    Process process = Objects.requireNonNull(processes.get(name));
-    new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+    long pid = Objects.requireNonNull(processes.get(name)).pid();
+    int status = new ProcessBuilder("kill", "-" + signal, Long.toString(pid)).start().waitFor();
+    if (status != 0) {
+      throw new IllegalStateException("kill -" + signal + " of " + name + " ended with " + status);
+    }
   }
 
   /** Kills all gateways at once, without a planned stop. */
@@ -161,24 +173,6 @@
     return controlAddresses.get(number - 1);
   }
 
-  /** Stops a control host in the middle of its work until {@link #resumeControl}. */
-  void pauseControl(int number) throws Exception {
-    signal("-STOP", number);
-  }
-
-  /** Lets a control host that was paused go on. */
-  void resumeControl(int number) throws Exception {
-    signal("-CONT", number);
-  }
-
-  private void signal(String signal, int number) throws Exception {
-    long pid = Objects.requireNonNull(processes.get(CONTROL + number)).pid();
-    int status = new ProcessBuilder("kill", signal, Long.toString(pid)).start().waitFor();
-    if (status != 0) {
-      throw new IllegalStateException("kill " + signal + " ended with " + status);
-    }
-  }
-
   /** Sends a control request to one host after the other until it is accepted. */
   void control(String method, String path, String body) throws Exception {
     control(controlAddresses, method, path, body);
--- a/src/test/java/org/curranthaven/platform/LateEvacuationOrderTest.java
+++ b/src/test/java/org/curranthaven/platform/LateEvacuationOrderTest.java
@@ -90,7 +90,7 @@
       register(fleet, "i-2", west, "west");
       fleet.control("POST", "/api/evacuate/east", "");
 
-      fleet.pauseControl(1);
+      fleet.suspendControl(1);
       try (Socket heldUp = sendOnce(fleet, 1, "DELETE")) {
         fleet.control(others, "DELETE", "/api/evacuate/east", "");
         fleet.control(others, "POST", "/api/evacuate/east", "");
