Count retries and log the first that a budget refuses

A gateway counts both by service (curranthaven_routed_retries); whoever decides logs the first refusal of a window with its figures.

--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableSet;
+import java.util.Objects;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SortedSet;
@@ -173,6 +174,14 @@
     return admission.drainChanges();
   }
 
+  /** Returns and clears the first retries of a window that were refused, to be logged. */
+  public List<RetryRefusal> drainRetryRefusals() {
+    return retryBudgets.values().stream()
+        .map(ServiceRetryBudget::takeRefusal)
+        .filter(Objects::nonNull)
+        .toList();
+  }
+
   /** Returns the memory reserves as they were reported last, for the state dump. */
   public List<String> memoryReserves() {
     return admission.reported().stream().map(ReserveChange::toString).sorted().toList();
@@ -399,7 +408,7 @@
   private void submitBound(RequestId requestId, PlacementRequest request, long nowMillis) {
     ServiceRetryBudget retryBudget =
         retryBudgets.computeIfAbsent(
-            request.getService(), service -> new ServiceRetryBudget(retryLimits));
+            request.getService(), service -> new ServiceRetryBudget(service, retryLimits));
     if (!request.getRepeat()) {
       retryBudget.recordRequest(nowMillis);
     } else if (!retryBudget.tryRetry(nowMillis)) {
--- a/src/main/java/org/curranthaven/internal/observe/RoutedMetrics.java
+++ b/src/main/java/org/curranthaven/internal/observe/RoutedMetrics.java
@@ -38,6 +38,15 @@
         .increment();
   }
 
+  /** Counts a retry that the retry budget of its service allowed or refused. */
+  public void countRetry(String service, boolean allowed) {
+    Counter.builder("curranthaven_routed_retries")
+        .tag("service", service)
+        .tag("decision", allowed ? "allowed" : "refused")
+        .register(registry)
+        .increment();
+  }
+
   /** Registers a gauge whose value is read at each scrape. */
   public void gauge(String name, Supplier<Number> value) {
     Gauge.builder(name, value).strongReference(true).register(registry);
--- a/src/main/java/org/curranthaven/internal/relay/Gateway.java
+++ b/src/main/java/org/curranthaven/internal/relay/Gateway.java
@@ -375,6 +375,13 @@
     }
   }
 
+  @Override
+  public void recordRetry(String service, boolean allowed) {
+    if (metrics != null) {
+      metrics.countRetry(service, allowed);
+    }
+  }
+
   @Override
   public void recordFailure(Route route, ResultCode code) {
     if (metrics != null) {
--- a/src/main/java/org/curranthaven/internal/relay/RelayContext.java
+++ b/src/main/java/org/curranthaven/internal/relay/RelayContext.java
@@ -72,6 +72,9 @@
   /** Records the time of a first reply in the metrics. */
   void recordFirstReply(Route route, long firstReplyMillis);
 
+  /** Counts a retry that the retry budget allowed or refused in the metrics. */
+  void recordRetry(String service, boolean allowed);
+
   /** Counts a failed request in the metrics. */
   void recordFailure(Route route, ResultCode code);
 }
--- a/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
@@ -227,6 +227,9 @@
     }
     placed = true;
     backend = backendId;
+    if (placementRequest().getRepeat()) {
+      context.recordRetry(service.name(), true);
+    }
     urgency = newUrgency;
     backup = backupId;
     if (target == null) {
@@ -349,6 +352,9 @@
     if (finished) {
       return;
     }
+    if (reason.equals(RejectionReason.RETRIES_USED_UP.name())) {
+      context.recordRetry(service.name(), false);
+    }
     if (lastFailedResponse != null) {
       // An earlier failure response of a backend server tells the caller more than the rejection of
       // the retry.
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -707,6 +707,9 @@
       localDispatch
           .drainReserveChanges()
           .forEach(change -> Logger.info("memory reserve in local fallback: {}", change));
+      localDispatch
+          .drainRetryRefusals()
+          .forEach(refusal -> Logger.info("retry refused in local fallback: {}", refusal));
       applyLocalDecisions();
     }
     reportProgress();
--- a/src/main/java/org/curranthaven/internal/relay/WarmUpContext.java
+++ b/src/main/java/org/curranthaven/internal/relay/WarmUpContext.java
@@ -260,6 +260,9 @@
   @Override
   public void recordFirstReply(Route route, long firstReplyMillis) {}
 
+  @Override
+  public void recordRetry(String service, boolean allowed) {}
+
   @Override
   public void recordFailure(Route route, ResultCode code) {}
 }
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -271,6 +271,7 @@
     publishColdServers();
     core.tick(nowMillis);
     core.drainReserveChanges().forEach(change -> Logger.info("memory reserve: {}", change));
+    core.drainRetryRefusals().forEach(refusal -> Logger.info("retry refused: {}", refusal));
     sendDecisions();
     completeAcknowledged();
   }
--- a/src/test/java/org/curranthaven/internal/dispatch/DispatchCoreTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/DispatchCoreTest.java
@@ -454,6 +454,19 @@
     assertThat(placed).isBetween(5, 10);
   }
 
+  @Test
+  void only_the_first_refused_retry_of_a_window_is_reported() {
+    core.updateBackend(backend("p", "plain"), 0);
+    for (int i = 0; i < 40; i++) {
+      submit(plainRequest().setRepeat(true), i);
+    }
+
+    assertThat(core.drainRetryRefusals())
+        .singleElement()
+        .hasToString("service plain: 8 retries of 0 requests, 8.0 allowed (own count)");
+    assertThat(core.drainRetryRefusals()).isEmpty();
+  }
+
   @Test
   void requests_of_a_removed_gateway_free_their_capacity() {
     core.updateBackend(backend("x", "engines"), 0);
