Count retries on real processes while control hosts are suspended

Three gateways and three control hosts as processes, servers that fail every request, 12 suspensions of all control hosts for 500 ms each.

--- a/src/test/java/org/curranthaven/platform/FleetProcesses.java
+++ b/src/test/java/org/curranthaven/platform/FleetProcesses.java
@@ -128,6 +128,18 @@
     startAll(false);
   }
 
+  /** Suspends all control hosts, or lets them go on. */
+  void suspendControls(boolean suspended) throws IOException, InterruptedException {
+    for (Map.Entry<String, Process> entry : processes.entrySet()) {
+      if (entry.getKey().startsWith(CONTROL)) {
+        new ProcessBuilder(
+                "kill", suspended ? "-STOP" : "-CONT", Long.toString(entry.getValue().pid()))
+            .start()
+            .waitFor();
+      }
+    }
+  }
+
   private void kill(String prefix) throws InterruptedException {
     List<Process> killed =
         processes.entrySet().stream()
