--- a/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
@@ -121,6 +121,7 @@
   private void requestPlacement(boolean repeat) {
     long nowMillis = context.clock().nowMillis();
     EngineCapabilities engine = service.engine();
+    boolean counted = placementId > 0;
     placementId = context.nextPlacementId();
     PlacementRequest.Builder builder =
         PlacementRequest.newBuilder()
@@ -136,6 +137,7 @@
             .setDeadlineLeftMillis(deadlineAtMillis - nowMillis)
             .addAllExcluded(excludedBackends)
             .setRepeat(repeat)
+            .setCounted(counted)
             .setDataCentre(context.dataCentre())
             .setEngine(engine != null)
             .setIrreplaceable(engine != null && !route.isRepeatable())
@@ -227,6 +229,9 @@
     }
     placed = true;
     backend = backendId;
+    if (placementRequest().getRepeat()) {
+      context.recordRetry(service.name(), true);
+    }
     urgency = newUrgency;
     backup = backupId;
     if (target == null) {
@@ -349,6 +354,9 @@
     if (finished) {
       return;
     }
+    if (reason.equals(RejectionReason.RETRIES_USED_UP.name())) {
+      context.recordRetry(service.name(), false);
+    }
     if (lastFailedResponse != null) {
       // An earlier failure response of a backend server tells the caller more than the rejection of
       // the retry.
--- a/src/test/java/org/curranthaven/platform/FleetProcesses.java
+++ b/src/test/java/org/curranthaven/platform/FleetProcesses.java
@@ -156,6 +156,13 @@
     startAll(false);
   }
 
+  /** Suspends all control hosts, or lets them go on. */
+  void suspendControls(boolean suspended) throws Exception {
+    for (int number = 1; number <= HOSTS_OF_A_ROLE; number++) {
+      sendSignal(CONTROL + number, suspended ? "STOP" : "CONT");
+    }
+  }
+
   private void kill(String prefix) throws InterruptedException {
     List<Process> killed =
         processes.entrySet().stream()
