A new leader knows all retries only once all gateways known before have told theirs

A gateway that had been without a leader for over 10 s counted only the hosts that a new leader had found, so that the new leader took the first gateway for the only one and gave it the whole shared part. Leaders now go by the most gateways that a gateway has known. RetryAccountsTest.a_scheduler_lacks_the_gateways_that_were_known_before_it_started needs 24 gateways, of which one reported; RetriesPastBudgetTest passes.

--- a/src/main/java/org/curranthaven/internal/dispatch/SchedulerRetries.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/SchedulerRetries.java
@@ -16,7 +16,7 @@
  *
  * <pre>{@code
  * retries.start(true, nowMillis);
- * retries.restore("gateway-1", counts, memoryMillis, 8, 8, limits, nowMillis);
+ * retries.restore("gateway-1", counts, memoryMillis, 8, limits, nowMillis);
  * boolean allowed = retries.tryRetry(requestId, "plain", limits, nowMillis);
  * }</pre>
  */
@@ -31,7 +31,6 @@
 
   private boolean othersBefore;
   private long startedAtMillis;
-  private int recentGateways;
   private int mostGateways = 1;
 
   /** Requests and retries for one service, of each gateway and of all together. */
@@ -59,19 +58,16 @@
    * gateway stays.
    *
    * @param memoryMillis time for which the gateway remembers all that it sent
-   * @param recent most gateways that a scheduler has been connected to lately
    * @param most most gateways that the reporting one has known
    */
   public void restore(
       String gateway,
       Collection<RetryCount> counts,
       long memoryMillis,
-      int recent,
       int most,
       RetryLimits limits,
       long nowMillis) {
-    recentGateways = Math.max(recentGateways, recent);
-    mostGateways = Math.max(mostGateways, Math.max(recent, most));
+    mostGateways = Math.max(mostGateways, most);
     long memoryStartMillis = nowMillis - memoryMillis;
     if (memoryStarts.put(gateway, memoryStartMillis) == null) {
       latestFirstMemoryMillis = Math.max(latestFirstMemoryMillis, memoryStartMillis);
@@ -121,7 +117,7 @@
     if (!othersBefore || RetryReserve.remembers(nowMillis - startedAtMillis, limits)) {
       return true;
     }
-    return memoryStarts.size() >= Math.max(1, recentGateways)
+    return memoryStarts.size() >= mostGateways
         && RetryReserve.remembers(nowMillis - latestFirstMemoryMillis, limits);
   }
 
@@ -196,6 +192,6 @@
               "%s: %d retries of %d requests".formatted(service, sums.retries(), sums.requests()));
         });
     return "told by %d of %d gateways: %s"
-        .formatted(memoryStarts.size(), Math.max(recentGateways, memoryStarts.size()), lines);
+        .formatted(memoryStarts.size(), Math.max(mostGateways, memoryStarts.size()), lines);
   }
 }
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -475,8 +475,7 @@
         from.getName(),
         status.getRetryCountsList(),
         status.getRetryMemoryMillis(),
-        status.getMostGateways(),
-        status.getMostGatewaysKnown(),
+        Math.max(status.getMostGateways(), status.getMostGatewaysKnown()),
         retryLimits,
         nowMillis);
     core.removeGateway(from.getName(), nowMillis);
--- a/src/test/java/org/curranthaven/internal/dispatch/RetryAccountsTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/RetryAccountsTest.java
@@ -23,7 +23,6 @@
         List.of(RetryCount.newBuilder().setService("plain").setRetries(retries).build()),
         memoryMillis,
         GATEWAYS,
-        GATEWAYS,
         LIMITS,
         nowMillis);
   }
@@ -59,6 +58,15 @@
     assertThat(scheduler.takeOnReserve(new RequestId("g1", 0))).isTrue();
   }
 
+  /** Guards against a whole allowance for the first gateway that finds a new leader. */
+  @Test
+  void a_scheduler_lacks_the_gateways_that_were_known_before_it_started() {
+    start(20_000);
+    scheduler.restore("g1", List.of(), LONG_MEMORY_MILLIS, 24, LIMITS, 20_010);
+
+    assertThat(allowed("g1", 20_020)).isZero();
+  }
+
   @Test
   void a_scheduler_knows_all_once_it_has_decided_for_a_window() {
     start(20_000);
@@ -115,13 +123,7 @@
     start(0);
     for (long nowMillis = 1_000; nowMillis <= 9_000; nowMillis += 130) {
       scheduler.restore(
-          "g1",
-          gateway.export(nowMillis),
-          gateway.memoryMillis(nowMillis),
-          1,
-          1,
-          LIMITS,
-          nowMillis);
+          "g1", gateway.export(nowMillis), gateway.memoryMillis(nowMillis), 1, LIMITS, nowMillis);
     }
 
     assertThat(scheduler.describe(9_000)).contains("0 retries of 100 requests");
