Count and log decisions that a gateway ignores, and requests that come again

A gateway ignored decisions of another term, of an earlier status, or on a request that it does not have or that runs already, without a trace. Counters on the metrics address and at most one log line a second and reason tell of them, and of placement requests that are sent again; the scheduler logs those that come again.

--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -188,6 +188,11 @@
     return queue.contains(requestId);
   }
 
+  /** Returns whether the request runs on a backend server. */
+  public boolean isRunning(RequestId requestId) {
+    return backends.backendOf(requestId) != null;
+  }
+
   /** Returns the number of requests that run on backend servers. */
   public int runningRequests() {
     return backends.runningRequests();
--- a/src/main/java/org/curranthaven/internal/observe/RoutedMetrics.java
+++ b/src/main/java/org/curranthaven/internal/observe/RoutedMetrics.java
@@ -1,6 +1,7 @@
 package org.curranthaven.internal.observe;
 
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MultiGauge;
 import io.micrometer.core.instrument.Tags;
@@ -43,6 +44,17 @@
     Gauge.builder(name, value).strongReference(true).register(registry);
   }
 
+  /**
+   * Registers a counter whose value is read at each scrape.
+   *
+   * @param tags names and values in turn
+   */
+  public void counter(String name, Supplier<Number> value, String... tags) {
+    FunctionCounter.builder(name, value, supplier -> supplier.get().doubleValue())
+        .tags(tags)
+        .register(registry);
+  }
+
   /** Replaces the data centres that are shown as evacuated, each by a gauge with the value 1. */
   public void showEvacuated(Collection<String> dataCentres) {
     evacuated.register(
--- a/src/main/java/org/curranthaven/internal/relay/Gateway.java
+++ b/src/main/java/org/curranthaven/internal/relay/Gateway.java
@@ -8,6 +8,7 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 import java.util.SortedMap;
 import java.util.SplittableRandom;
@@ -138,6 +139,7 @@
     }
     statusMetrics.gauge("curranthaven_open_calls", () -> openRequestCount);
     statusMetrics.gauge("curranthaven_peer_bytes_sent", network::bytesSent);
+    registerLinkCounters(statusMetrics);
     try {
       StatusServer.start(Addresses.parse(address), statusMetrics, this::dump);
     } catch (IOException e) {
@@ -148,6 +150,18 @@
     }
   }
 
+  private void registerLinkCounters(RoutedMetrics statusMetrics) {
+    LinkCounters counters = link.counters();
+    statusMetrics.counter("curranthaven_placement_requests_sent_again", counters::sentAgain);
+    for (LinkCounters.Reason reason : LinkCounters.Reason.values()) {
+      statusMetrics.counter(
+          "curranthaven_ignored_decisions",
+          () -> counters.ignored(reason),
+          "reason",
+          reason.name().toLowerCase(Locale.ROOT));
+    }
+  }
+
   private boolean isReady() {
     return !draining && isInitialized() && warmUp.isOver();
   }
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -104,6 +104,8 @@
 
   private final EvacuatedDataCentres evacuated = new EvacuatedDataCentres();
 
+  private final LinkCounters counters = new LinkCounters();
+
   private String scheduler = "";
   private long term;
   private long viewVersion;
@@ -206,6 +208,11 @@
     return knowledge.capacities().describe(clock.nowMillis());
   }
 
+  /** Returns the counts of ignored decisions and of placement requests that were sent again. */
+  LinkCounters counters() {
+    return counters;
+  }
+
   /** Returns whether a scheduler's view has been received at least once. */
   boolean hasReceivedView() {
     return viewReceived;
@@ -417,6 +424,7 @@
               + PLACEMENT_REPLY_TIMEOUT_MILLIS
               + " ms");
     } else {
+      counters.recordSentAgain(placementRequest.getId(), clock.nowMillis());
       sendPlacementRequest(placementRequest);
     }
   }
@@ -630,6 +638,7 @@
   /** Handles the scheduler's decisions; ignores those of another term or host. */
   void handle(String host, DispatchOrders orders) {
     if (orders.getTerm() != term || !host.equals(scheduler)) {
+      recordIgnored(LinkCounters.Reason.OTHER_TERM, orders);
       return;
     }
     if (!isConnected()) {
@@ -638,38 +647,78 @@
     }
     if (orders.getStatusNumber() > 0 && orders.getStatusNumber() != statusNumber) {
       // Decisions from before the latest full status: the scheduler has revoked them since.
+      recordIgnored(LinkCounters.Reason.EARLIER_STATUS, orders);
       return;
     }
     lastMessageMillis = clock.nowMillis();
     orders.getWaitingList().forEach(unacknowledged::remove);
     for (Placement placement : orders.getPlacementsList()) {
       unacknowledged.remove(placement.getId());
-      PlacementListener request = openRequests.get(placement.getId());
-      if (request != null && request.backend().isEmpty()) {
+      PlacementListener request = knownRequest(placement.getId());
+      if (request == null) {
+        continue;
+      }
+      if (request.backend().isEmpty()) {
         request.onPlaced(placement.getBackend(), placement.getUrgency(), placement.getBackup());
+      } else {
+        recordIgnored(LinkCounters.Reason.RUNS_ALREADY, placement.getId());
       }
     }
     for (Rejection rejection : orders.getRefusalsList()) {
       unacknowledged.remove(rejection.getId());
-      PlacementListener request = openRequests.remove(rejection.getId());
+      PlacementListener request = knownRequest(rejection.getId());
       if (request != null) {
+        openRequests.remove(rejection.getId());
         request.onRejected(rejection.getRetryAfterMillis(), rejection.getReason());
       }
     }
     for (Rejection stop : orders.getStopsList()) {
-      PlacementListener request = openRequests.get(stop.getId());
+      PlacementListener request = knownRequest(stop.getId());
       if (request != null) {
         request.onStopped(stop.getRetryAfterMillis(), stop.getReason());
       }
     }
     for (MigrationOrder migration : orders.getMovesList()) {
-      PlacementListener request = openRequests.get(migration.getId());
+      PlacementListener request = knownRequest(migration.getId());
       if (request != null) {
         request.onMigrate(migration.getTarget(), migration.getBackup());
       }
     }
   }
 
+  /** Returns the open request that a decision names; counts the decision if there is none. */
+  private @Nullable PlacementListener knownRequest(long id) {
+    PlacementListener request = openRequests.get(id);
+    if (request == null) {
+      recordIgnored(LinkCounters.Reason.UNKNOWN_REQUEST, id);
+    }
+    return request;
+  }
+
+  private void recordIgnored(LinkCounters.Reason reason, long id) {
+    counters.recordIgnored(reason, 1, "placement request " + id, clock.nowMillis());
+  }
+
+  private void recordIgnored(LinkCounters.Reason reason, DispatchOrders orders) {
+    int count =
+        orders.getPlacementsCount()
+            + orders.getRefusalsCount()
+            + orders.getStopsCount()
+            + orders.getMovesCount();
+    counters.recordIgnored(
+        reason,
+        count,
+        "of term "
+            + orders.getTerm()
+            + " and status "
+            + orders.getStatusNumber()
+            + ", here "
+            + term
+            + " and "
+            + statusNumber,
+        clock.nowMillis());
+  }
+
   // ---- local fallback ---------------------------------------------------------------------------
 
   private void scheduleCheck() {
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -89,6 +89,7 @@
   private int reportedGateways;
 
   private final PendingAcknowledgements pendingAcknowledgements = new PendingAcknowledgements();
+  private final RepeatedRequests repeatedRequests = new RepeatedRequests();
   private final List<Runnable> deferredActions = new ArrayList<>();
   private Catalog catalog = Catalog.empty();
   private ByteString catalogDocument = ByteString.EMPTY;
@@ -496,6 +497,10 @@
     DispatchOrders.Builder queuedOrders = newOrders(gateway);
     for (PlacementRequest placementRequest : requests.getAsksList()) {
       RequestId key = new RequestId(gateway, placementRequest.getId());
+      if (core.isQueued(key) || core.isRunning(key)) {
+        String state = core.isQueued(key) ? "is queued" : "runs";
+        repeatedRequests.record(gateway, key.id(), state, nowMillis);
+      }
       core.submit(key, placementRequest, nowMillis);
       if (core.isQueued(key)) {
         queuedOrders.addWaiting(placementRequest.getId());
