Tests: requests that run are answered as not run (known red)

A placement request that is not acknowledged within 150 ms is sent again, and the scheduler decides on it anew though the first is placed.

--- a/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
@@ -36,6 +36,7 @@
 import org.curranthaven.internal.transport.wire.StreamOrigin;
 import org.curranthaven.internal.transport.wire.SuspectRecord;
 import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 class SchedulerLinkTest {
@@ -850,4 +851,37 @@
         .extracting(RestRecord::getBackend, RestRecord::getLeftMillis)
         .containsExactly(tuple("i-1", 2_000L));
   }
+
+  // ---- decisions for another state --------------------------------------------------------------
+
+  private DispatchOrders.Builder currentOrders() {
+    return DispatchOrders.newBuilder().setTerm(3).setStatusNumber(lastStatus().getNumber());
+  }
+
+  private RecordingListener runningRequest(long id) {
+    publishView("control-1", 3, 1, "i-1", "i-2");
+    RecordingListener request = new RecordingListener(id);
+    requestPlacement(request);
+    link.handle("control-1", placement(id, "i-1", lastStatus().getNumber()));
+    return request;
+  }
+
+  private void reject(long id) {
+    link.handle(
+        "control-1",
+        currentOrders()
+            .addRefusals(Rejection.newBuilder().setId(id).setReason("NO_ROOM_IN_TIME"))
+            .build());
+  }
+
+  /** Guards against a promise that a request did not run while it runs. */
+  @Test
+  @Tag("known-red")
+  void a_rejection_of_a_request_that_runs_is_ignored() {
+    RecordingListener request = runningRequest(7);
+
+    reject(7);
+
+    assertThat(request.rejectionReason).isEmpty();
+  }
 }
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -20,6 +20,7 @@
 import org.curranthaven.internal.transport.wire.BackendRecord;
 import org.curranthaven.internal.transport.wire.BackendStatement;
 import org.curranthaven.internal.transport.wire.DispatchEnd;
+import org.curranthaven.internal.transport.wire.DispatchOrders;
 import org.curranthaven.internal.transport.wire.DispatchOutcome;
 import org.curranthaven.internal.transport.wire.DispatchRequests;
 import org.curranthaven.internal.transport.wire.Envelope;
@@ -33,6 +34,7 @@
 import org.curranthaven.internal.transport.wire.RunningDispatch;
 import org.curranthaven.internal.transport.wire.SchedulerView;
 import org.curranthaven.internal.transport.wire.SuspectRecord;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 class SchedulerTest {
@@ -890,4 +892,45 @@
     // 2 of 8 gateways are connected, so that 6 of 24 requests/s are this leader's.
     assertThat(placementsIn(2_000)).isBetween(10L, 14L);
   }
+
+  // ---- requests that come again -----------------------------------------------------------------
+
+  private List<DispatchOrders> ordersTo(String gateway) {
+    return sent.stream()
+        .filter(message -> message.getKey().equals(gateway))
+        .map(Map.Entry::getValue)
+        .filter(Envelope::hasDispatchOrders)
+        .map(Envelope::getDispatchOrders)
+        .toList();
+  }
+
+  private void receiveAsk(String gateway, PlacementRequest request) {
+    receiveRequests(gateway, DispatchRequests.newBuilder().addAsks(request));
+  }
+
+  private static PlacementRequest urgentRequest(long id) {
+    return placementRequest(id).toBuilder().setTargetLeftMillis(100).build();
+  }
+
+  /** Guards against a rejection of a request that runs, since its place was given to another. */
+  @Test
+  @Tag("known-red")
+  void a_request_that_runs_and_comes_again_is_told_its_placement_again() {
+    startLeading();
+    scheduler.register(backend(1, false), new RecordedResult()::accept);
+    receiveAsk("g1", urgentRequest(1));
+    for (long id = 2; id <= 6; id++) {
+      receiveAsk("g2", placementRequest(id));
+    }
+    DispatchOrders first = ordersTo("g1").getLast();
+    sent.clear();
+
+    receiveAsk("g1", urgentRequest(1));
+
+    assertThat(first.getPlacementsList()).hasSize(1);
+    assertThat(ordersTo("g1"))
+        .extracting(DispatchOrders::getPlacementsList)
+        .containsExactly(first.getPlacementsList());
+    assertThat(ordersTo("g2")).isEmpty();
+  }
 }
--- a/src/test/java/org/curranthaven/platform/RoutedFleetFixture.java
+++ b/src/test/java/org/curranthaven/platform/RoutedFleetFixture.java
@@ -93,9 +93,9 @@
         new Gateway(
             // All hosts use the same peer port, so each gateway needs a separate IP address.
             settings(
-                "gateway-" + number,
+                gatewayName(number),
                 controlPeerAddress.replace("127.0.0.1", "127.0.0." + (number + 1)),
-                controlPeerAddress,
+                contactOfGateways(controlPeerAddress),
                 address,
                 null,
                 null),
@@ -104,6 +104,15 @@
     gateway.start();
   }
 
+  String gatewayName(int number) {
+    return "gateway-" + number;
+  }
+
+  /** Returns the address at which gateways first look for the control host. */
+  String contactOfGateways(String controlHostAddress) throws Exception {
+    return controlHostAddress;
+  }
+
   /** Returns the gateway that was started last. */
   Gateway gateway() {
     return Objects.requireNonNull(gateway);
