Dial a host that has just connected no second time

The address of a host was passed to the dialling thread before its connection was registered, so that the thread dialled it at times, and one of the two connections was closed.

--- a/src/main/java/org/curranthaven/internal/transport/PeerNetwork.java
+++ b/src/main/java/org/curranthaven/internal/transport/PeerNetwork.java
@@ -346,13 +346,15 @@
     if (connection.isDialled()) {
       hostByAddress.put(connection.dialledAddress(), remote.getName());
     }
-    addDiscoveredAddress(remote.getPeerAddress());
     hostByAddress.put(remote.getPeerAddress(), remote.getName());
     PeerConnection existing = connectionsByHost.get(remote.getName());
     if (existing != null && isSameProcess(existing, remote) && !isPreferred(connection)) {
+      addDiscoveredAddress(remote.getPeerAddress());
       return false;
     }
     connectionsByHost.put(remote.getName(), connection);
+    // Only now, since a discovered address of a host without a connection is dialled at once.
+    addDiscoveredAddress(remote.getPeerAddress());
     updateConnectedHosts();
     if (existing != null) {
       existing.close();
