Tests: decisions for an earlier state of a gateway (known red)

The scheduler decides on requests that a gateway sent before its latest full status, or in an earlier lifetime, and sends these decisions with the number of that status, so that the gateway obeys them. Three tests on given time fail.

--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -933,4 +933,59 @@
         .containsExactly(first.getPlacementsList());
     assertThat(ordersTo("g2")).isEmpty();
   }
+
+  private static GatewayStatus.Builder fullStatus(long number) {
+    return GatewayStatus.newBuilder().setTerm(5).setFull(true).setNumber(number);
+  }
+
+  /** Guards against a placement that the gateway obeys and the scheduler has forgotten. */
+  @Test
+  @Tag("known-red")
+  void a_decision_on_a_request_from_before_a_full_status_does_not_carry_its_number() {
+    startLeading();
+    scheduler.handleStatus(host("g1"), fullStatus(7).build());
+    scheduler.register(backend(1, false), new RecordedResult()::accept);
+    for (long id = 1; id <= 3; id++) {
+      receiveAsk("g2", placementRequest(id));
+    }
+    receiveAsk("g1", placementRequest(9));
+    sent.clear();
+
+    BackendRecord other = backend(1, false).toBuilder().setId("i-2").build();
+    scheduler.handleStatus(host("g1"), fullStatus(8).addBackends(other).build());
+
+    assertThat(ordersTo("g1"))
+        .filteredOn(orders -> orders.getPlacementsCount() + orders.getRefusalsCount() > 0)
+        .extracting(DispatchOrders::getStatusNumber)
+        .doesNotContain(8L);
+  }
+
+  /** Guards against a second decision on a request that the gateway has placed itself meanwhile. */
+  @Test
+  @Tag("known-red")
+  void a_request_that_a_later_full_status_reports_as_running_is_not_decided_after_the_rebuild() {
+    scheduler.setTerm(5, List.of());
+    scheduler.handleStatus(host("g1"), fullStatus(1).addBackends(backend(1, false)).build());
+    receiveAsk("g1", placementRequest(4));
+    receiveAsk("g1", placementRequest(5));
+    scheduler.handleStatus(host("g1"), fullStatus(2).addOpen(runningDispatch(4)).build());
+
+    time.advance(AFTER_REBUILD_MILLIS);
+
+    assertThat(ordersTo("g1")).isEmpty();
+  }
+
+  /** Guards against decisions on requests of a process that has ended since. */
+  @Test
+  @Tag("known-red")
+  void requests_of_an_earlier_lifetime_of_a_gateway_are_not_decided() {
+    startLeading();
+    scheduler.register(backend(1, false), new RecordedResult()::accept);
+    HostRecord restarted = host("g1").toBuilder().setIncarnation(2).build();
+    scheduler.handleStatus(restarted, fullStatus(1).build());
+
+    receiveAsk("g1", placementRequest(1));
+
+    assertThat(ordersTo("g1")).isEmpty();
+  }
 }
