Obey and decide only on the latest state of a gateway

The scheduler placed requests that a gateway had sent before its latest full status, and sent the decisions with the number of that status: those that the status itself brought about while the old queue was still there, those put off until the end of a rebuild, and those of an earlier process of the same name, whose placement ids were the same. A gateway obeyed decisions without a number. A request could run that the scheduler had forgotten, and be rejected by the next decision.

The requests of a gateway are now removed, and what was decided sent, before the number of its new status counts; requests from before it are dropped; a gateway whose full status is missing gets no decisions. A gateway obeys only decisions with the number of its latest full status, and sends that again if it was lost. Placement ids begin with the start time of the process.

Three tests of SchedulerTest failed before. Two others sent requests of a gateway without its full status, which no gateway does: they send it now. Tests of SchedulerLinkTest and the warm-up send the number.

--- a/src/main/java/org/curranthaven/internal/relay/Gateway.java
+++ b/src/main/java/org/curranthaven/internal/relay/Gateway.java
@@ -54,6 +54,12 @@
 
   private static final long DRAIN_POLL_MILLIS = 50;
 
+  /**
+   * Bits of a placement id below the start time of the process: no decision for an earlier lifetime
+   * names a request of this one.
+   */
+  private static final int PLACEMENT_IDS_BITS = 20;
+
   private final RoutedSettings settings;
   private final WireProtocol protocol;
   private final Clock clock;
@@ -76,7 +82,7 @@
   private volatile long drainEndMillis;
   private volatile boolean draining;
   private volatile int openRequestCount;
-  private long placementCounter = 1;
+  private long placementCounter;
 
   /** Creates a gateway, which {@link #start} starts. */
   public Gateway(RoutedSettings settings, WireProtocol protocol, Clock clock) {
@@ -84,6 +90,7 @@
     this.protocol = protocol;
     this.clock = clock;
     long incarnation = clock.epochMillis();
+    this.placementCounter = incarnation << PLACEMENT_IDS_BITS;
     String statusAddress = settings.statusAddress();
     this.metrics = statusAddress == null || statusAddress.isEmpty() ? null : new RoutedMetrics();
     this.random = new SplittableRandom(settings.name().hashCode() ^ System.nanoTime());
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -62,6 +62,12 @@
   /** Shortest time between two full statuses; longer than one takes to arrive and be applied. */
   static final long FULL_STATUS_INTERVAL_MILLIS = 400;
 
+  /**
+   * Time after a full status at which decisions from before it show that it was lost; longer than a
+   * scheduler that is heard can take to apply it and reply.
+   */
+  static final long STATUS_LOST_MILLIS = 2_000;
+
   /**
    * Time for which a gateway that the scheduler has lost still counts: it may place requests
    * locally, on its share of the rates that backend servers accept.
@@ -677,9 +683,12 @@
       loseScheduler("its decisions arrived after its time was up");
       return;
     }
-    if (orders.getStatusNumber() > 0 && orders.getStatusNumber() != statusNumber) {
+    if (orders.getStatusNumber() != statusNumber) {
       // Decisions from before the latest full status: the scheduler has revoked them since.
       recordIgnored(LinkCounters.Reason.EARLIER_STATUS, orders);
+      if (clock.nowMillis() - fullStatusSentMillis >= STATUS_LOST_MILLIS) {
+        reportState();
+      }
       return;
     }
     lastMessageMillis = clock.nowMillis();
--- a/src/main/java/org/curranthaven/internal/relay/WarmUpContext.java
+++ b/src/main/java/org/curranthaven/internal/relay/WarmUpContext.java
@@ -51,6 +51,7 @@
   private final ResponseBuffers responseBuffers = new ResponseBuffers();
   private final Catalog catalog = createCatalog();
   private long placementCounter = 1;
+  private long statusNumber;
 
   WarmUpContext(EventLoop loop, Clock clock, WireProtocol protocol, RandomGenerator random) {
     this.loop = loop;
@@ -128,7 +129,9 @@
 
   /** Decides on placement requests, as the scheduler of the fleet does on another host. */
   private void schedule(Envelope message) {
-    DispatchOrders.Builder orders = DispatchOrders.newBuilder().setTerm(TERM);
+    statusNumber = Math.max(statusNumber, message.getGatewayStatus().getNumber());
+    DispatchOrders.Builder orders =
+        DispatchOrders.newBuilder().setTerm(TERM).setStatusNumber(statusNumber);
     for (PlacementRequest request : message.getDispatchRequests().getAsksList()) {
       if (request.getRoute().equals(REJECTED_ROUTE)) {
         orders.addRefusals(
--- a/src/main/java/org/curranthaven/internal/scheduler/GatewayView.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/GatewayView.java
@@ -41,6 +41,11 @@
     return version < newVersion && !onItsWay;
   }
 
+  /** Returns whether the latest full status is the given one, of the given lifetime. */
+  boolean isState(long lifetime, long fullStatusNumber) {
+    return hasReportedState && incarnation == lifetime && statusNumber == fullStatusNumber;
+  }
+
   /** Returns the versions that the gateway has applied. */
   ActiveVersions active() {
     return new ActiveVersions(version, catalogRevision, evacuationRevision);
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -430,6 +430,9 @@
     view.catalogRevision = Math.max(view.catalogRevision, status.getCatalogRevision());
     view.evacuationRevision = Math.max(view.evacuationRevision, status.getEvacuationRevision());
     if (status.getFull()) {
+      // What was decided for the state before must not carry the number of the new one.
+      core.removeGateway(from.getName(), nowMillis);
+      sendDecisions();
       view.statusNumber = status.getNumber();
       view.rateLimitsVersion = 0;
       view.capacitiesVersion = 0;
@@ -466,7 +469,6 @@
     knowledge.restTimes().merge(from.getName(), status.getRestsList(), nowMillis);
     core.restoreStreams(status.getStreamOriginsList(), status.getServedVersionsList(), nowMillis);
     core.restoreCapacities(status.getCapacitiesList(), nowMillis);
-    core.removeGateway(from.getName(), nowMillis);
     for (RunningDispatch running : status.getOpenList()) {
       RequestId key = new RequestId(from.getName(), running.getAsk().getId());
       core.restoreRunning(key, running, nowMillis);
@@ -479,13 +481,30 @@
     if (requests.getTerm() != term || term == 0) {
       return;
     }
-    runAfterRebuild(() -> applyRequests(from.getName(), requests));
+    GatewayView view = gatewayViews.get(from.getName());
+    long statusNumber = view == null ? 0 : view.statusNumber;
+    runAfterRebuild(
+        () -> {
+          applyReports(from.getName(), requests);
+          // Later full statuses replace what a gateway asked for before, also in an earlier
+          // lifetime.
+          if (view != null
+              && view == gatewayViews.get(from.getName())
+              && view.isState(from.getIncarnation(), statusNumber)) {
+            applyRequests(from.getName(), requests);
+          }
+          sendDecisions();
+        });
   }
 
-  private void applyRequests(String gateway, DispatchRequests requests) {
+  private void applyReports(String gateway, DispatchRequests requests) {
     long nowMillis = clock.nowMillis();
     requests.getCrashedBackendsList().forEach(backend -> handleCrash(gateway, backend, nowMillis));
     requests.getStatementsList().forEach(stated -> handleStatement(gateway, stated, nowMillis));
+  }
+
+  private void applyRequests(String gateway, DispatchRequests requests) {
+    long nowMillis = clock.nowMillis();
     for (DispatchEnd end : requests.getEndsList()) {
       core.requestEnded(
           new RequestId(gateway, end.getId()), end.getOutcome(), end.getOutputTokens(), nowMillis);
--- a/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
@@ -174,10 +174,7 @@
 
     link.handle(
         "control-1",
-        DispatchOrders.newBuilder()
-            .setTerm(3)
-            .addPlacements(Placement.newBuilder().setId(7).setBackend("i-1"))
-            .build());
+        currentOrders().addPlacements(Placement.newBuilder().setId(7).setBackend("i-1")).build());
 
     assertThat(request.backend()).isEqualTo("i-1");
   }
@@ -213,7 +210,7 @@
     publishView("control-1", 3, 1, "i-1");
     RecordingListener request = new RecordingListener(1);
     requestPlacement(request);
-    link.handle("control-1", DispatchOrders.newBuilder().setTerm(3).addWaiting(1).build());
+    link.handle("control-1", currentOrders().addWaiting(1).build());
 
     time.advance(SchedulerLink.PLACEMENT_REPLY_TIMEOUT_MILLIS + 20);
 
@@ -242,10 +239,7 @@
 
     link.handle(
         "control-1",
-        DispatchOrders.newBuilder()
-            .setTerm(3)
-            .addPlacements(Placement.newBuilder().setId(7).setBackend("i-1"))
-            .build());
+        currentOrders().addPlacements(Placement.newBuilder().setId(7).setBackend("i-1")).build());
     publishView("control-1", 3, 9, "i-9");
 
     assertThat(request.backend()).isEmpty();
@@ -313,10 +307,7 @@
     requestPlacement(running);
     link.handle(
         "control-1",
-        DispatchOrders.newBuilder()
-            .setTerm(3)
-            .addPlacements(Placement.newBuilder().setId(1).setBackend("i-1"))
-            .build());
+        currentOrders().addPlacements(Placement.newBuilder().setId(1).setBackend("i-1")).build());
     requestPlacement(queued);
     sent.clear();
 
@@ -953,4 +944,35 @@
     assertThat(request.stopReason).isEmpty();
     assertThat(link.counters().ignored(LinkCounters.Reason.NOT_RUNNING)).isEqualTo(1);
   }
+
+  /** Guards against decisions for a state that the scheduler does not know of. */
+  @Test
+  void decisions_without_the_number_of_the_latest_full_status_are_ignored() {
+    publishView("control-1", 3, 1, "i-1");
+    RecordingListener request = new RecordingListener(7);
+    requestPlacement(request);
+
+    link.handle("control-1", placement(7, "i-1", 0));
+
+    assertThat(request.backend()).isEmpty();
+    assertThat(link.counters().ignored(LinkCounters.Reason.EARLIER_STATUS)).isEqualTo(1);
+  }
+
+  /** Guards against a scheduler whose decisions are ignored for good since a status was lost. */
+  @Test
+  void a_scheduler_that_decides_on_from_an_earlier_state_gets_the_full_status_again() {
+    publishView("control-1", 3, 1, "i-1");
+    requestPlacement(new RecordingListener(7));
+    for (long waited = 0; waited < SchedulerLink.STATUS_LOST_MILLIS; waited += 100) {
+      publishView("control-1", 3, 1);
+      time.advance(100);
+    }
+    publishView("control-1", 3, 1);
+    sent.clear();
+
+    link.handle("control-1", placement(7, "i-1", 0));
+    time.advance(20);
+
+    assertThat(fullStatuses()).isEqualTo(1);
+  }
 }
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -34,7 +34,6 @@
 import org.curranthaven.internal.transport.wire.RunningDispatch;
 import org.curranthaven.internal.transport.wire.SchedulerView;
 import org.curranthaven.internal.transport.wire.SuspectRecord;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 class SchedulerTest {
@@ -276,6 +275,7 @@
             .addOpen(runningDispatch(2))
             .addOpen(runningDispatch(3))
             .build());
+    receiveStatus("g2", 0, 0, true);
     DispatchRequests requests =
         DispatchRequests.newBuilder().setTerm(5).addAsks(placementRequest(9)).build();
 
@@ -391,6 +391,7 @@
     scheduler.handleStatus(
         host("g1"),
         GatewayStatus.newBuilder().setTerm(5).setFull(true).addAllCrashSuspects(known).build());
+    receiveStatus("g2", 0, 0, true);
     time.advance(AFTER_REBUILD_MILLIS);
     receiveRequests("g2", DispatchRequests.newBuilder().addAsks(requestWithPart(9, "bad")));
 
@@ -939,7 +940,6 @@
 
   /** Guards against a placement that the gateway obeys and the scheduler has forgotten. */
   @Test
-  @Tag("known-red")
   void a_decision_on_a_request_from_before_a_full_status_does_not_carry_its_number() {
     startLeading();
     scheduler.handleStatus(host("g1"), fullStatus(7).build());
@@ -961,7 +961,6 @@
 
   /** Guards against a second decision on a request that the gateway has placed itself meanwhile. */
   @Test
-  @Tag("known-red")
   void a_request_that_a_later_full_status_reports_as_running_is_not_decided_after_the_rebuild() {
     scheduler.setTerm(5, List.of());
     scheduler.handleStatus(host("g1"), fullStatus(1).addBackends(backend(1, false)).build());
@@ -976,7 +975,6 @@
 
   /** Guards against decisions on requests of a process that has ended since. */
   @Test
-  @Tag("known-red")
   void requests_of_an_earlier_lifetime_of_a_gateway_are_not_decided() {
     startLeading();
     scheduler.register(backend(1, false), new RecordedResult()::accept);
