Decide in one place whether a request may have run

A rejection, a stop, the deadline and the retry rules each worked out for themselves whether a request may have run, from the results recorded so far. A request that was sent, and whose result was replaced by its migration or its resumption from a backup copy, counted as not run: at its deadline before the engine with the copy was connected, the caller could get 503, and after an unusable target it could be sent to another engine.

AttemptHistory counts each transmission from the moment at which a byte may have left until a result proves that it did not run. Every failure that this system reports for a routed request passes through it, and none with status 408, 421, 429 or 503 is reported, and no request that must not run twice is sent again, while an attempt may have run.

Found by reading; no test failed before. Unit tests hold the rule.

--- a/src/main/java/org/curranthaven/internal/relay/Attempt.java
+++ b/src/main/java/org/curranthaven/internal/relay/Attempt.java
@@ -267,16 +267,11 @@
     if (head.notRun() || head.misdirected()) {
       return new AttemptResult.NotRun(head);
     }
-    return impliesNotRun(head.status())
+    return NotRunStatus.isPromise(head.status())
         ? new AttemptResult.Interrupted(
             "status "
                 + head.status()
                 + " without the header that proves that the request did not run")
         : completed;
   }
-
-  /** Returns whether callers would take the status to mean that the request did not run. */
-  private static boolean impliesNotRun(int status) {
-    return status == 408 || status == 421 || status == 429 || status == 503;
-  }
 }
--- a/src/main/java/org/curranthaven/internal/relay/AttemptHistory.java
+++ b/src/main/java/org/curranthaven/internal/relay/AttemptHistory.java
@@ -1,11 +1,19 @@
 package org.curranthaven.internal.relay;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.curranthaven.api.ResultCode;
+import org.jspecify.annotations.Nullable;
+
 /**
- * Counts the attempts of one request. An attempt that a backend server received counts against the
- * retry budget of the service, whether or not the backend server ran it.
+ * Counts the attempts of one request, and alone decides whether it may have run or may still run.
+ * An attempt that a backend server received counts against the retry budget of the service, whether
+ * or not the backend server ran it.
  *
  * <pre>{@code
  * history.recordStart();
+ * history.recordTransmission(attempt::wasSent);
  * history.recordResult(result);
  * requestPlacement(history.nextIsRepeat());
  * }</pre>
@@ -15,13 +23,33 @@
   private int executions;
   private boolean received;
 
+  /** Whether the latest attempt has been sent; null if it has a result or cannot be sent. */
+  private @Nullable BooleanSupplier latest;
+
+  /** Whether each earlier attempt without a result was sent, such as one that was migrated. */
+  private final List<BooleanSupplier> earlier = new ArrayList<>();
+
   /** Records that an attempt was started. */
   void recordStart() {
     attempts++;
+    if (latest != null) {
+      earlier.add(latest);
+      latest = null;
+    }
+  }
+
+  /**
+   * Records how the attempt that was started last is transmitted.
+   *
+   * @param mayHaveLeft whether any byte of the request may have left
+   */
+  void recordTransmission(BooleanSupplier mayHaveLeft) {
+    latest = mayHaveLeft;
   }
 
-  /** Records the result of an attempt. */
+  /** Records the result of the attempt that was started last. */
   void recordResult(AttemptResult result) {
+    latest = null;
     switch (result) {
       case AttemptResult.Completed ignored -> recordExecution();
       case AttemptResult.Interrupted ignored -> recordExecution();
@@ -35,6 +63,26 @@
     executions++;
   }
 
+  /**
+   * Returns whether the request may have run or may still run: any attempt was sent, and no result
+   * proves that it did not run.
+   */
+  boolean mayHaveRun() {
+    return executions > 0
+        || (latest != null && latest.getAsBoolean())
+        || earlier.stream().anyMatch(BooleanSupplier::getAsBoolean);
+  }
+
+  /**
+   * Returns the code to report: not one whose status promises that the request did not run if it
+   * may have.
+   */
+  ResultCode honest(ResultCode code) {
+    return NotRunStatus.isPromise(code.httpStatus()) && mayHaveRun()
+        ? ResultCode.BACKEND_FAILED
+        : code;
+  }
+
   /** Returns the number of attempts. */
   int attempts() {
     return attempts;
--- a/src/main/java/org/curranthaven/internal/relay/RetryRules.java
+++ b/src/main/java/org/curranthaven/internal/relay/RetryRules.java
@@ -17,6 +17,19 @@
 
   private RetryRules() {}
 
+  /**
+   * Returns the next step after an attempt. A request that must not run twice is not sent again if
+   * any attempt may have run, whatever the result of the latest.
+   */
+  static RetryDecision decide(
+      AttemptResult result, Route route, AttemptHistory history, boolean streamStarted) {
+    RetryDecision decision =
+        decide(result, route, history.executions(), history.attempts(), streamStarted);
+    return decision instanceof RetryDecision.Retry && !route.isRepeatable() && history.mayHaveRun()
+        ? new RetryDecision.Fail(ResultCode.BACKEND_FAILED)
+        : decision;
+  }
+
   /**
    * Returns the next step after an attempt.
    *
--- a/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
@@ -249,6 +249,7 @@
   }
 
   private void send(BackendRecord target, String stateReference) {
+    history.recordStart();
     if (!RegionBinding.allows(target, placementRequest())) {
       handleResult(
           new AttemptResult.Unreachable(
@@ -272,10 +273,10 @@
                   + "\""));
       return;
     }
-    history.recordStart();
     BackendRecord backupRecord = context.backend(backup);
     Attempt newAttempt = new Attempt(target, context.responseBuffers(), this);
     attempt = newAttempt;
+    history.recordTransmission(newAttempt::wasSent);
     BackendRequest backendRequest =
         new BackendRequest(
             request,
@@ -346,7 +347,7 @@
 
   @Override
   public void onRejected(long retryAfterMillis, String reason) {
-    if (finished) {
+    if (finished || attempt != null) {
       return;
     }
     if (lastFailedResponse != null) {
@@ -355,7 +356,7 @@
       deliver(lastFailedResponse);
       return;
     }
-    if (history.executions() > 0) {
+    if (history.mayHaveRun()) {
       fail(
           ResultCode.BACKEND_FAILED,
           "the request failed after it may have run, and its retry was rejected (reason "
@@ -477,8 +478,7 @@
 
   private void handleResult(AttemptResult result) {
     history.recordResult(result);
-    RetryDecision decision =
-        RetryRules.decide(result, route, history.executions(), history.attempts(), streamStarted);
+    RetryDecision decision = RetryRules.decide(result, route, history, streamStarted);
     reportEnd(result, decision);
     attempt = null;
     switch (decision) {
@@ -565,7 +565,8 @@
     }
   }
 
-  private void fail(ResultCode code, String message, long retryAfterMillis) {
+  private void fail(ResultCode intended, String message, long retryAfterMillis) {
+    ResultCode code = history.honest(intended);
     finish();
     context.recordFailure(route, code);
     Logger.info(
@@ -579,7 +580,7 @@
     if (streamStarted) {
       caller.abort();
     } else {
-      caller.fail(Failure.retryLater(code, message, retryAfterMillis));
+      caller.fail(Failure.retryLater(code, message, code == intended ? retryAfterMillis : 0));
     }
   }
 
@@ -587,7 +588,7 @@
     if (finished) {
       return;
     }
-    boolean mayHaveRun = history.executions() > 0 || (attempt != null && attempt.wasSent());
+    boolean mayHaveRun = history.mayHaveRun();
     cancelAttempt();
     fail(
         mayHaveRun ? ResultCode.DEADLINE_PASSED : ResultCode.SHED,
@@ -690,7 +691,7 @@
     if (finished) {
       return;
     }
-    boolean mayHaveRun = history.executions() > 0 || (attempt != null && attempt.wasSent());
+    boolean mayHaveRun = history.mayHaveRun();
     cancelAttempt();
     fail(
         mayHaveRun ? ResultCode.BACKEND_FAILED : ResultCode.SHED,
--- a/src/test/java/org/curranthaven/internal/relay/AttemptHistoryTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/AttemptHistoryTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Set;
+import org.curranthaven.api.ResultCode;
 import org.curranthaven.internal.dispatch.BackendStatements;
 import org.junit.jupiter.api.Test;
 
@@ -26,4 +28,50 @@
     assertThat(history.nextIsRepeat()).isTrue();
     assertThat(history.executions()).isZero();
   }
+
+  private void start(boolean sent) {
+    history.recordStart();
+    history.recordTransmission(() -> sent);
+  }
+
+  @Test
+  void a_request_in_flight_may_run() {
+    start(false);
+    assertThat(history.mayHaveRun()).isFalse();
+    start(true);
+
+    assertThat(history.mayHaveRun()).isTrue();
+    assertThat(history.honest(ResultCode.SHED)).isEqualTo(ResultCode.BACKEND_FAILED);
+  }
+
+  @Test
+  void a_request_that_its_backend_server_rejected_has_not_run() {
+    start(true);
+    history.recordResult(new AttemptResult.NotRun(REJECTION));
+
+    assertThat(history.mayHaveRun()).isFalse();
+    assertThat(history.honest(ResultCode.SHED)).isEqualTo(ResultCode.SHED);
+  }
+
+  /** Guards against a promise on a request that ran at the engine before its migration. */
+  @Test
+  void a_rejection_by_one_backend_server_proves_nothing_of_an_attempt_without_a_result() {
+    start(true);
+    start(true);
+    history.recordResult(new AttemptResult.NotRun(REJECTION));
+    history.recordStart();
+    history.recordResult(new AttemptResult.Unreachable("no connection"));
+
+    assertThat(history.mayHaveRun()).isTrue();
+    assertThat(history.honest(ResultCode.NO_BACKEND)).isEqualTo(ResultCode.BACKEND_FAILED);
+  }
+
+  @Test
+  void no_code_that_promises_that_a_request_did_not_run_is_reported_once_it_was_sent() {
+    start(true);
+
+    assertThat(ResultCode.values())
+        .extracting(history::honest)
+        .noneMatch(code -> Set.of(408, 421, 429, 503).contains(code.httpStatus()));
+  }
 }
--- a/src/test/java/org/curranthaven/internal/relay/RetryRulesTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/RetryRulesTest.java
@@ -103,4 +103,24 @@
                 completed(504), route(Repeatability.IDEMPOTENT, 2, false), 1, 1, false))
         .isEqualTo(new RetryDecision.Deliver());
   }
+
+  /** Guards against a second run of a request whose first attempt has no result. */
+  @Test
+  void a_request_that_must_not_run_twice_is_not_sent_again_while_an_attempt_may_have_run() {
+    AttemptHistory history = new AttemptHistory();
+    history.recordStart();
+    history.recordTransmission(() -> true);
+    history.recordStart();
+    AttemptResult unreachable = new AttemptResult.Unreachable("no connection");
+    history.recordResult(unreachable);
+
+    assertThat(
+            RetryRules.decide(
+                unreachable, route(Repeatability.NON_IDEMPOTENT, 3, false), history, false))
+        .isEqualTo(new RetryDecision.Fail(ResultCode.BACKEND_FAILED));
+    assertThat(
+            RetryRules.decide(
+                unreachable, route(Repeatability.IDEMPOTENT, 3, false), history, false))
+        .isEqualTo(new RetryDecision.Retry());
+  }
 }
