--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -200,6 +200,11 @@
     return queue.contains(requestId);
   }
 
+  /** Returns whether the request runs on a backend server. */
+  public boolean isRunning(RequestId requestId) {
+    return backends.backendOf(requestId) != null;
+  }
+
   /** Returns the number of requests that run on backend servers. */
   public int runningRequests() {
     return backends.runningRequests();
@@ -387,9 +392,14 @@
 
   // ---- requests ---------------------------------------------------------------------------------
 
-  /** Places, queues or rejects a request; replaces an earlier one with the same id. */
+  /**
+   * Places, queues or rejects a request. One that is queued or placed already comes again because
+   * the reply was lost or late: it stays where it is, and its placement is told again.
+   */
   public void submit(RequestId requestId, PlacementRequest request, long nowMillis) {
-    requestEnded(requestId, DispatchOutcome.DISPATCH_OUTCOME_CANCELLED, 0, nowMillis);
+    if (queue.contains(requestId) || tellPlacementAgain(requestId)) {
+      return;
+    }
     crashEvidence.recordRequest(request);
     long blockedMillis = crashEvidence.blockedMillis(request, nowMillis);
     if (blockedMillis > 0) {
@@ -408,6 +418,21 @@
     }
   }
 
+  private boolean tellPlacementAgain(RequestId requestId) {
+    BackendState backend = backends.backendOf(requestId);
+    RunningRequest running = backend == null ? null : backend.requests.get(requestId);
+    if (backend == null || running == null) {
+      return false;
+    }
+    decisions.add(placementOf(running, backend));
+    return true;
+  }
+
+  private static DispatchDecision placementOf(RunningRequest running, BackendState backend) {
+    int urgency = Math.min(MAX_URGENCY, running.request.getPriority());
+    return new DispatchDecision.Place(running.id, backend.id(), urgency, running.backup);
+  }
+
   private void submitBound(RequestId requestId, PlacementRequest request, long nowMillis) {
     if (!request.getRepeat() && !request.getCounted()) {
       retries.recordRequest(requestId, request.getService(), retryLimits, nowMillis);
@@ -537,6 +562,7 @@
   public void requestEnded(
       RequestId requestId, DispatchOutcome outcome, int outputTokens, long nowMillis) {
     if (queue.remove(requestId) != null) {
+      retries.requestEnded(requestId);
       return;
     }
     BackendState backend = backends.backendOf(requestId);
@@ -551,6 +577,7 @@
     }
     if (backends.backendOf(requestId) == null) {
       admission.recordGone(requestId);
+      retries.requestEnded(requestId);
     }
     migrationPlanner.migrateFrom(backend, nowMillis);
     serveQueue(backend.service(), nowMillis);
@@ -857,8 +884,7 @@
     rateLimits.recordPlacement(chosen.id(), nowMillis);
     chosen.promptPartCache.add(running.request.getPartsList());
     backupPlanner.assign(chosen, running, nowMillis);
-    int urgency = Math.min(MAX_URGENCY, running.request.getPriority());
-    decisions.add(new DispatchDecision.Place(running.id, chosen.id(), urgency, running.backup));
+    decisions.add(placementOf(running, chosen));
   }
 
   private boolean hasCandidates(RequestId requestId, PlacementRequest request, long nowMillis) {
@@ -882,6 +908,7 @@
   }
 
   private void reject(RequestId requestId, long retryAfterMillis, RejectionReason reason) {
+    retries.requestEnded(requestId);
     decisions.add(new DispatchDecision.Reject(requestId, retryAfterMillis, reason));
   }
 }
--- a/src/main/java/org/curranthaven/internal/dispatch/RetryAccounts.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/RetryAccounts.java
@@ -21,6 +21,9 @@
   /** Counts a retry if there is room for it; returns whether there is. */
   boolean tryRetry(RequestId requestId, String service, RetryLimits limits, long nowMillis);
 
+  /** Handles the end of a request, or its rejection; nothing is decided about it any more. */
+  default void requestEnded(RequestId requestId) {}
+
   /** Returns and clears the first retries of a window that were refused, to be logged. */
   List<RetryRefusal> drainRefusals();
 }
--- a/src/main/java/org/curranthaven/internal/dispatch/SchedulerRetries.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/SchedulerRetries.java
@@ -172,9 +172,14 @@
         : 0;
   }
 
-  /** Returns and clears whether a retry was allowed on the reserve of its gateway. */
-  public boolean takeOnReserve(RequestId requestId) {
-    return !onReserve.isEmpty() && onReserve.remove(requestId);
+  /** Returns whether a request is a retry that was allowed on the reserve of its gateway. */
+  public boolean isOnReserve(RequestId requestId) {
+    return onReserve.contains(requestId);
+  }
+
+  @Override
+  public void requestEnded(RequestId requestId) {
+    onReserve.remove(requestId);
   }
 
   @Override
--- a/src/main/java/org/curranthaven/internal/relay/Gateway.java
+++ b/src/main/java/org/curranthaven/internal/relay/Gateway.java
@@ -8,6 +8,7 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 import java.util.SortedMap;
 import java.util.SplittableRandom;
@@ -53,6 +54,12 @@
 
   private static final long DRAIN_POLL_MILLIS = 50;
 
+  /**
+   * Bits of a placement id below the start time of the process: no decision for an earlier lifetime
+   * names a request of this one.
+   */
+  private static final int PLACEMENT_IDS_BITS = 20;
+
   private final RoutedSettings settings;
   private final WireProtocol protocol;
   private final Clock clock;
@@ -75,7 +82,7 @@
   private volatile long drainEndMillis;
   private volatile boolean draining;
   private volatile int openRequestCount;
-  private long placementCounter = 1;
+  private long placementCounter;
 
   /** Creates a gateway, which {@link #start} starts. */
   public Gateway(RoutedSettings settings, WireProtocol protocol, Clock clock) {
@@ -83,6 +90,7 @@
     this.protocol = protocol;
     this.clock = clock;
     long incarnation = clock.epochMillis();
+    this.placementCounter = incarnation << PLACEMENT_IDS_BITS;
     String statusAddress = settings.statusAddress();
     this.metrics = statusAddress == null || statusAddress.isEmpty() ? null : new RoutedMetrics();
     this.random = new SplittableRandom(settings.name().hashCode() ^ System.nanoTime());
@@ -138,6 +146,7 @@
     }
     statusMetrics.gauge("curranthaven_open_calls", () -> openRequestCount);
     statusMetrics.gauge("curranthaven_peer_bytes_sent", network::bytesSent);
+    registerLinkCounters(statusMetrics);
     try {
       StatusServer.start(Addresses.parse(address), statusMetrics, this::dump);
     } catch (IOException e) {
@@ -148,6 +157,18 @@
     }
   }
 
+  private void registerLinkCounters(RoutedMetrics statusMetrics) {
+    LinkCounters counters = link.counters();
+    statusMetrics.counter("curranthaven_placement_requests_sent_again", counters::sentAgain);
+    for (LinkCounters.Reason reason : LinkCounters.Reason.values()) {
+      statusMetrics.counter(
+          "curranthaven_ignored_decisions",
+          () -> counters.ignored(reason),
+          "reason",
+          reason.name().toLowerCase(Locale.ROOT));
+    }
+  }
+
   private boolean isReady() {
     return !draining && isInitialized() && warmUp.isOver();
   }
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -63,6 +63,12 @@
   /** Shortest time between two full statuses; longer than one takes to arrive and be applied. */
   static final long FULL_STATUS_INTERVAL_MILLIS = 400;
 
+  /**
+   * Time after a full status at which decisions from before it show that it was lost; longer than a
+   * scheduler that is heard can take to apply it and reply.
+   */
+  static final long STATUS_LOST_MILLIS = 2_000;
+
   /**
    * Time for which a gateway that the scheduler has lost still counts: it may place requests
    * locally, on its share of the rates that backend servers accept.
@@ -104,6 +110,8 @@
 
   private final ResumptionsAwaitingScheduler awaitingScheduler = new ResumptionsAwaitingScheduler();
 
+  private final LinkCounters counters = new LinkCounters();
+
   private String scheduler = "";
   private long term;
   private long viewVersion;
@@ -118,6 +126,7 @@
   private boolean viewReceived;
   private @Nullable DispatchCore localDispatch;
   private boolean checkScheduled;
+  private boolean stateReportScheduled;
   private boolean closed;
   private long lastProgressMillis;
   private long statusNumber;
@@ -207,6 +216,11 @@
     return knowledge.capacities().describe(clock.nowMillis());
   }
 
+  /** Returns the counts of ignored decisions and of placement requests that were sent again. */
+  LinkCounters counters() {
+    return counters;
+  }
+
   /** Returns whether a scheduler's view has been received at least once. */
   boolean hasReceivedView() {
     return viewReceived;
@@ -314,6 +328,11 @@
         term,
         openRequests.size());
     localDispatch = null;
+    sendState();
+  }
+
+  /** Sends the full status, and the placement requests of the requests that wait. */
+  private void sendState() {
     sendStatus(true);
     for (PlacementListener request : List.copyOf(openRequests.values())) {
       if (request.backend().isEmpty()) {
@@ -322,6 +341,32 @@
     }
   }
 
+  /**
+   * Reports the state of this gateway to a scheduler whose view differs, at most every {@link
+   * #FULL_STATUS_INTERVAL_MILLIS}.
+   */
+  private void reportState() {
+    if (!stateReportScheduled && isConnected()) {
+      stateReportScheduled = true;
+      long dueAtMillis = fullStatusSentMillis + FULL_STATUS_INTERVAL_MILLIS;
+      loop.schedule(
+          this::reportStateNow,
+          Math.max(0, dueAtMillis - clock.nowMillis()),
+          TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void reportStateNow() {
+    stateReportScheduled = false;
+    // A full status that was sent meanwhile has corrected the scheduler's view already.
+    boolean due = clock.nowMillis() - fullStatusSentMillis >= FULL_STATUS_INTERVAL_MILLIS;
+    if (due && isConnected()) {
+      Logger.info(
+          "the view of scheduler {} in term {} differs: reporting the state", scheduler, term);
+      sendState();
+    }
+  }
+
   private void sendStatus(boolean full) {
     GatewayStatus.Builder status =
         GatewayStatus.newBuilder()
@@ -427,7 +472,8 @@
               + PLACEMENT_REPLY_TIMEOUT_MILLIS
               + " ms");
     } else {
-      sendPlacementRequest(asCounted(placementRequest));
+        counters.recordSentAgain(placementRequest.getId(), clock.nowMillis());
+        sendPlacementRequest(asCounted(placementRequest));
     }
   }
 
@@ -489,7 +535,7 @@
     BackendRecord record = backends.get(backend);
     return backends.isLeaving(backend)
         || knowledge.restTimes().isResting(self, backend, clock.nowMillis())
-        || (record != null && isEvacuated(record));
+        || (record != null && (record.getLeaving() || isEvacuated(record)));
   }
 
   @Override
@@ -640,41 +686,47 @@
   /** Handles the scheduler's decisions; ignores those of another term or host. */
   void handle(String host, DispatchOrders orders) {
     if (orders.getTerm() != term || !host.equals(scheduler)) {
+      recordIgnored(LinkCounters.Reason.OTHER_TERM, orders);
       return;
     }
     if (!isConnected()) {
       loseScheduler("its decisions arrived after its time was up");
       return;
     }
-    if (orders.getStatusNumber() > 0 && orders.getStatusNumber() != statusNumber) {
+    if (orders.getStatusNumber() != statusNumber) {
       // Decisions from before the latest full status: the scheduler has revoked them since.
+      recordIgnored(LinkCounters.Reason.EARLIER_STATUS, orders);
+      if (clock.nowMillis() - fullStatusSentMillis >= STATUS_LOST_MILLIS) {
+        reportState();
+      }
       return;
     }
     lastMessageMillis = clock.nowMillis();
     orders.getWaitingList().forEach(unacknowledged::remove);
     for (Placement placement : orders.getPlacementsList()) {
       unacknowledged.remove(placement.getId());
-      PlacementListener request = openRequests.get(placement.getId());
-      if (request != null && request.backend().isEmpty()) {
+      PlacementListener request = waitingRequest(placement.getId(), placement.getBackend());
+      if (request != null) {
         recordRetry(request.placementRequest(), placement.getOnReserve());
         request.onPlaced(placement.getBackend(), placement.getUrgency(), placement.getBackup());
       }
     }
     for (Rejection rejection : orders.getRefusalsList()) {
       unacknowledged.remove(rejection.getId());
-      PlacementListener request = openRequests.remove(rejection.getId());
+      PlacementListener request = waitingRequest(rejection.getId(), "");
       if (request != null) {
+        openRequests.remove(rejection.getId());
         request.onRejected(rejection.getRetryAfterMillis(), rejection.getReason());
       }
     }
     for (Rejection stop : orders.getStopsList()) {
-      PlacementListener request = openRequests.get(stop.getId());
+      PlacementListener request = runningRequest(stop.getId());
       if (request != null) {
         request.onStopped(stop.getRetryAfterMillis(), stop.getReason());
       }
     }
     for (MigrationOrder migration : orders.getMovesList()) {
-      PlacementListener request = openRequests.get(migration.getId());
+      PlacementListener request = runningRequest(migration.getId());
       if (request != null) {
         request.onMigrate(migration.getTarget(), migration.getBackup());
       }
@@ -687,6 +739,70 @@
     }
   }
 
+  /**
+   * Returns the request that waits for the decision on its placement. If it does not wait, counts
+   * the decision as ignored, and has the view of the scheduler corrected if it differs.
+   *
+   * @param decidedBackend backend server that the decision names; empty for a rejection
+   */
+  private @Nullable PlacementListener waitingRequest(long id, String decidedBackend) {
+    PlacementListener request = openRequests.get(id);
+    if (request != null && request.backend().isEmpty()) {
+      return request;
+    }
+    if (request != null) {
+      recordIgnored(LinkCounters.Reason.RUNS_ALREADY, id);
+      if (!request.backend().equals(decidedBackend)) {
+        reportState();
+      }
+      return null;
+    }
+    recordIgnored(LinkCounters.Reason.UNKNOWN_REQUEST, id);
+    if (!decidedBackend.isEmpty() && isConnected()) {
+      DispatchEnd.Builder end =
+          DispatchEnd.newBuilder().setId(id).setOutcome(DispatchOutcome.DISPATCH_OUTCOME_CANCELLED);
+      send(DispatchRequests.newBuilder().addEnds(end));
+    }
+    return null;
+  }
+
+  /** Returns the request that has been placed; counts the decision as ignored if it has not. */
+  private @Nullable PlacementListener runningRequest(long id) {
+    PlacementListener request = openRequests.get(id);
+    if (request == null) {
+      recordIgnored(LinkCounters.Reason.UNKNOWN_REQUEST, id);
+    } else if (request.backend().isEmpty()) {
+      recordIgnored(LinkCounters.Reason.NOT_RUNNING, id);
+      reportState();
+      return null;
+    }
+    return request;
+  }
+
+  private void recordIgnored(LinkCounters.Reason reason, long id) {
+    counters.recordIgnored(reason, 1, "placement request " + id, clock.nowMillis());
+  }
+
+  private void recordIgnored(LinkCounters.Reason reason, DispatchOrders orders) {
+    int count =
+        orders.getPlacementsCount()
+            + orders.getRefusalsCount()
+            + orders.getStopsCount()
+            + orders.getMovesCount();
+    counters.recordIgnored(
+        reason,
+        count,
+        "of term "
+            + orders.getTerm()
+            + " and status "
+            + orders.getStatusNumber()
+            + ", here "
+            + term
+            + " and "
+            + statusNumber,
+        clock.nowMillis());
+  }
+
   // ---- local fallback ---------------------------------------------------------------------------
 
   private void scheduleCheck() {
@@ -859,7 +975,14 @@
                     clock.nowMillis() - lastMessageMillis,
                     line));
     for (DispatchDecision decision : core.drainDecisions()) {
-      PlacementListener request = openRequests.get(decision.requestId().id());
+      long id = decision.requestId().id();
+      PlacementListener request =
+          switch (decision) {
+            case DispatchDecision.Place placement -> waitingRequest(id, placement.backend());
+            case DispatchDecision.Reject ignored -> waitingRequest(id, "");
+            case DispatchDecision.Migrate ignored -> runningRequest(id);
+            case DispatchDecision.Stop ignored -> runningRequest(id);
+          };
       if (request == null) {
         continue;
       }
@@ -867,7 +990,7 @@
         case DispatchDecision.Place placement ->
             request.onPlaced(placement.backend(), placement.urgency(), placement.backup());
         case DispatchDecision.Reject reject -> {
-          openRequests.remove(reject.requestId().id());
+          openRequests.remove(id);
           request.onRejected(reject.retryAfterMillis(), reject.reason().name());
         }
         case DispatchDecision.Migrate migration ->
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -90,6 +90,7 @@
   private int reportedGateways;
 
   private final PendingAcknowledgements pendingAcknowledgements = new PendingAcknowledgements();
+  private final RepeatedRequests repeatedRequests = new RepeatedRequests();
   private final List<Runnable> deferredActions = new ArrayList<>();
   private Catalog catalog = Catalog.empty();
   private ByteString catalogDocument = ByteString.EMPTY;
@@ -435,6 +436,9 @@
     view.catalogRevision = Math.max(view.catalogRevision, status.getCatalogRevision());
     view.evacuationRevision = Math.max(view.evacuationRevision, status.getEvacuationRevision());
     if (status.getFull()) {
+      // What was decided for the state before must not carry the number of the new one.
+      core.removeGateway(from.getName(), nowMillis);
+      sendDecisions();
       view.statusNumber = status.getNumber();
       view.rateLimitsVersion = 0;
       view.capacitiesVersion = 0;
@@ -478,7 +482,6 @@
         Math.max(status.getMostGateways(), status.getMostGatewaysKnown()),
         retryLimits,
         nowMillis);
-    core.removeGateway(from.getName(), nowMillis);
     for (RunningDispatch running : status.getOpenList()) {
       RequestId key = new RequestId(from.getName(), running.getAsk().getId());
       core.restoreRunning(key, running, nowMillis);
@@ -491,13 +494,30 @@
     if (requests.getTerm() != term || term == 0) {
       return;
     }
-    runAfterRebuild(() -> applyRequests(from.getName(), requests));
+    GatewayView view = gatewayViews.get(from.getName());
+    long statusNumber = view == null ? 0 : view.statusNumber;
+    runAfterRebuild(
+        () -> {
+          applyReports(from.getName(), requests);
+          // Later full statuses replace what a gateway asked for before, also in an earlier
+          // lifetime.
+          if (view != null
+              && view == gatewayViews.get(from.getName())
+              && view.isState(from.getIncarnation(), statusNumber)) {
+            applyRequests(from.getName(), requests);
+          }
+          sendDecisions();
+        });
   }
 
-  private void applyRequests(String gateway, DispatchRequests requests) {
+  private void applyReports(String gateway, DispatchRequests requests) {
     long nowMillis = clock.nowMillis();
     requests.getCrashedBackendsList().forEach(backend -> handleCrash(gateway, backend, nowMillis));
     requests.getStatementsList().forEach(stated -> handleStatement(gateway, stated, nowMillis));
+  }
+
+  private void applyRequests(String gateway, DispatchRequests requests) {
+    long nowMillis = clock.nowMillis();
     for (DispatchEnd end : requests.getEndsList()) {
       core.requestEnded(
           new RequestId(gateway, end.getId()), end.getOutcome(), end.getOutputTokens(), nowMillis);
@@ -511,6 +531,10 @@
     DispatchOrders.Builder queuedOrders = newOrders(gateway);
     for (PlacementRequest placementRequest : requests.getAsksList()) {
       RequestId key = new RequestId(gateway, placementRequest.getId());
+      if (core.isQueued(key) || core.isRunning(key)) {
+        String state = core.isQueued(key) ? "is queued" : "runs";
+        repeatedRequests.record(gateway, key.id(), state, nowMillis);
+      }
       core.submit(key, placementRequest, nowMillis);
       if (core.isQueued(key)) {
         queuedOrders.addWaiting(placementRequest.getId());
@@ -625,7 +649,7 @@
                     .setBackend(placement.backend())
                     .setUrgency(placement.urgency())
                     .setBackup(placement.backup())
-                    .setOnReserve(retries.takeOnReserve(placement.requestId())));
+                    .setOnReserve(retries.isOnReserve(placement.requestId())));
         case DispatchDecision.Reject rejection ->
             orders.addRefusals(
                 Rejection.newBuilder()
--- a/src/test/java/org/curranthaven/internal/dispatch/DispatchCoreTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/DispatchCoreTest.java
@@ -524,4 +524,21 @@
 
     assertThat(onlyDecision()).isInstanceOf(DispatchDecision.Reject.class);
   }
+
+  /**
+   * Guards against retries that are counted, and then rejected, because their request came twice.
+   */
+  @Test
+  void a_retry_that_comes_again_counts_once_in_the_retry_budget() {
+    core.updateBackend(backend("p1", "plain").toBuilder().setSlots(100).build(), 0);
+    for (long id = 1; id <= 8; id++) {
+      RequestId requestId = new RequestId("gateway", id);
+      PlacementRequest retry = plainRequest().setId(id).setRepeat(true).build();
+      core.submit(requestId, retry, id);
+      core.submit(requestId, retry, id);
+    }
+
+    assertThat(core.drainDecisions()).noneMatch(DispatchDecision.Reject.class::isInstance);
+    assertThat(core.runningRequests()).isEqualTo(8);
+  }
 }
--- a/src/test/java/org/curranthaven/internal/dispatch/RetryAccountsTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/RetryAccountsTest.java
@@ -55,7 +55,21 @@
 
     assertThat(allowed("g1", 20_020)).isEqualTo(5);
     assertThat(allowed("g2", 20_020)).isZero();
-    assertThat(scheduler.takeOnReserve(new RequestId("g1", 0))).isTrue();
+    assertThat(scheduler.isOnReserve(new RequestId("g1", 0))).isTrue();
+  }
+
+  /** Guards against a retry whose placement is told again and then counts for the shared part. */
+  @Test
+  void a_retry_stays_on_the_reserve_of_its_gateway_until_its_request_ends() {
+    start(20_000);
+    restore("g1", 0, LONG_MEMORY_MILLIS, 20_010);
+    RequestId retry = new RequestId("g1", 0);
+    scheduler.tryRetry(retry, "plain", LIMITS, 20_020);
+
+    assertThat(scheduler.isOnReserve(retry)).isTrue();
+    assertThat(scheduler.isOnReserve(retry)).isTrue();
+    scheduler.requestEnded(retry);
+    assertThat(scheduler.isOnReserve(retry)).isFalse();
   }
 
   /** Guards against a whole allowance for the first gateway that finds a new leader. */
--- a/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
@@ -19,6 +19,7 @@
 import org.curranthaven.internal.dispatch.StatedRateLimit;
 import org.curranthaven.internal.transport.wire.BackendRecord;
 import org.curranthaven.internal.transport.wire.BackendStatement;
+import org.curranthaven.internal.transport.wire.DispatchEnd;
 import org.curranthaven.internal.transport.wire.DispatchOrders;
 import org.curranthaven.internal.transport.wire.DispatchOutcome;
 import org.curranthaven.internal.transport.wire.Envelope;
@@ -31,6 +32,7 @@
 import org.curranthaven.internal.transport.wire.RateLimitRecord;
 import org.curranthaven.internal.transport.wire.Rejection;
 import org.curranthaven.internal.transport.wire.RestRecord;
+import org.curranthaven.internal.transport.wire.RunningDispatch;
 import org.curranthaven.internal.transport.wire.SchedulerView;
 import org.curranthaven.internal.transport.wire.ServedVersion;
 import org.curranthaven.internal.transport.wire.StreamOrigin;
@@ -63,6 +65,7 @@
     private final PlacementRequest placementRequest;
     private String backend = "";
     private String stopReason = "";
+    private int placements;
     private String rejectionReason = "";
     private @Nullable String streamVersion;
 
@@ -86,6 +89,7 @@
 
     @Override
     public void onPlaced(String backendId, int urgency, String backup) {
+      placements++;
       backend = backendId;
     }
 
@@ -170,10 +174,7 @@
 
     link.handle(
         "control-1",
-        DispatchOrders.newBuilder()
-            .setTerm(3)
-            .addPlacements(Placement.newBuilder().setId(7).setBackend("i-1"))
-            .build());
+        currentOrders().addPlacements(Placement.newBuilder().setId(7).setBackend("i-1")).build());
 
     assertThat(request.backend()).isEqualTo("i-1");
   }
@@ -209,7 +210,7 @@
     publishView("control-1", 3, 1, "i-1");
     RecordingListener request = new RecordingListener(1);
     requestPlacement(request);
-    link.handle("control-1", DispatchOrders.newBuilder().setTerm(3).addWaiting(1).build());
+    link.handle("control-1", currentOrders().addWaiting(1).build());
 
     time.advance(SchedulerLink.PLACEMENT_REPLY_TIMEOUT_MILLIS + 20);
 
@@ -238,10 +239,7 @@
 
     link.handle(
         "control-1",
-        DispatchOrders.newBuilder()
-            .setTerm(3)
-            .addPlacements(Placement.newBuilder().setId(7).setBackend("i-1"))
-            .build());
+        currentOrders().addPlacements(Placement.newBuilder().setId(7).setBackend("i-1")).build());
     publishView("control-1", 3, 9, "i-9");
 
     assertThat(request.backend()).isEmpty();
@@ -309,10 +307,7 @@
     requestPlacement(running);
     link.handle(
         "control-1",
-        DispatchOrders.newBuilder()
-            .setTerm(3)
-            .addPlacements(Placement.newBuilder().setId(1).setBackend("i-1"))
-            .build());
+        currentOrders().addPlacements(Placement.newBuilder().setId(1).setBackend("i-1")).build());
     requestPlacement(queued);
     sent.clear();
 
@@ -354,14 +349,11 @@
 
   @Test
   void a_running_request_is_stopped_when_the_scheduler_says_so() {
-    publishView("control-1", 3, 1, "i-1");
-    RecordingListener request = new RecordingListener(7);
-    requestPlacement(request);
+    RecordingListener request = runningRequest(7);
 
     link.handle(
         "control-1",
-        DispatchOrders.newBuilder()
-            .setTerm(3)
+        currentOrders()
             .addStops(Rejection.newBuilder().setId(7).setReason("CRASHES_BACKENDS"))
             .build());
 
@@ -898,4 +890,137 @@
         .extracting(RestRecord::getBackend, RestRecord::getLeftMillis)
         .containsExactly(tuple("i-1", 2_000L));
   }
+
+  // ---- decisions for another state --------------------------------------------------------------
+
+  private DispatchOrders.Builder currentOrders() {
+    return DispatchOrders.newBuilder().setTerm(3).setStatusNumber(lastStatus().getNumber());
+  }
+
+  private RecordingListener runningRequest(long id) {
+    publishView("control-1", 3, 1, "i-1", "i-2");
+    RecordingListener request = new RecordingListener(id);
+    requestPlacement(request);
+    link.handle("control-1", placement(id, "i-1", lastStatus().getNumber()));
+    return request;
+  }
+
+  private void reject(long id, long statusNumber) {
+    link.handle(
+        "control-1",
+        DispatchOrders.newBuilder()
+            .setTerm(3)
+            .setStatusNumber(statusNumber)
+            .addRefusals(Rejection.newBuilder().setId(id).setReason("NO_ROOM_IN_TIME"))
+            .build());
+  }
+
+  /** Guards against a promise that a request did not run while it runs. */
+  @Test
+  void a_rejection_of_a_request_that_runs_is_ignored() {
+    RecordingListener request = runningRequest(7);
+
+    reject(7, lastStatus().getNumber());
+
+    assertThat(request.rejectionReason).isEmpty();
+  }
+
+  private long fullStatuses() {
+    return sent.stream()
+        .filter(Envelope::hasGatewayStatus)
+        .filter(message -> message.getGatewayStatus().getFull())
+        .count();
+  }
+
+  @Test
+  void a_scheduler_that_rejects_a_request_that_runs_gets_the_state_at_most_every_400_ms() {
+    runningRequest(7);
+    time.advance(SchedulerLink.FULL_STATUS_INTERVAL_MILLIS - 20);
+    publishView("control-1", 3, 1);
+    sent.clear();
+
+    reject(7, 1);
+    reject(7, 1);
+    assertThat(fullStatuses()).isZero();
+    time.advance(20);
+
+    assertThat(fullStatuses()).isEqualTo(1);
+    assertThat(lastStatus().getOpenList())
+        .extracting(dispatch -> dispatch.getAsk().getId(), RunningDispatch::getBackend)
+        .containsExactly(tuple(7L, "i-1"));
+    assertThat(link.counters().ignored(LinkCounters.Reason.RUNS_ALREADY)).isEqualTo(2);
+  }
+
+  @Test
+  void a_placement_that_is_told_again_changes_nothing() {
+    RecordingListener request = runningRequest(7);
+    time.advance(SchedulerLink.FULL_STATUS_INTERVAL_MILLIS);
+    sent.clear();
+
+    link.handle("control-1", placement(7, "i-1", 1));
+    time.advance(100);
+
+    assertThat(request.placements).isEqualTo(1);
+    assertThat(sent).isEmpty();
+  }
+
+  @Test
+  void a_scheduler_that_places_a_request_that_has_ended_hears_that_it_does_not_run() {
+    runningRequest(7);
+    link.reportEnd(7, DispatchOutcome.DISPATCH_OUTCOME_ANSWERED, 0);
+    sent.clear();
+
+    link.handle("control-1", placement(7, "i-1", 1));
+
+    assertThat(sent.getLast().getDispatchRequests().getEndsList())
+        .extracting(DispatchEnd::getId)
+        .containsExactly(7L);
+  }
+
+  @Test
+  void a_stop_of_a_request_that_waits_is_ignored() {
+    publishView("control-1", 3, 1, "i-1");
+    RecordingListener request = new RecordingListener(7);
+    requestPlacement(request);
+
+    link.handle(
+        "control-1",
+        currentOrders()
+            .addStops(Rejection.newBuilder().setId(7).setReason("CRASHES_BACKENDS"))
+            .build());
+
+    assertThat(request.stopReason).isEmpty();
+    assertThat(link.counters().ignored(LinkCounters.Reason.NOT_RUNNING)).isEqualTo(1);
+  }
+
+  /** Guards against decisions for a state that the scheduler does not know of. */
+  @Test
+  void decisions_without_the_number_of_the_latest_full_status_are_ignored() {
+    publishView("control-1", 3, 1, "i-1");
+    RecordingListener request = new RecordingListener(7);
+    requestPlacement(request);
+
+    link.handle("control-1", placement(7, "i-1", 0));
+
+    assertThat(request.backend()).isEmpty();
+    assertThat(link.counters().ignored(LinkCounters.Reason.EARLIER_STATUS)).isEqualTo(1);
+  }
+
+  /** Guards against a scheduler whose decisions are ignored for good since a status was lost. */
+  @Test
+  void a_scheduler_that_decides_on_from_an_earlier_state_gets_the_full_status_again() {
+    publishView("control-1", 3, 1, "i-1");
+    requestPlacement(new RecordingListener(7));
+    for (long waited = 0; waited < SchedulerLink.STATUS_LOST_MILLIS; waited += 100) {
+      publishView("control-1", 3, 1);
+      time.advance(100);
+    }
+    publishView("control-1", 3, 1);
+    sent.clear();
+
+    link.handle("control-1", placement(7, "i-1", 0));
+    time.advance(20);
+
+    assertThat(fullStatuses()).isEqualTo(1);
+  }
 }
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -20,6 +20,7 @@
 import org.curranthaven.internal.transport.wire.BackendRecord;
 import org.curranthaven.internal.transport.wire.BackendStatement;
 import org.curranthaven.internal.transport.wire.DispatchEnd;
+import org.curranthaven.internal.transport.wire.DispatchOrders;
 import org.curranthaven.internal.transport.wire.DispatchOutcome;
 import org.curranthaven.internal.transport.wire.DispatchRequests;
 import org.curranthaven.internal.transport.wire.Envelope;
@@ -274,6 +275,7 @@
             .addOpen(runningDispatch(2))
             .addOpen(runningDispatch(3))
             .build());
+    receiveStatus("g2", 0, 0, true);
     DispatchRequests requests =
         DispatchRequests.newBuilder().setTerm(5).addAsks(placementRequest(9)).build();
 
@@ -389,6 +391,7 @@
     scheduler.handleStatus(
         host("g1"),
         GatewayStatus.newBuilder().setTerm(5).setFull(true).addAllCrashSuspects(known).build());
+    receiveStatus("g2", 0, 0, true);
     time.advance(AFTER_REBUILD_MILLIS);
     receiveRequests("g2", DispatchRequests.newBuilder().addAsks(requestWithPart(9, "bad")));
 
@@ -903,4 +906,96 @@
     // 2 of 8 gateways are connected, so that 6 of 24 requests/s are this leader's.
     assertThat(placementsIn(2_000)).isBetween(10L, 14L);
   }
+
+  // ---- requests that come again -----------------------------------------------------------------
+
+  private List<DispatchOrders> ordersTo(String gateway) {
+    return sent.stream()
+        .filter(message -> message.getKey().equals(gateway))
+        .map(Map.Entry::getValue)
+        .filter(Envelope::hasDispatchOrders)
+        .map(Envelope::getDispatchOrders)
+        .toList();
+  }
+
+  private void receiveAsk(String gateway, PlacementRequest request) {
+    receiveRequests(gateway, DispatchRequests.newBuilder().addAsks(request));
+  }
+
+  private static PlacementRequest urgentRequest(long id) {
+    return placementRequest(id).toBuilder().setTargetLeftMillis(100).build();
+  }
+
+  /** Guards against a rejection of a request that runs, since its place was given to another. */
+  @Test
+  void a_request_that_runs_and_comes_again_is_told_its_placement_again() {
+    startLeading();
+    scheduler.register(backend(1, false), new RecordedResult()::accept);
+    receiveAsk("g1", urgentRequest(1));
+    for (long id = 2; id <= 6; id++) {
+      receiveAsk("g2", placementRequest(id));
+    }
+    DispatchOrders first = ordersTo("g1").getLast();
+    sent.clear();
+
+    receiveAsk("g1", urgentRequest(1));
+
+    assertThat(first.getPlacementsList()).hasSize(1);
+    assertThat(ordersTo("g1"))
+        .extracting(DispatchOrders::getPlacementsList)
+        .containsExactly(first.getPlacementsList());
+    assertThat(ordersTo("g2")).isEmpty();
+  }
+
+  private static GatewayStatus.Builder fullStatus(long number) {
+    return GatewayStatus.newBuilder().setTerm(5).setFull(true).setNumber(number);
+  }
+
+  /** Guards against a placement that the gateway obeys and the scheduler has forgotten. */
+  @Test
+  void a_decision_on_a_request_from_before_a_full_status_does_not_carry_its_number() {
+    startLeading();
+    scheduler.handleStatus(host("g1"), fullStatus(7).build());
+    scheduler.register(backend(1, false), new RecordedResult()::accept);
+    for (long id = 1; id <= 3; id++) {
+      receiveAsk("g2", placementRequest(id));
+    }
+    receiveAsk("g1", placementRequest(9));
+    sent.clear();
+
+    BackendRecord other = backend(1, false).toBuilder().setId("i-2").build();
+    scheduler.handleStatus(host("g1"), fullStatus(8).addBackends(other).build());
+
+    assertThat(ordersTo("g1"))
+        .filteredOn(orders -> orders.getPlacementsCount() + orders.getRefusalsCount() > 0)
+        .extracting(DispatchOrders::getStatusNumber)
+        .doesNotContain(8L);
+  }
+
+  /** Guards against a second decision on a request that the gateway has placed itself meanwhile. */
+  @Test
+  void a_request_that_a_later_full_status_reports_as_running_is_not_decided_after_the_rebuild() {
+    scheduler.setTerm(5, List.of());
+    scheduler.handleStatus(host("g1"), fullStatus(1).addBackends(backend(1, false)).build());
+    receiveAsk("g1", placementRequest(4));
+    receiveAsk("g1", placementRequest(5));
+    scheduler.handleStatus(host("g1"), fullStatus(2).addOpen(runningDispatch(4)).build());
+
+    time.advance(AFTER_REBUILD_MILLIS);
+
+    assertThat(ordersTo("g1")).isEmpty();
+  }
+
+  /** Guards against decisions on requests of a process that has ended since. */
+  @Test
+  void requests_of_an_earlier_lifetime_of_a_gateway_are_not_decided() {
+    startLeading();
+    scheduler.register(backend(1, false), new RecordedResult()::accept);
+    HostRecord restarted = host("g1").toBuilder().setIncarnation(2).build();
+    scheduler.handleStatus(restarted, fullStatus(1).build());
+
+    receiveAsk("g1", placementRequest(1));
+
+    assertThat(ordersTo("g1")).isEmpty();
+  }
 }
