Count and log the responses that a connection does not accept

A response that is skipped or refused on a connection to a backend server left no line and no counter, so that logs could not show whether a server answered twice.

--- a/src/main/java/org/curranthaven/internal/observe/RoutedMetrics.java
+++ b/src/main/java/org/curranthaven/internal/observe/RoutedMetrics.java
@@ -38,6 +38,14 @@
         .increment();
   }
 
+  /** Counts a response of a backend server that was not accepted. */
+  public void countStrayResponse(String reason) {
+    Counter.builder("curranthaven_stray_responses")
+        .tag("reason", reason)
+        .register(registry)
+        .increment();
+  }
+
   /** Registers a gauge whose value is read at each scrape. */
   public void gauge(String name, Supplier<Number> value) {
     Gauge.builder(name, value).strongReference(true).register(registry);
--- a/src/main/java/org/curranthaven/internal/relay/BackendConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/BackendConnection.java
@@ -36,6 +36,7 @@
 
   private final BackendPool pool;
   private final String address;
+  private final CarriedRequests carriedRequests = new CarriedRequests();
   private @Nullable ChannelHandlerContext channelContext;
   private @Nullable ResponseListener listener;
   private String expectedRequestId = "";
@@ -125,6 +126,7 @@
     }
     listener = responseListener;
     expectedRequestId = requestId;
+    carriedRequests.add(requestId);
     headRequest = request.method().equals(HttpMethod.HEAD);
     head = null;
     releasePending = false;
@@ -169,6 +171,7 @@
   @Override
   protected void channelRead0(ChannelHandlerContext handlerContext, HttpObject message) {
     if (message.decoderResult().isFailure()) {
+      recordStray(StrayResponse.Reason.MALFORMED, "", 0);
       fail("the backend server at " + address + " sent a malformed HTTP response", false);
       return;
     }
@@ -183,6 +186,9 @@
   private void startResponse(HttpResponse response) {
     if (listener == null) {
       // Bytes after a complete response belong to no request.
+      ResponseHead unexpected = pool.protocol().readResponseHead(response);
+      recordStray(
+          StrayResponse.Reason.NO_REQUEST_WAITING, unexpected.requestId(), unexpected.status());
       close();
       return;
     }
@@ -194,10 +200,13 @@
     if (!responseHead.requestId().isEmpty()
         && !responseHead.requestId().equals(expectedRequestId)) {
       unusable = true;
+      recordStray(
+          StrayResponse.Reason.OTHER_REQUEST, responseHead.requestId(), responseHead.status());
       skipResponse();
       return;
     }
     if (responseHead.requestId().isEmpty() && requestIdRequired) {
+      recordStray(StrayResponse.Reason.NO_REQUEST_ID, "", responseHead.status());
       fail(
           "the backend server at "
               + address
@@ -213,10 +222,25 @@
     listener.onHead(responseHead, response);
   }
 
+  private void recordStray(StrayResponse.Reason reason, String responseId, int status) {
+    long nowMillis = pool.nowMillis();
+    pool.strayResponses()
+        .record(
+            new StrayResponse(
+                reason,
+                address,
+                listener == null ? "" : expectedRequestId,
+                responseId,
+                status,
+                carriedRequests.millisSinceAnswer(responseId, nowMillis)),
+            nowMillis);
+  }
+
   private void skipResponse() {
     skippingResponse = true;
     skippedResponses++;
     if (skippedResponses > MAX_SKIPPED_RESPONSES) {
+      recordStray(StrayResponse.Reason.SKIP_LIMIT, "", 0);
       fail(
           "the backend server at "
               + address
@@ -231,6 +255,7 @@
     skippingResponse = !(content instanceof LastHttpContent);
     skippedBytes += content.content().readableBytes();
     if (skippedBytes > MAX_SKIPPED_BYTES) {
+      recordStray(StrayResponse.Reason.SKIP_LIMIT, "", 0);
       fail(
           "the backend server at "
               + address
@@ -279,6 +304,7 @@
       return;
     }
     listener = null;
+    carriedRequests.recordAnswer(expectedRequestId, pool.nowMillis());
     ResponseHead responseHead = head;
     if (responseHead == null || responseHead.closesConnection() || unusable || !isOpen()) {
       close();
--- a/src/main/java/org/curranthaven/internal/relay/BackendPool.java
+++ b/src/main/java/org/curranthaven/internal/relay/BackendPool.java
@@ -43,12 +43,23 @@
   private final Clock clock;
   private final WireProtocol protocol;
   private final Map<String, ArrayDeque<BackendConnection>> idleConnections = new HashMap<>();
+  private final StrayResponseLog strayResponses;
   private long connectionsOpened;
 
+  /** Creates a pool that counts no responses. */
   BackendPool(EventLoop loop, Clock clock, WireProtocol protocol) {
+    this(loop, clock, protocol, new StrayResponseLog(reason -> {}));
+  }
+
+  BackendPool(EventLoop loop, Clock clock, WireProtocol protocol, StrayResponseLog strayResponses) {
     this.loop = loop;
     this.clock = clock;
     this.protocol = protocol;
+    this.strayResponses = strayResponses;
+  }
+
+  StrayResponseLog strayResponses() {
+    return strayResponses;
   }
 
   WireProtocol protocol() {
--- a/src/main/java/org/curranthaven/internal/relay/Gateway.java
+++ b/src/main/java/org/curranthaven/internal/relay/Gateway.java
@@ -110,7 +110,7 @@
             new SchedulerViewListener(),
             protocol.features(settings.protocolFeatures()));
     this.awaitingInitialization = new DeferredActions(loop);
-    this.pool = new BackendPool(loop, clock, protocol);
+    this.pool = new BackendPool(loop, clock, protocol, new StrayResponseLog(this::countStray));
     this.crashProbe = new CrashProbe(pool, link);
     this.server = new RelayServer(group, this);
     this.warmUp =
@@ -148,6 +148,13 @@
     }
   }
 
+  private void countStray(StrayResponse.Reason reason) {
+    RoutedMetrics statusMetrics = metrics;
+    if (statusMetrics != null) {
+      statusMetrics.countStrayResponse(reason.name());
+    }
+  }
+
   private boolean isReady() {
     return !draining && isInitialized() && warmUp.isOver();
   }
