--- a/src/test/java/org/curranthaven/internal/relay/BackendConnectionTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/BackendConnectionTest.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.curranthaven.platform.PlatformProtocol;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Guards against a response whose end is misread: every framing with every way to end. */
@@ -245,4 +246,93 @@
 
     assertThat(endings).isEmpty();
   }
+
+  private static final String LATE_REFUSAL =
+      "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nAttempt-Id: r\r\nContent-Length: 4\r\n\r\nlate";
+
+  @Test
+  @Tag("known-red")
+  void a_late_copy_of_a_response_is_no_part_of_a_later_response_without_length_or_chunks() {
+    for (String body : List.of("", "next", "next\n")) {
+      for (int split = 1; split < LATE_REFUSAL.length(); split++) {
+        BackendConnectionTest fresh = new BackendConnectionTest();
+        fresh.completeFirstRequest();
+        fresh.sendNextRequest();
+        fresh.receiveText("HTTP/1.1 200 X\r\nAttempt-Id: next\r\n\r\n" + body);
+
+        fresh.receiveText(LATE_REFUSAL.substring(0, split));
+        fresh.receiveText(LATE_REFUSAL.substring(split));
+        fresh.close();
+
+        fresh.assertBrokenOff();
+      }
+    }
+  }
+
+  @Test
+  @Tag("known-red")
+  void a_late_copy_does_not_complete_the_length_of_a_response_that_was_cut_short() {
+    String head = "HTTP/1.1 200 X\r\nAttempt-Id: next\r\nContent-Length: 60\r\n\r\n";
+    completeFirstRequest();
+    sendNextRequest();
+
+    receiveText(head + "cut");
+    receiveText(LATE_REFUSAL);
+
+    assertBrokenOff();
+  }
+
+  @Test
+  void a_body_that_quotes_a_response_is_complete() {
+    String body = "a server writes HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nand so on";
+    receive(200, NEITHER, body);
+    close();
+
+    assertThat(endings).containsExactly(new ResponseEnding.ConnectionClosed());
+    assertThat(content.toString()).isEqualTo(body);
+  }
+
+  @Test
+  @Tag("known-red")
+  void a_late_copy_of_a_control_response_is_not_the_response_to_the_next_control_request() {
+    String copied = "HTTP/1.1 200 X\r\nContent-Length: 15\r\n\r\n{\"handle\":\"h1\"}";
+    sendControlRequest("r");
+    receiveText(copied);
+    assertThat(endings).containsExactly(new ResponseEnding.LengthReached());
+    endings.clear();
+
+    sendControlRequest("next");
+    receiveText(copied);
+
+    assertBrokenOff();
+  }
+
+  private void sendControlRequest(String requestId) {
+    connection.sendControl(
+        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/copy"),
+        requestId,
+        new RecordingListener());
+  }
+
+  @Test
+  @Tag("known-red")
+  void a_response_whose_framing_can_be_read_in_two_ways_is_broken_off() {
+    for (String framing :
+        List.of(
+            LENGTH + CHUNKS,
+            "Content-Length: 4\r\nContent-Length: 5\r\n",
+            "Content-Length: 4, 4\r\n",
+            "Content-Length : 4\r\n",
+            "Content-Length: +4\r\n",
+            "Transfer-Encoding: chunked, identity\r\n",
+            "Transfer-Encoding: gzip\r\n",
+            "X: y\r\n " + LENGTH)) {
+      BackendConnectionTest fresh = new BackendConnectionTest();
+      fresh.receive(200, framing, "4\r\nfour\r\n0\r\n\r\n");
+      fresh.close();
+
+      assertThat(fresh.endings).as(framing).hasSize(1);
+      assertThat(fresh.endings.getFirst()).as(framing).isInstanceOf(ResponseEnding.BrokenOff.class);
+    }
+  }
 }
--- a/src/test/java/org/curranthaven/platform/StreamEndingTest.java
+++ b/src/test/java/org/curranthaven/platform/StreamEndingTest.java
@@ -5,11 +5,13 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -258,4 +260,59 @@
       }
     }
   }
+
+  private static final String FOREIGN_EVENT = "id: 9\ndata: foreign\n\n";
+
+  /** Answers of a second server to a stream that has begun, none of which may continue it. */
+  private static final Map<String, String> FOREIGN_ANSWERS =
+      Map.ofEntries(
+          Map.entry("json", "200 OK\r\nResponse-Seal: s\r\nContent-Length: 7\r\n\r\nforeign"),
+          Map.entry("unframed", "200 OK\r\nResponse-Seal: s\r\n\r\nforeign"),
+          Map.entry("empty", "204 No Content\r\nResponse-Seal: s\r\n\r\n"),
+          Map.entry("nothing", "200 OK\r\nResponse-Seal: s\r\nContent-Length: 0\r\n\r\n"),
+          Map.entry("elsewhere", "302 Found\r\nResponse-Seal: s\r\nContent-Length: 0\r\n\r\n"),
+          Map.entry("unknown", "404 X\r\nResponse-Seal: s\r\nContent-Length: 7\r\n\r\nforeign"),
+          Map.entry("error", "500 X\r\nResponse-Seal: s\r\nContent-Length: 7\r\n\r\nforeign"),
+          Map.entry("cut", "500 X\r\nResponse-Seal: s\r\n\r\nforeign"),
+          Map.entry(
+              "events",
+              "500 X\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n"
+                  + FOREIGN_EVENT),
+          Map.entry(
+              "unsealed", "200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + FOREIGN_EVENT));
+
+  @Test
+  @Tag("known-red")
+  void an_answer_of_another_kind_neither_continues_nor_ends_a_stream_that_has_begun()
+      throws Exception {
+    FakeBackend.ResponseScript script =
+        (request, connection) -> {
+          if (request.header("Last-Event-Id").isEmpty()) {
+            String head = FakeBackend.streamResponseHead(request);
+            FakeBackend.write(connection, head + FakeBackend.event(1) + FakeBackend.event(2));
+          } else {
+            String name = request.line().split("[/ ]", -1)[3];
+            String idHeader = "\r\nAttempt-Id: " + request.header("Attempt-Id") + "\r\n";
+            String answer = Objects.requireNonNull(FOREIGN_ANSWERS.get(name));
+            FakeBackend.write(connection, "HTTP/1.1 " + answer.replaceFirst("\r\n", idHeader));
+          }
+          connection.close();
+        };
+    try (FakeBackend first = new FakeBackend(script);
+        FakeBackend second = new FakeBackend(script)) {
+      register("i-1", first, "ready", 1);
+      register("i-2", second, "ready", 1);
+      for (String name : FOREIGN_ANSWERS.keySet()) {
+        String response = sendRawRequest("/tags/" + name, "");
+
+        assertThat(response)
+            .as(name)
+            .contains("token 1", "token 2")
+            .doesNotContain("foreign")
+            .doesNotEndWith(LAST_CHUNK);
+      }
+      assertThat(first.received().size() + second.received().size())
+          .isEqualTo(2 * FOREIGN_ANSWERS.size());
+    }
+  }
 }
