Carry one control request on a connection, and no other request

A response to a request to copy or stop the state of a running request states no id. A late copy of an earlier one on a kept connection was taken for the present one, so that a stream could go on from the state of another request. A control request now gets a new connection, which is closed after its response.

--- a/src/main/java/org/curranthaven/internal/relay/BackendConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/BackendConnection.java
@@ -48,6 +48,7 @@
   private boolean skippingResponse;
   private int skippedResponses;
   private int skippedBytes;
+  private boolean lastUse;
   private boolean unusable;
   private boolean readFailed;
   private boolean releasePending;
@@ -109,9 +110,13 @@
     sendAny(request, requestId, responseListener);
   }
 
-  /** Sends a control request about a request with the given id; its response may state no id. */
+  /**
+   * Sends a control request about a request with the given id. Its response may state no id, so the
+   * connection carries no other request afterwards, which a late copy could be taken for.
+   */
   void sendControl(FullHttpRequest request, String requestId, ResponseListener responseListener) {
     requestIdRequired = false;
+    lastUse = true;
     sendAny(request, requestId, responseListener);
   }
 
@@ -306,7 +311,11 @@
     listener = null;
     carriedRequests.recordAnswer(expectedRequestId, pool.nowMillis());
     ResponseHead responseHead = head;
-    if (responseHead == null || responseHead.closesConnection() || unusable || !isOpen()) {
+    if (responseHead == null
+        || responseHead.closesConnection()
+        || lastUse
+        || unusable
+        || !isOpen()) {
       close();
     } else {
       idleSinceMillis = pool.nowMillis();
--- a/src/main/java/org/curranthaven/internal/relay/BackendPool.java
+++ b/src/main/java/org/curranthaven/internal/relay/BackendPool.java
@@ -132,7 +132,8 @@
     return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
   }
 
-  private void connect(String address, Consumer<@Nullable BackendConnection> consumer) {
+  /** Passes a new connection to the consumer, or null if the connection fails. */
+  void connect(String address, Consumer<@Nullable BackendConnection> consumer) {
     BackendConnection connection = new BackendConnection(this, address);
     connect(address, connection)
         .addListener(future -> consumer.accept(future.isSuccess() ? connection : null));
--- a/src/main/java/org/curranthaven/internal/relay/StateTransfer.java
+++ b/src/main/java/org/curranthaven/internal/relay/StateTransfer.java
@@ -16,18 +16,9 @@
   /** Limit on the body of a response, which holds a handle and a few numbers. */
   private static final int MAX_RESPONSE_BYTES = 64 * 1024;
 
-  /**
-   * Longest idle time of a connection that is reused for a copy. A longer idle connection may be
-   * closed already, and the transfer would then fail.
-   */
-  private static final long MAX_CONNECTION_IDLE_MILLIS = 250;
-
   /** Timeout of one copy, after which the transfer fails. */
   private static final long COPY_TIMEOUT_MILLIS = 4_000;
 
-  /** Value of the longest idle time with which no idle connection is reused. */
-  private static final long NEW_CONNECTION_ONLY = -1;
-
   /** Timeout of one stop request to an engine on which the stream was interrupted. */
   private static final long STOP_TIMEOUT_MILLIS = 600;
 
@@ -48,7 +39,6 @@
   private final BackendRecord target;
   private final Listener listener;
   private long copyTimeoutMillis = COPY_TIMEOUT_MILLIS;
-  private long maxConnectionIdleMillis = MAX_CONNECTION_IDLE_MILLIS;
   private long startedAtMillis;
   private long stopRequestedAtMillis;
   private boolean sourceEnded;
@@ -121,7 +111,6 @@
   /** Has the source stop the request at once and copy its state, over a new connection. */
   private void requestStop(Consumer<TransferResponse> consumer) {
     copyTimeoutMillis = STOP_TIMEOUT_MILLIS;
-    maxConnectionIdleMillis = NEW_CONNECTION_ONLY;
     startedAtMillis = context.clock().nowMillis();
     stopping = true;
     stopRequestedAtMillis = startedAtMillis;
@@ -261,9 +250,8 @@
         context.protocol().transferRequest(request, source, target, finalCopy);
     context
         .pool()
-        .acquire(
+        .connect(
             source.getAddress(),
-            maxConnectionIdleMillis,
             connection -> {
               if (connection == null || !connection.isOpen()) {
                 copyRequest.release();
