Break off a response with an unknown transfer encoding

The cases of a space before the colon, equal lengths and a folded header are left out: RFC 9112 lets a proxy read them in one way.

--- a/src/main/java/org/curranthaven/internal/relay/BackendConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/BackendConnection.java
@@ -7,6 +7,8 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
@@ -16,6 +18,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
 
@@ -80,6 +83,12 @@
       return headRequest || super.isContentAlwaysEmpty(message);
     }
 
+    @Override
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+      throw new IllegalArgumentException(
+          "the response declares both Content-Length and chunked transfer encoding");
+    }
+
     @Override
     public void userEventTriggered(ChannelHandlerContext handlerContext, Object event)
         throws Exception {
@@ -220,6 +229,11 @@
       close();
       return;
     }
+    if (!hasKnownFraming(response)) {
+      recordStray(StrayResponse.Reason.MALFORMED, "", response.status().code());
+      fail("the backend server at " + address + " sent an unknown transfer encoding", false);
+      return;
+    }
     if (response.status().code() < FIRST_FINAL_STATUS) {
       skipResponse();
       return;
@@ -251,6 +265,14 @@
     listener.onHead(responseHead, response);
   }
 
+  /** The decoder takes any list of transfer encodings that holds chunked for chunked alone. */
+  private static boolean hasKnownFraming(HttpResponse response) {
+    List<String> encodings = response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+    return encodings.isEmpty()
+        || (encodings.size() == 1
+            && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encodings.getFirst().strip()));
+  }
+
   private void recordStray(StrayResponse.Reason reason, String responseId, int status) {
     long nowMillis = pool.nowMillis();
     pool.strayResponses()
