--- a/src/main/java/org/curranthaven/internal/relay/BackendConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/BackendConnection.java
@@ -104,7 +104,7 @@
     super(HttpObject.class);
     this.pool = pool;
     this.address = address;
-    this.embedded = new EmbeddedResponseDetector(pool.protocol());
+    this.embedded = new EmbeddedResponseDetector(pool.protocol(), false);
   }
 
   /** Returns the handlers of the connection, in order. */
@@ -261,7 +261,7 @@
     }
     head = responseHead;
     markedEnding = markedEnding(response);
-    embedded = new EmbeddedResponseDetector(pool.protocol());
+    embedded = new EmbeddedResponseDetector(pool.protocol(), responseHead.eventStream());
     listener.onHead(responseHead, response);
   }
 
--- a/src/main/java/org/curranthaven/internal/relay/EmbeddedResponseDetector.java
+++ b/src/main/java/org/curranthaven/internal/relay/EmbeddedResponseDetector.java
@@ -12,8 +12,9 @@
 
 /**
  * Finds the head of another response inside the body of a response: a status line, followed by
- * header lines one of which names a request or seals a response. A backend server that answers
- * twice may write it where the framing of the body does not exclude it. Not thread-safe.
+ * header lines one of which names a request, seals a response or states that a request did not run.
+ * In an event stream, no line begins as a status line does. A backend server that answers twice may
+ * write it where the framing of the body does not exclude it. Not thread-safe.
  */
 final class EmbeddedResponseDetector {
   private static final byte[] STATUS_LINE_START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
@@ -38,8 +39,14 @@
     FOUND
   }
 
-  EmbeddedResponseDetector(WireProtocol protocol) {
+  private final boolean eventStream;
+
+  /** Whether {@link #unresolved}, or the next content if it is empty, begins a line. */
+  private boolean atLineStart = true;
+
+  EmbeddedResponseDetector(WireProtocol protocol, boolean eventStream) {
     this.protocol = protocol;
+    this.eventStream = eventStream;
   }
 
   /** Adds content; returns whether the content so far holds another response. */
@@ -57,16 +64,22 @@
           return true;
         }
         case INCOMPLETE -> {
+          atLineStart = isLineStart(content, start);
           unresolved = Arrays.copyOfRange(content, start, content.length);
           return false;
         }
         case NONE -> start = nextStart(content, start + 1);
       }
     }
+    atLineStart = isLineStart(content, content.length);
     unresolved = new byte[0];
     return false;
   }
 
+  private boolean isLineStart(byte[] content, int index) {
+    return index == 0 ? atLineStart : content[index - 1] == '\n';
+  }
+
   /** Returns the head that was found. */
   @Nullable ResponseHead found() {
     return found;
@@ -104,6 +117,9 @@
   private Match matchAt(byte[] content, int start) {
     int length = Math.min(content.length - start, MAX_HEAD_BYTES);
     String text = new String(content, start, length, StandardCharsets.ISO_8859_1);
+    if (eventStream && length >= STATUS_LINE_START.length && isLineStart(content, start)) {
+      return Match.FOUND;
+    }
     boolean cut = length == MAX_HEAD_BYTES;
     int lineEnd = text.indexOf('\n');
     if (lineEnd < 0) {
@@ -127,7 +143,7 @@
       }
       response.headers().set(header.group("name"), header.group("value").strip());
       ResponseHead head = protocol.readResponseHead(response);
-      if (!head.requestId().isEmpty() || head.sealed()) {
+      if (!head.requestId().isEmpty() || head.sealed() || head.notRun()) {
         found = head;
         return Match.FOUND;
       }
--- a/src/test/java/org/curranthaven/internal/relay/EmbeddedResponseDetectorTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/EmbeddedResponseDetectorTest.java
@@ -13,7 +13,7 @@
       "HTTP/1.1 503 X\r\nRetry-After: 1\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n";
 
   private final EmbeddedResponseDetector detector =
-      new EmbeddedResponseDetector(new PlatformProtocol());
+      new EmbeddedResponseDetector(new PlatformProtocol(), false);
 
   private boolean add(String text) {
     return detector.add(text.getBytes(StandardCharsets.US_ASCII));
@@ -62,6 +62,19 @@
     }
   }
 
+  @Test
+  void no_line_of_an_event_stream_begins_as_a_status_line() {
+    String line = "id: 3\ndata: HTTP/1.1 200 OK\n\n";
+    for (int split = 0; split < line.length(); split++) {
+      EmbeddedResponseDetector stream = new EmbeddedResponseDetector(new PlatformProtocol(), true);
+      assertThat(stream.add(line.substring(0, split).getBytes(StandardCharsets.US_ASCII)))
+          .isFalse();
+      assertThat(stream.add(line.substring(split).getBytes(StandardCharsets.US_ASCII))).isFalse();
+
+      assertThat(stream.add("HTTP/1.1 5id: 4\n".getBytes(StandardCharsets.US_ASCII))).isTrue();
+    }
+  }
+
   @Test
   void a_head_without_end_is_given_up() {
     add("HTTP/1.1 200 OK\r\n");
