--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -472,8 +472,8 @@
               + PLACEMENT_REPLY_TIMEOUT_MILLIS
               + " ms");
     } else {
-        counters.recordSentAgain(placementRequest.getId(), clock.nowMillis());
-        sendPlacementRequest(asCounted(placementRequest));
+      counters.recordSentAgain(placementRequest.getId(), clock.nowMillis());
+      sendPlacementRequest(asCounted(placementRequest));
     }
   }
 
