Registrations that do not say which server they are about name none

Callers saw streams that went on at another software version (ORDER). Another writer's registrations without version and start time made a second backend server of one that registers itself, with version "", and unknown versions compared as equal.

Version and cold time are now required with their types, the fields that only engines state are checked where they are sent, and a registration that does not say which start it is about changes nothing where the server itself says so. An unknown version equals none: not for streams, migrations, backup copies or the only version known. Malformed control requests are counted and logged.

Fixtures whose servers stated no version or cold time state both now, with their assertions unchanged. The test that a malformed version counts as none is replaced by one that it names no server.

--- a/src/main/java/org/curranthaven/internal/dispatch/BackendRegistry.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/BackendRegistry.java
@@ -6,6 +6,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
 import org.curranthaven.internal.transport.wire.BackendRecord;
 import org.jspecify.annotations.Nullable;
 
@@ -48,7 +50,9 @@
    * @return the record to publish to gateways; null if nothing changed that they use
    */
   public @Nullable BackendRecord register(BackendRecord update, long nowMillis) {
-    if (removedAtMillis.containsKey(update.getId()) || isSuperseded(update)) {
+    if (removedAtMillis.containsKey(update.getId())
+        || isSuperseded(update)
+        || lacksIncarnation(update)) {
       return null;
     }
     recordIncarnation(update, nowMillis);
@@ -78,6 +82,14 @@
     return latest != null && update.getIncarnation() < latest.startedAtMillis();
   }
 
+  /**
+   * Returns whether the registration does not say which start of the backend server it is about,
+   * though the backend server itself does.
+   */
+  public boolean lacksIncarnation(BackendRecord update) {
+    return update.getInstance().isEmpty() && incarnations.containsKey(update.getId());
+  }
+
   private void recordIncarnation(BackendRecord update, long nowMillis) {
     if (!update.getInstance().isEmpty()) {
       incarnations.put(update.getInstance(), new Incarnation(update.getIncarnation(), nowMillis));
@@ -85,18 +97,26 @@
   }
 
   /**
-   * Returns the ids of earlier starts of the same instance that are still registered. They have
-   * ended, and hold nothing of what they held.
+   * Returns the ids of earlier starts of the same instance that are still registered, and of a
+   * registration under its name that states no start. They have ended, and hold nothing of what
+   * they held.
    */
   public List<String> earlierStarts(BackendRecord record) {
     return record.getInstance().isEmpty()
         ? List.of()
-        : startsOf(record.getInstance()).stream()
-            .filter(start -> start.getIncarnation() < record.getIncarnation())
+        : Stream.concat(
+                startsOf(record.getInstance()).stream()
+                    .filter(start -> start.getIncarnation() < record.getIncarnation()),
+                withoutIncarnation(record.getInstance()).stream())
             .map(BackendRecord::getId)
             .toList();
   }
 
+  /** Returns what was registered under the name by a registration that stated no start. */
+  private Optional<BackendRecord> withoutIncarnation(String name) {
+    return Optional.ofNullable(records.get(name)).filter(record -> record.getInstance().isEmpty());
+  }
+
   /**
    * Returns the id to deregister for a name that a backend server may keep when it restarts: that
    * of its registered start, or the name itself.
--- a/src/main/java/org/curranthaven/internal/dispatch/StreamOrigins.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/StreamOrigins.java
@@ -109,7 +109,8 @@
             recent.add(version);
           }
         });
-    return nowMillis <= completeUntilMillis && recent.size() == 1 ? recent.iterator().next() : null;
+    boolean oneKnown = recent.size() == 1 && !recent.contains("");
+    return nowMillis <= completeUntilMillis && oneKnown ? recent.iterator().next() : null;
   }
 
   // ---- exchange between hosts -------------------------------------------------------------------
--- a/src/main/java/org/curranthaven/internal/dispatch/TransferTargets.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/TransferTargets.java
@@ -1,6 +1,7 @@
 package org.curranthaven.internal.dispatch;
 
 import org.curranthaven.internal.catalog.EngineCapabilities;
+import org.curranthaven.internal.catalog.ServiceVersion;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -47,7 +48,9 @@
         backends
             .usableFor(running.id, running.request, nowMillis)
             .filter(candidate -> candidate != source)
-            .filter(candidate -> candidate.softwareVersion().equals(source.softwareVersion()))
+            .filter(
+                candidate ->
+                    ServiceVersion.isSame(candidate.softwareVersion(), source.softwareVersion()))
             .filter(
                 candidate ->
                     capacityRules.hasCapacity(
--- a/src/main/java/org/curranthaven/internal/dispatch/VersionBinding.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/VersionBinding.java
@@ -51,7 +51,7 @@
   /** Returns whether a backend server may run the request, by its software version. */
   static boolean allows(BackendState backend, PlacementRequest request) {
     return !request.getVersionBound()
-        || backend.softwareVersion().equals(request.getSoftwareVersion());
+        || ServiceVersion.isSame(backend.softwareVersion(), request.getSoftwareVersion());
   }
 
   /** Returns whether a version is required that no backend server has which takes requests. */
--- a/src/main/java/org/curranthaven/internal/emulator/DispatchSimulation.java
+++ b/src/main/java/org/curranthaven/internal/emulator/DispatchSimulation.java
@@ -27,6 +27,10 @@
   static final String PLAIN_SERVICE = "plain";
 
   private static final String GATEWAY = "gateway";
+
+  /** Version of the software of all emulated backend servers. */
+  private static final String SOFTWARE_VERSION = "v1";
+
   private static final long TICK_MILLIS = 50;
   private static final long PROGRESS_MILLIS = 500;
 
@@ -143,6 +147,7 @@
     return BackendRecord.newBuilder()
         .setId(id)
         .setService(service)
+        .setSoftwareVersion(SOFTWARE_VERSION)
         .setDataCentre(dataCentre)
         .setSlots(slots)
         .setSequence(1)
--- a/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
@@ -13,6 +13,7 @@
 import org.curranthaven.internal.catalog.Repeatability;
 import org.curranthaven.internal.catalog.Route;
 import org.curranthaven.internal.catalog.ServiceSpec;
+import org.curranthaven.internal.catalog.ServiceVersion;
 import org.curranthaven.internal.dispatch.RegionBinding;
 import org.curranthaven.internal.dispatch.RejectionReason;
 import org.curranthaven.internal.transport.wire.BackendRecord;
@@ -260,7 +261,8 @@
               false));
       return;
     }
-    if (streamVersion != null && !streamVersion.equals(target.getSoftwareVersion())) {
+    if (streamVersion != null
+        && !ServiceVersion.isSame(streamVersion, target.getSoftwareVersion())) {
       handleResult(
           new AttemptResult.Interrupted(
               "software version \""
--- a/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
@@ -69,6 +69,7 @@
   private static final int CONTROL_GROUP_ID = 0;
 
   private final RoutedSettings settings;
+  private final Clock clock;
   private final WireProtocol protocol;
   private final EventLoopGroup eventLoopGroup;
   private final EventLoop eventLoop;
@@ -80,12 +81,14 @@
   private final EvacuationHandler evacuationHandler;
   private final LeaderClient leaderClient;
   private final ControlServer controlServer;
+  private final RejectedRequestLog rejectedRequests = new RejectedRequestLog();
   private final long incarnation;
 
   /** Creates a host that does nothing until {@link #start} is called. */
   public ControlHost(
       RoutedSettings settings, WireProtocol protocol, DataFolder folder, Clock clock) {
     this.settings = settings;
+    this.clock = clock;
     this.protocol = protocol;
     this.dataFolder = folder;
     this.incarnation = clock.epochMillis();
@@ -312,8 +315,10 @@
           sendEvacuation(new FleetCommand.Evacuate(order.dataCentre()), callback);
       case ControlRequest.EndEvacuation end ->
           sendEvacuation(new FleetCommand.EndEvacuation(end.dataCentre()), callback);
-      case ControlRequest.Invalid invalid ->
-          callback.accept(ControlResponse.error(invalid.status(), invalid.message()));
+      case ControlRequest.Invalid invalid -> {
+        rejectedRequests.record(invalid.message(), clock.nowMillis());
+        callback.accept(ControlResponse.error(invalid.status(), invalid.message()));
+      }
     }
   }
 
--- a/src/main/java/org/curranthaven/platform/ControlTranslation.java
+++ b/src/main/java/org/curranthaven/platform/ControlTranslation.java
@@ -97,13 +97,6 @@
     return new OperatorCall(ends ? "DELETE" : "POST", EVACUATION_PATH_PREFIX + encodedName);
   }
 
-  /** Returns the version; empty, as if there were none, if it is no text of a usual length. */
-  private static String softwareVersion(JsonNode version) {
-    return version.isTextual() && version.textValue().length() <= MAX_VERSION_LENGTH
-        ? version.textValue()
-        : "";
-  }
-
   private static ControlRequest notFound(String method, String path) {
     return new ControlRequest.Invalid(NOT_FOUND, "no such control request: " + method + " " + path);
   }
@@ -126,6 +119,7 @@
    * client may send registrations.
    */
   private static BackendRecord record(String name, JsonNode node) {
+    checkEngineFields(node);
     String address = requiredText(node, "address");
     Addresses.parse(address);
     long slots = requiredWholeNumber(node, "slots");
@@ -143,9 +137,9 @@
             .setLeaving(isLeaving(requiredText(node, "state")))
             .setSequence(requiredWholeNumber(node, "seq"))
             // Time until the backend server has warmed up.
-            .setColdLeftMillis(Math.max(0, node.path("coldLeftMs").asLong(0)))
+            .setColdLeftMillis(Math.max(0, requiredWholeNumber(node, "coldLeftMs")))
             // Version of the software, not of the models.
-            .setSoftwareVersion(softwareVersion(node.path("version")));
+            .setSoftwareVersion(softwareVersion(node));
     if (node.has("born")) {
       long startedAtMillis = requiredWholeNumber(node, "born");
       record
@@ -158,6 +152,36 @@
     return record.build();
   }
 
+  private static String softwareVersion(JsonNode node) {
+    String version = requiredText(node, "version");
+    if (version.length() > MAX_VERSION_LENGTH) {
+      throw new IllegalArgumentException(
+          "'version' has "
+              + version.length()
+              + " characters; it must have at most "
+              + MAX_VERSION_LENGTH);
+    }
+    return version;
+  }
+
+  /** Checks the fields that only engines state, and that nothing here uses. */
+  private static void checkEngineFields(JsonNode node) {
+    if (node.has("stage")) {
+      requiredText(node, "stage");
+    }
+    JsonNode models = node.get("models");
+    if (models == null) {
+      return;
+    }
+    if (!models.isArray()) {
+      throw new IllegalArgumentException("'models' is not a list");
+    }
+    for (JsonNode model : models) {
+      requiredText(model, "name");
+      requiredWholeNumber(model, "version");
+    }
+  }
+
   private static String incarnationId(String name, long startedAtMillis) {
     return name + "@" + startedAtMillis;
   }
--- a/src/test/java/org/curranthaven/internal/dispatch/DispatchCoreTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/DispatchCoreTest.java
@@ -59,6 +59,7 @@
     return BackendRecord.newBuilder()
         .setId(id)
         .setService(service)
+        .setSoftwareVersion("v1")
         .setAddress("10.0.0.1:80")
         .setDataCentre("a")
         .setSlots(4)
--- a/src/test/java/org/curranthaven/internal/dispatch/EvacuationTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/EvacuationTest.java
@@ -38,6 +38,7 @@
     return BackendRecord.newBuilder()
         .setId(id)
         .setService(service)
+        .setSoftwareVersion("v1")
         .setAddress("10.0.0.1:80")
         .setDataCentre(dataCentre)
         .setSlots(2)
--- a/src/test/java/org/curranthaven/internal/dispatch/RegionBindingTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/RegionBindingTest.java
@@ -47,6 +47,7 @@
         BackendRecord.newBuilder()
             .setId(id)
             .setService(service)
+            .setSoftwareVersion("v1")
             .setDataCentre(dataCentre)
             .setSlots(2)
             .setLeaving(leaving)
--- a/src/test/java/org/curranthaven/internal/dispatch/RequestRateLimitsTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/RequestRateLimitsTest.java
@@ -45,7 +45,12 @@
   }
 
   private static BackendRecord backend(String id, String service) {
-    return BackendRecord.newBuilder().setId(id).setService(service).setSlots(8).build();
+    return BackendRecord.newBuilder()
+        .setId(id)
+        .setService(service)
+        .setSoftwareVersion("v1")
+        .setSlots(8)
+        .build();
   }
 
   private static PlacementRequest.Builder plainRequest() {
--- a/src/test/java/org/curranthaven/internal/dispatch/VersionBindingTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/VersionBindingTest.java
@@ -307,7 +307,13 @@
     SharedKnowledge oneVersion = SharedKnowledge.ofScheduler();
     DispatchCore single = newCore(oneVersion);
     single.updateBackend(
-        BackendRecord.newBuilder().setId("a1").setService(SERVICE).setSlots(8).build(), nowMillis);
+        BackendRecord.newBuilder()
+            .setId("a1")
+            .setService(SERVICE)
+            .setSoftwareVersion("v1")
+            .setSlots(8)
+            .build(),
+        nowMillis);
 
     single.submit(
         new RequestId("g", 1), resumption(99).setSeveralServices(true).build(), nowMillis);
--- a/src/test/java/org/curranthaven/platform/ColdServerTest.java
+++ b/src/test/java/org/curranthaven/platform/ColdServerTest.java
@@ -59,7 +59,7 @@
   private void registerCold(String id, FakeBackend backend, long sequence) throws Exception {
     String body =
         """
-        {"service":"plain","address":"%s","zone":"here","slots":40,"state":"ready","seq":%d,
+        {"service":"plain","address":"%s","zone":"here","version":"v1","slots":40,"state":"ready","seq":%d,
          "coldLeftMs":%d}
         """
             .formatted(backend.address(), sequence, COLD_MILLIS);
--- a/src/test/java/org/curranthaven/platform/ControlTranslationTest.java
+++ b/src/test/java/org/curranthaven/platform/ControlTranslationTest.java
@@ -42,6 +42,8 @@
         "\"zone\":\"a\"",
         "\"slots\":4",
         "\"state\":\"ready\"",
+        "\"version\":\"v1\"",
+        "\"coldLeftMs\":0",
         "\"seq\":3"
       })
   void a_registration_that_lacks_a_field_is_rejected(String field) {
--- a/src/test/java/org/curranthaven/platform/EvacuationTest.java
+++ b/src/test/java/org/curranthaven/platform/EvacuationTest.java
@@ -47,7 +47,7 @@
       throws Exception {
     FakeBackend server = new FakeBackend(script);
     servers.add(server);
-    registerIn(dataCentre, "i-" + servers.size(), server, "ready", 1, service, "");
+    registerIn(dataCentre, "i-" + servers.size(), server, "ready", 1, service, "v1");
     return server;
   }
 
@@ -337,7 +337,7 @@
     try (Socket caller = openRawRequest("/stories/1", MODEL_HEADERS)) {
       assertThat(readUntil(caller, "token 1")).contains("token 1");
       FakeBackend target = start("east", "engines", (request, connection) -> connection.close());
-      registerIn("west", "i-1", source, "draining", 2, "engines", "");
+      registerIn("west", "i-1", source, "draining", 2, "engines", "v1");
       assertThat(stopping.await(20, TimeUnit.SECONDS)).isTrue();
 
       assertThat(evacuate("east").statusCode()).isEqualTo(200);
@@ -381,7 +381,7 @@
     try (Socket caller = openRawRequest("/stories/1", MODEL_HEADERS)) {
       assertThat(readUntil(caller, "token 1")).contains("token 1");
       FakeBackend target = start("east", "engines", (request, connection) -> connection.close());
-      registerIn("west", "i-1", source, "draining", 2, "engines", "");
+      registerIn("west", "i-1", source, "draining", 2, "engines", "v1");
       assertThat(copying.await(20, TimeUnit.SECONDS)).isTrue();
 
       assertThat(evacuate("east").statusCode()).isEqualTo(200);
--- a/src/test/java/org/curranthaven/platform/HomeRegionTest.java
+++ b/src/test/java/org/curranthaven/platform/HomeRegionTest.java
@@ -53,7 +53,8 @@
     backends.add(backend);
     String body =
         """
-        {"service":"plain","address":"%s","zone":"%s","slots":40,"state":"ready","seq":1}
+        {"service":"plain","address":"%s","zone":"%s","version":"v1","slots":40,"state":"ready",
+         "coldLeftMs":0,"seq":1}
         """
             .formatted(backend.address(), dataCentre);
     while (sendControlRequest("PUT", "/api/runners/i-" + dataCentre, body).statusCode() != 200) {
--- a/src/test/java/org/curranthaven/platform/RequestTranslationTest.java
+++ b/src/test/java/org/curranthaven/platform/RequestTranslationTest.java
@@ -70,7 +70,7 @@
     assertThat(ControlTranslation.read(registration)).isInstanceOf(ControlRequest.Invalid.class);
   }
 
-  private static String softwareVersion(String statement) {
+  private static ControlRequest registration(String statement) {
     FullHttpRequest registration =
         new DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
@@ -78,20 +78,26 @@
             "/api/runners/i-1",
             Unpooled.copiedBuffer(
                 """
-                {"service":"s","address":"10.0.0.1:80","zone":"a","slots":4,"state":"ready","seq":1%s}
+                {"service":"s","address":"10.0.0.1:80","zone":"a","slots":4,"state":"ready",
+                 "coldLeftMs":0,"seq":1%s}
                 """
                     .formatted(statement),
                 StandardCharsets.UTF_8));
-    ControlRequest request = ControlTranslation.read(registration);
-    return ((ControlRequest.Register) request).backend().getSoftwareVersion();
+    return ControlTranslation.read(registration);
   }
 
+  /** Guards against a backend server with an unknown version, which equals that of another. */
   @Test
-  void the_software_version_of_a_registration_is_decoded_and_a_malformed_one_is_none() {
-    assertThat(softwareVersion(",\"version\":\"v1.2\"")).isEqualTo("v1.2");
-    assertThat(softwareVersion("")).isEmpty();
-    assertThat(softwareVersion(",\"version\":7")).isEmpty();
-    assertThat(softwareVersion(",\"version\":\"" + "v".repeat(1_000) + "\"")).isEmpty();
+  void a_registration_with_a_malformed_software_version_names_no_backend_server() {
+    assertThat(registration(",\"version\":\"v1.2\""))
+        .isInstanceOfSatisfying(
+            ControlRequest.Register.class,
+            register -> assertThat(register.backend().getSoftwareVersion()).isEqualTo("v1.2"));
+    assertThat(registration("")).isInstanceOf(ControlRequest.Invalid.class);
+    assertThat(registration(",\"version\":7")).isInstanceOf(ControlRequest.Invalid.class);
+    assertThat(registration(",\"version\":\"\"")).isInstanceOf(ControlRequest.Invalid.class);
+    assertThat(registration(",\"version\":\"" + "v".repeat(1_000) + "\""))
+        .isInstanceOf(ControlRequest.Invalid.class);
   }
 
   @Test
--- a/src/test/java/org/curranthaven/platform/RestartedFleetTest.java
+++ b/src/test/java/org/curranthaven/platform/RestartedFleetTest.java
@@ -85,7 +85,7 @@
         "/api/runners/" + id,
         """
         {"service":"plain","address":"%s","zone":"here","version":"%s","slots":64,"state":"ready",
-         "seq":%d}
+         "coldLeftMs":0,"seq":%d}
         """
             .formatted(server.address(), version, sequence));
   }
--- a/src/test/java/org/curranthaven/platform/RoutedFleetFixture.java
+++ b/src/test/java/org/curranthaven/platform/RoutedFleetFixture.java
@@ -166,10 +166,10 @@
     register(id, backend, state, seq, "plain");
   }
 
-  /** Registers a backend server whose software has no version. */
+  /** Registers a backend server with software version v1. */
   void register(String id, FakeBackend backend, String state, long seq, String service)
       throws Exception {
-    register(id, backend, state, seq, service, "");
+    register(id, backend, state, seq, service, "v1");
   }
 
   /** Sends a registration repeatedly until the control host accepts it. */
@@ -191,7 +191,8 @@
       throws Exception {
     String body =
         """
-        {"service":"%s","address":"%s","zone":"%s","version":"%s","slots":4,"state":"%s","seq":%d}
+        {"service":"%s","address":"%s","zone":"%s","version":"%s","slots":4,"state":"%s",
+         "coldLeftMs":0,"seq":%d}
         """
             .formatted(service, backend.address(), dataCentre, version, state, seq);
     while (sendControlRequest("PUT", "/api/runners/" + id, body).statusCode() != 200) {
