--- a/src/main/java/org/curranthaven/internal/dispatch/StreamOrigins.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/StreamOrigins.java
@@ -123,7 +123,8 @@
             recent.add(version);
           }
         });
-    return recent.size() == 1 ? recent.iterator().next() : null;
+    boolean oneKnown = recent.size() == 1 && !recent.contains("");
+    return oneKnown ? recent.iterator().next() : null;
   }
 
   // ---- exchange between hosts -------------------------------------------------------------------
--- a/src/test/java/org/curranthaven/platform/LateEvacuationOrderTest.java
+++ b/src/test/java/org/curranthaven/platform/LateEvacuationOrderTest.java
@@ -32,8 +32,8 @@
         "PUT",
         "/api/runners/" + id,
         """
-        {"service":"plain","address":"%s","zone":"%s","version":"","slots":64,"state":"ready",
-         "seq":1}
+        {"service":"plain","address":"%s","zone":"%s","version":"v1","slots":64,"state":"ready",
+         "coldLeftMs":0,"seq":1}
         """
             .formatted(server.address(), dataCentre));
   }
--- a/src/test/java/org/curranthaven/platform/RetriesOfFlappingGatewaysTest.java
+++ b/src/test/java/org/curranthaven/platform/RetriesOfFlappingGatewaysTest.java
@@ -54,7 +54,7 @@
           "/api/runners/i-" + number,
           """
           {"service":"plain","address":"%s","zone":"here","version":"v1","slots":64,
-           "state":"ready","seq":1}
+           "state":"ready","coldLeftMs":0,"seq":1}
           """
               .formatted(server.address()));
     }
--- a/src/test/java/org/curranthaven/platform/SuspendedGatewayTest.java
+++ b/src/test/java/org/curranthaven/platform/SuspendedGatewayTest.java
@@ -80,7 +80,7 @@
         "/api/runners/" + id,
         """
         {"service":"plain","address":"%s","zone":"here","version":"%s","slots":64,"state":"ready",
-         "seq":1}
+         "coldLeftMs":0,"seq":1}
         """
             .formatted(server.address(), version));
   }
