Send no rejection of a large body before the response to the request before it

The connection now closes after the response that is due, as for malformed requests. The same class as the late second responses of backend servers: a response tied to the connection.

--- a/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
@@ -231,6 +231,11 @@
     int size = content.content().readableBytes();
     if (body.size() + size > context.catalog().limits().maxBodyBytes()) {
       incompleteRequest = null;
+      if (responding) {
+        // A response now would belong to the request before.
+        closing = true;
+        return;
+      }
       fail(
           Failure.of(
               ResultCode.BODY_TOO_LARGE,
--- a/src/test/java/org/curranthaven/internal/relay/CallerConnectionTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/CallerConnectionTest.java
@@ -2,9 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -125,6 +128,23 @@
     assertThat(status()).isZero();
   }
 
+  /** Guards against a rejection that a caller takes for the response to its request before. */
+  @Test
+  void a_request_that_is_too_large_gets_no_response_before_the_one_that_precedes_it() {
+    send();
+    caller.writeInbound(
+        new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/y/"),
+        new DefaultHttpContent(
+            Unpooled.wrappedBuffer(new byte[Catalog.empty().limits().maxBodyBytes() + 1])));
+    assertThat(status()).isZero();
+
+    initialize();
+
+    assertThat(status()).isEqualTo(404);
+    assertThat(status()).isZero();
+    assertThat(caller.isOpen()).isFalse();
+  }
+
   @Test
   void a_request_with_a_short_deadline_is_rejected_at_once() {
     deadlineMillis = SHORT_DEADLINE_MILLIS;
