Remove an earlier start of a server before the version of the new one is committed

A server that starts again under its name with another software version accepts what is meant for the start before.

--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -688,16 +688,27 @@
       return;
     }
     runAfterRebuild(
-        () ->
-            versionGate.whenCommitted(
-                versionOf(registration),
-                committed -> {
-                  if (committed) {
-                    applyRegistration(registration, callback);
-                  } else {
-                    callback.accept(false);
-                  }
-                }));
+        () -> {
+          // Requests for an earlier start reach the new one, whose version is not committed yet.
+          removeEarlierStarts(registration);
+          versionGate.whenCommitted(
+              versionOf(registration),
+              committed -> {
+                if (committed) {
+                  applyRegistration(registration, callback);
+                } else {
+                  callback.accept(false);
+                }
+              });
+        });
+  }
+
+  private void removeEarlierStarts(BackendRecord registration) {
+    List<String> earlierStarts = registry.earlierStarts(registration);
+    if (!earlierStarts.isEmpty()) {
+      earlierStarts.forEach(id -> removeBackend(id, clock.nowMillis()));
+      pushBackendChange(List.of(), earlierStarts);
+    }
   }
 
   private void applyRegistration(BackendRecord registration, Consumer<Boolean> callback) {
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -783,6 +783,27 @@
     assertThat(result.value).isTrue();
   }
 
+  /** Guards against requests for an earlier start that a new one with another version receives. */
+  @Test
+  void an_earlier_start_is_removed_before_the_version_of_the_new_one_is_committed() {
+    startLeading();
+    scheduler.register(startOf("i-1", 100, "v1"), new RecordedResult()::accept);
+    versionLog.commitsAtOnce = false;
+    sent.clear();
+
+    scheduler.register(startOf("i-1", 200, "v2"), new RecordedResult()::accept);
+
+    assertThat(viewsTo("g1")).flatExtracting(SchedulerView::getGoneList).contains("i-1@100");
+    assertThat(viewsTo("g1")).allMatch(view -> view.getBackendsCount() == 0);
+  }
+
+  private static BackendRecord startOf(String name, long startedAtMillis, String version) {
+    return backend(name + "@" + startedAtMillis, version).toBuilder()
+        .setInstance(name)
+        .setIncarnation(startedAtMillis)
+        .build();
+  }
+
   @Test
   void a_server_is_not_published_after_its_leader_lost_its_term_before_the_commit() {
     startLeading();
