What a newcomer's read of the change found: names, one log of control requests

The log of malformed control requests is the one of operators' orders; a rejection that is ignored since an attempt runs is logged; a nested condition is split; and the name of the method that keeps a result code from promising what is not known says so.

--- a/src/main/java/org/curranthaven/internal/relay/AttemptHistory.java
+++ b/src/main/java/org/curranthaven/internal/relay/AttemptHistory.java
@@ -77,7 +77,7 @@
    * Returns the code to report: not one whose status promises that the request did not run if it
    * may have.
    */
-  ResultCode honest(ResultCode code) {
+  ResultCode withoutFalsePromise(ResultCode code) {
     return NotRunStatus.isPromise(code.httpStatus()) && mayHaveRun()
         ? ResultCode.BACKEND_FAILED
         : code;
--- a/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
@@ -354,7 +354,15 @@
 
   @Override
   public void onRejected(long retryAfterMillis, String reason) {
-    if (finished || attempt != null) {
+    if (finished) {
+      return;
+    }
+    if (attempt != null) {
+      Logger.warn(
+          "request {}: rejection (reason {}) ignored, since attempt {} runs",
+          request.id(),
+          reason,
+          history.attempts());
       return;
     }
     if (reason.equals(RejectionReason.RETRIES_USED_UP.name())) {
@@ -577,7 +585,7 @@
   }
 
   private void fail(ResultCode intended, String message, long retryAfterMillis) {
-    ResultCode code = history.honest(intended);
+    ResultCode code = history.withoutFalsePromise(intended);
     finish();
     context.recordFailure(route, code);
     Logger.info(
--- a/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
@@ -82,7 +82,7 @@
   private final LeaderClient leaderClient;
   private final EvacuationCalls evacuationCalls;
   private final ControlServer controlServer;
-  private final RejectedRequestLog rejectedRequests = new RejectedRequestLog();
+  private final RequestLog rejectedRequests = new RequestLog();
   private final long incarnation;
 
   /** Creates a host that does nothing until {@link #start} is called. */
@@ -322,7 +322,8 @@
           evacuationCalls.handle(
               new FleetCommand.EndEvacuation(end.dataCentre(), end.revision()), callback);
       case ControlRequest.Invalid invalid -> {
-        rejectedRequests.record(invalid.message(), clock.nowMillis());
+        rejectedRequests.write(
+            clock.nowMillis(), "control request rejected: {}", invalid.message());
         callback.accept(ControlResponse.error(invalid.status(), invalid.message()));
       }
     }
--- a/src/main/java/org/curranthaven/internal/scheduler/EvacuationCalls.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/EvacuationCalls.java
@@ -19,7 +19,7 @@
   private final Clock clock;
   private final Leader leader;
   private final Encoder encoder;
-  private final OrderLog log = new OrderLog();
+  private final RequestLog log = new RequestLog();
 
   /** Carries out orders. */
   interface Leader {
--- a/src/main/java/org/curranthaven/internal/scheduler/EvacuationHandler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/EvacuationHandler.java
@@ -18,7 +18,7 @@
 final class EvacuationHandler {
   private final Scheduler scheduler;
   private final Clock clock;
-  private final OrderLog orderLog = new OrderLog();
+  private final RequestLog orderLog = new RequestLog();
   private final BooleanSupplier canAccept;
   private final Log log;
 
@@ -74,18 +74,17 @@
 
   private void logResult(
       FleetCommand.EvacuationOrder order, EvacuationState.@Nullable Result result) {
-    String outcome =
-        result == null
-            ? "not committed"
-            : result.accepted()
-                ? "committed"
-                : order.revision() == null ? "names no revision" : "rejected";
+    if (result == null) {
+      orderLog.write(clock.nowMillis(), "leader: order {} not committed", order);
+      return;
+    }
+    String rejection = order.revision() == null ? "names no revision" : "rejected";
     orderLog.write(
         clock.nowMillis(),
         "leader: order {} {}, present revision {}",
         order,
-        outcome,
-        result == null ? "unknown" : result.state().revision());
+        result.accepted() ? "committed" : rejection,
+        result.state().revision());
   }
 
   private static AdminReply.Builder revisionToName(EvacuationState.Snapshot state) {
--- a/src/main/java/org/curranthaven/internal/scheduler/OrderLog.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/RequestLog.java
@@ -4,10 +4,10 @@
 import org.tinylog.Logger;
 
 /**
- * Writes log lines about operators' orders, a limited number in each second, since any client may
- * send orders. Confined to the event loop.
+ * Writes log lines about control requests, a limited number in each second, since any client may
+ * send them. Confined to the event loop.
  */
-final class OrderLog {
+final class RequestLog {
   static final int MAX_LINES_PER_SECOND = 50;
 
   private long second = Long.MIN_VALUE;
@@ -21,7 +21,7 @@
       return;
     }
     if (omittedLines > 0) {
-      Logger.warn("{} lines about orders omitted", omittedLines);
+      Logger.warn("{} lines about control requests omitted", omittedLines);
       omittedLines = 0;
     }
     Logger.info(message, arguments);
--- a/src/test/java/org/curranthaven/internal/relay/AttemptHistoryTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/AttemptHistoryTest.java
@@ -41,7 +41,7 @@
     start(true);
 
     assertThat(history.mayHaveRun()).isTrue();
-    assertThat(history.honest(ResultCode.SHED)).isEqualTo(ResultCode.BACKEND_FAILED);
+    assertThat(history.withoutFalsePromise(ResultCode.SHED)).isEqualTo(ResultCode.BACKEND_FAILED);
   }
 
   @Test
@@ -50,7 +50,7 @@
     history.recordResult(new AttemptResult.NotRun(REJECTION));
 
     assertThat(history.mayHaveRun()).isFalse();
-    assertThat(history.honest(ResultCode.SHED)).isEqualTo(ResultCode.SHED);
+    assertThat(history.withoutFalsePromise(ResultCode.SHED)).isEqualTo(ResultCode.SHED);
   }
 
   /** Guards against a promise on a request that ran at the engine before its migration. */
@@ -63,7 +63,8 @@
     history.recordResult(new AttemptResult.Unreachable("no connection"));
 
     assertThat(history.mayHaveRun()).isTrue();
-    assertThat(history.honest(ResultCode.NO_BACKEND)).isEqualTo(ResultCode.BACKEND_FAILED);
+    assertThat(history.withoutFalsePromise(ResultCode.NO_BACKEND))
+        .isEqualTo(ResultCode.BACKEND_FAILED);
   }
 
   @Test
@@ -71,7 +72,7 @@
     start(true);
 
     assertThat(ResultCode.values())
-        .extracting(history::honest)
+        .extracting(history::withoutFalsePromise)
         .noneMatch(code -> Set.of(408, 421, 429, 503).contains(code.httpStatus()));
   }
 }
