One limit on log lines in place of five

LinkCounters, StrayResponseLog, VersionDecisions, RepeatedRequests and RequestLog each counted lines by interval; LineLimit does it for all. The text about ignored decisions is built only when its line is written.

--- a/src/main/java/org/curranthaven/internal/dispatch/VersionDecisions.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/VersionDecisions.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.curranthaven.internal.supervision.LineLimit;
 import org.curranthaven.internal.transport.wire.PlacementRequest;
 
 /**
@@ -15,9 +16,7 @@
   private static final long SECOND_MILLIS = 1_000;
 
   private List<String> lines = new ArrayList<>();
-  private long secondStartMillis = Long.MIN_VALUE / 2;
-  private int linesInSecond;
-  private long omitted;
+  private final LineLimit limit = new LineLimit(MAX_LINES_PER_SECOND, SECOND_MILLIS);
 
   /** Records a decision by the recorded origin of the stream. */
   void recordByOrigin(PlacementRequest request, String version, long ageMillis, long nowMillis) {
@@ -52,20 +51,14 @@
   }
 
   private void add(String line, long nowMillis) {
-    if (nowMillis - secondStartMillis >= SECOND_MILLIS) {
-      secondStartMillis = nowMillis;
-      linesInSecond = 0;
-      if (omitted > 0) {
-        lines.add(omitted + " more resumptions of streams were decided and not logged");
-        omitted = 0;
-      }
+    if (!limit.mayWrite(nowMillis)) {
+      return;
     }
-    if (linesInSecond < MAX_LINES_PER_SECOND) {
-      linesInSecond++;
-      lines.add(line);
-    } else {
-      omitted++;
+    long omitted = limit.takeOmitted();
+    if (omitted > 0) {
+      lines.add(omitted + " more resumptions of streams were decided and not logged");
     }
+    lines.add(line);
   }
 
   /** Returns and clears the lines. */
--- a/src/main/java/org/curranthaven/internal/relay/LinkCounters.java
+++ b/src/main/java/org/curranthaven/internal/relay/LinkCounters.java
@@ -4,6 +4,8 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Supplier;
+import org.curranthaven.internal.supervision.LineLimit;
 import org.tinylog.Logger;
 
 /**
@@ -30,37 +32,35 @@
   }
 
   private final Map<Reason, LongAdder> ignored = new EnumMap<>(Reason.class);
-  private final Map<Reason, Long> loggedAtMillis = new EnumMap<>(Reason.class);
+  private final Map<Reason, LineLimit> limits = new EnumMap<>(Reason.class);
   private final Map<Reason, Long> countWhenLogged = new EnumMap<>(Reason.class);
   private final LongAdder sentAgain = new LongAdder();
-  private long sentAgainLoggedAtMillis = Long.MIN_VALUE / 2;
-  private long sentAgainWhenLogged;
+  private final LineLimit sentAgainLimit = new LineLimit(1, LOG_INTERVAL_MILLIS);
 
   LinkCounters() {
     for (Reason reason : Reason.values()) {
       ignored.put(reason, new LongAdder());
+      limits.put(reason, new LineLimit(1, LOG_INTERVAL_MILLIS));
     }
   }
 
   /**
    * Counts decisions that are ignored.
    *
-   * @param decisions the decisions, for the log
+   * @param decisions describes the decisions for the log, if a line is written
    */
-  void recordIgnored(Reason reason, int count, Object decisions, long nowMillis) {
+  void recordIgnored(Reason reason, int count, Supplier<String> decisions, long nowMillis) {
     if (count == 0) {
       return;
     }
     LongAdder total = total(reason);
     total.add(count);
-    Long loggedAt = loggedAtMillis.get(reason);
-    if (loggedAt == null || nowMillis - loggedAt >= LOG_INTERVAL_MILLIS) {
+    if (Objects.requireNonNull(limits.get(reason)).mayWrite(nowMillis)) {
       Logger.info(
           "{} decisions of the scheduler ignored since the last such line, reason {}; latest: {}",
           total.sum() - countWhenLogged.getOrDefault(reason, 0L),
           reason,
-          decisions);
-      loggedAtMillis.put(reason, nowMillis);
+          decisions.get());
       countWhenLogged.put(reason, total.sum());
     }
   }
@@ -72,13 +72,11 @@
   /** Counts a placement request that is sent again since it was not acknowledged. */
   void recordSentAgain(long id, long nowMillis) {
     sentAgain.increment();
-    if (nowMillis - sentAgainLoggedAtMillis >= LOG_INTERVAL_MILLIS) {
+    if (sentAgainLimit.mayWrite(nowMillis)) {
       Logger.info(
           "{} placement requests sent again since the last such line; latest: {}",
-          sentAgain.sum() - sentAgainWhenLogged,
+          sentAgainLimit.takeOmitted() + 1,
           id);
-      sentAgainLoggedAtMillis = nowMillis;
-      sentAgainWhenLogged = sentAgain.sum();
     }
   }
 
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -780,7 +780,7 @@
   }
 
   private void recordIgnored(LinkCounters.Reason reason, long id) {
-    counters.recordIgnored(reason, 1, "placement request " + id, clock.nowMillis());
+    counters.recordIgnored(reason, 1, () -> "placement request " + id, clock.nowMillis());
   }
 
   private void recordIgnored(LinkCounters.Reason reason, DispatchOrders orders) {
@@ -792,14 +792,15 @@
     counters.recordIgnored(
         reason,
         count,
-        "of term "
-            + orders.getTerm()
-            + " and status "
-            + orders.getStatusNumber()
-            + ", here "
-            + term
-            + " and "
-            + statusNumber,
+        () ->
+            "of term "
+                + orders.getTerm()
+                + " and status "
+                + orders.getStatusNumber()
+                + ", here "
+                + term
+                + " and "
+                + statusNumber,
         clock.nowMillis());
   }
 
--- a/src/main/java/org/curranthaven/internal/relay/StrayResponseLog.java
+++ b/src/main/java/org/curranthaven/internal/relay/StrayResponseLog.java
@@ -1,6 +1,7 @@
 package org.curranthaven.internal.relay;
 
 import java.util.function.Consumer;
+import org.curranthaven.internal.supervision.LineLimit;
 import org.tinylog.Logger;
 
 /**
@@ -15,9 +16,7 @@
 
   private final Consumer<StrayResponse.Reason> counter;
   private final Consumer<String> lines;
-  private long intervalStartMillis = Long.MIN_VALUE;
-  private int linesInInterval;
-  private long suppressed;
+  private final LineLimit limit = new LineLimit(MAX_LINES_PER_INTERVAL, INTERVAL_MILLIS);
 
   StrayResponseLog(Consumer<StrayResponse.Reason> counter) {
     this(counter, Logger::info);
@@ -30,16 +29,9 @@
 
   void record(StrayResponse response, long nowMillis) {
     counter.accept(response.reason());
-    if (intervalStartMillis == Long.MIN_VALUE
-        || nowMillis - intervalStartMillis >= INTERVAL_MILLIS) {
-      intervalStartMillis = nowMillis;
-      linesInInterval = 0;
-    }
-    if (linesInInterval >= MAX_LINES_PER_INTERVAL) {
-      suppressed++;
+    if (!limit.mayWrite(nowMillis)) {
       return;
     }
-    linesInInterval++;
     lines.accept(
         "response of backend server at "
             + response.address()
@@ -56,8 +48,7 @@
             + "; the connection carries request \""
             + response.requestId()
             + "\"; "
-            + suppressed
+            + limit.takeOmitted()
             + " lines suppressed since the last");
-    suppressed = 0;
   }
 }
--- a/src/main/java/org/curranthaven/internal/scheduler/RepeatedRequests.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/RepeatedRequests.java
@@ -1,29 +1,24 @@
 package org.curranthaven.internal.scheduler;
 
+import org.curranthaven.internal.supervision.LineLimit;
 import org.tinylog.Logger;
 
-/** Counts placement requests that came again, and logs some of them. Not thread-safe. */
+/** Logs placement requests that came again, at most one in a second. Not thread-safe. */
 final class RepeatedRequests {
-  /** Shortest time between two log lines. */
   private static final long LOG_INTERVAL_MILLIS = 1_000;
 
-  private long count;
-  private long countWhenLogged;
-  private long loggedAtMillis = Long.MIN_VALUE / 2;
+  private final LineLimit limit = new LineLimit(1, LOG_INTERVAL_MILLIS);
 
-  /** Counts a request that is known already. */
+  /** Records a request that is known already. */
   void record(String gateway, long id, String state, long nowMillis) {
-    count++;
-    if (nowMillis - loggedAtMillis >= LOG_INTERVAL_MILLIS) {
+    if (limit.mayWrite(nowMillis)) {
       Logger.info(
           "{} placement requests came again since the last such line; latest: {} of gateway {},"
               + " which {}",
-          count - countWhenLogged,
+          limit.takeOmitted() + 1,
           id,
           gateway,
           state);
-      loggedAtMillis = nowMillis;
-      countWhenLogged = count;
     }
   }
 }
--- a/src/main/java/org/curranthaven/internal/scheduler/RequestLog.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/RequestLog.java
@@ -1,6 +1,6 @@
 package org.curranthaven.internal.scheduler;
 
-import java.util.concurrent.TimeUnit;
+import org.curranthaven.internal.supervision.LineLimit;
 import org.tinylog.Logger;
 
 /**
@@ -10,35 +10,24 @@
 final class RequestLog {
   static final int MAX_LINES_PER_SECOND = 50;
 
-  private long second = Long.MIN_VALUE;
-  private int lines;
-  private int omittedLines;
+  private static final long SECOND_MILLIS = 1_000;
+
+  private final LineLimit limit = new LineLimit(MAX_LINES_PER_SECOND, SECOND_MILLIS);
 
   /** Writes a line, or counts it if there are too many in this second. */
   void write(long nowMillis, String message, Object... arguments) {
-    if (!mayWrite(nowMillis)) {
-      omittedLines++;
+    if (!limit.mayWrite(nowMillis)) {
       return;
     }
-    if (omittedLines > 0) {
-      Logger.warn("{} lines about control requests omitted", omittedLines);
-      omittedLines = 0;
+    long omitted = limit.takeOmitted();
+    if (omitted > 0) {
+      Logger.warn("{} lines about control requests omitted", omitted);
     }
     Logger.info(message, arguments);
   }
 
-  private boolean mayWrite(long nowMillis) {
-    long currentSecond = TimeUnit.MILLISECONDS.toSeconds(nowMillis);
-    if (currentSecond != second) {
-      second = currentSecond;
-      lines = 0;
-    }
-    lines++;
-    return lines <= MAX_LINES_PER_SECOND;
-  }
-
   /** Returns the number of lines that were omitted since the last one that was written. */
-  int omittedLines() {
-    return omittedLines;
+  long omittedLines() {
+    return limit.omitted();
   }
 }
