Resume from a backup copy only a stream of which an event was received

An interruption before the first event shows no copy, and there is no place to resume after. An engine without a copy answers 503, but if that response is lost or the engine does not hold to it, the request runs anew. Now the backup copy is used only once an event with an id was received; a handle that the source itself returns when it stops the request still is. What callers lose is a resumption of streams whose engine crashed while it read the prompt and had sent a part of the copy already.

The attempt is also cancelled when a stalled request is not resumed, so that its connection does not stay open.

--- a/src/main/java/org/curranthaven/internal/relay/MigrationCoordinator.java
+++ b/src/main/java/org/curranthaven/internal/relay/MigrationCoordinator.java
@@ -15,6 +15,7 @@
   private final InboundRequest request;
   private final Route route;
   private final @Nullable EngineCapabilities engine;
+  private final RequestProgress progress;
   private final Owner owner;
   private @Nullable StateTransfer transfer;
   private Migration migration = Migration.NONE;
@@ -70,11 +71,13 @@
       InboundRequest request,
       Route route,
       @Nullable EngineCapabilities engine,
+      RequestProgress progress,
       Owner owner) {
     this.context = context;
     this.request = request;
     this.route = route;
     this.engine = engine;
+    this.progress = progress;
     this.owner = owner;
   }
 
@@ -307,13 +310,13 @@
 
     @Override
     public void onTransferFailed(StateTransfer.SourceState sourceState) {
-      if (sourceState == StateTransfer.SourceState.NOT_RUNNING) {
-        onTransferred(
-            backupBackend, context.protocol().stateReference(backupBackend, request.id()));
+      transfer = null;
+      if (owner.isFinished()) {
         return;
       }
-      transfer = null;
-      if (!owner.isFinished()) {
+      if (sourceState == StateTransfer.SourceState.NOT_RUNNING) {
+        resumeAtBackup(interruptedAttempt, backupBackend);
+      } else {
         owner.onStateLost(
             "the request was interrupted at backend server "
                 + interruptedAttempt.backend().getId()
@@ -350,8 +353,7 @@
           if (result != null) {
             owner.onFinishedAtSource(result);
           } else {
-            onTransferred(
-                backupBackend, context.protocol().stateReference(backupBackend, request.id()));
+            resumeAtBackup(stalled, backupBackend);
           }
         }
         case STOP_UNCONFIRMED -> resumeFromBackup(stalled, backupBackend.getId());
@@ -366,6 +368,23 @@
     }
   }
 
+  /**
+   * Resumes the request from its backup copy. Only an event shows that there is a run, and so a
+   * copy, and where to resume it; without one, the engine might run the request anew.
+   */
+  private void resumeAtBackup(Attempt source, BackendRecord backupBackend) {
+    if (!progress.hasEvents()) {
+      source.cancel();
+      owner.onStateLost(
+          "the request ended at backend server "
+              + source.backend().getId()
+              + " before its first event, so that nothing shows that a backup copy of it exists");
+      return;
+    }
+    String reference = context.protocol().stateReference(backupBackend, request.id());
+    resumeAtTarget(source, backupBackend, reference, "", "");
+  }
+
   /** Resumes the request at the target of a state transfer. */
   private void resumeAtTarget(
       Attempt source,
@@ -378,21 +397,22 @@
     if (owner.isFinished()) {
       return;
     }
+    source.cancel();
     if (owner.isBlocked()) {
       owner.onStateLost("engines crash on it or a part of its prompt, so it is not resumed");
       return;
     }
-    source.cancel();
     stopUnanswered = false;
     unconfirmedResult = null;
     resuming = true;
     fallbackBackend = newFallbackBackend;
     stateReference = newStateReference;
     Logger.info(
-        "request {} on route {}: resuming at backend server {} (last ran at {})",
+        "request {} on route {}: resuming at backend server {} after event \"{}\" (last ran at {})",
         request.id(),
         route.name(),
         target.getId(),
+        progress.lastEventId(),
         source.backend().getId());
     owner.onMigrated(target, newBackup);
     owner.resumeAt(target, newStateReference);
--- a/src/main/java/org/curranthaven/internal/relay/RequestProgress.java
+++ b/src/main/java/org/curranthaven/internal/relay/RequestProgress.java
@@ -40,6 +40,11 @@
     return lastEventId;
   }
 
+  /** Returns whether an event with an id was received that the caller did not have before. */
+  boolean hasEvents() {
+    return eventCount > 0;
+  }
+
   int outputTokens() {
     return eventCount * tokensPerEvent;
   }
--- a/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
@@ -95,9 +95,9 @@
     this.homeRegions = homeRegions;
     EngineCapabilities engine = service.engine();
     int tokensPerEvent = engine == null ? DEFAULT_TOKENS_PER_EVENT : engine.tokensPerEvent();
-    this.migration = new MigrationCoordinator(context, request, route, engine, this);
     this.progress =
         new RequestProgress(route, tokensPerEvent, request.lastEventId(), arrivedAtMillis);
+    this.migration = new MigrationCoordinator(context, request, route, engine, progress, this);
     this.fingerprint = RequestFingerprint.of(request);
     this.deadlineAtMillis = arrivedAtMillis + timeoutMillis;
     long leftMillis = Math.max(0, deadlineAtMillis - context.clock().nowMillis());
