Take an engine for stopped only if it says so or nothing can run there

A process that ends closes all its connections, so a refusal now counts only once the stream has ended too. A connection that was accepted and reset is a response that did not come. Where nothing can run any more, a stream that ended with its connection is not taken for finished at its engine.

--- a/src/main/java/org/curranthaven/internal/relay/Attempt.java
+++ b/src/main/java/org/curranthaven/internal/relay/Attempt.java
@@ -32,6 +32,7 @@
   private boolean sent;
   private boolean ended;
   private boolean responseReceived;
+  private long receivedParts;
   private String requestId = "";
   private long startedAtMillis;
 
@@ -119,6 +120,11 @@
     return responseReceived;
   }
 
+  /** Returns how many parts of the response have been received, with or without output. */
+  long receivedParts() {
+    return receivedParts;
+  }
+
   /**
    * Ends the attempt as interrupted because the backend server has sent nothing for the given time.
    */
@@ -186,6 +192,7 @@
 
   @Override
   public void onContent(byte[] bytes) {
+    receivedParts++;
     HttpResponse streamResponse = response;
     if (ended || streamResponse == null) {
       return;
--- a/src/main/java/org/curranthaven/internal/relay/BackendPool.java
+++ b/src/main/java/org/curranthaven/internal/relay/BackendPool.java
@@ -154,9 +154,23 @@
 
   /** Passes a new connection to the consumer, or null if the connection fails. */
   void connect(String address, Consumer<@Nullable BackendConnection> consumer) {
+    open(address, (connection, refused) -> consumer.accept(connection));
+  }
+
+  /** Receives a new connection, or null and whether the host at the address refused it. */
+  interface ConnectionConsumer {
+    void accept(@Nullable BackendConnection connection, boolean refused);
+  }
+
+  /** Opens a connection that carries no other request. */
+  void open(String address, ConnectionConsumer consumer) {
     BackendConnection connection = new BackendConnection(this, address);
     connect(address, connection)
-        .addListener(future -> consumer.accept(future.isSuccess() ? connection : null));
+        .addListener(
+            future ->
+                consumer.accept(
+                    future.isSuccess() ? connection : null,
+                    !future.isSuccess() && isRefused(future.cause())));
   }
 
   private ChannelFuture connect(String address, BackendConnection connection) {
--- a/src/main/java/org/curranthaven/internal/relay/MigrationCoordinator.java
+++ b/src/main/java/org/curranthaven/internal/relay/MigrationCoordinator.java
@@ -193,7 +193,8 @@
             stalled.backend(),
             backupBackend,
             new StalledTransferListener(stalled, backupBackend));
-    transfer.startAtStalledSource();
+    long receivedParts = stalled.receivedParts();
+    transfer.startAtStalledSource(() -> stalled.receivedParts() > receivedParts);
   }
 
   private void resumeAtFallback() {
@@ -314,13 +315,13 @@
       if (owner.isFinished()) {
         return;
       }
-      if (sourceState == StateTransfer.SourceState.NOT_RUNNING) {
-        resumeAtBackup(interruptedAttempt, backupBackend);
-      } else {
-        owner.onStateLost(
-            "the request was interrupted at backend server "
-                + interruptedAttempt.backend().getId()
-                + ", which can be reached and has not confirmed that it stopped the request");
+      switch (sourceState) {
+        case NOT_RUNNING, GONE -> resumeAtBackup(interruptedAttempt, backupBackend);
+        case RUNNING, STOP_UNANSWERED, STOP_UNCONFIRMED ->
+            owner.onStateLost(
+                "the request was interrupted at backend server "
+                    + interruptedAttempt.backend().getId()
+                    + ", which can be reached and has not confirmed that it stopped the request");
       }
     }
 
@@ -356,6 +357,7 @@
             resumeAtBackup(stalled, backupBackend);
           }
         }
+        case GONE -> resumeAtBackup(stalled, backupBackend);
         case STOP_UNCONFIRMED -> resumeFromBackup(stalled, backupBackend.getId());
         case STOP_UNANSWERED -> stopUnanswered = true;
         case RUNNING -> {}
--- a/src/main/java/org/curranthaven/internal/relay/StateTransfer.java
+++ b/src/main/java/org/curranthaven/internal/relay/StateTransfer.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.io.ByteArrayOutputStream;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.curranthaven.internal.transport.wire.BackendRecord;
 import org.tinylog.Logger;
@@ -22,12 +23,6 @@
   /** Timeout of one stop request to an engine on which the stream was interrupted. */
   private static final long STOP_TIMEOUT_MILLIS = 600;
 
-  /**
-   * Time for which an engine is asked to stop an interrupted request; below the time that callers
-   * wait for the next event of a stream.
-   */
-  private static final long STOP_CONFIRMATION_MILLIS = 1_500;
-
   private static final long STOP_RETRY_DELAY_MILLIS = 50;
 
   /** Time after the final copy during which the rest of the source's stream is awaited. */
@@ -38,6 +33,8 @@
   private final BackendRecord source;
   private final BackendRecord target;
   private final Listener listener;
+  private final StopConfirmation confirmation = new StopConfirmation();
+  private BooleanSupplier sourceActive = () -> false;
   private long copyTimeoutMillis = COPY_TIMEOUT_MILLIS;
   private long startedAtMillis;
   private long stopRequestedAtMillis;
@@ -51,10 +48,12 @@
   enum SourceState {
     /** The request continues at the source. */
     RUNNING,
-    /** The source was told to stop the request and did not answer; its stream is still open. */
+    /** The source was told to stop the request and may have; its stream is still open. */
     STOP_UNANSWERED,
-    /** The source does not run the request, or no connection to it can be opened. */
+    /** The source stated that it does not run the request. */
     NOT_RUNNING,
+    /** No process runs at the source, or no network path leads there. */
+    GONE,
     /** The stream was interrupted, and the source has not confirmed that the request stopped. */
     STOP_UNCONFIRMED
   }
@@ -97,65 +96,62 @@
    */
   void startWithEndedSource() {
     sourceEnded = true;
-    requestStop(this::onStopResponse);
+    requestStop();
   }
 
   /**
    * Starts a transfer whose source has stalled: has it stop the request once, while its stream
    * stays open, and copy its state.
+   *
+   * @param active whether the source has sent anything since this call
    */
-  void startAtStalledSource() {
-    requestStop(this::onStalledResponse);
+  void startAtStalledSource(BooleanSupplier active) {
+    sourceActive = active;
+    requestStop();
   }
 
   /** Has the source stop the request at once and copy its state, over a new connection. */
-  private void requestStop(Consumer<TransferResponse> consumer) {
+  private void requestStop() {
     copyTimeoutMillis = STOP_TIMEOUT_MILLIS;
     startedAtMillis = context.clock().nowMillis();
     stopping = true;
     stopRequestedAtMillis = startedAtMillis;
-    requestCopy(true, consumer);
+    requestCopy(true, this::onStopResponse);
   }
 
-  private void onStalledResponse(TransferResponse response) {
+  private void onStopResponse(TransferResponse response) {
     if (finished) {
       return;
     }
     if (!response.handle().isEmpty()) {
       onFinalCopy(response);
-    } else if (isStopped(response)) {
-      finishFailed(SourceState.NOT_RUNNING);
-    } else {
-      finishFailed(sourceStateAfterFailure(response));
-    }
-  }
-
-  private static boolean isStopped(TransferResponse response) {
-    return response.outcome() == TransferResponse.Outcome.NOT_RUNNING
-        || response.outcome() == TransferResponse.Outcome.NO_CONNECTION;
-  }
-
-  private void onStopResponse(TransferResponse response) {
-    if (finished) {
       return;
     }
     long elapsedMillis = context.clock().nowMillis() - startedAtMillis;
-    if (!response.handle().isEmpty()) {
-      onFinalCopy(response);
-    } else if (isStopped(response)) {
-      finishFailed(SourceState.NOT_RUNNING);
-    } else if (elapsedMillis < STOP_CONFIRMATION_MILLIS) {
-      context
-          .loop()
-          .schedule(
-              () -> requestCopy(true, this::onStopResponse),
-              STOP_RETRY_DELAY_MILLIS,
-              TimeUnit.MILLISECONDS);
-    } else {
-      finishFailed(SourceState.STOP_UNCONFIRMED);
+    switch (confirmation.decide(response.outcome(), streamConnection(), elapsedMillis)) {
+      case NOT_RUNNING -> finishFailed(SourceState.NOT_RUNNING);
+      case GONE -> finishFailed(SourceState.GONE);
+      case RUNNING -> finishFailed(SourceState.RUNNING);
+      case UNCONFIRMED -> finishFailed(sourceStateAfterFailure(response));
+      case ASK_AGAIN ->
+          context
+              .loop()
+              .schedule(
+                  () -> requestCopy(true, this::onStopResponse),
+                  STOP_RETRY_DELAY_MILLIS,
+                  TimeUnit.MILLISECONDS);
     }
   }
 
+  private StopConfirmation.StreamConnection streamConnection() {
+    if (sourceEnded) {
+      return StopConfirmation.StreamConnection.ENDED;
+    }
+    return sourceActive.getAsBoolean()
+        ? StopConfirmation.StreamConnection.ACTIVE
+        : StopConfirmation.StreamConnection.SILENT;
+  }
+
   /**
    * Returns whether the source was told to stop the request. From then on, the orderly close of its
    * stream may be the stop instead of the end of the response.
@@ -250,13 +246,16 @@
         context.protocol().transferRequest(request, source, target, finalCopy);
     context
         .pool()
-        .connect(
+        .open(
             source.getAddress(),
-            connection -> {
+            (connection, refused) -> {
               if (connection == null || !connection.isOpen()) {
                 copyRequest.release();
                 consumer.accept(
-                    TransferResponse.withoutHandle(TransferResponse.Outcome.NO_CONNECTION));
+                    TransferResponse.withoutHandle(
+                        connection == null
+                            ? outcomeWithoutConnection(refused)
+                            : TransferResponse.Outcome.NO_RESPONSE));
                 return;
               }
               CopyResponseListener responseListener =
@@ -268,6 +267,10 @@
             });
   }
 
+  private static TransferResponse.Outcome outcomeWithoutConnection(boolean refused) {
+    return refused ? TransferResponse.Outcome.REFUSED : TransferResponse.Outcome.NO_CONNECTION;
+  }
+
   /**
    * Collects the response to one copy request; reports that there was none after a connection loss
    * or timeout.
--- a/src/main/java/org/curranthaven/internal/relay/TransferResponse.java
+++ b/src/main/java/org/curranthaven/internal/relay/TransferResponse.java
@@ -17,7 +17,9 @@
     REJECTED,
     /** The engine was reached and sent no complete response; it may still run the request. */
     NO_RESPONSE,
-    /** No connection to the engine could be opened. */
+    /** The engine's host refused the connection: no process listens at the address. */
+    REFUSED,
+    /** No connection to the engine could be opened for another reason, such as a lost path. */
     NO_CONNECTION
   }
 
--- a/src/test/java/org/curranthaven/platform/FakeBackend.java
+++ b/src/test/java/org/curranthaven/platform/FakeBackend.java
@@ -5,8 +5,10 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
@@ -17,10 +19,16 @@
 
 /** Backend server for tests; a script writes the bytes of its responses. Thread-safe. */
 final class FakeBackend implements AutoCloseable {
+  /** Connections that wait to be accepted; few, so that a test can fill the queue. */
+  private static final int BACKLOG = 8;
+
+  private static final int CONNECT_TIMEOUT_MILLIS = 200;
+
   private final ServerSocket socket;
   private final ResponseScript script;
   private final List<ReceivedRequest> received = new CopyOnWriteArrayList<>();
   private final List<Socket> connections = new CopyOnWriteArrayList<>();
+  private volatile boolean accepting = true;
 
   /** A request as received; header names are in lower case. */
   record ReceivedRequest(String line, Map<String, String> headers, String body) {
@@ -38,7 +46,7 @@
 
   FakeBackend(ResponseScript script) throws IOException {
     this.script = script;
-    this.socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    this.socket = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
     Thread.ofVirtual().start(this::accept);
   }
 
@@ -51,7 +59,7 @@
   }
 
   private void accept() {
-    while (!socket.isClosed()) {
+    while (accepting && !socket.isClosed()) {
       try {
         Socket connection = socket.accept();
         connections.add(connection);
@@ -158,6 +166,28 @@
     return "id: %d\ndata: token %d\n\n".formatted(id, id);
   }
 
+  /** Refuses new connections; those that are open stay open. */
+  void refuseConnections() throws IOException {
+    socket.close();
+  }
+
+  /** Leaves new connections without an answer; those that are open stay open. */
+  void dropConnections() throws IOException {
+    accepting = false;
+    for (int i = 0; i < 4 * BACKLOG; i++) {
+      Socket waiting = new Socket();
+      connections.add(waiting);
+      try {
+        waiting.connect(
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort()),
+            CONNECT_TIMEOUT_MILLIS);
+      } catch (SocketTimeoutException e) {
+        return;
+      }
+    }
+    throw new IOException("new connections are still answered");
+  }
+
   @Override
   public void close() throws IOException {
     socket.close();
--- a/src/test/java/org/curranthaven/platform/StalledStreamTest.java
+++ b/src/test/java/org/curranthaven/platform/StalledStreamTest.java
@@ -2,8 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -88,4 +90,90 @@
 
     assertThat(response).contains("token 1", "token 2").endsWith("0\r\n\r\n");
   }
+
+  /** Changes how the engine of a stream handles new connections. */
+  private interface Change {
+    void apply(FakeBackend engine) throws Exception;
+  }
+
+  /** How the engine of a stream goes on after its first event. */
+  private interface Continuation {
+    void run(Socket connection) throws Exception;
+  }
+
+  private record Outcome(String response, long resumptions) {}
+
+  /** Runs a stream on one of two engines, which handles new connections otherwise from then on. */
+  private Outcome runStream(Change change, Continuation continuation) throws Exception {
+    List<FakeBackend> engines = new CopyOnWriteArrayList<>();
+    FakeBackend.ResponseScript script =
+        (request, connection) -> {
+          if (!request.header("Kv-From").isEmpty()) {
+            RESUMED_STREAM.respond(request, connection);
+            return;
+          }
+          FakeBackend.write(
+              connection, FakeBackend.streamResponseHead(request) + FakeBackend.event(1));
+          for (FakeBackend engine : engines) {
+            if (engine.received().contains(request)) {
+              change.apply(engine);
+            }
+          }
+          continuation.run(connection);
+        };
+    try (FakeBackend first = new FakeBackend(script);
+        FakeBackend second = new FakeBackend(script)) {
+      engines.addAll(List.of(first, second));
+      register("i-1", first, "ready", 1, "engines");
+      register("i-2", second, "ready", 1, "engines");
+      String response = sendRawRequest("/stories/1", MODEL_HEADERS);
+      long resumptions =
+          engines.stream()
+              .flatMap(engine -> engine.received().stream())
+              .filter(request -> !request.header("Kv-From").isEmpty())
+              .count();
+      return new Outcome(response, resumptions);
+    }
+  }
+
+  /** Guards against a stream that two engines generate at the same time. */
+  @Test
+  void a_stream_that_pauses_goes_on_although_its_engine_refuses_new_connections() throws Exception {
+    Outcome outcome =
+        runStream(
+            FakeBackend::refuseConnections,
+            connection -> {
+              Thread.sleep(4_000);
+              FakeBackend.write(connection, FakeBackend.event(2) + FakeBackend.chunk(""));
+            });
+
+    assertThat(outcome.response()).contains("token 1", "token 2").endsWith("0\r\n\r\n");
+    assertThat(outcome.resumptions()).isZero();
+  }
+
+  /** Guards against a stream that two engines generate at the same time. */
+  @Test
+  void a_stream_with_comments_goes_on_although_its_engine_drops_new_connections() throws Exception {
+    Outcome outcome =
+        runStream(
+            FakeBackend::dropConnections,
+            connection -> {
+              for (int i = 0; i < 20; i++) {
+                Thread.sleep(200);
+                FakeBackend.write(connection, FakeBackend.chunk(": still here\n\n"));
+              }
+              FakeBackend.write(connection, FakeBackend.event(2) + FakeBackend.chunk(""));
+            });
+
+    assertThat(outcome.response()).contains("token 1", "token 2").endsWith("0\r\n\r\n");
+    assertThat(outcome.resumptions()).isZero();
+  }
+
+  @Test
+  void a_silent_stream_whose_engine_cannot_be_reached_resumes_elsewhere() throws Exception {
+    Outcome outcome = runStream(FakeBackend::dropConnections, connection -> Thread.sleep(20_000));
+
+    assertThat(outcome.response()).contains("token 1", "token 2").endsWith("0\r\n\r\n");
+    assertThat(outcome.resumptions()).isEqualTo(1);
+  }
 }
