A stream whose stop was rejected without a handle is not complete

Callers could get a stream without length or chunks as complete although its engine had stopped it for a migration: the rejection of the final copy names the state that the engine keeps, and counted as "still running" when that name was spoilt, so that the close that followed was the end of the stream.

Such a rejection now counts as a stop that was not confirmed. StreamEndingTest failed before.

--- a/src/main/java/org/curranthaven/internal/relay/StateTransfer.java
+++ b/src/main/java/org/curranthaven/internal/relay/StateTransfer.java
@@ -48,7 +48,7 @@
   enum SourceState {
     /** The request continues at the source. */
     RUNNING,
-    /** The source was told to stop the request and may have; its stream is still open. */
+    /** The source was told to stop the request and did not confirm it; its stream is still open. */
     STOP_UNANSWERED,
     /** The source stated that it does not run the request. */
     NOT_RUNNING,
@@ -229,11 +229,22 @@
           ? SourceState.NOT_RUNNING
           : SourceState.STOP_UNCONFIRMED;
     }
-    return stopping && response.outcome() == TransferResponse.Outcome.NO_RESPONSE
+    return stopping && mayHaveStopped(response.outcome())
         ? SourceState.STOP_UNANSWERED
         : SourceState.RUNNING;
   }
 
+  /**
+   * Returns whether the source may have stopped the request because it was told to. A rejection
+   * without a handle may have lost it, or belong to a call that an earlier one is ahead of.
+   */
+  private static boolean mayHaveStopped(TransferResponse.Outcome outcome) {
+    return switch (outcome) {
+      case COPIED, REJECTED, NO_RESPONSE -> true;
+      case NOT_RUNNING, REFUSED, NO_CONNECTION -> false;
+    };
+  }
+
   private void finishFailed(SourceState sourceState) {
     if (!finished) {
       finished = true;
--- a/src/test/java/org/curranthaven/platform/StreamEndingTest.java
+++ b/src/test/java/org/curranthaven/platform/StreamEndingTest.java
@@ -231,6 +231,42 @@
     }
   }
 
+  @Test
+  void a_stream_that_ends_after_a_spoilt_response_to_its_stop_is_incomplete_to_the_caller()
+      throws Exception {
+    CountDownLatch started = new CountDownLatch(1);
+    AtomicReference<Socket> streamConnection = new AtomicReference<>();
+    FakeBackend.ResponseScript script =
+        (request, connection) -> {
+          if (request.body().contains("\"last\":true")) {
+            FakeBackend.write(connection, "HTTP/1.1 503 X\r\nContent-Length: 4\r\n\r\n{\"ha");
+            Thread.sleep(300);
+            Objects.requireNonNull(streamConnection.get()).close();
+          } else if (request.line().contains("kv-move")) {
+            FakeBackend.write(connection, COPIED);
+          } else {
+            streamConnection.set(connection);
+            String events = FakeBackend.plainEvent(1) + FakeBackend.plainEvent(2);
+            FakeBackend.write(connection, FakeBackend.unframedStreamResponseHead(request) + events);
+            started.countDown();
+          }
+        };
+    try (FakeBackend leaving = new FakeBackend(script);
+        FakeBackend target = new FakeBackend(unframedStream(FakeBackend.plainEvent(3)))) {
+      register("i-1", leaving, "ready", 1, "engines");
+      try (Socket caller = openRawRequest("/stories/1", MODEL_HEADERS)) {
+        assertThat(started.await(20, TimeUnit.SECONDS)).isTrue();
+        register("i-2", target, "ready", 1, "engines");
+        register("i-1", leaving, "draining", 2, "engines");
+
+        String response =
+            new String(caller.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertThat(response).contains("token 2").doesNotEndWith(LAST_CHUNK);
+        assertThat(List.copyOf(target.received())).isEmpty();
+      }
+    }
+  }
+
   @Test
   void a_stream_whose_engine_is_taken_away_while_its_state_is_copied_is_incomplete()
       throws Exception {
