A stop that went unanswered counts until the request runs elsewhere

Callers could get a stream without length or chunks as complete although its engine had stopped it: an engine that was told to stop it did not answer, the next order to migrate the stream failed at its first copy (status 409 while the first call is in progress), and this took back that a stop was under way, so that the close of the stream counted as its end.

StreamEndingTest failed before.

--- a/src/main/java/org/curranthaven/internal/relay/MigrationCoordinator.java
+++ b/src/main/java/org/curranthaven/internal/relay/MigrationCoordinator.java
@@ -21,7 +21,7 @@
   private Migration migration = Migration.NONE;
   private boolean resuming;
 
-  /** Whether the engine was told to stop the request and did not answer. */
+  /** Whether the engine that runs the request was told to stop it and did not answer. */
   private boolean stopUnanswered;
 
   /**
@@ -270,8 +270,10 @@
         owner.onFinishedAtSource(result);
         return;
       }
-      stopUnanswered = sourceState == StateTransfer.SourceState.STOP_UNANSWERED;
-      boolean running = stopUnanswered || sourceState == StateTransfer.SourceState.RUNNING;
+      boolean unanswered = sourceState == StateTransfer.SourceState.STOP_UNANSWERED;
+      // A later migration that fails takes nothing back.
+      stopUnanswered = stopUnanswered || unanswered;
+      boolean running = unanswered || sourceState == StateTransfer.SourceState.RUNNING;
       Logger.info(
           "request {} on route {}: migration from backend server {} failed; {}",
           request.id(),
--- a/src/test/java/org/curranthaven/platform/StreamEndingTest.java
+++ b/src/test/java/org/curranthaven/platform/StreamEndingTest.java
@@ -267,6 +267,48 @@
     }
   }
 
+  @Test
+  void a_stream_that_ends_long_after_an_unanswered_stop_is_incomplete_to_the_caller()
+      throws Exception {
+    CountDownLatch started = new CountDownLatch(1);
+    AtomicInteger stops = new AtomicInteger();
+    AtomicReference<Socket> streamConnection = new AtomicReference<>();
+    FakeBackend.ResponseScript script =
+        (request, connection) -> {
+          if (!request.line().contains("kv-move")) {
+            streamConnection.set(connection);
+            String events = FakeBackend.plainEvent(1) + FakeBackend.plainEvent(2);
+            FakeBackend.write(connection, FakeBackend.unframedStreamResponseHead(request) + events);
+            started.countDown();
+          } else if (stops.get() > 0) {
+            // The call before is still in progress.
+            FakeBackend.write(connection, "HTTP/1.1 409 X\r\nContent-Length: 2\r\n\r\n{}");
+            Thread.sleep(300);
+            Objects.requireNonNull(streamConnection.get()).close();
+          } else if (request.body().contains("\"last\":true")) {
+            stops.incrementAndGet();
+            connection.close();
+          } else {
+            FakeBackend.write(connection, COPIED);
+          }
+        };
+    try (FakeBackend leaving = new FakeBackend(script);
+        FakeBackend target = new FakeBackend(unframedStream(FakeBackend.plainEvent(3)))) {
+      register("i-1", leaving, "ready", 1, "engines");
+      try (Socket caller = openRawRequest("/stories/1", MODEL_HEADERS)) {
+        caller.setSoTimeout(20_000);
+        assertThat(started.await(20, TimeUnit.SECONDS)).isTrue();
+        register("i-2", target, "ready", 1, "engines");
+        register("i-1", leaving, "draining", 2, "engines");
+
+        String response =
+            new String(caller.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertThat(response).contains("token 2").doesNotEndWith(LAST_CHUNK);
+        assertThat(stops).hasValue(1);
+      }
+    }
+  }
+
   @Test
   void a_stream_whose_engine_is_taken_away_while_its_state_is_copied_is_incomplete()
       throws Exception {
