--- a/src/test/java/org/curranthaven/internal/relay/AttemptHistoryTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/AttemptHistoryTest.java
@@ -67,6 +67,18 @@
         .isEqualTo(ResultCode.BACKEND_FAILED);
   }
 
+  /** Guards against a promise on an interrupted request while it is resumed elsewhere. */
+  @Test
+  void an_interrupted_request_may_have_run_while_the_connection_for_its_resumption_opens() {
+    start(true);
+    history.recordStart();
+    assertThat(history.mayHaveRun()).isTrue();
+    history.recordTransmission(() -> false);
+
+    assertThat(history.mayHaveRun()).isTrue();
+    assertThat(history.withoutFalsePromise(ResultCode.SHED)).isEqualTo(ResultCode.BACKEND_FAILED);
+  }
+
   @Test
   void no_code_that_promises_that_a_request_did_not_run_is_reported_once_it_was_sent() {
     start(true);
