Run no suspect without a scheduler, since it may run through another gateway

A gateway cannot know what others run. Without a scheduler it now queues a suspect until the next scheduler decides, or rejects it as not run when its time is up; requests behind it do not wait. A gateway that has never known another one goes on as before.

SchedulerLinkTest.a_suspect_waits_for_a_scheduler_since_it_may_run_at_another_gateway failed before ("i-1" where none is expected).

--- a/src/main/java/org/curranthaven/internal/dispatch/BackendCrashes.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/BackendCrashes.java
@@ -134,11 +134,13 @@
   }
 
   /**
-   * Returns whether the request is a suspect that runs already: it may run on one backend server at
-   * a time, so that no more than necessary crash until the verdict.
+   * Returns whether the request is a suspect that runs already, or may run through another gateway:
+   * it may run on one backend server at a time, so that no more than necessary crash until the
+   * verdict.
    */
   boolean isHeld(RequestId requestId, PlacementRequest request) {
     return evidence.isSuspect(request)
-        && backends.isRunning(CrashSuspect.requestOf(request), requestId);
+        && (!evidence.knowsAllRuns()
+            || backends.isRunning(CrashSuspect.requestOf(request), requestId));
   }
 }
--- a/src/main/java/org/curranthaven/internal/dispatch/CrashEvidence.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/CrashEvidence.java
@@ -52,6 +52,7 @@
   static final int MAX_SUSPECTS = 1_024;
 
   private final Map<CrashSuspect, SuspectHistory> histories = new HashMap<>();
+  private boolean knowsAllRuns = true;
   private long version;
 
   /**
@@ -61,6 +62,18 @@
     return version;
   }
 
+  /**
+   * Sets whether this host knows of all requests that run: a scheduler does, and the only gateway.
+   * Other gateways cannot tell whether a suspect runs elsewhere.
+   */
+  public void setKnowsAllRuns(boolean knowsAll) {
+    knowsAllRuns = knowsAll;
+  }
+
+  boolean knowsAllRuns() {
+    return knowsAllRuns;
+  }
+
   // ---- events -----------------------------------------------------------------------------------
 
   /**
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -907,6 +907,7 @@
     backends.recordServing(nowMillis);
     knowledge.capacities().restoreReceived(nowMillis);
     knowledge.rateLimits().setShare(1.0 / mostGateways);
+    knowledge.crashes().setKnowsAllRuns(retries.mostGateways() == 1);
     core.setCatalog(catalog);
     core.setEvacuated(evacuated.names(), nowMillis);
     backends.withColdTimes(nowMillis).forEach(record -> core.updateBackend(record, nowMillis));
--- a/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
@@ -17,11 +17,13 @@
 import org.curranthaven.internal.dispatch.RetryLimits;
 import org.curranthaven.internal.dispatch.StatedLoad;
 import org.curranthaven.internal.dispatch.StatedRateLimit;
+import org.curranthaven.internal.transport.wire.BackendCrash;
 import org.curranthaven.internal.transport.wire.BackendRecord;
 import org.curranthaven.internal.transport.wire.BackendStatement;
 import org.curranthaven.internal.transport.wire.DispatchEnd;
 import org.curranthaven.internal.transport.wire.DispatchOrders;
 import org.curranthaven.internal.transport.wire.DispatchOutcome;
+import org.curranthaven.internal.transport.wire.DispatchRequests;
 import org.curranthaven.internal.transport.wire.Envelope;
 import org.curranthaven.internal.transport.wire.GatewayStatus;
 import org.curranthaven.internal.transport.wire.LearntCapacity;
@@ -379,6 +381,76 @@
         .containsExactly("bad");
   }
 
+  private static RecordingListener requestWithFingerprint(long id) {
+    return new RecordingListener(
+        PlacementRequest.newBuilder()
+            .setId(id)
+            .setService("plain")
+            .setFingerprint(0xbadL)
+            .setTargetLeftMillis(30_000)
+            .setDeadlineLeftMillis(60_000)
+            .build());
+  }
+
+  /** Publishes the view of a scheduler under which a server crashed on the fingerprint. */
+  private void publishSuspect(int gateways) {
+    SuspectRecord suspect =
+        SuspectRecord.newBuilder()
+            .setService("plain")
+            .setFingerprint(0xbadL)
+            .addCrashes(BackendCrash.newBuilder().setBackend("i-9").setAgeMillis(100))
+            .build();
+    link.handle(
+        "control-1",
+        SchedulerView.newBuilder()
+            .setTerm(3)
+            .setVersion(1)
+            .setGateways(gateways)
+            .addBackends(backend("i-1"))
+            .addCrashSuspects(suspect)
+            .build());
+  }
+
+  /** Guards against a suspect that each gateway runs by itself while none has a scheduler. */
+  @Test
+  void a_suspect_waits_for_a_scheduler_since_it_may_run_at_another_gateway() {
+    publishSuspect(3);
+    RecordingListener waiting = requestWithFingerprint(1);
+    requestPlacement(waiting);
+    time.advance(SchedulerLink.SCHEDULER_TIMEOUT_MILLIS + 200);
+    RecordingListener later = requestWithFingerprint(2);
+    requestPlacement(later);
+    RecordingListener other = new RecordingListener(3);
+    requestPlacement(other);
+    assertThat(other.backend()).isEqualTo("i-1");
+    assertThat(waiting.backend()).isEmpty();
+    assertThat(later.backend()).isEmpty();
+    sent.clear();
+
+    link.handle("control-2", SchedulerView.newBuilder().setTerm(4).setGateways(3).build());
+
+    assertThat(sent.stream().map(Envelope::getDispatchRequests))
+        .flatExtracting(DispatchRequests::getAsksList)
+        .extracting(PlacementRequest::getId)
+        .containsExactly(1L, 2L);
+  }
+
+  @Test
+  void the_only_gateway_runs_a_suspect_on_one_server_at_a_time_without_a_scheduler() {
+    publishSuspect(1);
+    time.advance(SchedulerLink.SCHEDULER_TIMEOUT_MILLIS + 200);
+    RecordingListener first = requestWithFingerprint(1);
+    requestPlacement(first);
+    RecordingListener second = requestWithFingerprint(2);
+    requestPlacement(second);
+    assertThat(first.backend()).isEqualTo("i-1");
+    assertThat(second.backend()).isEmpty();
+
+    link.reportEnd(1, DispatchOutcome.DISPATCH_OUTCOME_ANSWERED, 0);
+
+    assertThat(second.backend()).isEqualTo("i-1");
+  }
+
   @Test
   void a_crash_is_reported_to_the_scheduler_before_the_end_of_the_request() {
     publishView("control-1", 3, 1, "i-1");
