Count a crash that a gateway sees before it notices the loss of its scheduler

A crash that was reported between the moment at which the scheduler's time was up and the next check (up to 500 ms) was neither sent nor counted: there was no scheduler any more, and no local fallback yet. The verdict then came one crash late. Seen in a run of RequestCrashingServersTest at a load average of 47: four crashes, of which the scheduler had counted three.

The report of a crash now begins local fallback if the scheduler's time is up; its evidence goes to the next scheduler with the full status.

SchedulerLinkTest.a_crash_that_is_seen_before_the_loss_of_the_scheduler_is_noticed_is_told_to_the_next_one failed before (no suspect in the status).

--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -508,7 +508,12 @@
   public void reportCrash(String backend) {
     if (isConnected()) {
       send(DispatchRequests.newBuilder().addCrashedBackends(backend));
-    } else if (localDispatch != null) {
+      return;
+    }
+    if (localDispatch == null) {
+      loseScheduler("a backend server crashed after its time was up");
+    }
+    if (localDispatch != null) {
       localDispatch.backendCrashed(backend, clock.nowMillis());
       applyLocalDecisions();
     }
--- a/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
@@ -435,6 +435,26 @@
         .containsExactly(1L, 2L);
   }
 
+  /** Guards against a crash that nobody counts since the loss of the scheduler is noticed late. */
+  @Test
+  void a_crash_that_is_seen_before_the_loss_of_the_scheduler_is_noticed_is_told_to_the_next_one() {
+    publishView("control-1", 3, 1, "i-1");
+    RecordingListener request = requestWithFingerprint(1);
+    requestPlacement(request);
+    link.handle(
+        "control-1",
+        currentOrders().addPlacements(Placement.newBuilder().setId(1).setBackend("i-1")).build());
+    time.suspend(SchedulerLink.SCHEDULER_TIMEOUT_MILLIS + 50);
+
+    link.reportCrash("i-1");
+    link.reportEnd(1, DispatchOutcome.DISPATCH_OUTCOME_CONNECTION_LOST, 0);
+    link.handle("control-2", SchedulerView.newBuilder().setTerm(4).build());
+
+    assertThat(lastStatus().getCrashSuspectsList())
+        .extracting(SuspectRecord::getFingerprint)
+        .containsExactly(0xbadL);
+  }
+
   @Test
   void the_only_gateway_runs_a_suspect_on_one_server_at_a_time_without_a_scheduler() {
     publishSuspect(1);
