Place nothing while a gateway's requests are replaced by those that it reports

At each full status the scheduler first discarded the gateway's requests, which ended them and served the queue, and only then restored those that still run. In between it placed queued requests on slots that were not free, which servers rejected with 503, and a suspect at a second server while it ran. Gateways that lose their scheduler for a moment send a full status each time.

The core replaces the requests of a gateway as one step, and serves the queue after it.

SchedulerTest.nothing_is_placed_on_the_slots_of_a_gateway_while_it_reports_its_state and a_suspect_waits_on_while_the_gateway_where_it_runs_reports_its_state failed before.

--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -69,6 +69,9 @@
   private final VersionBinding versions;
   private List<DispatchDecision> decisions = new ArrayList<>();
 
+  /** Whether the requests of a gateway are being replaced. */
+  private boolean restoring;
+
   /**
    * Creates a core.
    *
@@ -650,6 +653,23 @@
     migrationPlanner.migrateFrom(backend, nowMillis);
   }
 
+  /**
+   * Replaces the requests of a gateway by those that it reports. Until they are restored, no queued
+   * request is placed: those that were known before may still be running.
+   *
+   * @param restoration restores what the gateway reports
+   */
+  public void replaceGateway(String gateway, Runnable restoration, long nowMillis) {
+    restoring = true;
+    try {
+      removeGateway(gateway, nowMillis);
+      restoration.run();
+    } finally {
+      restoring = false;
+    }
+    queue.services().forEach(service -> serveQueue(service, nowMillis));
+  }
+
   /** Cancels all requests of a gateway that was removed. */
   public void removeGateway(String gateway, long nowMillis) {
     List<RequestId> requestIds = new ArrayList<>(queue.ids());
@@ -691,7 +711,7 @@
   // ---- placement --------------------------------------------------------------------------------
 
   private void serveQueue(String service, long nowMillis) {
-    if (!serveByUse(service, nowMillis)) {
+    if (restoring || !serveByUse(service, nowMillis)) {
       return;
     }
     NavigableSet<QueuedRequest> serviceQueue = queue.requestsOf(service);
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -436,13 +436,9 @@
     view.catalogRevision = Math.max(view.catalogRevision, status.getCatalogRevision());
     view.evacuationRevision = Math.max(view.evacuationRevision, status.getEvacuationRevision());
     if (status.getFull()) {
-      // What was decided for the state before must not carry the number of the new one.
-      core.removeGateway(from.getName(), nowMillis);
+      core.replaceGateway(
+          from.getName(), () -> restoreState(from, view, status, nowMillis), nowMillis);
       sendDecisions();
-      view.statusNumber = status.getNumber();
-      view.rateLimitsVersion = 0;
-      view.capacitiesVersion = 0;
-      restore(from, status, nowMillis);
       view.hasReportedState = true;
       if (rebuilding) {
         endRebuildIfComplete();
@@ -453,6 +449,16 @@
     completeAcknowledged();
   }
 
+  private void restoreState(
+      HostRecord from, GatewayView view, GatewayStatus status, long nowMillis) {
+    // What was decided for the state before must not carry the number of the new one.
+    sendDecisions();
+    view.statusNumber = status.getNumber();
+    view.rateLimitsVersion = 0;
+    view.capacitiesVersion = 0;
+    restore(from, status, nowMillis);
+  }
+
   private void restore(HostRecord from, GatewayStatus status, long nowMillis) {
     reportedGateways = Math.max(reportedGateways, status.getMostGateways());
     updateRateShare(nowMillis);
@@ -486,7 +492,6 @@
       RequestId key = new RequestId(from.getName(), running.getAsk().getId());
       core.restoreRunning(key, running, nowMillis);
     }
-    sendDecisions();
   }
 
   /** Handles a gateway's placement requests, progress reports and ended requests. */
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -27,6 +27,7 @@
 import org.curranthaven.internal.transport.wire.GatewayStatus;
 import org.curranthaven.internal.transport.wire.HostRecord;
 import org.curranthaven.internal.transport.wire.LearntCapacity;
+import org.curranthaven.internal.transport.wire.Placement;
 import org.curranthaven.internal.transport.wire.PlacementRequest;
 import org.curranthaven.internal.transport.wire.PromptPart;
 import org.curranthaven.internal.transport.wire.RateLimitRecord;
@@ -401,6 +402,82 @@
         .containsExactly("CRASHES_BACKENDS");
   }
 
+  private static PlacementRequest suspect(long id) {
+    return placementRequest(id).toBuilder().setFingerprint(0xbadL).build();
+  }
+
+  private void ask(String gateway, PlacementRequest request) {
+    receiveRequests(gateway, DispatchRequests.newBuilder().addAsks(request));
+  }
+
+  /** Has a server crash under the suspect, which then runs through g1 while g2 waits with it. */
+  private void runAndQueueSuspect() {
+    startLeading();
+    for (String id : List.of("i-11", "i-12", "i-13")) {
+      scheduler.register(
+          backend(1, false).toBuilder().setId(id).build(), new RecordedResult()::accept);
+    }
+    ask("g1", suspect(1));
+    time.advance(200);
+    receiveRequests("g1", DispatchRequests.newBuilder().addCrashedBackends(placedAt(1)));
+    DispatchEnd.Builder end =
+        DispatchEnd.newBuilder().setId(1).setOutcome(DispatchOutcome.DISPATCH_OUTCOME_FAILED);
+    receiveRequests("g1", DispatchRequests.newBuilder().addEnds(end));
+    ask("g1", suspect(2));
+    ask("g2", suspect(3));
+  }
+
+  /** Returns where a request was placed; empty if it was not. */
+  private String placedAt(long id) {
+    return sent.stream()
+        .flatMap(message -> message.getValue().getDispatchOrders().getPlacementsList().stream())
+        .filter(placement -> placement.getId() == id)
+        .map(Placement::getBackend)
+        .findFirst()
+        .orElse("");
+  }
+
+  private static GatewayStatus.Builder statusWith(PlacementRequest running, String backend) {
+    return GatewayStatus.newBuilder()
+        .setTerm(5)
+        .setFull(true)
+        .addOpen(RunningDispatch.newBuilder().setAsk(running).setBackend(backend));
+  }
+
+  /** Guards against a second run of a suspect between the two halves of a full status. */
+  @Test
+  void a_suspect_waits_on_while_the_gateway_where_it_runs_reports_its_state() {
+    runAndQueueSuspect();
+    assertThat(placedAt(2)).isNotEmpty();
+
+    scheduler.handleStatus(host("g1"), statusWith(suspect(2), placedAt(2)).build());
+    time.advance(1_000);
+
+    assertThat(placedAt(3)).isEmpty();
+  }
+
+  /** Guards against more requests on a server than it has room for, which it then rejects. */
+  @Test
+  void nothing_is_placed_on_the_slots_of_a_gateway_while_it_reports_its_state() {
+    startLeading();
+    scheduler.register(backend(1, false), new RecordedResult()::accept);
+    for (long id = 1; id <= 3; id++) {
+      ask("g1", placementRequest(id));
+    }
+    ask("g2", placementRequest(4));
+    assertThat(placedAt(3)).isNotEmpty();
+    assertThat(placedAt(4)).isEmpty();
+
+    scheduler.handleStatus(
+        host("g1"),
+        statusWith(placementRequest(1), "i-1")
+            .addOpen(runningDispatch(2))
+            .addOpen(runningDispatch(3))
+            .build());
+
+    assertThat(placedAt(4)).isEmpty();
+  }
+
   // ---- limits on requests
   // ------------------------------------------------------------------------
 
