Count a suspect's run through a lost gateway until its deadline

When the connection to a gateway was lost, the scheduler forgot what ran through it, and placed a waiting suspect at once at another server, although the first run went on: the gateway had lost its scheduler, not its connection to the server.

Such runs now count for the suspects until their deadline, or until the gateway reports its state.

SchedulerTest.a_suspect_waits_on_while_the_gateway_where_it_runs_is_not_connected failed before.

--- a/src/main/java/org/curranthaven/internal/dispatch/BackendCrashes.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/BackendCrashes.java
@@ -29,6 +29,7 @@
 
   private final Backends backends;
   private final CrashEvidence evidence;
+  private final LostGatewayRuns lostGatewayRuns = new LostGatewayRuns();
 
   BackendCrashes(Backends backends, CrashEvidence evidence) {
     this.backends = backends;
@@ -138,9 +139,29 @@
    * it may run on one backend server at a time, so that no more than necessary crash until the
    * verdict.
    */
-  boolean isHeld(RequestId requestId, PlacementRequest request) {
-    return evidence.isSuspect(request)
-        && (!evidence.knowsAllRuns()
-            || backends.isRunning(CrashSuspect.requestOf(request), requestId));
+  boolean isHeld(RequestId requestId, PlacementRequest request, long nowMillis) {
+    if (!evidence.isSuspect(request)) {
+      return false;
+    }
+    CrashSuspect.Request suspect = CrashSuspect.requestOf(request);
+    return !evidence.knowsAllRuns()
+        || backends.isRunning(suspect, requestId)
+        || lostGatewayRuns.mayRun(suspect, nowMillis);
+  }
+
+  /** Handles the loss of a gateway whose requests are still known: they may go on. */
+  void gatewayLost(String gateway, long nowMillis) {
+    for (BackendState backend : backends.all()) {
+      for (RunningRequest running : backend.requests.values()) {
+        if (running.id.gateway().equals(gateway)) {
+          lostGatewayRuns.add(running, nowMillis);
+        }
+      }
+    }
+  }
+
+  /** Handles the report of a gateway that tells all that it runs. */
+  void gatewayReported(String gateway) {
+    lostGatewayRuns.removeGateway(gateway);
   }
 }
--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -662,7 +662,8 @@
   public void replaceGateway(String gateway, Runnable restoration, long nowMillis) {
     restoring = true;
     try {
-      removeGateway(gateway, nowMillis);
+      cancelAll(gateway, nowMillis);
+      backendCrashes.gatewayReported(gateway);
       restoration.run();
     } finally {
       restoring = false;
@@ -672,6 +673,11 @@
 
   /** Cancels all requests of a gateway that was removed. */
   public void removeGateway(String gateway, long nowMillis) {
+    backendCrashes.gatewayLost(gateway, nowMillis);
+    cancelAll(gateway, nowMillis);
+  }
+
+  private void cancelAll(String gateway, long nowMillis) {
     List<RequestId> requestIds = new ArrayList<>(queue.ids());
     requestIds.addAll(backends.runningRequestIds());
     requestIds.removeIf(requestId -> !requestId.gateway().equals(gateway));
@@ -753,7 +759,7 @@
   private boolean isHeldApart(QueuedRequest queued, long nowMillis) {
     return versions.waitsApart(queued.request())
         || RegionBinding.waitsApart(backends, queued.request())
-        || backendCrashes.isHeld(queued.id(), queued.request())
+        || backendCrashes.isHeld(queued.id(), queued.request(), nowMillis)
         || isHeldByRest(queued, nowMillis)
         || isRetryHeldByLimit(queued.id(), queued.request(), nowMillis);
   }
@@ -805,7 +811,7 @@
   /** Places a request on a backend server where it can meet its due time. */
   private PlacementResult place(
       RequestId requestId, PlacementRequest request, long targetLeftMillis, long nowMillis) {
-    if (backendCrashes.isHeld(requestId, request)) {
+    if (backendCrashes.isHeld(requestId, request, nowMillis)) {
       return PlacementResult.NO_CAPACITY;
     }
     RunningRequest running = newRunning(requestId, request, nowMillis);
@@ -851,7 +857,7 @@
   private boolean placeLate(RequestId requestId, PlacementRequest request, long nowMillis) {
     overloadGauge.recordMissed(request.getService());
     if (!isEnabled(Mechanism.LATE_PLACEMENT)
-        || backendCrashes.isHeld(requestId, request)
+        || backendCrashes.isHeld(requestId, request, nowMillis)
         || (request.getEngine() && overloadGauge.isOverloaded(request.getService()))) {
       return false;
     }
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -456,6 +456,39 @@
     assertThat(placedAt(3)).isEmpty();
   }
 
+  /** Guards against a second run of a suspect that still runs through a gateway that was lost. */
+  @Test
+  void a_suspect_waits_on_while_the_gateway_where_it_runs_is_not_connected() {
+    runAndQueueSuspect();
+
+    scheduler.gatewayDisconnected(host("g1"));
+    time.advance(500);
+    assertThat(placedAt(3)).isEmpty();
+    scheduler.handleStatus(host("g1"), statusWith(suspect(2), placedAt(2)).build());
+    time.advance(500);
+    assertThat(placedAt(3)).isEmpty();
+    receiveStatus("g1", 0, 0, true);
+    time.advance(100);
+
+    assertThat(placedAt(3)).isNotEmpty();
+  }
+
+  /** Guards against a suspect that is held back for ever by a gateway that does not come back. */
+  @Test
+  void a_suspect_that_ran_through_a_lost_gateway_is_placed_after_the_deadline_of_its_run() {
+    runAndQueueSuspect();
+
+    scheduler.gatewayDisconnected(host("g1"));
+    for (long sequence = 2; sequence <= 3; sequence++) {
+      time.advance(4_600);
+      scheduler.register(
+          backend(sequence, false).toBuilder().setId("i-13").build(), new RecordedResult()::accept);
+    }
+    ask("g2", suspect(4));
+
+    assertThat(placedAt(4)).isNotEmpty();
+  }
+
   /** Guards against more requests on a server than it has room for, which it then rejects. */
   @Test
   void nothing_is_placed_on_the_slots_of_a_gateway_while_it_reports_its_state() {
