--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -69,6 +69,9 @@
   private final VersionBinding versions;
   private List<DispatchDecision> decisions = new ArrayList<>();
 
+  /** Whether the requests of a gateway are being replaced. */
+  private boolean restoring;
+
   /**
    * Creates a core.
    *
@@ -650,8 +653,31 @@
     migrationPlanner.migrateFrom(backend, nowMillis);
   }
 
+  /**
+   * Replaces the requests of a gateway by those that it reports. Until they are restored, no queued
+   * request is placed: those that were known before may still be running.
+   *
+   * @param restoration restores what the gateway reports
+   */
+  public void replaceGateway(String gateway, Runnable restoration, long nowMillis) {
+    restoring = true;
+    try {
+      cancelAll(gateway, nowMillis);
+      backendCrashes.gatewayReported(gateway);
+      restoration.run();
+    } finally {
+      restoring = false;
+    }
+    queue.services().forEach(service -> serveQueue(service, nowMillis));
+  }
+
   /** Cancels all requests of a gateway that was removed. */
   public void removeGateway(String gateway, long nowMillis) {
+    backendCrashes.gatewayLost(gateway, nowMillis);
+    cancelAll(gateway, nowMillis);
+  }
+
+  private void cancelAll(String gateway, long nowMillis) {
     List<RequestId> requestIds = new ArrayList<>(queue.ids());
     requestIds.addAll(backends.runningRequestIds());
     requestIds.removeIf(requestId -> !requestId.gateway().equals(gateway));
@@ -691,7 +717,7 @@
   // ---- placement --------------------------------------------------------------------------------
 
   private void serveQueue(String service, long nowMillis) {
-    if (!serveByUse(service, nowMillis)) {
+    if (restoring || !serveByUse(service, nowMillis)) {
       return;
     }
     NavigableSet<QueuedRequest> serviceQueue = queue.requestsOf(service);
@@ -733,7 +759,7 @@
   private boolean isHeldApart(QueuedRequest queued, long nowMillis) {
     return versions.waitsApart(queued.request())
         || RegionBinding.waitsApart(backends, queued.request())
-        || backendCrashes.isHeld(queued.id(), queued.request())
+        || backendCrashes.isHeld(queued.id(), queued.request(), nowMillis)
         || isHeldByRest(queued, nowMillis)
         || isRetryHeldByLimit(queued.id(), queued.request(), nowMillis);
   }
@@ -785,7 +811,7 @@
   /** Places a request on a backend server where it can meet its due time. */
   private PlacementResult place(
       RequestId requestId, PlacementRequest request, long targetLeftMillis, long nowMillis) {
-    if (backendCrashes.isHeld(requestId, request)) {
+    if (backendCrashes.isHeld(requestId, request, nowMillis)) {
       return PlacementResult.NO_CAPACITY;
     }
     RunningRequest running = newRunning(requestId, request, nowMillis);
@@ -831,7 +857,7 @@
   private boolean placeLate(RequestId requestId, PlacementRequest request, long nowMillis) {
     overloadGauge.recordMissed(request.getService());
     if (!isEnabled(Mechanism.LATE_PLACEMENT)
-        || backendCrashes.isHeld(requestId, request)
+        || backendCrashes.isHeld(requestId, request, nowMillis)
         || (request.getEngine() && overloadGauge.isOverloaded(request.getService()))) {
       return false;
     }
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -508,7 +508,12 @@
   public void reportCrash(String backend) {
     if (isConnected()) {
       send(DispatchRequests.newBuilder().addCrashedBackends(backend));
-    } else if (localDispatch != null) {
+      return;
+    }
+    if (localDispatch == null) {
+      loseScheduler("a backend server crashed after its time was up");
+    }
+    if (localDispatch != null) {
       localDispatch.backendCrashed(backend, clock.nowMillis());
       applyLocalDecisions();
     }
@@ -908,6 +913,7 @@
     backends.recordServing(nowMillis);
     knowledge.capacities().restoreReceived(nowMillis);
     knowledge.rateLimits().setShare(1.0 / mostGateways);
+    knowledge.crashes().setKnowsAllRuns(retries.mostGateways() == 1);
     core.setCatalog(catalog);
     core.setEvacuated(evacuated.names(), nowMillis);
     backends.withColdTimes(nowMillis).forEach(record -> core.updateBackend(record, nowMillis));
