Find a copy that is cut off inside its status line before the next event of a stream

A copy was recognized in a stream only once seven bytes of its status line had come, and a server that answers twice may stop earlier. Names of fields are in lower case, so that no line of an event stream begins with the first letter of a status line; the stream is broken off there, as for longer copies. EmbeddedResponseDetectorTest failed before (cut after 1 byte).

--- a/src/main/java/org/curranthaven/internal/relay/EmbeddedResponseDetector.java
+++ b/src/main/java/org/curranthaven/internal/relay/EmbeddedResponseDetector.java
@@ -13,8 +13,9 @@
 /**
  * Finds the head of another response inside the body of a response: a status line, followed by
  * header lines one of which names a request, seals a response or states that a request did not run.
- * In an event stream, no line begins as a status line does. A backend server that answers twice may
- * write it where the framing of the body does not exclude it. Not thread-safe.
+ * In an event stream, no line begins as a status line does: names of fields are in lower case. A
+ * backend server that answers twice may write it where the framing of the body does not exclude it.
+ * Not thread-safe.
  */
 final class EmbeddedResponseDetector {
   private static final byte[] STATUS_LINE_START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
@@ -42,7 +43,7 @@
 
   private final boolean eventStream;
 
-  /** Whether {@link #unresolved}, or the next content if it is empty, begins a line. */
+  /** Whether the next byte of an event stream begins a line. */
   private boolean atLineStart = true;
 
   EmbeddedResponseDetector(WireProtocol protocol, boolean eventStream) {
@@ -58,6 +59,9 @@
       System.arraycopy(unresolved, 0, content, 0, unresolved.length);
       System.arraycopy(bytes, 0, content, unresolved.length, bytes.length);
     }
+    if (eventStream) {
+      return addEvents(content);
+    }
     int start = nextStart(content, 0);
     while (start < content.length) {
       switch (matchAt(content, start)) {
@@ -65,20 +69,25 @@
           return true;
         }
         case INCOMPLETE -> {
-          atLineStart = isLineStart(content, start);
           unresolved = Arrays.copyOfRange(content, start, content.length);
           return false;
         }
         case NONE -> start = nextStart(content, start + 1);
       }
     }
-    atLineStart = isLineStart(content, content.length);
     unresolved = new byte[0];
     return false;
   }
 
-  private boolean isLineStart(byte[] content, int index) {
-    return index == 0 ? atLineStart : content[index - 1] == '\n';
+  /** Adds content of an event stream; a copy may be cut off after its first byte. */
+  private boolean addEvents(byte[] content) {
+    for (byte octet : content) {
+      if (atLineStart && octet == STATUS_LINE_START[0]) {
+        return true;
+      }
+      atLineStart = octet == '\n';
+    }
+    return false;
   }
 
   /** Returns the head that was found. */
@@ -122,9 +131,6 @@
   private Match matchAt(byte[] content, int start) {
     int length = Math.min(content.length - start, MAX_HEAD_BYTES);
     String text = new String(content, start, length, StandardCharsets.ISO_8859_1);
-    if (eventStream && length >= STATUS_LINE_START.length && isLineStart(content, start)) {
-      return Match.FOUND;
-    }
     boolean cut = length == MAX_HEAD_BYTES;
     int lineEnd = text.indexOf('\n');
     if (lineEnd < 0) {
--- a/src/test/java/org/curranthaven/internal/relay/EmbeddedResponseDetectorTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/EmbeddedResponseDetectorTest.java
@@ -78,6 +78,26 @@
     }
   }
 
+  @Test
+  void a_copy_cut_off_inside_its_status_line_is_found_before_the_next_event() {
+    for (int end = 1; end <= COPY.indexOf('\r'); end++) {
+      for (String before : List.of("", "id: 3\ndata: H HTTP/1.1 200 OK\n\n")) {
+        String content = before + COPY.substring(0, end) + "id: 4\n";
+        for (int split = 0; split < content.length(); split++) {
+          EmbeddedResponseDetector stream =
+              new EmbeddedResponseDetector(new PlatformProtocol(), true);
+
+          boolean found =
+              stream.add(content.substring(0, split).getBytes(StandardCharsets.US_ASCII));
+          found =
+              found || stream.add(content.substring(split).getBytes(StandardCharsets.US_ASCII));
+
+          assertThat(found).as("%s split at %d", content, split).isTrue();
+        }
+      }
+    }
+  }
+
   @Test
   void a_head_without_end_is_given_up() {
     add("HTTP/1.1 200 OK\r\n");
