--- a/src/test/java/org/curranthaven/internal/relay/EmbeddedResponseDetectorTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/EmbeddedResponseDetectorTest.java
@@ -89,8 +89,7 @@
 
           boolean found =
               stream.add(content.substring(0, split).getBytes(StandardCharsets.US_ASCII));
-          found =
-              found || stream.add(content.substring(split).getBytes(StandardCharsets.US_ASCII));
+          found = found || stream.add(content.substring(split).getBytes(StandardCharsets.US_ASCII));
 
           assertThat(found).as("%s split at %d", content, split).isTrue();
         }
