Fault soak: hosts, servers, messages and orders fail together

Real processes beside faulty servers of two services in two data centres, callers, and an operator who evacuates. Promises are checked from what callers and servers saw.

--- a/src/test/java/org/curranthaven/platform/DelayedConnections.java
+++ b/src/test/java/org/curranthaven/platform/DelayedConnections.java
@@ -12,10 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import org.curranthaven.internal.settings.Addresses;
 
-/**
- * Forwards connections to an address; what the side that connects sends may be held up.
- * Thread-safe.
- */
+/** Forwards connections to an address; what either side sends may be held up. Thread-safe. */
 final class DelayedConnections implements AutoCloseable {
   private static final String IP = "127.0.0.99";
   private static final int BUFFER_BYTES = 16 * 1024;
@@ -24,18 +21,28 @@
   private final String target;
   private final String address;
   private final List<Socket> connections = new CopyOnWriteArrayList<>();
-  private volatile long delayMillis;
+  private final Delay requests = new Delay();
+  private final Delay replies = new Delay();
   private volatile boolean heldUp;
 
   /** Bytes and when they are to be passed on. */
   private record Chunk(ByteString bytes, long dueNanos) {}
 
-  /** Listens on another IP address at the port of the target, since all hosts use one peer port. */
+  /** How long one direction is held up. */
+  private static final class Delay {
+    volatile long millis;
+  }
+
   DelayedConnections(String target) throws IOException {
+    this(target, IP);
+  }
+
+  /** Listens on another IP address at the port of the target, since all hosts use one peer port. */
+  DelayedConnections(String target, String ip) throws IOException {
+    int port = Addresses.parse(target).getPort();
     this.target = target;
-    this.address = target.replace("127.0.0.1", IP);
-    this.socket =
-        new ServerSocket(Addresses.parse(target).getPort(), 50, InetAddress.getByName(IP));
+    this.address = ip + ":" + port;
+    this.socket = new ServerSocket(port, 50, InetAddress.getByName(ip));
     Thread.ofVirtual().start(this::accept);
   }
 
@@ -50,7 +57,12 @@
 
   /** Holds up what the connecting side sends from now on. */
   void holdUp(long newDelayMillis) {
-    delayMillis = newDelayMillis;
+    requests.millis = newDelayMillis;
+  }
+
+  /** Holds up what the other side sends from now on. */
+  void holdUpReplies(long newDelayMillis) {
+    replies.millis = newDelayMillis;
   }
 
   private void accept() {
@@ -63,17 +75,21 @@
         from.setTcpNoDelay(true);
         connections.add(from);
         connections.add(to);
-        BlockingQueue<Chunk> held = new LinkedBlockingQueue<>();
-        Thread.ofVirtual().start(() -> hold(from, held));
-        Thread.ofVirtual().start(() -> release(held, to, from));
-        Thread.ofVirtual().start(() -> copy(to, from));
+        forward(from, to, requests);
+        forward(to, from, replies);
       } catch (IOException e) {
         // The control host does not listen yet, or the test has ended.
       }
     }
   }
 
-  private void hold(Socket from, BlockingQueue<Chunk> held) {
+  private void forward(Socket from, Socket to, Delay delay) {
+    BlockingQueue<Chunk> held = new LinkedBlockingQueue<>();
+    Thread.ofVirtual().start(() -> hold(from, held, delay));
+    Thread.ofVirtual().start(() -> release(held, to, from));
+  }
+
+  private void hold(Socket from, BlockingQueue<Chunk> held, Delay delay) {
     byte[] buffer = new byte[BUFFER_BYTES];
     int length = 0;
     while (length >= 0) {
@@ -82,6 +98,7 @@
       } catch (IOException e) {
         length = -1;
       }
+      long delayMillis = delay.millis;
       if (delayMillis > 0 && length > 0) {
         heldUp = true;
       }
@@ -106,15 +123,6 @@
     }
   }
 
-  private static void copy(Socket from, Socket to) {
-    try (from;
-        to) {
-      from.getInputStream().transferTo(to.getOutputStream());
-    } catch (IOException e) {
-      // One side has closed the connection.
-    }
-  }
-
   @Override
   public void close() throws IOException {
     socket.close();
--- a/src/test/java/org/curranthaven/platform/FleetProcesses.java
+++ b/src/test/java/org/curranthaven/platform/FleetProcesses.java
@@ -14,6 +14,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -26,25 +27,49 @@
 final class FleetProcesses implements AutoCloseable {
   static final int HOSTS_OF_A_ROLE = 3;
 
+  private static final int DEFAULT_RETRY_SLACK = 100;
   private static final String CONTROL = "control-";
   private static final String GATEWAY = "gateway-";
   private static final long STOP_TIMEOUT_SECONDS = 10;
   private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(4);
 
+  /** Longest time for which a control request is sent again. */
+  private static final long CONTROL_TIMEOUT_SECONDS = 60;
+
   private final Path folder;
+  private final Shape shape;
+  private final List<DelayedConnections> delays = new ArrayList<>();
   private final int peerPort = freePort();
-  private final Map<String, Process> processes = new LinkedHashMap<>();
+  private final Map<String, Process> processes = Collections.synchronizedMap(new LinkedHashMap<>());
   private final List<String> controlAddresses = new ArrayList<>();
   private final List<String> gatewayAddresses = new ArrayList<>();
   private final HttpClient client =
       HttpClient.newBuilder().followRedirects(HttpClient.Redirect.NORMAL).build();
 
+  /**
+   * Number and settings of the hosts.
+   *
+   * @param dataCentres data centres of the hosts, in turn
+   * @param delayed whether messages between gateways and control hosts may be held up
+   */
+  record Shape(int gateways, int retrySlack, List<String> dataCentres, boolean delayed) {}
+
   FleetProcesses(Path folder) throws IOException {
+    this(folder, new Shape(HOSTS_OF_A_ROLE, DEFAULT_RETRY_SLACK, List.of("here"), false));
+  }
+
+  FleetProcesses(Path folder, Shape shape) throws IOException {
     this.folder = folder;
+    this.shape = shape;
     for (int number = 1; number <= HOSTS_OF_A_ROLE; number++) {
       controlAddresses.add("127.0.0.1:" + freePort());
+    }
+    for (int number = 1; number <= shape.gateways(); number++) {
       gatewayAddresses.add("127.0.0.1:" + freePort());
     }
+    for (int number = 1; shape.delayed() && number <= HOSTS_OF_A_ROLE; number++) {
+      delays.add(new DelayedConnections("127.0.0." + number + ":" + peerPort, "127.0.2." + number));
+    }
     startAll(true);
   }
 
@@ -54,6 +79,10 @@
     }
   }
 
+  List<String> controlAddresses() {
+    return controlAddresses;
+  }
+
   List<String> gatewayAddresses() {
     return gatewayAddresses;
   }
@@ -67,10 +96,40 @@
 
   /** Starts all gateways. */
   void startGateways() throws IOException {
-    for (int number = 1; number <= HOSTS_OF_A_ROLE; number++) {
-      // All hosts use the same peer port, so each needs a separate IP address.
-      String settings = "\"callerAddress\":\"%s\"".formatted(gatewayAddresses.get(number - 1));
-      start(GATEWAY + number, "127.0.1." + number, settings);
+    for (int number = 1; number <= gatewayAddresses.size(); number++) {
+      startGateway(number);
+    }
+  }
+
+  /** Starts a gateway that does not run. */
+  void startGateway(int number) throws IOException {
+    // All hosts use the same peer port, so each needs a separate IP address.
+    String settings = "\"callerAddress\":\"%s\"".formatted(gatewayAddresses.get(number - 1));
+    start(GATEWAY + number, "127.0.1." + number, settings);
+  }
+
+  /** Kills a gateway, or stops it as planned, and waits until it has ended. */
+  void stopGateway(int number, boolean planned) throws Exception {
+    stop(GATEWAY + number, planned);
+  }
+
+  /** Kills a control host, and starts it again with its data folder after a time. */
+  void killAndRestartControl(int number, long pauseMillis) throws Exception {
+    stop(CONTROL + number, false);
+    Thread.sleep(pauseMillis);
+    startControl(number, false);
+  }
+
+  private void stop(String name, boolean planned) throws Exception {
+    Process process = Objects.requireNonNull(processes.get(name));
+    if (planned) {
+      process.destroy();
+    } else {
+      process.destroyForcibly();
+    }
+    if (!process.waitFor(2 * STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
+      process.destroyForcibly();
+      throw new IllegalStateException(name + " did not end");
     }
   }
 
@@ -84,18 +143,28 @@
   }
 
   private void start(String name, String ip, String roleSettings) throws IOException {
+    boolean delayed = shape.delayed() && name.startsWith(GATEWAY);
     String contacts =
         Stream.of(1, 2, 3)
-            .map(number -> "\"127.0.0.%d:%d\"".formatted(number, peerPort))
+            .map(number -> "\"127.0.%d.%d:%d\"".formatted(delayed ? 2 : 0, number, peerPort))
             .reduce((first, second) -> first + "," + second)
             .orElseThrow();
+    // Of two connections, hosts keep the one that was dialled by the host with the lower name.
+    String hostName = delayed ? "a-" + name : name;
     String settings =
         """
-        {"name":"%s","dataCentre":"here","peerAddress":"%s:%d","contacts":[%s],
-         "toleratedLosses":1,"drainSeconds":8,"retryRatio":0.2,"retrySlack":100,
+        {"name":"%s","dataCentre":"%s","peerAddress":"%s:%d","contacts":[%s],
+         "toleratedLosses":1,"drainSeconds":8,"retryRatio":0.2,"retrySlack":%d,
          "retryWindowSeconds":10,"registrationMillis":60000,%s}
         """
-            .formatted(name, ip, peerPort, contacts, roleSettings);
+            .formatted(
+                hostName,
+                dataCentre(name),
+                ip,
+                peerPort,
+                contacts,
+                shape.retrySlack(),
+                roleSettings);
     Path file = folder.resolve(name + ".jsonc");
     Files.writeString(file, settings);
     File log = folder.resolve(name + ".log").toFile();
@@ -119,6 +188,11 @@
             .start());
   }
 
+  private String dataCentre(String name) {
+    int number = Integer.parseInt(name.substring(name.indexOf('-') + 1));
+    return shape.dataCentres().get(number % shape.dataCentres().size());
+  }
+
   /** Suspends the gateway with the given number until {@link #resumeGateway}. */
   void suspendGateway(int number) throws Exception {
     sendSignal(GATEWAY + number, "STOP");
@@ -175,6 +249,11 @@
     }
   }
 
+  /** Returns what forwards the messages between the gateways and a control host. */
+  DelayedConnections delays(int control) {
+    return delays.get(control - 1);
+  }
+
   /** Returns the control address of a control host, whose number starts at 1. */
   String controlAddress(int number) {
     return controlAddresses.get(number - 1);
@@ -187,13 +266,15 @@
 
   /** Sends a control request to some hosts, one after the other, until it is accepted. */
   void control(List<String> addresses, String method, String path, String body) throws Exception {
-    for (int attempt = 0; ; attempt++) {
+    long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(CONTROL_TIMEOUT_SECONDS);
+    for (int attempt = 0; System.nanoTime() - endNanos < 0; attempt++) {
       String address = addresses.get(attempt % addresses.size());
       if (controlStatus(address, method, path, body) == 200) {
         return;
       }
       Thread.sleep(50);
     }
+    throw new IllegalStateException(method + " " + path + " was not accepted");
   }
 
   private int controlStatus(String address, String method, String path, String body)
@@ -221,6 +302,7 @@
 
   private static int statusOfUnknownRoute(String address) {
     try (Socket socket = connect(address)) {
+      socket.setSoTimeout((int) REQUEST_TIMEOUT.toMillis());
       FakeBackend.write(
           socket,
           """
@@ -244,7 +326,10 @@
   }
 
   @Override
-  public void close() throws InterruptedException {
+  public void close() throws IOException, InterruptedException {
     kill("");
+    for (DelayedConnections each : delays) {
+      each.close();
+    }
   }
 }
