End the process after an error in a thread that it needs

A control host whose consensus thread met an error that its loop did not catch, or whose network thread could not listen, went on as a process without it.

Cause: Netty catches what handlers, tasks, timers and listeners throw, logs it and goes on, or ends its loop; a periodic timer that fails once never runs again, and an error in a write is only in a future that nobody reads. Uncaught errors end their thread, not the process.

Change: FatalErrors holds the one policy. EventLoops creates loops that report errors of tasks, timers and of the loop itself; channel handlers, listeners, writes, accepting and initializing channels report theirs. The consensus thread is restarted after exceptions only. The commands that run a host end the process with status 70 on a report or an uncaught exception: one log line, written by another thread and waited for 500 ms, so that neither a reader of standard output that stopped nor a full heap delays the end; then Runtime.halt.

Supervised children of "serve" are restarted after an error as before (SupervisorTest); what ends their supervising thread ends the process.

--- a/src/main/java/org/curranthaven/internal/cli/ServeCommand.java
+++ b/src/main/java/org/curranthaven/internal/cli/ServeCommand.java
@@ -10,6 +10,7 @@
 import org.curranthaven.internal.host.HostProcess;
 import org.curranthaven.internal.settings.HostSettings;
 import org.curranthaven.internal.supervision.Clock;
+import org.curranthaven.internal.supervision.FatalErrors;
 import org.tinylog.Logger;
 
 /** {@code serve}: runs one host of the system until a termination signal. */
@@ -40,6 +41,7 @@
     }
     HostSettings settings = ((Outcome.Success<HostSettings>) checkResult).value();
     Logging.configure(settings.logJson());
+    FatalErrors.endProcessOnUncaught();
     String record = arguments.getString("record");
     Path traceFile = record == null ? null : Path.of(record);
     return switch (HostProcess.start(settings, Clock.system(), traceFile)) {
--- a/src/main/java/org/curranthaven/internal/cli/ServeRoutedCommand.java
+++ b/src/main/java/org/curranthaven/internal/cli/ServeRoutedCommand.java
@@ -15,6 +15,7 @@
 import org.curranthaven.internal.scheduler.ControlHost;
 import org.curranthaven.internal.settings.RoutedSettings;
 import org.curranthaven.internal.supervision.Clock;
+import org.curranthaven.internal.supervision.FatalErrors;
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
 
@@ -40,6 +41,7 @@
   @Override
   public int run(Namespace arguments) throws InterruptedException {
     Logging.configure(true);
+    FatalErrors.endProcessOnUncaught();
     String protocolName = arguments.getString("protocol");
     WireProtocol protocol = findProtocol(protocolName);
     if (protocol == null) {
--- a/src/main/java/org/curranthaven/internal/relay/BackendConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/BackendConnection.java
@@ -16,6 +16,8 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import org.curranthaven.internal.supervision.FatalErrors;
+import org.curranthaven.internal.transport.EventLoops;
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
 
@@ -167,7 +169,7 @@
     skippedResponses = 0;
     skippedBytes = 0;
     reused = true;
-    openContext.writeAndFlush(request);
+    openContext.writeAndFlush(request).addListener(EventLoops.REPORT_ERROR);
   }
 
   /** Removes the listener and closes the connection, which signals the backend server to stop. */
@@ -422,6 +424,7 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext handlerContext, Throwable cause) {
+    FatalErrors.report(cause);
     Logger.info("connection to backend server at {} failed: {}", address, cause.toString());
     readFailed = true;
     unusable = true;
--- a/src/main/java/org/curranthaven/internal/relay/BackendPool.java
+++ b/src/main/java/org/curranthaven/internal/relay/BackendPool.java
@@ -3,7 +3,6 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
@@ -19,6 +18,8 @@
 import java.util.function.Consumer;
 import org.curranthaven.internal.settings.Addresses;
 import org.curranthaven.internal.supervision.Clock;
+import org.curranthaven.internal.transport.EventLoops;
+import org.curranthaven.internal.transport.ReportingInitializer;
 import org.jspecify.annotations.Nullable;
 
 /** Pool of idle connections to backend servers. Confined to the event loop. */
@@ -122,16 +123,17 @@
     BackendConnection connection = new BackendConnection(this, address);
     connect(address, connection)
         .addListener(
-            future -> {
-              if (!future.isSuccess()) {
-                refusedConsumer.accept(isRefused(future.cause()));
-                return;
-              }
-              loop.schedule(
-                  () -> confirmOpen(connection, connectionsLeft, refusedConsumer),
-                  PROBE_CONFIRMATION_MILLIS,
-                  TimeUnit.MILLISECONDS);
-            });
+            EventLoops.guard(
+                future -> {
+                  if (!future.isSuccess()) {
+                    refusedConsumer.accept(isRefused(future.cause()));
+                    return;
+                  }
+                  loop.schedule(
+                      () -> confirmOpen(connection, connectionsLeft, refusedConsumer),
+                      PROBE_CONFIRMATION_MILLIS,
+                      TimeUnit.MILLISECONDS);
+                }));
   }
 
   /** A process that ends may accept connections for a moment after it has closed others. */
@@ -156,7 +158,8 @@
   void connect(String address, Consumer<@Nullable BackendConnection> consumer) {
     BackendConnection connection = new BackendConnection(this, address);
     connect(address, connection)
-        .addListener(future -> consumer.accept(future.isSuccess() ? connection : null));
+        .addListener(
+            EventLoops.guard(future -> consumer.accept(future.isSuccess() ? connection : null)));
   }
 
   private ChannelFuture connect(String address, BackendConnection connection) {
@@ -169,7 +172,7 @@
         .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
         .handler(
-            new ChannelInitializer<Channel>() {
+            new ReportingInitializer() {
               @Override
               protected void initChannel(Channel channel) {
                 channel.pipeline().addLast(connection.handlers());
--- a/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
@@ -43,6 +43,8 @@
 import org.curranthaven.internal.catalog.ServiceSpec;
 import org.curranthaven.internal.gateway.ErrorBodies;
 import org.curranthaven.internal.settings.JsonTrees;
+import org.curranthaven.internal.supervision.FatalErrors;
+import org.curranthaven.internal.transport.EventLoops;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -464,7 +466,7 @@
       response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
     if (channelContext != null) {
-      channelContext.write(response);
+      channelContext.write(response).addListener(EventLoops.REPORT_ERROR);
     }
   }
 
@@ -490,7 +492,9 @@
   }
 
   private @Nullable ChannelFuture writeAndFlush(HttpObject message) {
-    return channelContext == null ? null : channelContext.writeAndFlush(message);
+    return channelContext == null
+        ? null
+        : channelContext.writeAndFlush(message).addListener(EventLoops.REPORT_ERROR);
   }
 
   private void finishResponse(@Nullable ChannelFuture written, boolean keepOpen) {
@@ -552,6 +556,7 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext handlerContext, Throwable cause) {
+    FatalErrors.report(cause);
     handlerContext.close();
   }
 }
--- a/src/main/java/org/curranthaven/internal/relay/Gateway.java
+++ b/src/main/java/org/curranthaven/internal/relay/Gateway.java
@@ -2,8 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.util.Collection;
 import java.util.HashSet;
@@ -27,6 +25,7 @@
 import org.curranthaven.internal.settings.Addresses;
 import org.curranthaven.internal.settings.RoutedSettings;
 import org.curranthaven.internal.supervision.Clock;
+import org.curranthaven.internal.transport.EventLoops;
 import org.curranthaven.internal.transport.PeerListener;
 import org.curranthaven.internal.transport.PeerNetwork;
 import org.curranthaven.internal.transport.wire.BackendRecord;
@@ -94,7 +93,7 @@
     String statusAddress = settings.statusAddress();
     this.metrics = statusAddress == null || statusAddress.isEmpty() ? null : new RoutedMetrics();
     this.random = new SplittableRandom(settings.name().hashCode() ^ System.nanoTime());
-    this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    this.group = EventLoops.newGroup();
     this.loop = group.next();
     this.self =
         HostRecord.newBuilder()
--- a/src/main/java/org/curranthaven/internal/relay/RelayServer.java
+++ b/src/main/java/org/curranthaven/internal/relay/RelayServer.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -24,6 +23,9 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import org.curranthaven.internal.supervision.FatalErrors;
+import org.curranthaven.internal.transport.EventLoops;
+import org.curranthaven.internal.transport.ReportingInitializer;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -51,7 +53,7 @@
     callerListener =
         listen(
             address,
-            new ChannelInitializer<Channel>() {
+            new ReportingInitializer() {
               @Override
               protected void initChannel(Channel channel) {
                 addCaller(channel);
@@ -67,7 +69,7 @@
   private void addCaller(Channel channel) {
     CallerConnection connection = new CallerConnection(context);
     connections.add(connection);
-    channel.closeFuture().addListener(closed -> connections.remove(connection));
+    channel.closeFuture().addListener(EventLoops.guard(closed -> connections.remove(connection)));
     channel
         .pipeline()
         .addLast(new ByteArrivalHandler(connection))
@@ -78,7 +80,7 @@
       throws InterruptedException {
     listen(
         address,
-        new ChannelInitializer<Channel>() {
+        new ReportingInitializer() {
           @Override
           protected void initChannel(Channel channel) {
             channel
@@ -91,7 +93,7 @@
         });
   }
 
-  private Channel listen(InetSocketAddress address, ChannelInitializer<Channel> initializer)
+  private Channel listen(InetSocketAddress address, ReportingInitializer initializer)
       throws InterruptedException {
     return new ServerBootstrap()
         .group(group)
@@ -99,6 +101,7 @@
         .option(ChannelOption.SO_BACKLOG, BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
+        .handler(ReportingInitializer.forListener())
         .childHandler(initializer)
         .bind(address)
         .sync()
@@ -177,13 +180,17 @@
         if (context.isDraining()) {
           response.headers().set("Connection", "close");
         }
-        channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+        channel
+            .writeAndFlush(response)
+            .addListener(EventLoops.REPORT_ERROR)
+            .addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
       }
       io.netty.util.ReferenceCountUtil.release(message);
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext channel, Throwable cause) {
+      FatalErrors.report(cause);
       channel.close();
     }
   }
--- a/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
@@ -4,8 +4,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
 import java.util.Collection;
 import java.util.List;
 import java.util.Set;
@@ -28,6 +27,7 @@
 import org.curranthaven.internal.settings.Json;
 import org.curranthaven.internal.settings.RoutedSettings;
 import org.curranthaven.internal.supervision.Clock;
+import org.curranthaven.internal.transport.EventLoops;
 import org.curranthaven.internal.transport.PeerListener;
 import org.curranthaven.internal.transport.PeerNetwork;
 import org.curranthaven.internal.transport.wire.AdminReply;
@@ -93,7 +93,7 @@
     this.protocol = protocol;
     this.dataFolder = folder;
     this.incarnation = clock.epochMillis();
-    this.eventLoopGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    this.eventLoopGroup = EventLoops.newGroup();
     this.eventLoop = eventLoopGroup.next();
     RandomGenerator random = new SplittableRandom(folder.identity().hashCode() ^ System.nanoTime());
     List<String> contacts = settings.contactPeerAddresses();
@@ -162,7 +162,7 @@
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
         return;
-      } catch (Exception | StackOverflowError | LinkageError | AssertionError e) {
+      } catch (IOException | RuntimeException e) {
         Logger.error(e, "consensus loop of control host {} failed, restarting it", settings.name());
         pauseBeforeRestart();
       }
--- a/src/main/java/org/curranthaven/internal/scheduler/ControlServer.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/ControlServer.java
@@ -5,7 +5,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -28,6 +27,9 @@
 import java.util.function.Consumer;
 import org.curranthaven.internal.relay.ControlRequest;
 import org.curranthaven.internal.relay.WireProtocol;
+import org.curranthaven.internal.supervision.FatalErrors;
+import org.curranthaven.internal.transport.EventLoops;
+import org.curranthaven.internal.transport.ReportingInitializer;
 
 /** HTTP server for control requests from backend servers and operators. */
 final class ControlServer {
@@ -56,8 +58,9 @@
         .channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
+        .handler(ReportingInitializer.forListener())
         .childHandler(
-            new ChannelInitializer<Channel>() {
+            new ReportingInitializer() {
               @Override
               protected void initChannel(Channel channel) {
                 channel
@@ -148,15 +151,19 @@
                 "http://" + NetUtil.toSocketAddressString(address) + response.location());
       }
       if (keepAlive) {
-        context.writeAndFlush(httpResponse);
+        context.writeAndFlush(httpResponse).addListener(EventLoops.REPORT_ERROR);
       } else {
         httpResponse.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        context.writeAndFlush(httpResponse).addListener(ChannelFutureListener.CLOSE);
+        context
+            .writeAndFlush(httpResponse)
+            .addListener(EventLoops.REPORT_ERROR)
+            .addListener(ChannelFutureListener.CLOSE);
       }
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      FatalErrors.report(cause);
       context.close();
     }
   }
--- a/src/main/java/org/curranthaven/internal/transport/PeerConnection.java
+++ b/src/main/java/org/curranthaven/internal/transport/PeerConnection.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.curranthaven.internal.supervision.Clock;
+import org.curranthaven.internal.supervision.FatalErrors;
 import org.curranthaven.internal.transport.wire.Envelope;
 import org.curranthaven.internal.transport.wire.Hello;
 import org.curranthaven.internal.transport.wire.HostRecord;
@@ -148,6 +149,7 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    FatalErrors.report(cause);
     context.close();
   }
 }
--- a/src/main/java/org/curranthaven/internal/transport/PeerNetwork.java
+++ b/src/main/java/org/curranthaven/internal/transport/PeerNetwork.java
@@ -4,14 +4,10 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
@@ -229,9 +225,7 @@
   @Override
   public void run() throws InterruptedException {
     EventLoopGroup group =
-        sharedEventLoopGroup == null
-            ? new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
-            : sharedEventLoopGroup;
+        sharedEventLoopGroup == null ? EventLoops.newGroup() : sharedEventLoopGroup;
     ChannelFuture bindFuture = listen(group);
     try {
       bindFuture.sync();
@@ -255,6 +249,7 @@
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_BUFFER)
+        .handler(ReportingInitializer.forListener())
         .childHandler(initializer(""))
         .bind(Addresses.parse(listenAddress));
   }
@@ -303,22 +298,23 @@
         .handler(initializer(address))
         .connect(Addresses.parse(address))
         .addListener(
-            future -> {
-              if (future.isSuccess()) {
-                connectTimeouts.recordSuccess(address);
-              } else {
-                if (future.cause() instanceof ConnectTimeoutException) {
-                  connectTimeouts.recordTimeout(address);
-                }
-                diallingAddresses.remove(address);
-              }
-            });
+            EventLoops.guard(
+                future -> {
+                  if (future.isSuccess()) {
+                    connectTimeouts.recordSuccess(address);
+                  } else {
+                    if (future.cause() instanceof ConnectTimeoutException) {
+                      connectTimeouts.recordTimeout(address);
+                    }
+                    diallingAddresses.remove(address);
+                  }
+                }));
   }
 
-  private ChannelInitializer<SocketChannel> initializer(String dialledAddress) {
-    return new ChannelInitializer<>() {
+  private ReportingInitializer initializer(String dialledAddress) {
+    return new ReportingInitializer() {
       @Override
-      protected void initChannel(SocketChannel channel) {
+      protected void initChannel(Channel channel) {
         channel
             .pipeline()
             .addLast(new ReadTimeoutHandler(READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS))
--- a/src/main/java/org/curranthaven/platform/PlatformProtocol.java
+++ b/src/main/java/org/curranthaven/platform/PlatformProtocol.java
@@ -17,7 +17,7 @@
 import org.jspecify.annotations.Nullable;
 
 /** Encodes and decodes the HTTP messages of the platform. Thread-safe. */
-public final class PlatformProtocol implements WireProtocol {
+public class PlatformProtocol implements WireProtocol {
   /** Name under which a deployment states that requests compete for insufficient memory. */
   private static final String PRESSURE = "pressure";
 
