Take only what a server says after the end as proof that it ended its response

Callers got responses without length or chunks as complete that the kill of their server had cut off: streams with events missing, and halves of bodies (ORDER, MIXED). The kernel closes the connections of a killed process in order, and accepts new ones until it has closed the listening socket; CrashProbe took an accepted connection for a server that runs, shared one that had been opened before the end, and took any failure but a refusal for a running server. At a stalled source "no connection" completed the stream.

EndConfirmation confirms such an end, of streams and bodies, by a response that the server gives to a request sent after the end was seen: that of other traffic, at no cost, or a probe (health check; an engine's report, which needs no slot and states its start). An end that was seen after a probe was sent needs the next one. A refused connection is a crash; without evidence for 1.5 s the response is incomplete.

--- a/src/main/java/org/curranthaven/internal/relay/BackendPool.java
+++ b/src/main/java/org/curranthaven/internal/relay/BackendPool.java
@@ -142,8 +142,7 @@
       return;
     }
     if (connection.isOpen()) {
-      long nowMillis = clock.nowMillis();
-      connection.offerUnused(nowMillis, nowMillis + DEFAULT_IDLE_MILLIS);
+      offerUnused(connection);
     }
     refusedConsumer.accept(false);
   }
@@ -152,6 +151,31 @@
     return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
   }
 
+  /**
+   * Opens a connection.
+   *
+   * @param failureConsumer receives whether the host at the address refuses connections
+   */
+  void connect(
+      String address, Consumer<BackendConnection> consumer, Consumer<Boolean> failureConsumer) {
+    BackendConnection connection = new BackendConnection(this, address);
+    connect(address, connection)
+        .addListener(
+            future -> {
+              if (future.isSuccess()) {
+                consumer.accept(connection);
+              } else {
+                failureConsumer.accept(isRefused(future.cause()));
+              }
+            });
+  }
+
+  /** Makes a new connection that has carried no request available to other requests. */
+  void offerUnused(BackendConnection connection) {
+    long nowMillis = clock.nowMillis();
+    connection.offerUnused(nowMillis, nowMillis + DEFAULT_IDLE_MILLIS);
+  }
+
   /** Passes a new connection to the consumer, or null if the connection fails. */
   void connect(String address, Consumer<@Nullable BackendConnection> consumer) {
     BackendConnection connection = new BackendConnection(this, address);
--- a/src/main/java/org/curranthaven/internal/relay/CrashProbe.java
+++ b/src/main/java/org/curranthaven/internal/relay/CrashProbe.java
@@ -42,15 +42,20 @@
   private void finish(BackendRecord backend, boolean refused) {
     List<Consumer<Boolean>> actions = pendingActions.remove(backend.getId());
     if (refused) {
-      Logger.info(
-          "backend server {} at {} crashed: it closed a connection before the end of a response"
-              + " and refuses new ones",
-          backend.getId(),
-          backend.getAddress());
-      placer.reportCrash(backend.getId());
+      reportCrash(backend);
     }
     if (actions != null) {
       actions.forEach(action -> action.accept(refused));
     }
   }
+
+  /** Reports a backend server that closed a connection and refuses new ones. */
+  void reportCrash(BackendRecord backend) {
+    Logger.info(
+        "backend server {} at {} crashed: it closed a connection before the end of a response"
+            + " and refuses new ones",
+        backend.getId(),
+        backend.getAddress());
+    placer.reportCrash(backend.getId());
+  }
 }
--- a/src/main/java/org/curranthaven/internal/relay/Gateway.java
+++ b/src/main/java/org/curranthaven/internal/relay/Gateway.java
@@ -69,6 +69,7 @@
   private final SchedulerLink link;
   private final BackendPool pool;
   private final CrashProbe crashProbe;
+  private final EndConfirmation endConfirmation;
   private final ResponseBuffers responseBuffers = new ResponseBuffers();
   private final RelayServer server;
   private final RequestPathWarmUp warmUp;
@@ -120,6 +121,7 @@
     this.awaitingInitialization = new DeferredActions(loop);
     this.pool = new BackendPool(loop, clock, protocol, new StrayResponseLog(this::countStray));
     this.crashProbe = new CrashProbe(pool, link);
+    this.endConfirmation = new EndConfirmation(loop, protocol, pool, crashProbe);
     this.server = new RelayServer(group, this);
     this.warmUp =
         new RequestPathWarmUp(group, loop, clock, protocol, random, () -> !openRequests.isEmpty());
@@ -326,6 +328,11 @@
     return crashProbe;
   }
 
+  @Override
+  public EndConfirmation endConfirmation() {
+    return endConfirmation;
+  }
+
   @Override
   public ResponseBuffers responseBuffers() {
     return responseBuffers;
--- a/src/main/java/org/curranthaven/internal/relay/MigrationCoordinator.java
+++ b/src/main/java/org/curranthaven/internal/relay/MigrationCoordinator.java
@@ -61,8 +61,11 @@
     /** Handles the loss of the request's state: nothing is left to resume from. */
     void onStateLost(String reason);
 
-    /** Handles the result of a request that its engine finished before it could be stopped. */
-    void onFinishedAtSource(AttemptResult.Completed result);
+    /**
+     * Handles the result of a request that its engine finished before it could be stopped, or with
+     * its end.
+     */
+    void onFinishedAtSource(Attempt source, AttemptResult.Completed result);
   }
 
   MigrationCoordinator(
@@ -263,7 +266,8 @@
       AttemptResult.Completed result = unconfirmedResult;
       unconfirmedResult = null;
       if (sourceState == StateTransfer.SourceState.NOT_RUNNING && result != null) {
-        owner.onFinishedAtSource(result);
+        stopUnanswered = false;
+        owner.onFinishedAtSource(source, result);
         return;
       }
       stopUnanswered = sourceState == StateTransfer.SourceState.STOP_UNANSWERED;
@@ -348,7 +352,8 @@
       switch (sourceState) {
         case NOT_RUNNING -> {
           if (result != null) {
-            owner.onFinishedAtSource(result);
+            stopUnanswered = false;
+            owner.onFinishedAtSource(stalled, result);
           } else {
             onTransferred(
                 backupBackend, context.protocol().stateReference(backupBackend, request.id()));
--- a/src/main/java/org/curranthaven/internal/relay/RelayContext.java
+++ b/src/main/java/org/curranthaven/internal/relay/RelayContext.java
@@ -23,6 +23,8 @@
 
   CrashProbe crashProbe();
 
+  EndConfirmation endConfirmation();
+
   ResponseBuffers responseBuffers();
 
   String dataCentre();
--- a/src/main/java/org/curranthaven/internal/relay/ResponseWatch.java
+++ b/src/main/java/org/curranthaven/internal/relay/ResponseWatch.java
@@ -74,7 +74,10 @@
     }
     long pauseMillis = request.pauseMillis(context.clock().nowMillis());
     boolean maySend =
-        request.hasStreamStarted() && request.isCallerReading() && !request.isMigrating();
+        request.hasStreamStarted()
+            && request.isCallerReading()
+            && !request.isMigrating()
+            && !attempt.hasEnded();
     long nextCheckMillis = STREAM_STALL_TIMEOUT_MILLIS;
     if (maySend && pauseMillis >= STREAM_STALL_TIMEOUT_MILLIS) {
       request.onStalled(attempt);
--- a/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
@@ -397,6 +397,7 @@
   @Override
   public void onHead(Attempt source, ResponseHead head) {
     if (head.isFromExpectedBackend()) {
+      context.endConfirmation().recordResponse(source.backend().getId(), source.startedAtMillis());
       context
           .placer()
           .reportStatements(
@@ -452,36 +453,25 @@
     if (finished || source != attempt) {
       return;
     }
-    if (mayShowCrash(result)) {
+    if (result instanceof AttemptResult.Completed completed
+        && completed.response().endedWithConnection()
+        && !migration.isStopping()) {
+      confirmEnd(source, completed);
+    } else if (result instanceof AttemptResult.Interrupted interrupted
+        && interrupted.connectionLost()
+        && !migration.isMigrating()) {
       // The scheduler hears of a crash while it counts the request there.
-      context
-          .crashProbe()
-          .check(source.backend(), crashed -> handleEnd(source, afterProbe(result, crashed)));
+      context.crashProbe().check(source.backend(), crashed -> handleEnd(source, interrupted));
     } else {
       handleEnd(source, result);
     }
   }
 
-  /** Returns whether the end of the response may have come about by a crash. */
-  private boolean mayShowCrash(AttemptResult result) {
-    return switch (result) {
-      case AttemptResult.Interrupted interrupted ->
-          interrupted.connectionLost() && !migration.isMigrating();
-      case AttemptResult.Completed completed ->
-          completed.response().endedWithConnection() && !migration.isStopping();
-      case AttemptResult.NotRun ignored -> false;
-      case AttemptResult.Unreachable ignored -> false;
-    };
-  }
-
-  /**
-   * Returns the result of an attempt whose backend server was probed. If it has crashed, the close
-   * of the connection does not mark the end of the response.
-   */
-  private static AttemptResult afterProbe(AttemptResult result, boolean crashed) {
-    return crashed && result instanceof AttemptResult.Completed
-        ? new AttemptResult.Interrupted("the backend server crashed during the response", true)
-        : result;
+  private void confirmEnd(Attempt source, AttemptResult.Completed completed) {
+    context
+        .endConfirmation()
+        .confirm(
+            source.backend(), service, evidence -> handleEnd(source, evidence.resultOf(completed)));
   }
 
   private void handleEnd(Attempt source, AttemptResult result) {
@@ -721,8 +711,8 @@
   }
 
   @Override
-  public void onFinishedAtSource(AttemptResult.Completed result) {
-    handleResult(result);
+  public void onFinishedAtSource(Attempt source, AttemptResult.Completed result) {
+    confirmEnd(source, result);
   }
 
   @Override
--- a/src/main/java/org/curranthaven/internal/relay/WarmUpContext.java
+++ b/src/main/java/org/curranthaven/internal/relay/WarmUpContext.java
@@ -48,6 +48,7 @@
   private final BackendPool pool;
   private final SchedulerLink link;
   private final CrashProbe crashProbe;
+  private final EndConfirmation endConfirmation;
   private final ResponseBuffers responseBuffers = new ResponseBuffers();
   private final Catalog catalog = createCatalog();
   private long placementCounter = 1;
@@ -70,6 +71,7 @@
             new IgnoringListener(),
             DispatchFeatures.none());
     this.crashProbe = new CrashProbe(pool, link);
+    this.endConfirmation = new EndConfirmation(loop, protocol, pool, crashProbe);
   }
 
   private static Catalog createCatalog() {
@@ -199,6 +201,11 @@
     return crashProbe;
   }
 
+  @Override
+  public EndConfirmation endConfirmation() {
+    return endConfirmation;
+  }
+
   @Override
   public ResponseBuffers responseBuffers() {
     return responseBuffers;
--- a/src/main/java/org/curranthaven/internal/relay/WireProtocol.java
+++ b/src/main/java/org/curranthaven/internal/relay/WireProtocol.java
@@ -47,6 +47,18 @@
   /** Decodes the response to a state transfer request. */
   TransferResponse readTransferResponse(int status, byte[] body);
 
+  /** Encodes a health check, which waits for a slot or is rejected like any other request. */
+  FullHttpRequest healthRequest(BackendRecord backend, String healthPath);
+
+  /** Encodes a request for an engine's report on itself, which needs no slot. */
+  FullHttpRequest reportRequest(BackendRecord engine);
+
+  /**
+   * Returns whether the response to a health check or the report states that another backend
+   * server, or another start of it, sent it.
+   */
+  boolean isFromAnother(BackendRecord backend, HttpResponse response, byte[] body);
+
   /** Returns the reference to transferred state for {@link BackendRequest#stateReference}. */
   String stateReference(BackendRecord source, String handle);
 
--- a/src/main/java/org/curranthaven/platform/BackendTranslation.java
+++ b/src/main/java/org/curranthaven/platform/BackendTranslation.java
@@ -35,6 +35,9 @@
   /** Path at which an engine copies the state of a running request to another engine. */
   private static final String TRANSFER_PATH = "/api/kv-move";
 
+  /** Path at which an engine states its load, and its start where a deployment has that. */
+  static final String REPORT_PATH = "/api/report";
+
   private static final int OK = 200;
   private static final int NOT_FOUND = 404;
   private static final int MISDIRECTED_REQUEST = 421;
@@ -253,6 +256,33 @@
         : new TransferResponse(outcome, handle);
   }
 
+  static FullHttpRequest healthRequest(BackendRecord backend, String path) {
+    FullHttpRequest request =
+        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
+    request.headers().set(HttpHeaderNames.HOST, backend.getAddress());
+    request.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    return request;
+  }
+
+  /** Returns whether a response to a health check or a report states another name or start. */
+  static boolean isFromAnother(BackendRecord backend, HttpResponse response, byte[] body) {
+    String name = response.headers().get(Headers.RESPONDING_BACKEND, instanceName(backend));
+    return !name.equals(instanceName(backend)) || statesOtherStart(backend, body);
+  }
+
+  private static boolean statesOtherStart(BackendRecord backend, byte[] body) {
+    try {
+      JsonNode json = JsonTrees.read(body);
+      JsonNode start = json == null ? null : json.get("born");
+      return start != null
+          && start.isIntegralNumber()
+          && backend.getIncarnation() != 0
+          && start.longValue() != backend.getIncarnation();
+    } catch (IOException e) {
+      return false; // Health checks may have any body.
+    }
+  }
+
   /** Returns the handle in the body of a transfer response; empty if it has none or is cut off. */
   private static String handleOf(byte[] body) {
     try {
--- a/src/main/java/org/curranthaven/platform/CatalogTranslation.java
+++ b/src/main/java/org/curranthaven/platform/CatalogTranslation.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.regex.Pattern;
 import org.curranthaven.api.Outcome;
 import org.curranthaven.api.ResultCode;
 import org.curranthaven.internal.catalog.Catalog;
@@ -25,6 +26,8 @@
 
 /** Decodes the platform's configuration document into a catalog. */
 final class CatalogTranslation implements CatalogCodec {
+  private static final Pattern URI_PATH = Pattern.compile("/[\\x21-\\x7e]*");
+
   @Override
   public Outcome<Catalog> decode(byte[] document) {
     try {
@@ -109,7 +112,13 @@
         requiredText(node, "name"),
         node.path("maxConns").asInt(0),
         engineCapabilities(node.get("engine")),
-        coldStart(node));
+        coldStart(node),
+        healthPath(node));
+  }
+
+  private static String healthPath(JsonNode node) {
+    String path = node.path("healthPath").asText();
+    return URI_PATH.matcher(path).matches() ? path : "/";
   }
 
   /** Returns how a backend server behaves after its start; null if its rate is not limited. */
--- a/src/main/java/org/curranthaven/platform/Headers.java
+++ b/src/main/java/org/curranthaven/platform/Headers.java
@@ -28,6 +28,9 @@
   /** Id of the backend server that the request is meant for. */
   static final String EXPECTED_BACKEND = "Expect-Instance";
 
+  /** Name of the backend server that responds to a health check. */
+  static final String RESPONDING_BACKEND = "Runner-Id";
+
   /** States that the request did not run and will not run. */
   static final String NOT_RUN = "Not-Executed";
 
--- a/src/main/java/org/curranthaven/platform/PlatformProtocol.java
+++ b/src/main/java/org/curranthaven/platform/PlatformProtocol.java
@@ -64,6 +64,21 @@
     return BackendTranslation.transferResponse(status, body);
   }
 
+  @Override
+  public FullHttpRequest healthRequest(BackendRecord backend, String healthPath) {
+    return BackendTranslation.healthRequest(backend, healthPath);
+  }
+
+  @Override
+  public FullHttpRequest reportRequest(BackendRecord engine) {
+    return BackendTranslation.healthRequest(engine, BackendTranslation.REPORT_PATH);
+  }
+
+  @Override
+  public boolean isFromAnother(BackendRecord backend, HttpResponse response, byte[] body) {
+    return BackendTranslation.isFromAnother(backend, response, body);
+  }
+
   @Override
   public String stateReference(BackendRecord source, String handle) {
     return source.getAddress() + "/" + handle;
--- a/src/test/java/org/curranthaven/platform/FakeBackend.java
+++ b/src/test/java/org/curranthaven/platform/FakeBackend.java
@@ -13,14 +13,21 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.jspecify.annotations.Nullable;
 
-/** Backend server for tests; a script writes the bytes of its responses. Thread-safe. */
+/**
+ * Backend server for tests; a script writes the bytes of its responses. Answers health checks and
+ * requests for its report itself. Thread-safe.
+ */
 final class FakeBackend implements AutoCloseable {
   private final ServerSocket socket;
   private final ResponseScript script;
   private final List<ReceivedRequest> received = new CopyOnWriteArrayList<>();
   private final List<Socket> connections = new CopyOnWriteArrayList<>();
+  private final AtomicInteger livenessRequests = new AtomicInteger();
+  private volatile @Nullable String livenessAnswer =
+      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
 
   /** A request as received; header names are in lower case. */
   record ReceivedRequest(String line, Map<String, String> headers, String body) {
@@ -46,10 +53,21 @@
     return "127.0.0.1:" + socket.getLocalPort();
   }
 
+  /** Returns the requests received, without health checks and requests for a report. */
   List<ReceivedRequest> received() {
     return received;
   }
 
+  /** Returns the number of health checks and requests for a report. */
+  int livenessRequests() {
+    return livenessRequests.get();
+  }
+
+  /** Sets the answer to health checks and requests for a report; null for none at all. */
+  void answerLiveness(@Nullable String answer) {
+    livenessAnswer = answer;
+  }
+
   private void accept() {
     while (!socket.isClosed()) {
       try {
@@ -71,8 +89,12 @@
       InputStream in = new BufferedInputStream(connection.getInputStream());
       ReceivedRequest request = read(in);
       while (request != null) {
-        received.add(request);
-        script.respond(request, connection);
+        if (isLivenessRequest(request)) {
+          answerLiveness(connection);
+        } else {
+          received.add(request);
+          script.respond(request, connection);
+        }
         request = connection.isClosed() ? null : read(in);
       }
     } catch (Exception e) {
@@ -80,6 +102,19 @@
     }
   }
 
+  private static boolean isLivenessRequest(ReceivedRequest request) {
+    return request.line().startsWith("GET /health ")
+        || request.line().startsWith("GET /api/report ");
+  }
+
+  private void answerLiveness(Socket connection) throws IOException {
+    livenessRequests.incrementAndGet();
+    String answer = livenessAnswer;
+    if (answer != null) {
+      write(connection, answer);
+    }
+  }
+
   private static @Nullable ReceivedRequest read(InputStream in) throws IOException {
     String requestLine = readLine(in);
     if (requestLine.isEmpty()) {
--- a/src/test/java/org/curranthaven/platform/StreamEndingTest.java
+++ b/src/test/java/org/curranthaven/platform/StreamEndingTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against a broken-off stream that reaches its caller as complete: engines may send streams
@@ -71,6 +72,104 @@
     }
   }
 
+  @Test
+  void a_stream_whose_server_accepts_connections_but_answers_nothing_is_incomplete()
+      throws Exception {
+    String events = FakeBackend.plainEvent(1) + FakeBackend.plainEvent(2);
+    try (FakeBackend dying = new FakeBackend(unframedStream(events))) {
+      dying.answerLiveness(null);
+      register("i-1", dying, "ready", 1);
+
+      String response = sendRawRequest("/drafts/1", "");
+
+      assertThat(response).contains("token 1", "token 2").doesNotEndWith(LAST_CHUNK);
+      assertThat(dying.received()).hasSize(1);
+    }
+  }
+
+  private static FakeBackend.ResponseScript unframedBody(int status, String body) {
+    return (request, connection) -> {
+      String head =
+          FakeBackend.response(request, status, "").replaceFirst("Content-Length: 0\r\n", "");
+      FakeBackend.write(connection, head + body);
+      connection.close();
+    };
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {200, 404, 500})
+  void a_body_whose_server_accepts_connections_but_answers_nothing_is_not_delivered(int status)
+      throws Exception {
+    try (FakeBackend dying = new FakeBackend(unframedBody(status, "half of it"))) {
+      dying.answerLiveness(null);
+      register("i-1", dying, "ready", 1);
+
+      String response = sendRawRequest("/holds/1", "");
+
+      assertThat(status(response)).isEqualTo(502);
+      assertThat(response).doesNotContain("half of it");
+      assertThat(dying.received()).hasSize(1);
+    }
+  }
+
+  @Test
+  void a_repeatable_request_whose_body_may_be_cut_off_runs_elsewhere() throws Exception {
+    AtomicInteger attempts = new AtomicInteger();
+    FakeBackend.ResponseScript script =
+        (request, connection) -> {
+          if (attempts.getAndIncrement() == 0) {
+            unframedBody(200, "half of it").respond(request, connection);
+          } else {
+            FakeBackend.write(connection, FakeBackend.response(request, 200, "all of it"));
+          }
+        };
+    try (FakeBackend first = new FakeBackend(script);
+        FakeBackend second = new FakeBackend(script)) {
+      first.answerLiveness(null);
+      second.answerLiveness(null);
+      register("i-1", first, "ready", 1);
+      register("i-2", second, "ready", 1);
+
+      String response = sendRawRequest("/pages/1", "");
+
+      assertThat(status(response)).isEqualTo(200);
+      assertThat(response).endsWith("all of it");
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"200 OK", "503 Full", "500 Unhealthy", "404 Unknown"})
+  void a_response_is_complete_whatever_its_server_answers_to_the_probe(String status)
+      throws Exception {
+    String answer = "HTTP/1.1 " + status + "\r\nRunner-Id: i-1\r\nContent-Length: 0\r\n\r\n";
+    String events = FakeBackend.plainEvent(1) + FakeBackend.plainEvent(2);
+    AtomicReference<FakeBackend.ResponseScript> script =
+        new AtomicReference<>(unframedStream(events));
+    try (FakeBackend backend =
+        new FakeBackend(
+            (request, connection) ->
+                Objects.requireNonNull(script.get()).respond(request, connection))) {
+      backend.answerLiveness(answer);
+      register("i-1", backend, "ready", 1);
+
+      assertThat(sendRawRequest("/drafts/1", "")).contains("token 2").endsWith(LAST_CHUNK);
+      script.set(unframedBody(200, "all of it"));
+      assertThat(sendRawRequest("/holds/1", "")).startsWith("HTTP/1.1 200").contains("all of it");
+      assertThat(backend.livenessRequests()).isEqualTo(2);
+    }
+  }
+
+  @Test
+  void a_stream_is_incomplete_if_another_server_answers_the_probe() throws Exception {
+    String events = FakeBackend.plainEvent(1) + FakeBackend.plainEvent(2);
+    try (FakeBackend backend = new FakeBackend(unframedStream(events))) {
+      backend.answerLiveness("HTTP/1.1 200 OK\r\nRunner-Id: i-2\r\nContent-Length: 0\r\n\r\n");
+      register("i-1", backend, "ready", 1);
+
+      assertThat(sendRawRequest("/drafts/1", "")).contains("token 2").doesNotEndWith(LAST_CHUNK);
+    }
+  }
+
   @Test
   void a_stream_whose_connection_ends_inside_an_event_is_incomplete_to_the_caller()
       throws Exception {
