--- a/src/main/java/org/curranthaven/internal/relay/BackendPool.java
+++ b/src/main/java/org/curranthaven/internal/relay/BackendPool.java
@@ -144,8 +144,7 @@
       return;
     }
     if (connection.isOpen()) {
-      long nowMillis = clock.nowMillis();
-      connection.offerUnused(nowMillis, nowMillis + DEFAULT_IDLE_MILLIS);
+      offerUnused(connection);
     }
     refusedConsumer.accept(false);
   }
@@ -154,6 +153,12 @@
     return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
   }
 
+  /** Makes a new connection that has carried no request available to other requests. */
+  void offerUnused(BackendConnection connection) {
+    long nowMillis = clock.nowMillis();
+    connection.offerUnused(nowMillis, nowMillis + DEFAULT_IDLE_MILLIS);
+  }
+
   /** Passes a new connection to the consumer, or null if the connection fails. */
   void connect(String address, Consumer<@Nullable BackendConnection> consumer) {
     open(address, (connection, refused) -> consumer.accept(connection));
--- a/src/main/java/org/curranthaven/internal/relay/MigrationCoordinator.java
+++ b/src/main/java/org/curranthaven/internal/relay/MigrationCoordinator.java
@@ -62,8 +62,11 @@
     /** Handles the loss of the request's state: nothing is left to resume from. */
     void onStateLost(String reason);
 
-    /** Handles the result of a request that its engine finished before it could be stopped. */
-    void onFinishedAtSource(AttemptResult.Completed result);
+    /**
+     * Handles the result of a request that its engine finished before it could be stopped, or with
+     * its end.
+     */
+    void onFinishedAtSource(Attempt source, AttemptResult.Completed result);
   }
 
   MigrationCoordinator(
@@ -267,7 +270,8 @@
       AttemptResult.Completed result = unconfirmedResult;
       unconfirmedResult = null;
       if (sourceState == StateTransfer.SourceState.NOT_RUNNING && result != null) {
-        owner.onFinishedAtSource(result);
+        stopUnanswered = false;
+        owner.onFinishedAtSource(source, result);
         return;
       }
       boolean unanswered = sourceState == StateTransfer.SourceState.STOP_UNANSWERED;
@@ -354,7 +358,8 @@
       switch (sourceState) {
         case NOT_RUNNING -> {
           if (result != null) {
-            owner.onFinishedAtSource(result);
+            stopUnanswered = false;
+            owner.onFinishedAtSource(stalled, result);
           } else {
             resumeAtBackup(stalled, backupBackend);
           }
--- a/src/test/java/org/curranthaven/platform/FakeBackend.java
+++ b/src/test/java/org/curranthaven/platform/FakeBackend.java
@@ -15,9 +15,13 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.jspecify.annotations.Nullable;
 
-/** Backend server for tests; a script writes the bytes of its responses. Thread-safe. */
+/**
+ * Backend server for tests; a script writes the bytes of its responses. Answers health checks and
+ * requests for its report itself. Thread-safe.
+ */
 final class FakeBackend implements AutoCloseable {
   /** Connections that wait to be accepted; few, so that a test can fill the queue. */
   private static final int BACKLOG = 8;
@@ -29,6 +33,9 @@
   private final List<ReceivedRequest> received = new CopyOnWriteArrayList<>();
   private final List<Socket> connections = new CopyOnWriteArrayList<>();
   private volatile boolean accepting = true;
+  private final AtomicInteger livenessRequests = new AtomicInteger();
+  private volatile @Nullable String livenessAnswer =
+      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
 
   /** A request as received; header names are in lower case. */
   record ReceivedRequest(String line, Map<String, String> headers, String body) {
@@ -54,10 +61,21 @@
     return "127.0.0.1:" + socket.getLocalPort();
   }
 
+  /** Returns the requests received, without health checks and requests for a report. */
   List<ReceivedRequest> received() {
     return received;
   }
 
+  /** Returns the number of health checks and requests for a report. */
+  int livenessRequests() {
+    return livenessRequests.get();
+  }
+
+  /** Sets the answer to health checks and requests for a report; null for none at all. */
+  void answerLiveness(@Nullable String answer) {
+    livenessAnswer = answer;
+  }
+
   private void accept() {
     while (accepting && !socket.isClosed()) {
       try {
@@ -79,8 +97,12 @@
       InputStream in = new BufferedInputStream(connection.getInputStream());
       ReceivedRequest request = read(in);
       while (request != null) {
-        received.add(request);
-        script.respond(request, connection);
+        if (isLivenessRequest(request)) {
+          answerLiveness(connection);
+        } else {
+          received.add(request);
+          script.respond(request, connection);
+        }
         request = connection.isClosed() ? null : read(in);
       }
     } catch (Exception e) {
@@ -88,6 +110,19 @@
     }
   }
 
+  private static boolean isLivenessRequest(ReceivedRequest request) {
+    return request.line().startsWith("GET /health ")
+        || request.line().startsWith("GET /api/report ");
+  }
+
+  private void answerLiveness(Socket connection) throws IOException {
+    livenessRequests.incrementAndGet();
+    String answer = livenessAnswer;
+    if (answer != null) {
+      write(connection, answer);
+    }
+  }
+
   private static @Nullable ReceivedRequest read(InputStream in) throws IOException {
     String requestLine = readLine(in);
     if (requestLine.isEmpty()) {
