Let streams wait for a scheduler that is late, and refuse them only for now

After all hosts were killed, callers who took up their streams got a refusal as though for good ("the same request cannot be served"), although the next leader would have let them go on. A gateway waited for a scheduler until one second after it had lost the last; later resumptions were rejected at once. Trace of the latter: leader lost at 34.17 s, the next heard at 36.37 s, three resumptions in between rejected after 8 to 214 ms with a deadline of 60 s.

Gateways now wait up to 5 s from the loss, and at most half of the time that the request has to its target; a gateway without a scheduler for longer is cut off, and rejects at once. The rejection of a stream that a leader may let go on names a time to come back.

SchedulerLinkTest.a_stream_with_time_left_waits_for_a_scheduler_that_is_late and a_stream_that_only_a_scheduler_can_let_go_on_is_rejected_for_now failed before.

--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -44,6 +44,9 @@
   /** Retry delay of a rejection that waiting does not end. */
   private static final long NO_RETRY_HELPS = 0;
 
+  /** Retry delay of a rejection that only lasts until there is a scheduler. */
+  private static final long NEXT_SCHEDULER_MILLIS = 1_000;
+
   /** Highest urgency value, which is the least urgent one. */
   private static final int MAX_URGENCY = 9;
 
@@ -413,7 +416,9 @@
     if (RegionBinding.isUnservable(backends, request)) {
       reject(requestId, NO_RETRY_HELPS, RejectionReason.NO_BACKEND_IN_REGIONS);
     } else if (bound == null) {
-      reject(requestId, NO_RETRY_HELPS, RejectionReason.STREAM_ORIGIN_UNKNOWN);
+      boolean retryHelps = streamOrigins.mayBeKnownToLeader(request, nowMillis);
+      long retryAfterMillis = retryHelps ? NEXT_SCHEDULER_MILLIS : NO_RETRY_HELPS;
+      reject(requestId, retryAfterMillis, RejectionReason.STREAM_ORIGIN_UNKNOWN);
     } else if (versions.isVersionGone(bound)) {
       reject(requestId, NO_RETRY_HELPS, RejectionReason.STREAM_VERSION_GONE);
     } else {
--- a/src/main/java/org/curranthaven/internal/dispatch/StreamOrigins.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/StreamOrigins.java
@@ -127,6 +127,19 @@
     return oneKnown ? recent.iterator().next() : null;
   }
 
+  /**
+   * Returns whether a leader may know the version of a resumed stream that this host does not know:
+   * it can tell whether the only known version is the only one.
+   */
+  public boolean mayBeKnownToLeader(PlacementRequest request, long nowMillis) {
+    return !complete
+        && request.getResumes()
+        && !request.getVersionBound()
+        && !request.getSeveralServices()
+        && originOf(request.getResumedStream()) == null
+        && onlyKnownVersion(request.getService(), nowMillis) != null;
+  }
+
   // ---- exchange between hosts -------------------------------------------------------------------
 
   /** Returns the known origins, with times as ages. */
--- a/src/main/java/org/curranthaven/internal/relay/ResumptionsAwaitingScheduler.java
+++ b/src/main/java/org/curranthaven/internal/relay/ResumptionsAwaitingScheduler.java
@@ -11,8 +11,11 @@
  * scheduler: only a leader can tell that no other software version has served. Not thread-safe.
  */
 final class ResumptionsAwaitingScheduler {
-  /** Time after the loss of a scheduler within which the next one has usually been elected. */
-  static final long MAX_WAIT_MILLIS = 1_000;
+  /**
+   * Time after the loss of a scheduler within which the next one has been elected, also by hosts
+   * that get too little processor time. A gateway without one for longer is cut off.
+   */
+  static final long MAX_WAIT_MILLIS = 5_000;
 
   /** Until when each request waits, by its id. */
   private final Map<Long, Long> untilMillis = new LinkedHashMap<>();
@@ -30,16 +33,10 @@
    * returns whether it waits.
    */
   boolean add(PlacementRequest request, StreamOrigins origins, long nowMillis) {
-    boolean onlySchedulerDecides =
-        request.getResumes()
-            && !request.getVersionBound()
-            && !request.getSeveralServices()
-            && origins.originOf(request.getResumedStream()) == null
-            && origins.onlyKnownVersion(request.getService(), nowMillis) != null;
     // Half of the time that is left: the request must still be placed, or be rejected in time.
     long waitUntilMillis =
         Math.min(lostAtMillis + MAX_WAIT_MILLIS, nowMillis + request.getTargetLeftMillis() / 2);
-    if (!onlySchedulerDecides || waitUntilMillis <= nowMillis) {
+    if (!origins.mayBeKnownToLeader(request, nowMillis) || waitUntilMillis <= nowMillis) {
       return false;
     }
     untilMillis.put(request.getId(), waitUntilMillis);
--- a/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
@@ -69,6 +69,7 @@
     private String stopReason = "";
     private int placements;
     private String rejectionReason = "";
+    private long retryAfterMillis = -1;
     private @Nullable String streamVersion;
 
     RecordingListener(long id) {
@@ -96,11 +97,12 @@
     }
 
     @Override
-    public void onRejected(long retryAfterMillis, String reason) {
+    public void onRejected(long retryAfter, String reason) {
       if (!placementRequest.getResumes()) {
         throw new AssertionError("rejected: " + reason);
       }
       rejectionReason = reason;
+      retryAfterMillis = retryAfter;
     }
 
     @Override
@@ -834,6 +836,45 @@
         .containsExactly(8L);
   }
 
+  /** Guards against streams that are lost since an election takes longer than usual. */
+  @Test
+  void a_stream_with_time_left_waits_for_a_scheduler_that_is_late() {
+    publishVersions(Map.of("i-1", "v1"));
+    loseScheduler(2_500);
+    PlacementRequest.Builder request = resumption(8, STREAM).placementRequest().toBuilder();
+    RecordingListener resumption =
+        new RecordingListener(
+            request.setTargetLeftMillis(30_000).setDeadlineLeftMillis(60_000).build());
+    requestPlacement(resumption);
+    time.advance(1_000);
+
+    assertThat(resumption.rejectionReason).isEmpty();
+    assertThat(resumption.backend()).isEmpty();
+  }
+
+  /** Guards against callers that give up a stream which the next scheduler would let go on. */
+  @Test
+  void a_stream_that_only_a_scheduler_can_let_go_on_is_rejected_for_now() {
+    publishVersions(Map.of("i-1", "v1"));
+    loseScheduler(10_000);
+    RecordingListener resumption = resumption(8, STREAM);
+    requestPlacement(resumption);
+
+    assertThat(resumption.rejectionReason).isEqualTo("STREAM_ORIGIN_UNKNOWN");
+    assertThat(resumption.retryAfterMillis).isPositive();
+  }
+
+  @Test
+  void a_stream_that_no_scheduler_will_let_go_on_is_rejected_for_good() {
+    publishVersions(Map.of("i-1", "v1", "i-2", "v2"));
+    loseScheduler(10_000);
+    RecordingListener resumption = resumption(8, STREAM);
+    requestPlacement(resumption);
+
+    assertThat(resumption.rejectionReason).isEqualTo("STREAM_ORIGIN_UNKNOWN");
+    assertThat(resumption.retryAfterMillis).isZero();
+  }
+
   /** Guards against a stream that goes on at another version of which a gateway has not heard. */
   @Test
   void a_gateway_that_lost_its_scheduler_does_not_rely_on_the_one_version_that_it_knows() {
