--- a/src/test/java/org/curranthaven/internal/relay/EmbeddedResponseDetectorTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/EmbeddedResponseDetectorTest.java
@@ -34,7 +34,7 @@
 
   @Test
   void a_copy_that_is_cut_off_inside_its_head_is_noticed_at_the_end() {
-    for (int end = "HTTP/1.1 503 ".length(); end < COPY.indexOf("a\r\nContent"); end++) {
+    for (int end = "HTTP/1.1 ".length(); end < COPY.indexOf("a\r\nContent"); end++) {
       EmbeddedResponseDetectorTest fresh = new EmbeddedResponseDetectorTest();
 
       fresh.add("body" + COPY.substring(0, end));
@@ -78,6 +78,25 @@
     }
   }
 
+  @Test
+  void a_copy_cut_off_inside_its_status_line_is_found_before_the_next_event() {
+    for (int end = 1; end <= COPY.indexOf('\r'); end++) {
+      for (String before : List.of("", "id: 3\ndata: H HTTP/1.1 200 OK\n\n")) {
+        String content = before + COPY.substring(0, end) + "id: 4\n";
+        for (int split = 0; split < content.length(); split++) {
+          EmbeddedResponseDetector stream =
+              new EmbeddedResponseDetector(new PlatformProtocol(), true);
+
+          boolean found =
+              stream.add(content.substring(0, split).getBytes(StandardCharsets.US_ASCII));
+          found = found || stream.add(content.substring(split).getBytes(StandardCharsets.US_ASCII));
+
+          assertThat(found).as("%s split at %d", content, split).isTrue();
+        }
+      }
+    }
+  }
+
   @Test
   void a_head_without_end_is_given_up() {
     add("HTTP/1.1 200 OK\r\n");
