Find a whole copy after an unfinished line of an event stream, too

Callers would have got the head of another response inside an event whose line had been cut off: the change that finds copies of one byte at the start of a line looked nowhere else. Found by reading it and by the review; both searches are done now. The new test of EmbeddedResponseDetectorTest failed before (split at 0).

--- a/src/main/java/org/curranthaven/internal/relay/EmbeddedResponseDetector.java
+++ b/src/main/java/org/curranthaven/internal/relay/EmbeddedResponseDetector.java
@@ -53,15 +53,15 @@
 
   /** Adds content; returns whether the content so far holds another response. */
   boolean add(byte[] bytes) {
+    if (eventStream && hasLineLikeStatusLine(bytes)) {
+      return true;
+    }
     byte[] content = bytes;
     if (unresolved.length > 0) {
       content = new byte[unresolved.length + bytes.length];
       System.arraycopy(unresolved, 0, content, 0, unresolved.length);
       System.arraycopy(bytes, 0, content, unresolved.length, bytes.length);
     }
-    if (eventStream) {
-      return addEvents(content);
-    }
     int start = nextStart(content, 0);
     while (start < content.length) {
       switch (matchAt(content, start)) {
@@ -79,9 +79,9 @@
     return false;
   }
 
-  /** Adds content of an event stream; a copy may be cut off after its first byte. */
-  private boolean addEvents(byte[] content) {
-    for (byte octet : content) {
+  /** Returns whether a line begins as a status line does, which may be cut off after a byte. */
+  private boolean hasLineLikeStatusLine(byte[] bytes) {
+    for (byte octet : bytes) {
       if (atLineStart && octet == STATUS_LINE_START[0]) {
         return true;
       }
--- a/src/test/java/org/curranthaven/internal/relay/EmbeddedResponseDetectorTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/EmbeddedResponseDetectorTest.java
@@ -97,6 +97,19 @@
     }
   }
 
+  @Test
+  void a_copy_after_an_unfinished_line_of_an_event_stream_is_found() {
+    String content = "id: 3\ndata: tok" + COPY + "id: 4\n";
+    for (int split = 0; split < content.length(); split++) {
+      EmbeddedResponseDetector stream = new EmbeddedResponseDetector(new PlatformProtocol(), true);
+
+      boolean found = stream.add(content.substring(0, split).getBytes(StandardCharsets.US_ASCII));
+      found = found || stream.add(content.substring(split).getBytes(StandardCharsets.US_ASCII));
+
+      assertThat(found).as("split at %d", split).isTrue();
+    }
+  }
+
   @Test
   void a_head_without_end_is_given_up() {
     add("HTTP/1.1 200 OK\r\n");
