Lost runs of suspects expire once for each lost gateway

The loss of a gateway blocked the leader's event loop: for each request that ran through it, all lost runs were searched for expired ones, and each held suspect searched them again. Runs are kept by request now, and expire once for each lost gateway. SchedulerTest and its case of a lost gateway pass; the time was not measured again.

--- a/src/main/java/org/curranthaven/internal/dispatch/BackendCrashes.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/BackendCrashes.java
@@ -151,10 +151,11 @@
 
   /** Handles the loss of a gateway whose requests are still known: they may go on. */
   void gatewayLost(String gateway, long nowMillis) {
+    lostGatewayRuns.removeExpired(nowMillis);
     for (BackendState backend : backends.all()) {
       for (RunningRequest running : backend.requests.values()) {
         if (running.id.gateway().equals(gateway)) {
-          lostGatewayRuns.add(running, nowMillis);
+          lostGatewayRuns.add(running);
         }
       }
     }
--- a/src/main/java/org/curranthaven/internal/dispatch/LostGatewayRuns.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/LostGatewayRuns.java
@@ -8,30 +8,35 @@
  * deadline, or until the gateway reports what it runs. Not thread-safe.
  */
 final class LostGatewayRuns {
-  private final Map<RequestId, LostRun> runs = new HashMap<>();
-
-  private record LostRun(CrashSuspect.Request request, long deadlineMillis) {}
+  /** Deadline of each run by its id, for each request. */
+  private final Map<CrashSuspect.Request, Map<RequestId, Long>> deadlinesMillis = new HashMap<>();
 
   /** Adds a request that was running through a gateway that is lost now. */
-  void add(RunningRequest running, long nowMillis) {
-    runs.values().removeIf(run -> run.deadlineMillis() <= nowMillis);
+  void add(RunningRequest running) {
     if (running.request.getFingerprint() != 0) {
-      runs.put(
-          running.id,
-          new LostRun(
-              CrashSuspect.requestOf(running.request),
-              running.placedAtMillis + running.request.getDeadlineLeftMillis()));
+      deadlinesMillis
+          .computeIfAbsent(CrashSuspect.requestOf(running.request), request -> new HashMap<>())
+          .put(running.id, running.placedAtMillis + running.request.getDeadlineLeftMillis());
     }
   }
 
+  /** Removes the runs whose deadline has passed. */
+  void removeExpired(long nowMillis) {
+    deadlinesMillis.values().forEach(runs -> runs.values().removeIf(end -> end <= nowMillis));
+    deadlinesMillis.values().removeIf(Map::isEmpty);
+  }
+
   /** Removes the requests of a gateway that reports what it runs. */
   void removeGateway(String gateway) {
-    runs.keySet().removeIf(id -> id.gateway().equals(gateway));
+    deadlinesMillis
+        .values()
+        .forEach(runs -> runs.keySet().removeIf(id -> id.gateway().equals(gateway)));
+    deadlinesMillis.values().removeIf(Map::isEmpty);
   }
 
   /** Returns whether the request may still be running through a lost gateway. */
   boolean mayRun(CrashSuspect.Request request, long nowMillis) {
-    return runs.values().stream()
-        .anyMatch(run -> run.request().equals(request) && nowMillis < run.deadlineMillis());
+    return deadlinesMillis.getOrDefault(request, Map.of()).values().stream()
+        .anyMatch(deadlineMillis -> nowMillis < deadlineMillis);
   }
 }
