A request that an earlier stop may have stopped was not finished

Callers could get a stream without length or chunks as complete although its engine had stopped it: the response to the first stop request was late, the second one got "no such run", and this counted as proof that the request had ended by itself. The same after a migration whose stop went unanswered.

Such an answer now means stopped, and the request resumes from its backup copy or ends as incomplete.

--- a/src/main/java/org/curranthaven/internal/relay/MigrationCoordinator.java
+++ b/src/main/java/org/curranthaven/internal/relay/MigrationCoordinator.java
@@ -62,10 +62,7 @@
     /** Handles the loss of the request's state: nothing is left to resume from. */
     void onStateLost(String reason);
 
-    /**
-     * Handles the result of a request that its engine finished before it could be stopped, or with
-     * its end.
-     */
+    /** Handles the result of a request that its engine finished before it could be stopped. */
     void onFinishedAtSource(Attempt source, AttemptResult.Completed result);
   }
 
@@ -269,8 +266,7 @@
       }
       AttemptResult.Completed result = unconfirmedResult;
       unconfirmedResult = null;
-      if (sourceState == StateTransfer.SourceState.NOT_RUNNING && result != null) {
-        stopUnanswered = false;
+      if (result != null && hasFinished(sourceState)) {
         owner.onFinishedAtSource(source, result);
         return;
       }
@@ -322,7 +318,7 @@
         return;
       }
       switch (sourceState) {
-        case NOT_RUNNING, GONE -> resumeAtBackup(interruptedAttempt, backupBackend);
+        case NOT_RUNNING, STOPPED, GONE -> resumeAtBackup(interruptedAttempt, backupBackend);
         case RUNNING, STOP_UNANSWERED, STOP_UNCONFIRMED ->
             owner.onStateLost(
                 "the request was interrupted at backend server "
@@ -355,16 +351,12 @@
       if (owner.isFinished()) {
         return;
       }
+      if (result != null && hasFinished(sourceState)) {
+        owner.onFinishedAtSource(stalled, result);
+        return;
+      }
       switch (sourceState) {
-        case NOT_RUNNING -> {
-          if (result != null) {
-            stopUnanswered = false;
-            owner.onFinishedAtSource(stalled, result);
-          } else {
-            resumeAtBackup(stalled, backupBackend);
-          }
-        }
-        case GONE -> resumeAtBackup(stalled, backupBackend);
+        case NOT_RUNNING, STOPPED, GONE -> resumeAtBackup(stalled, backupBackend);
         case STOP_UNCONFIRMED -> resumeFromBackup(stalled, backupBackend.getId());
         case STOP_UNANSWERED -> stopUnanswered = true;
         case RUNNING -> {}
@@ -377,6 +369,11 @@
     }
   }
 
+  /** Returns whether the source can only have ended its stream because the request was finished. */
+  private boolean hasFinished(StateTransfer.SourceState sourceState) {
+    return sourceState == StateTransfer.SourceState.NOT_RUNNING && !stopUnanswered;
+  }
+
   /**
    * Resumes the request from its backup copy. Only an event shows that there is a run, and so a
    * copy, and where to resume it; without one, the engine might run the request anew.
--- a/src/main/java/org/curranthaven/internal/relay/StateTransfer.java
+++ b/src/main/java/org/curranthaven/internal/relay/StateTransfer.java
@@ -50,8 +50,10 @@
     RUNNING,
     /** The source was told to stop the request and did not confirm it; its stream is still open. */
     STOP_UNANSWERED,
-    /** The source stated that it does not run the request. */
+    /** The source stated that it does not run the request, which nothing has stopped before. */
     NOT_RUNNING,
+    /** The source does not run the request any more, and may have stopped it before its end. */
+    STOPPED,
     /** No process runs at the source, or no network path leads there. */
     GONE,
     /** The stream was interrupted, and the source has not confirmed that the request stopped. */
@@ -130,6 +132,7 @@
     long elapsedMillis = context.clock().nowMillis() - startedAtMillis;
     switch (confirmation.decide(response.outcome(), streamConnection(), elapsedMillis)) {
       case NOT_RUNNING -> finishFailed(SourceState.NOT_RUNNING);
+      case STOPPED -> finishFailed(SourceState.STOPPED);
       case GONE -> finishFailed(SourceState.GONE);
       case RUNNING -> finishFailed(SourceState.RUNNING);
       case UNCONFIRMED -> finishFailed(sourceStateAfterFailure(response));
--- a/src/main/java/org/curranthaven/internal/relay/StopConfirmation.java
+++ b/src/main/java/org/curranthaven/internal/relay/StopConfirmation.java
@@ -16,10 +16,15 @@
 
   private int failedConnections;
 
+  /** Whether an earlier stop request may have stopped the request. */
+  private boolean mayHaveStopped;
+
   /** What a response shows. */
   enum Verdict {
-    /** The engine stated that it does not run the request. */
+    /** The engine stated that it does not run the request, which nothing has stopped before. */
     NOT_RUNNING,
+    /** The engine does not run the request any more, and may have stopped it before its end. */
+    STOPPED,
     /** No process runs at the engine's address, or no network path leads there. */
     GONE,
     /** The request may still run, and the engine has not been told to stop it. */
@@ -51,12 +56,14 @@
       failedConnections = 0;
     }
     return switch (outcome) {
-      case NOT_RUNNING -> Verdict.NOT_RUNNING;
+      case NOT_RUNNING -> mayHaveStopped ? Verdict.STOPPED : Verdict.NOT_RUNNING;
       // The end of a process would have closed the open connection as well.
       case REFUSED -> ended ? Verdict.GONE : Verdict.RUNNING;
       case NO_CONNECTION -> afterFailedConnection(connection);
-      case COPIED, REJECTED, NO_RESPONSE ->
-          ended && elapsedMillis < TIMEOUT_MILLIS ? Verdict.ASK_AGAIN : Verdict.UNCONFIRMED;
+      case COPIED, REJECTED, NO_RESPONSE -> {
+        mayHaveStopped = true;
+        yield ended && elapsedMillis < TIMEOUT_MILLIS ? Verdict.ASK_AGAIN : Verdict.UNCONFIRMED;
+      }
     };
   }
 
--- a/src/test/java/org/curranthaven/internal/relay/StopConfirmationTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/StopConfirmationTest.java
@@ -24,6 +24,18 @@
     }
   }
 
+  /** Guards against a stopped stream that is taken for a finished one. */
+  @Test
+  void a_request_that_an_earlier_stop_may_have_stopped_was_not_finished() {
+    for (Outcome earlier : new Outcome[] {Outcome.NO_RESPONSE, Outcome.REJECTED, Outcome.COPIED}) {
+      StopConfirmation separate = new StopConfirmation();
+      separate.decide(earlier, StreamConnection.ENDED, 0);
+
+      assertThat(separate.decide(Outcome.NOT_RUNNING, StreamConnection.ENDED, 0))
+          .isEqualTo(Verdict.STOPPED);
+    }
+  }
+
   @Test
   void a_refused_connection_shows_the_end_of_a_process_only_if_the_stream_has_ended_too() {
     assertThat(decide(Outcome.REFUSED, StreamConnection.ENDED)).isEqualTo(Verdict.GONE);
--- a/src/test/java/org/curranthaven/platform/StalledStreamTest.java
+++ b/src/test/java/org/curranthaven/platform/StalledStreamTest.java
@@ -6,6 +6,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -176,4 +179,43 @@
     assertThat(outcome.response()).contains("token 1", "token 2").endsWith("0\r\n\r\n");
     assertThat(outcome.resumptions()).isEqualTo(1);
   }
+
+  /** Guards against a stream that its engine stopped and that reaches its caller as complete. */
+  @Test
+  void a_stream_whose_engine_stops_it_and_answers_only_the_second_stop_request_is_not_complete()
+      throws Exception {
+    AtomicInteger stops = new AtomicInteger();
+    CountDownLatch stopped = new CountDownLatch(1);
+    FakeBackend.ResponseScript script =
+        (request, connection) -> {
+          if (request.line().contains("kv-move") && stops.incrementAndGet() == 1) {
+            stopped.countDown();
+            Thread.sleep(5_000);
+          } else if (request.line().contains("kv-move")) {
+            FakeBackend.write(connection, "HTTP/1.1 404 X\r\nContent-Length: 2\r\n\r\n{}");
+          } else if (!request.header("Kv-From").isEmpty()) {
+            FakeBackend.write(
+                connection,
+                FakeBackend.streamResponseHead(request)
+                    + FakeBackend.event(2)
+                    + FakeBackend.chunk(""));
+          } else {
+            FakeBackend.write(
+                connection,
+                FakeBackend.unframedStreamResponseHead(request) + FakeBackend.plainEvent(1));
+            assertThat(stopped.await(10, TimeUnit.SECONDS)).isTrue();
+            connection.close();
+          }
+        };
+    try (FakeBackend first = new FakeBackend(script);
+        FakeBackend second = new FakeBackend(script)) {
+      register("i-1", first, "ready", 1, "engines");
+      register("i-2", second, "ready", 1, "engines");
+
+      String response = sendRawRequest("/stories/1", "Model: m\r\nToken-Count: 1000,4000\r\n");
+
+      boolean complete = response.endsWith("0\r\n\r\n");
+      assertThat(!complete || response.contains("token 2")).as(response).isTrue();
+    }
+  }
 }
