Give each fleet of a test ports and addresses of its own, and each wait a limit

Two gateways with one port make the other hang: the test reads from the suspended one without a limit, which @Timeout's interrupt does not end (still there after 260 s).

Fleets of processes draw distinct ports outside that range, on loopback addresses apart from other fleets'. Waits for hosts fail after 60 s and tell what was waited for, which hosts run and the end of their logs; reads fail after the longest route timeout and a margin. Processes end with the test JVM.

--- a/src/test/java/org/curranthaven/platform/ColdServerTest.java
+++ b/src/test/java/org/curranthaven/platform/ColdServerTest.java
@@ -63,9 +63,9 @@
          "coldLeftMs":%d}
         """
             .formatted(backend.address(), sequence, COLD_MILLIS);
-    while (sendControlRequest("PUT", "/api/runners/" + id, body).statusCode() != 200) {
-      Thread.sleep(100);
-    }
+    BoundedWait.until(
+        "control host accepts the registration of " + id,
+        () -> isAccepted("/api/runners/" + id, body));
   }
 
   private void sendRequests(List<String> gateways, int requestsPerSecond, long durationMillis)
--- a/src/test/java/org/curranthaven/platform/ControlConnectionTest.java
+++ b/src/test/java/org/curranthaven/platform/ControlConnectionTest.java
@@ -17,8 +17,7 @@
 
   @Test
   void requests_sent_one_behind_the_other_get_their_responses_in_order() throws Exception {
-    String[] hostAndPort = controlAddress.split(":", 2);
-    try (Socket socket = new Socket(hostAndPort[0], Integer.parseInt(hostAndPort[1]))) {
+    try (Socket socket = new BoundedSocket(controlAddress)) {
       // Reading the catalog goes through the log; the unknown path is answered at once.
       FakeBackend.write(
           socket,
--- a/src/test/java/org/curranthaven/platform/CutOffGatewayTest.java
+++ b/src/test/java/org/curranthaven/platform/CutOffGatewayTest.java
@@ -116,10 +116,9 @@
     assertThat(streamsOfTwoVersions()).isZero();
 
     gateway().setBlockedHosts(List.of());
-    for (int stream = 0; stream < STREAMS; stream++) {
-      while (!takeUp(stream)) {
-        Thread.sleep(50);
-      }
+    for (int i = 0; i < STREAMS; i++) {
+      int stream = i;
+      BoundedWait.until("stream " + stream + " goes on", () -> takeUp(stream));
     }
     assertThat(streamsOfTwoVersions()).isZero();
     assertThat(versionsByStream.values()).contains(Set.of("v1"), Set.of("v2"));
--- a/src/test/java/org/curranthaven/platform/FakeBackend.java
+++ b/src/test/java/org/curranthaven/platform/FakeBackend.java
@@ -10,6 +10,7 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -24,8 +25,14 @@
 
   private static final int CONNECT_TIMEOUT_MILLIS = 200;
 
+  /** Time without a request after which a connection is closed; longer than any test takes. */
+  private static final int MAX_IDLE_MILLIS = 600_000;
+
+  private static final Duration REFUSE_TIMEOUT = Duration.ofSeconds(10);
+
   private final ServerSocket socket;
   private final ResponseScript script;
+  private final Thread acceptThread;
   private final List<ReceivedRequest> received = new CopyOnWriteArrayList<>();
   private final List<Socket> connections = new CopyOnWriteArrayList<>();
   private volatile boolean accepting = true;
@@ -47,7 +54,7 @@
   FakeBackend(ResponseScript script) throws IOException {
     this.script = script;
     this.socket = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
-    Thread.ofVirtual().start(this::accept);
+    this.acceptThread = Thread.ofVirtual().start(this::accept);
   }
 
   String address() {
@@ -62,6 +69,7 @@
     while (accepting && !socket.isClosed()) {
       try {
         Socket connection = socket.accept();
+        connection.setSoTimeout(MAX_IDLE_MILLIS);
         connections.add(connection);
         if (socket.isClosed()) {
           connection.close();
@@ -188,6 +196,19 @@
     throw new IOException("new connections are still answered");
   }
 
+  /**
+   * Ends as a process does whose listening socket is gone when its first connection closes. After
+   * {@link #close} new connections may be accepted for a moment longer, as by a process that is
+   * being killed.
+   */
+  void refuseAndClose() throws IOException, InterruptedException {
+    socket.close();
+    if (!acceptThread.join(REFUSE_TIMEOUT)) {
+      throw new IOException("still accepts connections " + REFUSE_TIMEOUT + " after its close");
+    }
+    close();
+  }
+
   @Override
   public void close() throws IOException {
     socket.close();
--- a/src/test/java/org/curranthaven/platform/FleetProcesses.java
+++ b/src/test/java/org/curranthaven/platform/FleetProcesses.java
@@ -2,8 +2,6 @@
 
 import java.io.File;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -15,13 +13,16 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.curranthaven.internal.cli.Main;
+import org.curranthaven.internal.standin.LocalFleet;
 
 /** Control hosts and gateways as processes of their own, which can be killed and started again. */
 final class FleetProcesses implements AutoCloseable {
@@ -33,13 +34,18 @@
   private static final long STOP_TIMEOUT_SECONDS = 10;
   private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(4);
 
-  /** Longest time for which a control request is sent again. */
-  private static final long CONTROL_TIMEOUT_SECONDS = 60;
+  private static final int FIRST_GATEWAY_IP = 100;
+  private static final int FIRST_DELAYED_IP = 200;
+  private static final int LOG_LINES = 5;
 
   private final Path folder;
   private final Shape shape;
   private final List<DelayedConnections> delays = new ArrayList<>();
-  private final int peerPort = freePort();
+
+  /** First octets of the loopback addresses of this fleet, apart from those of other fleets. */
+  private final String network;
+
+  private final int peerPort;
   private final Map<String, Process> processes = Collections.synchronizedMap(new LinkedHashMap<>());
   private final List<String> controlAddresses = new ArrayList<>();
   private final List<String> gatewayAddresses = new ArrayList<>();
@@ -61,22 +67,38 @@
   FleetProcesses(Path folder, Shape shape) throws IOException {
     this.folder = folder;
     this.shape = shape;
+    ThreadLocalRandom random = ThreadLocalRandom.current();
+    this.network = "127.%d.%d.".formatted(random.nextInt(1, 255), random.nextInt(256));
+    // Ports that the operating system gives to no outgoing connection.
+    Iterator<Integer> ports =
+        LocalFleet.freeAddresses(1 + HOSTS_OF_A_ROLE + shape.gateways()).stream()
+            .map(address -> Integer.parseInt(address.substring(address.indexOf(':') + 1)))
+            .iterator();
+    this.peerPort = ports.next();
     for (int number = 1; number <= HOSTS_OF_A_ROLE; number++) {
-      controlAddresses.add("127.0.0.1:" + freePort());
+      controlAddresses.add(controlIp(number) + ":" + ports.next());
     }
     for (int number = 1; number <= shape.gateways(); number++) {
-      gatewayAddresses.add("127.0.0.1:" + freePort());
+      gatewayAddresses.add(gatewayIp(number) + ":" + ports.next());
     }
     for (int number = 1; shape.delayed() && number <= HOSTS_OF_A_ROLE; number++) {
-      delays.add(new DelayedConnections("127.0.0." + number + ":" + peerPort, "127.0.2." + number));
+      delays.add(new DelayedConnections(controlIp(number) + ":" + peerPort, delayedIp(number)));
     }
+    Runtime.getRuntime().addShutdownHook(new Thread(this::destroyAll));
     startAll(true);
   }
 
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    }
+  private String controlIp(int number) {
+    return network + number;
+  }
+
+  private String gatewayIp(int number) {
+    return network + (FIRST_GATEWAY_IP + number);
+  }
+
+  /** Returns the address through which gateways reach a control host if messages are held up. */
+  private String delayedIp(int number) {
+    return network + (FIRST_DELAYED_IP + number);
   }
 
   List<String> controlAddresses() {
@@ -105,7 +127,7 @@
   void startGateway(int number) throws IOException {
     // All hosts use the same peer port, so each needs a separate IP address.
     String settings = "\"callerAddress\":\"%s\"".formatted(gatewayAddresses.get(number - 1));
-    start(GATEWAY + number, "127.0.1." + number, settings);
+    start(GATEWAY + number, gatewayIp(number), settings);
   }
 
   /** Kills a gateway, or stops it as planned, and waits until it has ended. */
@@ -139,14 +161,15 @@
         """
         "controlAddress":"%s","dataFolder":"%s","firstStart":%b"""
             .formatted(controlAddresses.get(number - 1), dataFolder, firstStart);
-    start(CONTROL + number, "127.0.0." + number, settings);
+    start(CONTROL + number, controlIp(number), settings);
   }
 
-  private void start(String name, String ip, String roleSettings) throws IOException {
+  private void start(String name, String peerIp, String roleSettings) throws IOException {
     boolean delayed = shape.delayed() && name.startsWith(GATEWAY);
     String contacts =
         Stream.of(1, 2, 3)
-            .map(number -> "\"127.0.%d.%d:%d\"".formatted(delayed ? 2 : 0, number, peerPort))
+            .map(number -> delayed ? delayedIp(number) : controlIp(number))
+            .map(ip -> "\"%s:%d\"".formatted(ip, peerPort))
             .reduce((first, second) -> first + "," + second)
             .orElseThrow();
     // Of two connections, hosts keep the one that was dialled by the host with the lower name.
@@ -160,7 +183,7 @@
             .formatted(
                 hostName,
                 dataCentre(name),
-                ip,
+                peerIp,
                 peerPort,
                 contacts,
                 shape.retrySlack(),
@@ -213,9 +236,13 @@
 
   private void sendSignal(String name, String signal) throws Exception {
     long pid = Objects.requireNonNull(processes.get(name)).pid();
-    int status = new ProcessBuilder("kill", "-" + signal, Long.toString(pid)).start().waitFor();
-    if (status != 0) {
-      throw new IllegalStateException("kill -" + signal + " of " + name + " ended with " + status);
+    Process kill = new ProcessBuilder("kill", "-" + signal, Long.toString(pid)).start();
+    if (!kill.waitFor(STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
+      throw new IllegalStateException("kill -" + signal + " of " + name + " did not end");
+    }
+    if (kill.exitValue() != 0) {
+      throw new IllegalStateException(
+          "kill -" + signal + " of " + name + " ended with " + kill.exitValue());
     }
   }
 
@@ -245,7 +272,9 @@
             .toList();
     killed.forEach(Process::destroyForcibly);
     for (Process process : killed) {
-      process.waitFor(STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+      if (!process.waitFor(STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
+        throw new IllegalStateException("process " + process.pid() + " did not end after SIGKILL");
+      }
     }
   }
 
@@ -266,15 +295,11 @@
 
   /** Sends a control request to some hosts, one after the other, until it is accepted. */
   void control(List<String> addresses, String method, String path, String body) throws Exception {
-    long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(CONTROL_TIMEOUT_SECONDS);
-    for (int attempt = 0; System.nanoTime() - endNanos < 0; attempt++) {
-      String address = addresses.get(attempt % addresses.size());
-      if (controlStatus(address, method, path, body) == 200) {
-        return;
-      }
-      Thread.sleep(50);
-    }
-    throw new IllegalStateException(method + " " + path + " was not accepted");
+    Iterator<String> inTurn = Stream.generate(() -> addresses).flatMap(List::stream).iterator();
+    BoundedWait.until(
+        method + " " + path + " accepted by one of " + addresses,
+        this::describeHosts,
+        () -> controlStatus(inTurn.next(), method, path, body) == 200);
   }
 
   private int controlStatus(String address, String method, String path, String body)
@@ -294,9 +319,10 @@
   /** Waits until every gateway knows the catalog. */
   void awaitGateways() throws Exception {
     for (String address : gatewayAddresses) {
-      while (statusOfUnknownRoute(address) != 404) {
-        Thread.sleep(50);
-      }
+      BoundedWait.until(
+          "gateway at " + address + " answers 404 on an unknown route",
+          this::describeHosts,
+          () -> statusOfUnknownRoute(address) == 404);
     }
   }
 
@@ -321,8 +347,34 @@
   }
 
   static Socket connect(String address) throws IOException {
-    int port = Integer.parseInt(address.substring(address.indexOf(':') + 1));
-    return new Socket(InetAddress.getLoopbackAddress(), port);
+    return new BoundedSocket(address);
+  }
+
+  /** Returns whether each host runs, and the last lines of its log. */
+  private String describeHosts() {
+    StringBuilder text = new StringBuilder();
+    processes.forEach(
+        (name, process) ->
+            text.append(
+                "%n%s, %s:%n%s"
+                    .formatted(
+                        name,
+                        process.isAlive() ? "runs" : "ended with " + process.exitValue(),
+                        lastLines(folder.resolve(name + ".log")))));
+    return text.toString();
+  }
+
+  private static String lastLines(Path log) {
+    try {
+      List<String> lines = Files.readAllLines(log);
+      return String.join("\n", lines.subList(Math.max(0, lines.size() - LOG_LINES), lines.size()));
+    } catch (IOException e) {
+      return e.toString();
+    }
+  }
+
+  private void destroyAll() {
+    processes.values().forEach(Process::destroyForcibly);
   }
 
   @Override
--- a/src/test/java/org/curranthaven/platform/HomeRegionTest.java
+++ b/src/test/java/org/curranthaven/platform/HomeRegionTest.java
@@ -57,9 +57,9 @@
          "coldLeftMs":0,"seq":1}
         """
             .formatted(backend.address(), dataCentre);
-    while (sendControlRequest("PUT", "/api/runners/i-" + dataCentre, body).statusCode() != 200) {
-      Thread.sleep(100);
-    }
+    BoundedWait.until(
+        "control host accepts the registration of i-" + dataCentre,
+        () -> isAccepted("/api/runners/i-" + dataCentre, body));
   }
 
   private void restrict(String routeRegions, String workspaceRegions) throws Exception {
--- a/src/test/java/org/curranthaven/platform/RequestCrashingServersTest.java
+++ b/src/test/java/org/curranthaven/platform/RequestCrashingServersTest.java
@@ -90,9 +90,9 @@
   }
 
   /** Closes a server, and starts another one some time later. */
-  private void crash(FakeBackend server) throws IOException {
+  private void crash(FakeBackend server) throws Exception {
     crashMillis.add(nowMillis());
-    server.close();
+    server.refuseAndClose();
     executor.submit(
         () -> {
           Thread.sleep(RESTART_MILLIS);
@@ -159,7 +159,11 @@
     for (int i = 0; i < 2 * GATEWAYS; i++) {
       String gateway = gateways.get(i % gateways.size());
       executor.submit(() -> crashingResponses.add(sendRawRequest(gateway, "/holds/crash", "")));
-      Thread.sleep(i == 0 ? 2_000 : 5);
+      if (i == 0) {
+        BoundedWait.until("the first response", () -> !crashingResponses.isEmpty());
+        Thread.sleep(2_000);
+      }
+      Thread.sleep(5);
     }
     Thread.sleep(3_000);
 
--- a/src/test/java/org/curranthaven/platform/RoutedFleetFixture.java
+++ b/src/test/java/org/curranthaven/platform/RoutedFleetFixture.java
@@ -1,11 +1,11 @@
 package org.curranthaven.platform;
 
-import java.net.InetAddress;
 import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.net.http.HttpTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -51,6 +51,12 @@
        "tenants":[{"name":"t1","apiKeys":["k1"]}]}
       """;
 
+  /** Highest {@code timeoutMs} of the catalog. */
+  static final long LONGEST_ROUTE_TIMEOUT_MILLIS = 60_000;
+
+  /** Time after a route's timeout at which a caller has its answer, on a busy machine too. */
+  static final long ANSWER_MARGIN_MILLIS = 10_000;
+
   @TempDir Path folder;
 
   private final HttpClient client =
@@ -120,9 +126,9 @@
   }
 
   private void awaitReady(String address) throws Exception {
-    while (status(sendRawRequest(address, "/nowhere/", "")) != 404) {
-      Thread.sleep(50);
-    }
+    BoundedWait.until(
+        "gateway at " + address + " answers 404 on an unknown route",
+        () -> status(sendRawRequest(address, "/nowhere/", "")) == 404);
   }
 
   private static RoutedSettings settings(
@@ -164,11 +170,18 @@
     return client.send(request, HttpResponse.BodyHandlers.ofString());
   }
 
+  /** Sends a control request once; one without a response in time is not accepted. */
+  boolean isAccepted(String path, String body) throws Exception {
+    try {
+      return sendControlRequest("PUT", path, body).statusCode() == 200;
+    } catch (HttpTimeoutException e) {
+      return false;
+    }
+  }
+
   /** Sends a catalog repeatedly until the control host accepts it, as operators do. */
   void putCatalog(String catalog) throws Exception {
-    while (sendControlRequest("PUT", "/api/config", catalog).statusCode() != 200) {
-      Thread.sleep(100);
-    }
+    BoundedWait.until("control host accepts a catalog", () -> isAccepted("/api/config", catalog));
   }
 
   /** Registers a backend server of the plain service. */
@@ -205,9 +218,9 @@
          "coldLeftMs":0,"seq":%d}
         """
             .formatted(service, backend.address(), dataCentre, version, state, seq);
-    while (sendControlRequest("PUT", "/api/runners/" + id, body).statusCode() != 200) {
-      Thread.sleep(100);
-    }
+    BoundedWait.until(
+        "control host accepts the registration of " + id,
+        () -> isAccepted("/api/runners/" + id, body));
   }
 
   /** Sends a request with the gateway's address as its host name, which no route has. */
@@ -221,6 +234,7 @@
         .header("Deadline-Ms", "60000")
         .header("X-Api-Key", "k1")
         .POST(HttpRequest.BodyPublishers.ofString("question"))
+        .timeout(Duration.ofMillis(BoundedSocket.SILENCE_LIMIT_MILLIS))
         .build();
   }
 
@@ -253,8 +267,7 @@
   /** Sends a request with the given id; the caller reads the response. */
   Socket openRawRequest(String gatewayAddress, String id, String path, String headers)
       throws Exception {
-    int port = Integer.parseInt(gatewayAddress.substring(gatewayAddress.indexOf(':') + 1));
-    Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+    Socket socket = new BoundedSocket(gatewayAddress);
     String head =
         "POST %s HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: %s\r\n".formatted(path, id);
     String rawRequest =
--- a/src/test/java/org/curranthaven/platform/StutteringBackendsTest.java
+++ b/src/test/java/org/curranthaven/platform/StutteringBackendsTest.java
@@ -7,7 +7,6 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
@@ -86,8 +85,7 @@
     InputStream in = InputStream.nullInputStream();
     for (int i = 0; System.currentTimeMillis() < endMillis; i++) {
       if (connection == null) {
-        int port = Integer.parseInt(callerAddress.substring(callerAddress.indexOf(':') + 1));
-        connection = new Socket(InetAddress.getLoopbackAddress(), port);
+        connection = new BoundedSocket(callerAddress);
         in = new BufferedInputStream(connection.getInputStream());
       }
       String id = "c" + caller + "-" + i;
--- a/src/test/java/org/curranthaven/platform/SuspendedGatewayTest.java
+++ b/src/test/java/org/curranthaven/platform/SuspendedGatewayTest.java
@@ -125,6 +125,13 @@
     send(connection, stream, "next-" + System.nanoTime(), headers);
   }
 
+  private boolean takeUpAgain(String stream) throws IOException {
+    try (Socket connection = connectTo(SUSPENDED_GATEWAY)) {
+      sendResumption(connection, stream);
+      return goesOn(connection);
+    }
+  }
+
   private static boolean goesOn(Socket connection) throws IOException {
     return new String(connection.getInputStream().readAllBytes(), StandardCharsets.UTF_8)
         .contains("token " + EVENTS);
@@ -159,14 +166,11 @@
     fleet.resumeGateway(SUSPENDED_GATEWAY);
 
     for (int stream = 0; stream < STREAMS; stream++) {
+      String name = Integer.toString(stream);
       boolean wentOn = goesOn(connections.get(stream));
       connections.get(stream).close();
-      while (!wentOn) {
-        Thread.sleep(50);
-        try (Socket connection = connectTo(SUSPENDED_GATEWAY)) {
-          sendResumption(connection, Integer.toString(stream));
-          wentOn = goesOn(connection);
-        }
+      if (!wentOn) {
+        BoundedWait.until("stream " + name + " goes on", () -> takeUpAgain(name));
       }
     }
     assertThat(streamsOfTwoVersions()).isZero();
