Fault soak: servers respond to health checks

Gateways check the health of a server after a response that ended with its connection. No fault of the gateways.

--- a/src/test/java/org/curranthaven/platform/SoakResponses.java
+++ b/src/test/java/org/curranthaven/platform/SoakResponses.java
@@ -47,6 +47,10 @@
     return response(requestId, MISDIRECTED, false, Framing.LENGTH, "");
   }
 
+  static String healthy(String serverId) {
+    return "HTTP/1.1 200 OK\r\nRunner-Id: %s\r\nContent-Length: 0\r\n\r\n".formatted(serverId);
+  }
+
   static String earlyHints(String requestId) {
     return "HTTP/1.1 103 Early Hints\r\nAttempt-Id: %s\r\n\r\n".formatted(requestId);
   }
--- a/src/test/java/org/curranthaven/platform/SoakScript.java
+++ b/src/test/java/org/curranthaven/platform/SoakScript.java
@@ -57,6 +57,10 @@
 
   void respond(SoakConnection.Request request, SoakConnection connection)
       throws IOException, InterruptedException {
+    if (request.path().equals("/health")) {
+      connection.write(SoakResponses.healthy(server.id()));
+      return;
+    }
     SplittableRandom random =
         new SplittableRandom(seed ^ (request.id() + server.id()).hashCode() * 0x9E3779B97F4A7C15L);
     if (!request.header("Expect-Instance").equals(server.id())) {
