SuspendedGatewayTest: begin a stream again that was rejected as not run

Beside load, a gateway that had just followed its scheduler again rejected the requests that begin the streams (503), and the test then asked for the rest of streams that never began, until its time limit. It now begins them again, and fails if one breaks off before its third event.

--- a/src/test/java/org/curranthaven/platform/SuspendedGatewayTest.java
+++ b/src/test/java/org/curranthaven/platform/SuspendedGatewayTest.java
@@ -107,15 +107,25 @@
   }
 
   private void beginAndCut(int gateway, String stream) throws Exception {
+    BoundedWait.until("stream " + stream + " begins", () -> beginsAndIsCut(gateway, stream));
+  }
+
+  /** Returns whether the stream began, and not only its request was rejected as not run. */
+  private boolean beginsAndIsCut(int gateway, String stream) throws IOException {
     try (Socket connection = connectTo(gateway)) {
       send(connection, stream, "first-" + stream, "");
       BufferedReader reader =
           new BufferedReader(
               new InputStreamReader(connection.getInputStream(), StandardCharsets.UTF_8));
       String line = reader.readLine();
+      if (line != null && line.contains(" 503 ")) {
+        return false;
+      }
       while (line != null && !line.contains("token " + EVENTS_BEFORE_CUT)) {
         line = reader.readLine();
       }
+      assertThat(line).as("event %d of stream %s", EVENTS_BEFORE_CUT, stream).isNotNull();
+      return true;
     }
   }
 
