A connection that this host could not open shows nothing about the engine

ConnectFailure tells a refusal and silence, which show something about the other host, from anything else.

--- a/src/main/java/org/curranthaven/internal/relay/BackendPool.java
+++ b/src/main/java/org/curranthaven/internal/relay/BackendPool.java
@@ -4,10 +4,8 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -126,7 +124,8 @@
             EventLoops.guard(
                 future -> {
                   if (!future.isSuccess()) {
-                    refusedConsumer.accept(isRefused(future.cause()));
+                    refusedConsumer.accept(
+                        ConnectFailure.of(future.cause()) == ConnectFailure.REFUSED);
                     return;
                   }
                   loop.schedule(
@@ -149,10 +148,6 @@
     refusedConsumer.accept(false);
   }
 
-  private static boolean isRefused(@Nullable Throwable cause) {
-    return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
-  }
-
   /** Makes a new connection that has carried no request available to other requests. */
   void offerUnused(BackendConnection connection) {
     long nowMillis = clock.nowMillis();
@@ -161,12 +156,12 @@
 
   /** Passes a new connection to the consumer, or null if the connection fails. */
   void connect(String address, Consumer<@Nullable BackendConnection> consumer) {
-    open(address, (connection, refused) -> consumer.accept(connection));
+    open(address, (connection, failure) -> consumer.accept(connection));
   }
 
-  /** Receives a new connection, or null and whether the host at the address refused it. */
+  /** Receives a new connection, or why there is none. */
   interface ConnectionConsumer {
-    void accept(@Nullable BackendConnection connection, boolean refused);
+    void accept(@Nullable BackendConnection connection, @Nullable ConnectFailure failure);
   }
 
   /** Opens a connection that carries no other request. */
@@ -178,7 +173,7 @@
                 future ->
                     consumer.accept(
                         future.isSuccess() ? connection : null,
-                        !future.isSuccess() && isRefused(future.cause()))));
+                        future.isSuccess() ? null : ConnectFailure.of(future.cause()))));
   }
 
   private ChannelFuture connect(String address, BackendConnection connection) {
--- a/src/main/java/org/curranthaven/internal/relay/EndConfirmation.java
+++ b/src/main/java/org/curranthaven/internal/relay/EndConfirmation.java
@@ -153,9 +153,9 @@
       opening = true;
       pool.open(
           backend.getAddress(),
-          (connection, refused) -> {
+          (connection, failure) -> {
             if (connection == null) {
-              onConnectFailed(refused);
+              onConnectFailed(failure == ConnectFailure.REFUSED);
             } else {
               onConnected(connection);
             }
--- a/src/main/java/org/curranthaven/internal/relay/StateTransfer.java
+++ b/src/main/java/org/curranthaven/internal/relay/StateTransfer.java
@@ -244,7 +244,7 @@
   private static boolean mayHaveStopped(TransferResponse.Outcome outcome) {
     return switch (outcome) {
       case COPIED, REJECTED, NO_RESPONSE -> true;
-      case NOT_RUNNING, REFUSED, NO_CONNECTION -> false;
+      case NOT_RUNNING, REFUSED, NO_CONNECTION, NOT_SENT -> false;
     };
   }
 
@@ -262,14 +262,14 @@
         .pool()
         .open(
             source.getAddress(),
-            (connection, refused) -> {
+            (connection, failure) -> {
               if (connection == null || !connection.isOpen()) {
                 copyRequest.release();
                 consumer.accept(
                     TransferResponse.withoutHandle(
-                        connection == null
-                            ? outcomeWithoutConnection(refused)
-                            : TransferResponse.Outcome.NO_RESPONSE));
+                        failure == null
+                            ? TransferResponse.Outcome.NO_RESPONSE
+                            : outcomeWithoutConnection(failure)));
                 return;
               }
               CopyResponseListener responseListener =
@@ -281,8 +281,12 @@
             });
   }
 
-  private static TransferResponse.Outcome outcomeWithoutConnection(boolean refused) {
-    return refused ? TransferResponse.Outcome.REFUSED : TransferResponse.Outcome.NO_CONNECTION;
+  private static TransferResponse.Outcome outcomeWithoutConnection(ConnectFailure failure) {
+    return switch (failure) {
+      case REFUSED -> TransferResponse.Outcome.REFUSED;
+      case UNREACHABLE -> TransferResponse.Outcome.NO_CONNECTION;
+      case LOCAL -> TransferResponse.Outcome.NOT_SENT;
+    };
   }
 
   /**
--- a/src/main/java/org/curranthaven/internal/relay/StopConfirmation.java
+++ b/src/main/java/org/curranthaven/internal/relay/StopConfirmation.java
@@ -60,6 +60,12 @@
       // The end of a process would have closed the open connection as well.
       case REFUSED -> ended ? Verdict.GONE : Verdict.RUNNING;
       case NO_CONNECTION -> afterFailedConnection(connection);
+      case NOT_SENT -> {
+        if (!ended) {
+          yield Verdict.RUNNING;
+        }
+        yield elapsedMillis < TIMEOUT_MILLIS ? Verdict.ASK_AGAIN : Verdict.UNCONFIRMED;
+      }
       case COPIED, REJECTED, NO_RESPONSE -> {
         mayHaveStopped = true;
         yield ended && elapsedMillis < TIMEOUT_MILLIS ? Verdict.ASK_AGAIN : Verdict.UNCONFIRMED;
--- a/src/main/java/org/curranthaven/internal/relay/TransferResponse.java
+++ b/src/main/java/org/curranthaven/internal/relay/TransferResponse.java
@@ -19,8 +19,10 @@
     NO_RESPONSE,
     /** The engine's host refused the connection: no process listens at the address. */
     REFUSED,
-    /** No connection to the engine could be opened for another reason, such as a lost path. */
-    NO_CONNECTION
+    /** No network path leads to the engine. */
+    NO_CONNECTION,
+    /** This host could open no connection at all, which shows nothing about the engine. */
+    NOT_SENT
   }
 
   /** Returns the outcome without a handle. */
--- a/src/test/java/org/curranthaven/internal/relay/StopConfirmationTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/StopConfirmationTest.java
@@ -57,6 +57,17 @@
     }
   }
 
+  /** Guards against a second run of a request since this host is out of descriptors or ports. */
+  @Test
+  void a_connection_that_this_host_could_not_open_shows_nothing() {
+    for (int i = 0; i <= StopConfirmation.MIN_FAILED_CONNECTIONS; i++) {
+      assertThat(decide(Outcome.NOT_SENT, StreamConnection.SILENT)).isEqualTo(Verdict.RUNNING);
+      assertThat(decide(Outcome.NOT_SENT, StreamConnection.ENDED)).isEqualTo(Verdict.ASK_AGAIN);
+    }
+    assertThat(confirmation.decide(Outcome.NOT_SENT, StreamConnection.ENDED, LATE_MILLIS))
+        .isEqualTo(Verdict.UNCONFIRMED);
+  }
+
   @Test
   void only_failed_connections_in_a_row_count() {
     for (int i = 0; i < 10; i++) {
