Limit the probes for ended responses to two open ones a server

A backend server that left the probes of EndConfirmation unanswered got ever more of them while responses without length or chunks kept ending: with ten ends a second 46 probe connections were open after 4 s. One that reset every connection was connected to 176 times in 3 s. Each probe held a connection of the gateway and of the server for up to 1.5 s, and the timers kept the requests of callers in memory for 1.5 s after their end was confirmed.

Cause: each unanswered probe scheduled two others, its repetition after 250 ms and a retry when it ended; only the opening of a connection was limited. Each new end started a series of its own if the latest probe had failed. No timer was cancelled.

Now a server has one timer for its next probe, which each new schedule replaces, and at most two open probes. A third waits until one of them ends, which is after half of the longest wait (750 ms) at the latest, so that two lost probes still leave time for others. New ends wait for the timer. So the rate does not depend on the number of ends. When no end waits, open probes are closed and all timers are cancelled. An end is still confirmed only by a response to a request that was sent after the end was seen. A response to a probe that takes longer than 750 ms no longer counts.

--- a/src/main/java/org/curranthaven/internal/relay/EndConfirmation.java
+++ b/src/main/java/org/curranthaven/internal/relay/EndConfirmation.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -23,18 +24,21 @@
  */
 final class EndConfirmation {
   /**
-   * Longest time to wait for a sign of life; shorter than callers wait for the next event of a
-   * stream, and than an address stays with a backend server that has ended.
+   * Longest time to wait for a response; shorter than callers wait for the next event of a stream,
+   * and than an address stays with a backend server that has ended.
    */
   static final long MAX_WAIT_MILLIS = 1_500;
 
-  /** Time without an answer after which a probe is repeated, since it may have been lost. */
+  /** Time without a response after which a probe is repeated, since it may have been lost. */
   private static final long REPEAT_MILLIS = 250;
 
   private static final long MIN_RETRY_DELAY_MILLIS = 5;
 
-  /** Limit on the body of the answer to a probe. */
-  private static final int MAX_ANSWER_BYTES = 64 * 1024;
+  /** Limit on the probes of one backend server that are open at a time. */
+  private static final int MAX_OPEN_PROBES = 2;
+
+  /** Limit on the body of the response to a probe. */
+  private static final int MAX_RESPONSE_BYTES = 64 * 1024;
 
   private final EventLoop loop;
   private final WireProtocol protocol;
@@ -85,6 +89,7 @@
   private static final class End {
     private final long seenAtMillis;
     private final Consumer<EndEvidence> action;
+    private @Nullable ScheduledFuture<?> timeout;
 
     End(long seenAtMillis, Consumer<EndEvidence> action) {
       this.seenAtMillis = seenAtMillis;
@@ -97,8 +102,13 @@
     private final BackendRecord backend;
     private final ServiceSpec service;
     private final List<End> ends = new ArrayList<>();
+    private final List<Probe> openProbes = new ArrayList<>();
     private long retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
     private @Nullable Probe latestProbe;
+
+    /** Timer of the next probe; null if none is scheduled. */
+    private @Nullable ScheduledFuture<?> retryTimer;
+
     private boolean opening;
 
     Server(BackendRecord backend, ServiceSpec service) {
@@ -108,8 +118,10 @@
 
     void add(End end) {
       ends.add(end);
-      loop.schedule(() -> giveUp(end), maxWaitMillis, TimeUnit.MILLISECONDS);
-      sendProbeUnlessOneIsOpen();
+      end.timeout = loop.schedule(() -> giveUp(end), maxWaitMillis, TimeUnit.MILLISECONDS);
+      if (openProbes.isEmpty() && retryTimer == null) {
+        sendProbe();
+      }
     }
 
     void recordResponse(long sentAtMillis) {
@@ -121,8 +133,8 @@
     private void giveUp(End end) {
       if (ends.contains(end)) {
         Logger.warn(
-            "backend server {} at {} has not been heard for {} ms after it closed the connection"
-                + " of a response",
+            "backend server {} at {} has sent no response for {} ms after it closed the"
+                + " connection of another",
             backend.getId(),
             backend.getAddress(),
             maxWaitMillis);
@@ -133,21 +145,19 @@
     private void resolve(List<End> resolved, EndEvidence evidence) {
       List<End> waiting = resolved.stream().filter(ends::contains).toList();
       ends.removeAll(waiting);
+      waiting.forEach(end -> cancel(end.timeout));
       if (ends.isEmpty()) {
         servers.remove(backend.getId(), this);
+        cancelRetry();
+        List.copyOf(openProbes).forEach(Probe::abandon);
       }
       waiting.forEach(end -> end.action.accept(evidence));
     }
 
-    private void sendProbeUnlessOneIsOpen() {
-      if (latestProbe == null || latestProbe.ended) {
-        sendProbe();
-      }
-    }
-
     /** Sends a probe over a connection of its own, where no late response can be taken for it. */
     private void sendProbe() {
-      if (opening || ends.isEmpty()) {
+      cancelRetry();
+      if (opening || ends.isEmpty() || openProbes.size() >= MAX_OPEN_PROBES) {
         return;
       }
       opening = true;
@@ -171,13 +181,15 @@
       probesSent++;
       Probe probe = new Probe(this, connection, List.copyOf(ends));
       latestProbe = probe;
+      openProbes.add(probe);
+      scheduleProbe(REPEAT_MILLIS);
+      // Leaves time for further probes when both open ones were lost.
+      probe.timeout = loop.schedule(probe::abandon, maxWaitMillis / 2, TimeUnit.MILLISECONDS);
       FullHttpRequest request =
           service.engine() == null
               ? protocol.healthRequest(backend, service.healthPath())
               : protocol.reportRequest(backend);
       connection.sendControl(request, "", probe);
-      loop.schedule(probe::repeat, REPEAT_MILLIS, TimeUnit.MILLISECONDS);
-      loop.schedule(probe::abandon, maxWaitMillis, TimeUnit.MILLISECONDS);
     }
 
     private void onConnectFailed(boolean refused) {
@@ -191,28 +203,55 @@
     }
 
     private void sendProbeLater() {
-      loop.schedule(this::sendProbe, retryDelayMillis, TimeUnit.MILLISECONDS);
+      scheduleProbe(retryDelayMillis);
       retryDelayMillis = Math.min(2 * retryDelayMillis, REPEAT_MILLIS);
     }
 
+    private void scheduleProbe(long delayMillis) {
+      cancelRetry();
+      if (!ends.isEmpty()) {
+        retryTimer = loop.schedule(this::sendProbe, delayMillis, TimeUnit.MILLISECONDS);
+      }
+    }
+
+    private void cancelRetry() {
+      cancel(retryTimer);
+      retryTimer = null;
+    }
+
     void onProbeEnded(Probe probe, boolean answered) {
-      if (!answered) {
-        sendProbeLater();
+      openProbes.remove(probe);
+      if (answered) {
+        retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
+        resolve(probe.ends, EndEvidence.SERVER_RUNS);
+      }
+      boolean latest = probe == latestProbe;
+      if (opening || (!latest && retryTimer != null)) {
         return;
       }
-      retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
-      resolve(probe.ends, EndEvidence.SERVER_RUNS);
-      sendProbeUnlessOneIsOpen();
+      // After an earlier probe, the next one is overdue and has waited for the limit.
+      if (answered || !latest) {
+        sendProbe();
+      } else {
+        sendProbeLater();
+      }
     }
   }
 
-  /** A request for a sign of life; its answer is evidence for the ends seen before it was sent. */
+  private static void cancel(@Nullable ScheduledFuture<?> timer) {
+    if (timer != null) {
+      timer.cancel(false);
+    }
+  }
+
+  /** A request whose response is evidence for the ends seen before it was sent. */
   private final class Probe implements BackendConnection.ResponseListener {
     private final Server server;
     private final BackendConnection connection;
     private final List<End> ends;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private @Nullable HttpResponse response;
+    private @Nullable ScheduledFuture<?> timeout;
     private boolean ended;
 
     Probe(Server server, BackendConnection connection, List<End> ends) {
@@ -228,7 +267,7 @@
 
     @Override
     public void onContent(byte[] bytes) {
-      if (body.size() + bytes.length <= MAX_ANSWER_BYTES) {
+      if (body.size() + bytes.length <= MAX_RESPONSE_BYTES) {
         body.writeBytes(bytes);
       } else {
         abandon();
@@ -244,12 +283,6 @@
               && !protocol.isFromAnother(server.backend, received, body.toByteArray()));
     }
 
-    private void repeat() {
-      if (!ended) {
-        server.sendProbe();
-      }
-    }
-
     private void abandon() {
       if (!ended) {
         connection.cancel();
@@ -260,6 +293,7 @@
     private void end(boolean answered) {
       if (!ended) {
         ended = true;
+        cancel(timeout);
         server.onProbeEnded(this, answered);
       }
     }
--- a/src/test/java/org/curranthaven/internal/relay/EndConfirmationTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/EndConfirmationTest.java
@@ -8,16 +8,20 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.lang.ref.WeakReference;
 import java.lang.reflect.Proxy;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.curranthaven.internal.catalog.EngineCapabilities;
 import org.curranthaven.internal.catalog.ServiceSpec;
 import org.curranthaven.internal.supervision.Clock;
@@ -39,6 +43,7 @@
   private static final ServiceSpec ENGINES =
       new ServiceSpec("engines", 100, new EngineCapabilities(8, 20_000, 4, true, true));
   private static final int ACCEPT_TIMEOUT_MILLIS = 20_000;
+  private static final long REPEAT_MILLIS = 250;
 
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -296,4 +301,148 @@
     }
     assertThat(crashes).containsExactly("i-1@1000");
   }
+
+  // Guards against two lost probes that keep all others from being sent.
+  @Test
+  void a_third_probe_follows_two_that_were_lost() throws Exception {
+    CompletableFuture<EndEvidence> evidence = confirm(confirmation(8_000), PLAIN);
+    try (Socket lost = server.accept();
+        Socket repeated = server.accept();
+        Socket third = server.accept()) {
+      assertThat(readProbe(lost)).isNotNull();
+      assertThat(readProbe(repeated)).isNotNull();
+      assertThat(readProbe(third)).isNotNull();
+      answer(third, "", "");
+
+      assertThat(get(evidence)).isEqualTo(EndEvidence.SERVER_RUNS);
+    }
+  }
+
+  // Guards against probes that multiply while nothing answers them.
+  @Test
+  void a_server_that_accepts_connections_and_stays_silent_has_two_probes_open_at_most()
+      throws Exception {
+    List<Socket> accepted = acceptAll(connection -> {});
+    EndConfirmation flooded = confirmation(EndConfirmation.MAX_WAIT_MILLIS);
+
+    long elapsedMillis = addEnds(flooded, 4_000);
+
+    List<Socket> held = List.copyOf(accepted);
+    int open = 0;
+    for (Socket connection : held) {
+      open += isOpen(connection) ? 1 : 0;
+    }
+    for (Socket connection : accepted) {
+      connection.close();
+    }
+    assertThat(open).isLessThanOrEqualTo(2);
+    assertThat(probesSent(flooded)).isBetween(2L, 1 + elapsedMillis / REPEAT_MILLIS);
+    assertThat(crashes).isEmpty();
+  }
+
+  // Guards against one series of probes for each end.
+  @Test
+  void a_server_that_closes_every_connection_gets_one_series_of_probes() throws Exception {
+    acceptAll(
+        connection -> {
+          connection.setSoLinger(true, 0);
+          connection.close();
+        });
+    EndConfirmation flooded = confirmation(EndConfirmation.MAX_WAIT_MILLIS);
+
+    long elapsedMillis = addEnds(flooded, 3_000);
+
+    // The delays double from 5 ms, so that six probes precede those of the full delay.
+    assertThat(connectionsOpened()).isBetween(2L, 7 + elapsedMillis / REPEAT_MILLIS);
+    assertThat(crashes).isEmpty();
+  }
+
+  // Guards against timers that keep a request in memory until the longest wait is over.
+  @Test
+  void a_confirmed_end_is_not_kept_until_its_time_is_over() throws Exception {
+    CompletableFuture<EndEvidence> evidence = new CompletableFuture<>();
+    WeakReference<Object> request = confirmForNewRequest(evidence);
+    try (Socket probe = server.accept()) {
+      assertThat(readProbe(probe)).isNotNull();
+      answer(probe, "", "");
+      assertThat(get(evidence)).isEqualTo(EndEvidence.SERVER_RUNS);
+    }
+    long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+    while (request.get() != null && System.nanoTime() < deadlineNanos) {
+      System.gc();
+      Thread.sleep(50);
+    }
+    assertThat(request.get()).isNull();
+  }
+
+  private WeakReference<Object> confirmForNewRequest(CompletableFuture<EndEvidence> evidence) {
+    Object request = new Object();
+    EndConfirmation patient = confirmation(120_000);
+    BackendRecord backend = backend();
+    Consumer<EndEvidence> action =
+        seen -> {
+          assertThat(request).isNotNull();
+          evidence.complete(seen);
+        };
+    group.next().execute(() -> patient.confirm(backend, PLAIN, action));
+    return new WeakReference<>(request);
+  }
+
+  private interface ConnectionAction {
+    void accept(Socket connection) throws IOException;
+  }
+
+  /** Accepts connections until the server is closed, and returns those accepted so far. */
+  private List<Socket> acceptAll(ConnectionAction action) {
+    List<Socket> accepted = new CopyOnWriteArrayList<>();
+    Thread.ofPlatform()
+        .daemon(true)
+        .start(
+            () -> {
+              try {
+                while (true) {
+                  Socket connection = server.accept();
+                  action.accept(connection);
+                  accepted.add(connection);
+                }
+              } catch (IOException e) {
+                // The test is over.
+              }
+            });
+    return accepted;
+  }
+
+  /** Adds ten ends a second for the given time, and returns the time that this took. */
+  private long addEnds(EndConfirmation confirmedBy, long durationMillis)
+      throws InterruptedException {
+    long startMillis = clock.nowMillis();
+    while (clock.nowMillis() - startMillis < durationMillis) {
+      confirm(confirmedBy, PLAIN);
+      Thread.sleep(100);
+    }
+    return clock.nowMillis() - startMillis;
+  }
+
+  private long probesSent(EndConfirmation confirmedBy) throws Exception {
+    return group.next().submit(confirmedBy::probesSent).get(20, TimeUnit.SECONDS);
+  }
+
+  private long connectionsOpened() throws Exception {
+    return group.next().submit(pool::connectionsOpened).get(20, TimeUnit.SECONDS);
+  }
+
+  private static boolean isOpen(Socket connection) throws IOException {
+    // The close of one connection may arrive after the next connection.
+    connection.setSoTimeout(50);
+    try {
+      while (connection.getInputStream().read() >= 0) {
+        // Skips the request.
+      }
+      return false;
+    } catch (SocketTimeoutException e) {
+      return true;
+    } catch (SocketException e) {
+      return false;
+    }
+  }
 }
