EndConfirmationTest: say why a connection is read for 50 ms

The comment gave a reason that the traces did not bear out: the third connection that was counted as open had been replaced by later ones, and a read of 1 ms expired before it saw the close. The limit of two is unchanged.

--- a/src/test/java/org/curranthaven/internal/relay/EndConfirmationTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/EndConfirmationTest.java
@@ -432,7 +432,7 @@
   }
 
   private static boolean isOpen(Socket connection) throws IOException {
-    // The close of one connection may arrive after the next connection.
+    // A timeout of 1 ms can expire although the connection was closed long before.
     connection.setSoTimeout(50);
     try {
       while (connection.getInputStream().read() >= 0) {
