Give up a leader's lease before another host is asked to lead

A leader that hands over its leadership believed in its lease until the next tick of the consensus thread, up to 40 ms later, while the other host could already lead: both could decide on requests. The lease that other threads read was only renewed by ticks. It is now updated when the transfer starts, before any message about it is sent.

LeadershipTransferTest, two control hosts in one JVM: without the change the leader holds its lease when it asks the other to lead (1 of 1 run), with it it does not (1 of 1 run).

--- a/src/main/java/org/curranthaven/internal/consensus/ConsensusLoop.java
+++ b/src/main/java/org/curranthaven/internal/consensus/ConsensusLoop.java
@@ -140,12 +140,13 @@
   /** Transfers the leadership of every group that this host leads to another voter. */
   public void transferLeadership() {
     execute(
-        () ->
-            replicas
-                .values()
-                .forEach(
-                    replica ->
-                        replica.handle(new RaftEvent.TransferLeadership(), clock.nowMillis())));
+        () -> {
+          long nowMillis = clock.nowMillis();
+          replicas
+              .values()
+              .forEach(replica -> replica.handle(new RaftEvent.TransferLeadership(), nowMillis));
+          observers.forEach(observer -> observer.leadershipTransferStarted(nowMillis));
+        });
   }
 
   /** Returns the identity of this host's data folder. */
--- a/src/main/java/org/curranthaven/internal/consensus/GroupObserver.java
+++ b/src/main/java/org/curranthaven/internal/consensus/GroupObserver.java
@@ -15,6 +15,12 @@
   /** Called when the role or the known leader of this host's replica changed. */
   void roleChanged(int groupId, RaftDecision.RoleChanged change, long nowMillis);
 
+  /**
+   * Called when this host begins to transfer the leadership of its groups, before it sends anything
+   * about it: another host may lead from then on.
+   */
+  default void leadershipTransferStarted(long nowMillis) {}
+
   /** Called once per tick of the consensus loop. */
   void tick(long nowMillis);
 }
--- a/src/main/java/org/curranthaven/internal/scheduler/LeadershipTracker.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/LeadershipTracker.java
@@ -107,8 +107,17 @@
     }
   }
 
+  @Override
+  public void leadershipTransferStarted(long nowMillis) {
+    updateLease(nowMillis);
+  }
+
   @Override
   public void tick(long nowMillis) {
+    updateLease(nowMillis);
+  }
+
+  private void updateLease(long nowMillis) {
     RaftCore core = consensus.core(CONTROL_GROUP_ID);
     boolean hasLease = core != null && core.hasLease(nowMillis);
     leaseEndMillis = core != null && hasLease ? core.leaseEndMillis(nowMillis) : Long.MIN_VALUE;
