Large request bodies of many callers share one bound of a gateway's memory

Cause: each body was collected whole without a common bound, in a buffer that doubles, copied when it was complete, copied again when it was translated, and copied as a whole to memory outside the heap when it was written to a server. The timer of ResponseWatch kept ended attempts with their bodies until it expired.

BodyMemory counts the bodies of all connections against one bound, five eighths of the heap unless the settings key bodyMemoryBytes names another. A body up to 64 KiB never waits. A larger one has memory for all of it reserved before more of it is read, so that those that have begun can end; it waits unread, in order, for a quarter of its time and is then rejected as not run (503, Retry-After). The rest of a rejected body is read and dropped for a time, since a close with unread bytes resets the connection and may destroy the response. A body is held once: its memory has its stated length, translation does not copy it, and it is written in pieces of 64 KiB. The timer of ResponseWatch ends with its attempt.

LargeBodiesTest (20 and 64 callers at once, 64 that upload slowly) and BodyMemoryTest pass; LargeBodiesTest has not been run on the code before.

--- a/src/main/java/org/curranthaven/internal/relay/Attempt.java
+++ b/src/main/java/org/curranthaven/internal/relay/Attempt.java
@@ -31,6 +31,7 @@
   private boolean cancelled;
   private boolean sent;
   private boolean ended;
+  private Runnable endAction = () -> {};
   private boolean responseReceived;
   private long receivedParts;
   private String requestId = "";
@@ -142,13 +143,23 @@
    */
   void cancel() {
     cancelled = true;
-    ended = true;
+    markEnded();
     buffers.update(this, 0);
     if (connection != null) {
       connection.cancel();
     }
   }
 
+  /** Sets what runs once the attempt has ended; replaces what was set before. */
+  void whenEnded(Runnable action) {
+    endAction = action;
+  }
+
+  private void markEnded() {
+    ended = true;
+    endAction.run();
+  }
+
   /** Returns whether nothing more is received, since the attempt has a result or was cancelled. */
   boolean hasEnded() {
     return ended;
@@ -162,7 +173,7 @@
 
   private void end(AttemptResult result) {
     if (!ended) {
-      ended = true;
+      markEnded();
       buffers.update(this, 0);
       if (connection != null) {
         connection.setReading(true);
--- a/src/main/java/org/curranthaven/internal/relay/BackendConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/BackendConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMessage;
@@ -42,6 +43,7 @@
   private final CarriedRequests carriedRequests = new CarriedRequests();
   private @Nullable ChannelHandlerContext channelContext;
   private @Nullable ResponseListener listener;
+  private @Nullable BodyWriter bodyWriter;
   private String expectedRequestId = "";
   private @Nullable ResponseHead head;
   private EmbeddedResponseDetector embedded;
@@ -159,6 +161,7 @@
               "the connection to " + address + " was closed before the request was sent", true));
       return;
     }
+    bodyWriter = null;
     listener = responseListener;
     expectedRequestId = requestId;
     carriedRequests.add(requestId);
@@ -169,7 +172,35 @@
     skippedResponses = 0;
     skippedBytes = 0;
     reused = true;
-    openContext.writeAndFlush(request).addListener(EventLoops.REPORT_ERROR);
+    write(openContext, request);
+  }
+
+  private void write(ChannelHandlerContext openContext, FullHttpRequest request) {
+    if (request.content().readableBytes() <= BodyWriter.PIECE_BYTES) {
+      openContext.writeAndFlush(request).addListener(EventLoops.REPORT_ERROR);
+      return;
+    }
+    openContext
+        .write(
+            new DefaultHttpRequest(
+                request.protocolVersion(), request.method(), request.uri(), request.headers()))
+        .addListener(EventLoops.REPORT_ERROR);
+    bodyWriter = new BodyWriter(openContext, request.content());
+    writeBody();
+  }
+
+  private void writeBody() {
+    BodyWriter writer = bodyWriter;
+    if (writer != null) {
+      writer.resume();
+      bodyWriter = writer.isFinished() ? null : writer;
+    }
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext handlerContext) {
+    writeBody();
+    handlerContext.fireChannelWritabilityChanged();
   }
 
   /** Removes the listener and closes the connection, which signals the backend server to stop. */
@@ -388,6 +419,7 @@
         || responseHead.closesConnection()
         || lastUse
         || unusable
+        || bodyWriter != null
         || !isOpen()) {
       close();
     } else {
@@ -434,6 +466,7 @@
   @Override
   public void channelInactive(ChannelHandlerContext handlerContext) {
     unusable = true;
+    bodyWriter = null;
     pool.onClosed(this);
     fail("the connection to " + address + " was closed before the response was complete", true);
   }
--- a/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
@@ -1,6 +1,5 @@
 package org.curranthaven.internal.relay;
 
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -25,7 +24,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import java.io.ByteArrayOutputStream;
 import java.util.ArrayDeque;
 import java.util.Locale;
 import java.util.Map;
@@ -79,6 +77,9 @@
    */
   private static final long MIN_DEADLINE_TO_WAIT_MILLIS = 5 * INITIALIZATION_WAIT_MILLIS;
 
+  /** Time after which a large body that found no room may find some. */
+  private static final long BODY_RETRY_AFTER_MILLIS = 1_000;
+
   /** Two spaces and the line end of a request line. */
   private static final int REQUEST_LINE_SEPARATOR_BYTES = 4;
 
@@ -86,10 +87,11 @@
   private static final int HEADER_SEPARATOR_BYTES = 4;
 
   private final RelayContext context;
-  private final ArrayDeque<FullHttpRequest> pipelinedRequests = new ArrayDeque<>();
+  private final ArrayDeque<ReceivedRequest> pipelinedRequests = new ArrayDeque<>();
   private @Nullable ChannelHandlerContext channelContext;
   private @Nullable HttpRequest incompleteRequest;
-  private ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private @Nullable IncomingBody body;
+  private BodyMemory.@Nullable Reservation currentBodyMemory;
   private @Nullable RoutedRequest currentRequest;
   private boolean keepAlive;
   private boolean headRequest;
@@ -98,6 +100,19 @@
   private boolean disconnected;
   private long lastActivityMillis;
   private long partialRequestSinceMillis = -1;
+  private long bodyWaitedMillis;
+
+  /** Whether the rest of a rejected request is read and dropped before the connection closes. */
+  private boolean dropping;
+
+  /**
+   * A request with its complete body.
+   *
+   * @param bodyMemory memory of the body; null if it has none
+   * @param waitedMillis time for which the body waited for its memory
+   */
+  private record ReceivedRequest(
+      FullHttpRequest request, BodyMemory.@Nullable Reservation bodyMemory, long waitedMillis) {}
 
   CallerConnection(RelayContext context) {
     super(HttpObject.class);
@@ -171,6 +186,9 @@
   @Override
   protected void channelRead0(ChannelHandlerContext handlerContext, HttpObject message) {
     if (closing) {
+      if (dropping && message instanceof LastHttpContent) {
+        handlerContext.close();
+      }
       return;
     }
     if (message.decoderResult().isFailure()) {
@@ -183,10 +201,13 @@
         return;
       }
       incompleteRequest = request;
-      body = new ByteArrayOutputStream();
-      if (HttpUtil.is100ContinueExpected(request) && !responding) {
-        handlerContext.writeAndFlush(
-            new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+      body = new IncomingBody(request, context.catalog().limits().maxBodyBytes());
+      bodyWaitedMillis = 0;
+      if (!prepareBody(body, 0)) {
+        return;
+      }
+      if (!body.isWaiting()) {
+        sendContinueIfExpected(request);
       }
     }
     if (message instanceof HttpContent content) {
@@ -225,66 +246,227 @@
         false);
   }
 
+  private void sendContinueIfExpected(HttpRequest request) {
+    if (HttpUtil.is100ContinueExpected(request) && !responding && channelContext != null) {
+      channelContext.writeAndFlush(
+          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+    }
+  }
+
   private void handleBody(HttpContent content) {
     HttpRequest requestHead = incompleteRequest;
-    if (requestHead == null) {
+    IncomingBody incoming = body;
+    if (requestHead == null || incoming == null) {
+      return;
+    }
+    if (!prepareBody(incoming, content.content().readableBytes())) {
       return;
     }
-    int size = content.content().readableBytes();
-    if (body.size() + size > context.catalog().limits().maxBodyBytes()) {
+    incoming.add(content.content());
+    if (content instanceof LastHttpContent) {
       incompleteRequest = null;
-      if (responding) {
-        // A response now would belong to the request before.
-        closing = true;
-        return;
-      }
-      fail(
+      body = null;
+      partialRequestSinceMillis = -1;
+      complete(requestHead, incoming);
+    }
+  }
+
+  /** Reserves memory for a body that needs it; returns whether the request can go on. */
+  private boolean prepareBody(IncomingBody incoming, int addedBytes) {
+    if (incoming.isTooLarge(addedBytes)) {
+      rejectIncomplete(
           Failure.of(
               ResultCode.BODY_TOO_LARGE,
               "the request body exceeds the limit of "
                   + context.catalog().limits().maxBodyBytes()
                   + " bytes"));
+      return false;
+    }
+    if (!incoming.needsMemory(addedBytes)) {
+      return true;
+    }
+    if (!context.bodyMemory().canEverHold(BodyMemory.Use.REQUEST, incoming.finalBytes())) {
+      rejectIncomplete(
+          Failure.of(
+              ResultCode.BODY_TOO_LARGE,
+              "the request body may have "
+                  + incoming.finalBytes()
+                  + " bytes, which exceeds the memory of this host for bodies"));
+      return false;
+    }
+    long nowMillis = context.clock().nowMillis();
+    BodyMemory.Reservation reservation =
+        context
+            .bodyMemory()
+            .reserve(
+                BodyMemory.Use.REQUEST,
+                incoming.finalBytes(),
+                nowMillis,
+                timeoutMillis(incompleteRequest),
+                () -> continueReading(incoming, nowMillis));
+    incoming.setReservation(reservation);
+    if (!reservation.isGranted()) {
+      setReading(false);
+      context
+          .loop()
+          .schedule(
+              () -> rejectIfWaiting(incoming),
+              Math.max(1, reservation.giveUpAtMillis() - nowMillis),
+              TimeUnit.MILLISECONDS);
+    }
+    return true;
+  }
+
+  /** Returns the time that a request has, as far as its headers tell. */
+  private long timeoutMillis(@Nullable HttpRequest head) {
+    if (head == null) {
+      return 0;
+    }
+    FullHttpRequest withoutBody =
+        new DefaultFullHttpRequest(
+            head.protocolVersion(),
+            head.method(),
+            head.uri(),
+            Unpooled.EMPTY_BUFFER,
+            head.headers(),
+            EmptyHttpHeaders.INSTANCE);
+    if (!(context.protocol().readRequest(withoutBody)
+        instanceof Outcome.Success<InboundRequest> success)) {
+      return 0;
+    }
+    InboundRequest request = success.value();
+    return context
+        .catalog()
+        .routeFor(request.host(), request.path())
+        .map(route -> timeoutMillis(request, route))
+        .orElse(request.deadlineMillis());
+  }
+
+  private void continueReading(IncomingBody incoming, long sinceMillis) {
+    HttpRequest requestHead = incompleteRequest;
+    if (closing || body != incoming || requestHead == null) {
       return;
     }
-    body.writeBytes(ByteBufUtil.getBytes(content.content()));
-    if (content instanceof LastHttpContent) {
-      incompleteRequest = null;
-      partialRequestSinceMillis = -1;
-      FullHttpRequest completeRequest =
-          new DefaultFullHttpRequest(
-              requestHead.protocolVersion(),
-              requestHead.method(),
-              requestHead.uri(),
-              Unpooled.wrappedBuffer(body.toByteArray()),
-              requestHead.headers(),
-              EmptyHttpHeaders.INSTANCE);
-      processInOrder(completeRequest);
+    long nowMillis = context.clock().nowMillis();
+    bodyWaitedMillis = nowMillis - sinceMillis;
+    partialRequestSinceMillis = nowMillis;
+    sendContinueIfExpected(requestHead);
+    setReading(true);
+  }
+
+  private void rejectIfWaiting(IncomingBody incoming) {
+    BodyMemory.Reservation reservation = incoming.reservation();
+    long nowMillis = context.clock().nowMillis();
+    if (closing
+        || body != incoming
+        || reservation == null
+        || !context.bodyMemory().giveUp(reservation, nowMillis)) {
+      return;
+    }
+    rejectIncomplete(
+        Failure.retryLater(
+            ResultCode.SHED,
+            "the request was rejected before it ran: its body of up to "
+                + incoming.finalBytes()
+                + " bytes found no room among the bodies that this host holds; retry later",
+            BODY_RETRY_AFTER_MILLIS));
+  }
+
+  /** Rejects a request whose body has not been read, and closes the connection. */
+  private void rejectIncomplete(Failure failure) {
+    incompleteRequest = null;
+    releaseIncomingBody();
+    if (responding) {
+      // A response now would belong to the request before.
+      closing = true;
+      setReading(true);
+      return;
+    }
+    dropping = true;
+    respond(HttpResponseStatus.valueOf(failure.code().httpStatus()), failure, false);
+  }
+
+  private void releaseIncomingBody() {
+    IncomingBody incoming = body;
+    body = null;
+    if (incoming != null) {
+      incoming.discard();
+      releaseMemory(incoming.reservation());
+    }
+  }
+
+  private void releaseMemory(BodyMemory.@Nullable Reservation reservation) {
+    if (reservation != null) {
+      context.bodyMemory().release(reservation);
+    }
+  }
+
+  private void setReading(boolean reading) {
+    if (channelContext != null) {
+      channelContext.channel().config().setAutoRead(reading);
     }
   }
 
-  private void processInOrder(FullHttpRequest request) {
+  private void complete(HttpRequest head, IncomingBody incoming) {
+    byte[] bytes = incoming.complete();
+    BodyMemory.Reservation reservation = incoming.reservation();
+    if (incoming.isWaiting()) {
+      // All of it came with the part that made it large.
+      releaseMemory(reservation);
+      reservation = null;
+      setReading(true);
+    }
+    if (reservation != null) {
+      context.bodyMemory().shrink(reservation, bytes.length);
+    } else if (bytes.length > 0) {
+      reservation = context.bodyMemory().hold(BodyMemory.Use.REQUEST, bytes.length);
+    }
+    FullHttpRequest completeRequest =
+        new DefaultFullHttpRequest(
+            head.protocolVersion(),
+            head.method(),
+            head.uri(),
+            Unpooled.wrappedBuffer(bytes),
+            head.headers(),
+            EmptyHttpHeaders.INSTANCE);
+    processInOrder(new ReceivedRequest(completeRequest, reservation, bodyWaitedMillis));
+  }
+
+  private void processInOrder(ReceivedRequest received) {
     if (!responding) {
-      process(request);
+      process(received);
     } else if (pipelinedRequests.size() < MAX_PIPELINED_REQUESTS) {
-      pipelinedRequests.add(request);
+      pipelinedRequests.add(received);
     } else {
+      releaseMemory(received.bodyMemory());
       closing = true;
     }
   }
 
-  private void process(FullHttpRequest request) {
+  private void process(ReceivedRequest received) {
+    FullHttpRequest request = received.request();
     responding = true;
+    currentBodyMemory = received.bodyMemory();
     keepAlive = HttpUtil.isKeepAlive(request);
     headRequest = request.method().equals(HttpMethod.HEAD);
+    if (currentBodyMemory != null && !currentBodyMemory.isGranted()) {
+      fail(
+          Failure.retryLater(
+              ResultCode.SHED,
+              "the request was rejected before it ran: all memory for bodies is in use; retry later",
+              BODY_RETRY_AFTER_MILLIS));
+      return;
+    }
     switch (context.protocol().readRequest(request)) {
       case Outcome.Failed<InboundRequest> failed -> fail(failed.failure());
-      case Outcome.Success<InboundRequest> success -> routeWhenInitialized(success.value());
+      case Outcome.Success<InboundRequest> success ->
+          routeWhenInitialized(success.value(), received.waitedMillis());
     }
   }
 
   /** Routes a request; one that arrives before the catalog waits for it if its deadline allows. */
-  private void routeWhenInitialized(InboundRequest request) {
-    long nowMillis = context.clock().nowMillis();
+  private void routeWhenInitialized(InboundRequest request, long waitedMillis) {
+    long nowMillis = context.clock().nowMillis() - waitedMillis;
     boolean mayWait =
         request.deadlineMillis() <= 0 || request.deadlineMillis() >= MIN_DEADLINE_TO_WAIT_MILLIS;
     if (context.isInitialized()) {
@@ -334,10 +516,7 @@
               "the route requires the key of a workspace; the request has none or an unknown one"));
       return;
     }
-    long timeoutMillis =
-        request.deadlineMillis() > 0
-            ? Math.min(request.deadlineMillis(), route.timeoutMillis())
-            : route.timeoutMillis();
+    long timeoutMillis = timeoutMillis(request, route);
     if (!context.mayAccept(timeoutMillis)) {
       fail(
           Failure.retryLater(
@@ -375,6 +554,12 @@
     routedRequest.start();
   }
 
+  private static long timeoutMillis(InboundRequest request, Route route) {
+    return request.deadlineMillis() > 0
+        ? Math.min(request.deadlineMillis(), route.timeoutMillis())
+        : route.timeoutMillis();
+  }
+
   private static HomeRegions homeRegions(
       Catalog catalog, Route route, @Nullable CatalogWorkspace workspace) {
     return workspace == null || !catalog.needsKey(route)
@@ -500,20 +685,34 @@
   private void finishResponse(@Nullable ChannelFuture written, boolean keepOpen) {
     responding = false;
     currentRequest = null;
+    releaseMemory(currentBodyMemory);
+    currentBodyMemory = null;
     lastActivityMillis = context.clock().nowMillis();
     if (!keepOpen) {
       closing = true;
-      if (written != null) {
-        written.addListener(ChannelFutureListener.CLOSE);
-      }
+      closeAfter(written);
       return;
     }
-    FullHttpRequest next = pipelinedRequests.poll();
+    ReceivedRequest next = pipelinedRequests.poll();
     if (next != null) {
       process(next);
     }
   }
 
+  private void closeAfter(@Nullable ChannelFuture written) {
+    if (written != null && dropping) {
+      written.addListener(
+          EventLoops.guard(
+              future ->
+                  LingeringClose.start(
+                      written.channel(),
+                      context.loop(),
+                      context.catalog().limits().idleTimeoutMillis())));
+    } else if (written != null) {
+      written.addListener(ChannelFutureListener.CLOSE);
+    }
+  }
+
   // ---- closing ----------------------------------------------------------------------------------
 
   /**
@@ -552,6 +751,11 @@
     if (openRequest != null) {
       openRequest.onCallerDisconnected();
     }
+    releaseIncomingBody();
+    releaseMemory(currentBodyMemory);
+    currentBodyMemory = null;
+    pipelinedRequests.forEach(received -> releaseMemory(received.bodyMemory()));
+    pipelinedRequests.clear();
   }
 
   @Override
--- a/src/main/java/org/curranthaven/internal/relay/Gateway.java
+++ b/src/main/java/org/curranthaven/internal/relay/Gateway.java
@@ -70,6 +70,7 @@
   private final CrashProbe crashProbe;
   private final EndConfirmation endConfirmation;
   private final ResponseBuffers responseBuffers = new ResponseBuffers();
+  private final BodyMemory bodyMemory;
   private final RelayServer server;
   private final RequestPathWarmUp warmUp;
   private final RandomGenerator random;
@@ -89,6 +90,7 @@
     this.settings = settings;
     this.protocol = protocol;
     this.clock = clock;
+    this.bodyMemory = BodyMemory.of(settings.bodyMemoryBytes(), Runtime.getRuntime().maxMemory());
     long incarnation = clock.epochMillis();
     this.placementCounter = incarnation << PLACEMENT_IDS_BITS;
     String statusAddress = settings.statusAddress();
@@ -337,6 +339,11 @@
     return responseBuffers;
   }
 
+  @Override
+  public BodyMemory bodyMemory() {
+    return bodyMemory;
+  }
+
   @Override
   public String dataCentre() {
     return settings.dataCentre();
--- a/src/main/java/org/curranthaven/internal/relay/RelayContext.java
+++ b/src/main/java/org/curranthaven/internal/relay/RelayContext.java
@@ -27,6 +27,8 @@
 
   ResponseBuffers responseBuffers();
 
+  BodyMemory bodyMemory();
+
   String dataCentre();
 
   /** Returns the regions of the data centres. */
--- a/src/main/java/org/curranthaven/internal/relay/ResponseWatch.java
+++ b/src/main/java/org/curranthaven/internal/relay/ResponseWatch.java
@@ -1,5 +1,6 @@
 package org.curranthaven.internal.relay;
 
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -88,6 +89,11 @@
   }
 
   private void schedule(Runnable check, long delayMillis) {
-    context.loop().schedule(check, delayMillis, TimeUnit.MILLISECONDS);
+    if (attempt.hasEnded()) {
+      return;
+    }
+    ScheduledFuture<?> timer = context.loop().schedule(check, delayMillis, TimeUnit.MILLISECONDS);
+    // A timer keeps the attempt and its request with their bodies in memory.
+    attempt.whenEnded(() -> timer.cancel(false));
   }
 }
--- a/src/main/java/org/curranthaven/internal/relay/WarmUpContext.java
+++ b/src/main/java/org/curranthaven/internal/relay/WarmUpContext.java
@@ -50,6 +50,7 @@
   private final CrashProbe crashProbe;
   private final EndConfirmation endConfirmation;
   private final ResponseBuffers responseBuffers = new ResponseBuffers();
+  private final BodyMemory bodyMemory = BodyMemory.of(0, Runtime.getRuntime().maxMemory());
   private final Catalog catalog = createCatalog();
   private long placementCounter = 1;
   private long statusNumber;
@@ -211,6 +212,11 @@
     return responseBuffers;
   }
 
+  @Override
+  public BodyMemory bodyMemory() {
+    return bodyMemory;
+  }
+
   @Override
   public String dataCentre() {
     return NAME;
--- a/src/main/java/org/curranthaven/internal/settings/RoutedSettings.java
+++ b/src/main/java/org/curranthaven/internal/settings/RoutedSettings.java
@@ -43,6 +43,8 @@
  *     none
  * @param regions regions of the data centres
  * @param protocolFeatures functions that the deployment asks for, by their names in the protocol
+ * @param bodyMemoryBytes bound on the bodies that a gateway holds for all connections together; 0
+ *     for a part of the heap
  */
 public record RoutedSettings(
     String name,
@@ -63,7 +65,8 @@
     long registrationMillis,
     @Nullable ColdServerBound coldServerBound,
     DataCentreRegions regions,
-    List<String> protocolFeatures) {
+    List<String> protocolFeatures,
+    long bodyMemoryBytes) {
   private static final double MILLIS_PER_SECOND = 1_000;
 
   /** Most losses for which a voter group is practical: seven voters. */
@@ -90,7 +93,8 @@
           ColdServerBound.EXCESS_KEY,
           ColdServerBound.SLACK_KEY,
           "regions",
-          "protocolFeatures");
+          "protocolFeatures",
+          "bodyMemoryBytes");
 
   /** Number of consecutive missed registrations after which a backend server is removed. */
   private static final long MISSED_REGISTRATIONS_LIMIT = 5;
@@ -159,7 +163,8 @@
         registrationMillis,
         null,
         new DataCentreRegions(Map.of()),
-        List.of());
+        List.of(),
+        0);
   }
 
   private static void requireText(String key, @Nullable String text) {
@@ -224,7 +229,8 @@
         entries.number("registrationMillis", 0, 1, Long.MAX_VALUE),
         ColdServerBound.read(entries),
         new DataCentreRegions(entries.textsByName("regions")),
-        entries.optionalTextList("protocolFeatures"));
+        entries.optionalTextList("protocolFeatures"),
+        entries.number("bodyMemoryBytes", 0, 0, Long.MAX_VALUE));
   }
 
   /** Returns whether the host accepts requests from callers. */
--- a/src/main/java/org/curranthaven/platform/RequestTranslation.java
+++ b/src/main/java/org/curranthaven/platform/RequestTranslation.java
@@ -1,5 +1,6 @@
 package org.curranthaven.platform;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -55,7 +56,12 @@
             headers.get(Headers.LAST_EVENT_ID, ""),
             resumedRequestId(headers.getAll(Headers.RESUMED_REQUEST_ID)),
             forwardedHeaders(headers),
-            ByteBufUtil.getBytes(request.content())));
+            bytesOf(request.content())));
+  }
+
+  /** Returns the body, which is not copied if the buffer holds nothing else. */
+  private static byte[] bytesOf(ByteBuf content) {
+    return ByteBufUtil.getBytes(content, content.readerIndex(), content.readableBytes(), false);
   }
 
   /** Encodes what {@link #read} decodes, for a caller without a key. */
--- a/src/test/java/org/curranthaven/platform/FleetProcesses.java
+++ b/src/test/java/org/curranthaven/platform/FleetProcesses.java
@@ -130,6 +130,11 @@
     start(GATEWAY + number, gatewayIp(number), settings);
   }
 
+  /** Returns whether the process of a gateway runs. */
+  boolean isGatewayRunning(int number) {
+    return Objects.requireNonNull(processes.get(GATEWAY + number)).isAlive();
+  }
+
   /** Kills a gateway, or stops it as planned, and waits until it has ended. */
   void stopGateway(int number, boolean planned) throws Exception {
     stop(GATEWAY + number, planned);
--- a/src/test/java/org/curranthaven/platform/RoutedFleetFixture.java
+++ b/src/test/java/org/curranthaven/platform/RoutedFleetFixture.java
@@ -157,7 +157,8 @@
         60_000,
         null,
         new DataCentreRegions(Map.of("here", "north", "there", "south")),
-        List.of());
+        List.of(),
+        0);
   }
 
   HttpResponse<String> sendControlRequest(String method, String path, String body)
