A new leader runs a suspect only once it knows what all gateways run

Callers saw no error. A request under which a backend server has crashed may run on one server at a time, so that no more of them crash than the verdict needs (BUDGET). A new leader placed it 250 ms after its start although a gateway that it had not heard was still running it.

Cause: the leader took the gateways that it heard in the rebuild for all there are. EarlierGateways keeps the number that gateways report of the time before, and the leader holds suspects until so many have told what they run, or until the longest timeout of a route has passed since its start; gateways on their own run no suspect. The number of lately known gateways moves there from Scheduler.

Not covered: a gateway that joined after the leader's start counts like one from before.

--- a/src/main/java/org/curranthaven/internal/catalog/Catalog.java
+++ b/src/main/java/org/curranthaven/internal/catalog/Catalog.java
@@ -98,6 +98,15 @@
         : routes.stream().filter(route -> path.startsWith(route.pathPrefix())).findFirst();
   }
 
+  /** Returns the longest time that any route allows a request; 0 without routes. */
+  public long longestTimeoutMillis() {
+    return routesByHost.values().stream()
+        .flatMap(List::stream)
+        .mapToLong(Route::timeoutMillis)
+        .max()
+        .orElse(0);
+  }
+
   /** Returns the service with the name; null if the catalog does not define it. */
   public @Nullable ServiceSpec service(String name) {
     return services.get(name);
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -83,11 +83,8 @@
   /** Gateways that may place requests locally, and when their connections were lost. */
   private final Map<String, Long> lostGateways = new HashMap<>();
 
-  /**
-   * Most gateways that earlier leaders were connected to, as gateways report it. Those that have
-   * not found this leader yet place requests locally.
-   */
-  private int reportedGateways;
+  /** Those that have not found this leader yet place requests locally. */
+  private EarlierGateways earlierGateways = new EarlierGateways(false, 0);
 
   private final PendingAcknowledgements pendingAcknowledgements = new PendingAcknowledgements();
   private final RepeatedRequests repeatedRequests = new RepeatedRequests();
@@ -187,7 +184,7 @@
     registry = new BackendRegistry();
     gatewayViews.clear();
     lostGateways.clear();
-    reportedGateways = 0;
+    earlierGateways = new EarlierGateways(catalog.revision() > 0, nowMillis);
     viewVersion = 1;
     startedAtMillis = nowMillis;
     rebuilding = true;
@@ -292,7 +289,7 @@
 
   private void heartbeat(long nowMillis) {
     lastHeartbeatMillis = nowMillis;
-    updateRateShare(nowMillis);
+    updateGatewayCounts(nowMillis);
     knowledge
         .capacities()
         .publishChanged(nowMillis)
@@ -305,15 +302,16 @@
     connected.forEach(gateway -> sendView(gateway, connected.size()));
   }
 
-  /** Leaves lost gateways their share of the rates that backend servers accept. */
-  private void updateRateShare(long nowMillis) {
+  /** Leaves lost gateways their share of the accepted rates, and their runs of suspects. */
+  private void updateGatewayCounts(long nowMillis) {
     lostGateways.values().removeIf(lostAt -> nowMillis - lostAt > LOST_GATEWAY_SHARE_MILLIS);
     double connected = Math.max(1, gateways.get().size());
     double all = connected + lostGateways.size();
     knowledge.rateLimits().setShare(connected / all);
     boolean recent = nowMillis - startedAtMillis <= LOST_GATEWAY_SHARE_MILLIS;
-    double allReported = recent ? Math.max(all, reportedGateways) : all;
+    double allReported = recent ? Math.max(all, earlierGateways.mostLately()) : all;
     knowledge.rateLimits().coldServers().setShare(connected / allReported);
+    knowledge.crashes().setKnowsAllRuns(earlierGateways.areRunsKnown(catalog, nowMillis));
   }
 
   private void sendView(HostRecord gateway, int gatewayCount) {
@@ -460,8 +458,8 @@
   }
 
   private void restore(HostRecord from, GatewayStatus status, long nowMillis) {
-    reportedGateways = Math.max(reportedGateways, status.getMostGateways());
-    updateRateShare(nowMillis);
+    earlierGateways.recordFullStatus(from.getName(), status);
+    updateGatewayCounts(nowMillis);
     status.getGoneList().forEach(id -> registry.remove(id, nowMillis));
     for (BackendRecord record : status.getBackendsList()) {
       knowledge.rateLimits().coldServers().restore(record, nowMillis);
@@ -626,7 +624,7 @@
     if (term > 0) {
       gatewayViews.remove(gateway.getName());
       lostGateways.put(gateway.getName(), clock.nowMillis());
-      updateRateShare(clock.nowMillis());
+      updateGatewayCounts(clock.nowMillis());
       core.removeGateway(gateway.getName(), clock.nowMillis());
       sendDecisions();
       completeAcknowledged();
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -11,12 +11,16 @@
 import java.util.function.Consumer;
 import org.curranthaven.internal.catalog.Catalog;
 import org.curranthaven.internal.catalog.ColdStart;
+import org.curranthaven.internal.catalog.Repeatability;
 import org.curranthaven.internal.catalog.RequestLimits;
+import org.curranthaven.internal.catalog.Route;
 import org.curranthaven.internal.catalog.ServiceSpec;
 import org.curranthaven.internal.catalog.ServiceVersion;
+import org.curranthaven.internal.catalog.ServiceWeight;
 import org.curranthaven.internal.dispatch.DispatchFeatures;
 import org.curranthaven.internal.dispatch.RetryLimits;
 import org.curranthaven.internal.relay.ManualTime;
+import org.curranthaven.internal.transport.wire.BackendCrash;
 import org.curranthaven.internal.transport.wire.BackendRecord;
 import org.curranthaven.internal.transport.wire.BackendStatement;
 import org.curranthaven.internal.transport.wire.DispatchEnd;
@@ -489,6 +493,84 @@
     assertThat(placedAt(4)).isNotEmpty();
   }
 
+  /** Starts a leader that hears g1, and not g2, of two gateways that placed requests before. */
+  private void startLeadingWithoutOneGateway(long timeoutMillis) {
+    scheduler.applyCatalog(catalogWithTimeout(timeoutMillis), ByteString.copyFromUtf8("document"));
+    gateways.removeLast();
+    scheduler.setTerm(5, List.of());
+    scheduler.handleStatus(
+        host("g1"),
+        GatewayStatus.newBuilder()
+            .setTerm(5)
+            .setFull(true)
+            .setMostGateways(2)
+            .addCrashSuspects(
+                SuspectRecord.newBuilder()
+                    .setService("plain")
+                    .setFingerprint(0xbadL)
+                    .addCrashes(BackendCrash.newBuilder().setBackend("i-9").setAgeMillis(900)))
+            .build());
+    time.advance(AFTER_REBUILD_MILLIS);
+    for (String id : List.of("i-11", "i-12")) {
+      scheduler.register(
+          backend(1, false).toBuilder().setId(id).build(), new RecordedResult()::accept);
+    }
+  }
+
+  private static Catalog catalogWithTimeout(long timeoutMillis) {
+    Route route =
+        new Route(
+            "pages",
+            "site.example",
+            "/",
+            Repeatability.IDEMPOTENT,
+            timeoutMillis,
+            400,
+            0,
+            1,
+            3,
+            false,
+            false,
+            List.of(new ServiceWeight("plain", 1)));
+    return new Catalog(
+        8,
+        List.of(route),
+        List.of(new ServiceSpec("plain", 100, null)),
+        RequestLimits.standard(),
+        null);
+  }
+
+  /** Guards against a second run of a suspect that runs through a gateway not heard by a leader. */
+  @Test
+  void a_new_leader_places_no_suspect_until_all_earlier_gateways_have_told_what_they_run() {
+    startLeadingWithoutOneGateway(39_000);
+    ask("g1", suspect(1));
+    ask("g1", placementRequest(2));
+    time.advance(1_000);
+    assertThat(placedAt(1)).isEmpty();
+    assertThat(placedAt(2)).isNotEmpty();
+
+    gateways.add(host("g2"));
+    scheduler.gatewayConnected(host("g2"));
+    receiveStatus("g2", 0, 0, true);
+    time.advance(200);
+
+    assertThat(placedAt(1)).isNotEmpty();
+  }
+
+  /** Guards against a suspect that is held back for ever by a gateway that does not come back. */
+  @Test
+  void a_new_leader_places_a_suspect_once_no_run_of_an_earlier_gateway_can_last() {
+    startLeadingWithoutOneGateway(2_000);
+    ask("g1", suspect(1));
+    time.advance(1_400);
+    assertThat(placedAt(1)).isEmpty();
+
+    time.advance(700);
+
+    assertThat(placedAt(1)).isNotEmpty();
+  }
+
   /** Guards against more requests on a server than it has room for, which it then rejects. */
   @Test
   void nothing_is_placed_on_the_slots_of_a_gateway_while_it_reports_its_state() {
