Count a retry when it is placed, not when it begins to wait

Backend servers got more retries of a service in a window than its limit allows (BUDGET). A retry was counted when it was allowed; it may then wait for room up to its target. Those that were allowed over some seconds reached the servers at once when there was room again, together with all that were allowed in the window after, since the earlier ones had left the count by then.

A retry that is allowed now takes up room as long as it waits (WaitingRetries), and for a window from its placement on. One that is rejected or cancelled while it waits leaves its room to others: it never reached a server.

A wait lasts no longer than the target of the route, so that the excess grows with it; shorter ones were not tried.

RetryAccountsTest now places each retry that it asks for; its figures stay. Two tests of it are new.

--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -913,6 +913,7 @@
     admission.recordPlacement(running, nowMillis);
     capacityView.recordPlacement(running, chosen, nowMillis);
     rateLimits.recordPlacement(chosen.id(), nowMillis);
+    retries.placed(running.id, retryLimits, nowMillis);
     chosen.promptPartCache.add(running.request.getPartsList());
     backupPlanner.assign(chosen, running, nowMillis);
     decisions.add(placementOf(running, chosen));
--- a/src/main/java/org/curranthaven/internal/dispatch/GatewayRetries.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/GatewayRetries.java
@@ -22,6 +22,7 @@
   private static final int REPORTED_BUCKETS = 5;
 
   private final Map<String, RetryWindow> windows = new HashMap<>();
+  private final WaitingRetries waiting = new WaitingRetries();
   private final RetryRefusals refusals = new RetryRefusals();
   private final long startedAtMillis;
   private int mostGateways = 1;
@@ -78,24 +79,43 @@
     boolean remembersWindow = RetryReserve.remembers(memoryMillis(nowMillis), limits);
     double maxRetries =
         remembersWindow ? RetryReserve.maxRetries(sums.requests(), mostGateways, limits) : 0;
-    if (sums.reserveRetries() + 1 > maxRetries) {
+    int counted = sums.reserveRetries() + waiting.count(service);
+    if (counted + 1 > maxRetries) {
       refusals.record(
           service,
           () ->
               new RetryRefusal(
                   service,
                   sums.requests(),
-                  sums.reserveRetries(),
+                  counted,
                   maxRetries,
                   "reserve of one of " + mostGateways + " gateways"),
           limits,
           nowMillis);
       return false;
     }
-    window.addRetries(1, 1, nowMillis, nowMillis);
+    waiting.add(requestId, service, true);
     return true;
   }
 
+  @Override
+  public void placed(RequestId requestId, RetryLimits limits, long nowMillis) {
+    WaitingRetries.Retry retry = waiting.remove(requestId);
+    if (retry != null) {
+      retryPlaced(retry.service(), true, limits, nowMillis);
+    }
+  }
+
+  @Override
+  public void requestEnded(RequestId requestId) {
+    waiting.remove(requestId);
+  }
+
+  /** Starts to decide without a scheduler: the retries that wait are asked for again. */
+  public void startFallback() {
+    waiting.clear();
+  }
+
   @Override
   public List<RetryRefusal> drainRefusals() {
     return refusals.drain();
--- a/src/main/java/org/curranthaven/internal/dispatch/RetryAccounts.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/RetryAccounts.java
@@ -18,11 +18,17 @@
   /** Counts a request at its first placement. */
   void recordRequest(RequestId requestId, String service, RetryLimits limits, long nowMillis);
 
-  /** Counts a retry if there is room for it; returns whether there is. */
+  /**
+   * Allows a retry if there is room for it; returns whether there is. It takes up the room until it
+   * is placed, however long it waits, and for a window from then on.
+   */
   boolean tryRetry(RequestId requestId, String service, RetryLimits limits, long nowMillis);
 
+  /** Handles the placement of a request; counts it if it is a retry that was allowed. */
+  void placed(RequestId requestId, RetryLimits limits, long nowMillis);
+
   /** Handles the end of a request, or its rejection; nothing is decided about it any more. */
-  default void requestEnded(RequestId requestId) {}
+  void requestEnded(RequestId requestId);
 
   /** Returns and clears the first retries of a window that were refused, to be logged. */
   List<RetryRefusal> drainRefusals();
--- a/src/main/java/org/curranthaven/internal/dispatch/SchedulerRetries.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/SchedulerRetries.java
@@ -18,11 +18,13 @@
  * retries.start(true, nowMillis);
  * retries.restore("gateway-1", counts, memoryMillis, 8, limits, nowMillis);
  * boolean allowed = retries.tryRetry(requestId, "plain", limits, nowMillis);
+ * retries.placed(requestId, limits, laterMillis);
  * }</pre>
  */
 public final class SchedulerRetries implements RetryAccounts {
   private final Map<String, ServiceCounts> services = new HashMap<>();
   private final Map<String, Long> memoryStarts = new HashMap<>();
+  private final WaitingRetries waiting = new WaitingRetries();
   private final Set<RequestId> onReserve = new HashSet<>();
   private final RetryRefusals refusals = new RetryRefusals();
 
@@ -135,7 +137,10 @@
     RetryWindow window = windowOf(known, requestId.gateway(), limits);
     boolean shared = knowsAll(limits, nowMillis);
     RetryWindow.Sums sums = (shared ? known.all : window).sums(nowMillis);
-    int counted = shared ? sums.retries() : sums.reserveRetries();
+    int counted =
+        shared
+            ? sums.retries() + waiting.count(service)
+            : sums.reserveRetries() + waiting.countOnReserve(service, requestId.gateway());
     double maxRetries =
         shared
             ? SHARED_PART * (limits.ratio() * sums.requests() + limits.fixedRetries())
@@ -159,11 +164,21 @@
     if (!shared) {
       onReserve.add(requestId);
     }
-    known.all.addRetries(1, shared ? 0 : 1, nowMillis, nowMillis);
-    window.addRetries(1, shared ? 0 : 1, nowMillis, nowMillis);
+    waiting.add(requestId, service, !shared);
     return true;
   }
 
+  @Override
+  public void placed(RequestId requestId, RetryLimits limits, long nowMillis) {
+    WaitingRetries.Retry retry = waiting.remove(requestId);
+    if (retry != null) {
+      ServiceCounts known = countsOf(retry.service(), limits);
+      int reserved = retry.onReserve() ? 1 : 0;
+      known.all.addRetries(1, reserved, nowMillis, nowMillis);
+      windowOf(known, requestId.gateway(), limits).addRetries(1, reserved, nowMillis, nowMillis);
+    }
+  }
+
   private double maxOnReserve(String gateway, int requests, RetryLimits limits, long nowMillis) {
     Long memoryStartMillis = memoryStarts.get(gateway);
     return memoryStartMillis != null
@@ -179,6 +194,7 @@
 
   @Override
   public void requestEnded(RequestId requestId) {
+    waiting.remove(requestId);
     onReserve.remove(requestId);
   }
 
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -909,6 +909,7 @@
     DispatchCore core =
         new DispatchCore(retryLimits, gatewayCount, random, Set.of(), knowledge, features);
     localDispatch = core;
+    retries.startFallback();
     awaitingScheduler.schedulerLost(nowMillis);
     backends.recordServing(nowMillis);
     knowledge.capacities().restoreReceived(nowMillis);
--- a/src/test/java/org/curranthaven/internal/dispatch/RetryAccountsTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/RetryAccountsTest.java
@@ -34,6 +34,7 @@
   private static int allowed(RetryAccounts accounts, String gateway, long nowMillis) {
     int allowed = 0;
     while (accounts.tryRetry(new RequestId(gateway, allowed), "plain", LIMITS, nowMillis)) {
+      accounts.placed(new RequestId(gateway, allowed), LIMITS, nowMillis);
       allowed++;
     }
     return allowed;
@@ -178,4 +179,28 @@
     assertThat(counts).hasSizeLessThanOrEqualTo(21);
     assertThat(counts.stream().mapToInt(RetryCount::getRetries).sum()).isBetween(1_000, 1_010);
   }
+
+  @Test
+  void a_retry_that_waits_takes_up_room_until_it_is_placed_and_for_a_window_from_then_on() {
+    scheduler.start(false, 0);
+    for (int i = 0; i < 40; i++) {
+      assertThat(scheduler.tryRetry(new RequestId("g2", i), "plain", LIMITS, 20_000)).isTrue();
+    }
+    assertThat(allowed("g1", 34_000)).isZero();
+
+    scheduler.placed(new RequestId("g2", 0), LIMITS, 34_000);
+    assertThat(allowed("g1", 43_000)).isZero();
+    assertThat(allowed("g1", 44_200)).isEqualTo(1);
+  }
+
+  @Test
+  void a_retry_that_is_rejected_or_cancelled_before_it_is_placed_leaves_its_room_to_others() {
+    scheduler.start(false, 0);
+    for (int i = 0; i < 40; i++) {
+      scheduler.tryRetry(new RequestId("g2", i), "plain", LIMITS, 20_000);
+    }
+    scheduler.requestEnded(new RequestId("g2", 7));
+
+    assertThat(allowed("g1", 20_010)).isEqualTo(1);
+  }
 }
