Tell the next scheduler of a crash that the last one may not have read

Callers saw no error. When a backend server crashed under a request and the scheduler was lost before it read the report, nobody counted the crash: the request ran again at once, and could crash one more server than the verdict needs (BUDGET).

Cause: nothing acknowledges a report, and the gateway kept nothing of one that it had sent. RecentCrashReports keeps each for 2 s with the runs that it is about. If the scheduler is lost or replaced meanwhile, the gateway counts the crash itself, and its next full status tells the next scheduler. A crash that is known already counts once, since crashes are kept by backend server. What SchedulerLink logs of ignored decisions moves to LinkCounters.

SchedulerLinkTest.a_crash_that_was_told_to_a_ scheduler_lost_since_is_told_to_the_next and ..._replaced_since_... failed before (no crash was told) and hold now; a third test holds that a crash is not told again once the scheduler has had time to count it.

--- a/src/main/java/org/curranthaven/internal/relay/LinkCounters.java
+++ b/src/main/java/org/curranthaven/internal/relay/LinkCounters.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Supplier;
 import org.curranthaven.internal.supervision.LineLimit;
+import org.curranthaven.internal.transport.wire.DispatchOrders;
 import org.tinylog.Logger;
 
 /**
@@ -65,6 +66,29 @@
     }
   }
 
+  /** Counts decisions that are ignored, of another term or status than the present ones. */
+  void recordIgnored(
+      Reason reason, DispatchOrders orders, long term, long statusNumber, long nowMillis) {
+    int count =
+        orders.getPlacementsCount()
+            + orders.getRefusalsCount()
+            + orders.getStopsCount()
+            + orders.getMovesCount();
+    recordIgnored(
+        reason,
+        count,
+        () ->
+            "of term "
+                + orders.getTerm()
+                + " and status "
+                + orders.getStatusNumber()
+                + ", here "
+                + term
+                + " and "
+                + statusNumber,
+        nowMillis);
+  }
+
   private LongAdder total(Reason reason) {
     return Objects.requireNonNull(ignored.get(reason));
   }
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -1,7 +1,6 @@
 package org.curranthaven.internal.relay;
 
 import io.netty.channel.EventLoop;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -13,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 import org.curranthaven.internal.catalog.Catalog;
 import org.curranthaven.internal.dispatch.BackendStatements;
 import org.curranthaven.internal.dispatch.DispatchCore;
@@ -112,6 +112,8 @@
 
   private final LinkCounters counters = new LinkCounters();
 
+  private final RecentCrashReports crashReports;
+
   private String scheduler = "";
   private long term;
   private long viewVersion;
@@ -164,6 +166,7 @@
     this.retries = new GatewayRetries(clock.nowMillis());
     this.knowledge = SharedKnowledge.ofGateway(random, retries);
     this.backends = new KnownBackends(knowledge);
+    this.crashReports = new RecentCrashReports(self);
   }
 
   /** Returns the backend server with the given id, or null if it is unknown or removed. */
@@ -327,6 +330,10 @@
         scheduler,
         term,
         openRequests.size());
+    if (localDispatch == null && !crashReports.isEmpty(clock.nowMillis())) {
+      // The scheduler before may not have read of these crashes; the core records who is suspect.
+      newLocalDispatch(clock.nowMillis());
+    }
     localDispatch = null;
     sendState();
   }
@@ -394,11 +401,7 @@
           .addAllRetryCounts(retries.export(clock.nowMillis()))
           .setRetryMemoryMillis(retries.memoryMillis(clock.nowMillis()))
           .setMostGatewaysKnown(retries.mostGateways());
-      for (PlacementListener request : openRequests.values()) {
-        if (!request.backend().isEmpty()) {
-          status.addOpen(runningDispatch(request));
-        }
-      }
+      placedRequests().forEach(status::addOpen);
     }
     sender.accept(scheduler, Envelope.newBuilder().setGatewayStatus(status));
   }
@@ -408,6 +411,12 @@
     return placementRequest.toBuilder().setCounted(true).build();
   }
 
+  private Stream<RunningDispatch> placedRequests() {
+    return openRequests.values().stream()
+        .filter(request -> !request.backend().isEmpty())
+        .map(SchedulerLink::runningDispatch);
+  }
+
   private static RunningDispatch runningDispatch(PlacementListener request) {
     return RunningDispatch.newBuilder()
         .setAsk(request.placementRequest())
@@ -507,6 +516,9 @@
   @Override
   public void reportCrash(String backend) {
     if (isConnected()) {
+      List<RunningDispatch> runs =
+          placedRequests().filter(run -> run.getBackend().equals(backend)).toList();
+      crashReports.add(backend, runs, clock.nowMillis());
       send(DispatchRequests.newBuilder().addCrashedBackends(backend));
       return;
     }
@@ -789,24 +801,7 @@
   }
 
   private void recordIgnored(LinkCounters.Reason reason, DispatchOrders orders) {
-    int count =
-        orders.getPlacementsCount()
-            + orders.getRefusalsCount()
-            + orders.getStopsCount()
-            + orders.getMovesCount();
-    counters.recordIgnored(
-        reason,
-        count,
-        () ->
-            "of term "
-                + orders.getTerm()
-                + " and status "
-                + orders.getStatusNumber()
-                + ", here "
-                + term
-                + " and "
-                + statusNumber,
-        clock.nowMillis());
+    counters.recordIgnored(reason, orders, term, statusNumber, clock.nowMillis());
   }
 
   // ---- local fallback ---------------------------------------------------------------------------
@@ -904,32 +899,33 @@
     }
   }
 
-  private DispatchCore startLocalFallback() {
+  private void startLocalFallback() {
     long nowMillis = clock.nowMillis();
-    DispatchCore core =
-        new DispatchCore(retryLimits, gatewayCount, random, Set.of(), knowledge, features);
-    localDispatch = core;
     retries.startFallback();
     awaitingScheduler.schedulerLost(nowMillis);
     backends.recordServing(nowMillis);
     knowledge.capacities().restoreReceived(nowMillis);
     knowledge.rateLimits().setShare(1.0 / mostGateways);
     knowledge.crashes().setKnowsAllRuns(retries.mostGateways() == 1);
+    DispatchCore core = newLocalDispatch(nowMillis);
+    localDispatch = core;
+    List.copyOf(openRequests.values()).stream()
+        .filter(request -> request.backend().isEmpty())
+        .forEach(request -> submitLocally(core, request.placementRequest()));
+    loop.execute(this::applyLocalDecisions);
+    scheduleCheck();
+  }
+
+  /** Creates a core that knows what this gateway runs, and the crashes that it has seen lately. */
+  private DispatchCore newLocalDispatch(long nowMillis) {
+    DispatchCore core =
+        new DispatchCore(retryLimits, gatewayCount, random, Set.of(), knowledge, features);
     core.setCatalog(catalog);
     core.setEvacuated(evacuated.names(), nowMillis);
     backends.withColdTimes(nowMillis).forEach(record -> core.updateBackend(record, nowMillis));
-    List<PlacementRequest> queued = new ArrayList<>();
-    openRequests.forEach(
-        (id, request) -> {
-          if (request.backend().isEmpty()) {
-            queued.add(request.placementRequest());
-          } else {
-            core.restoreRunning(requestId(id), runningDispatch(request), nowMillis);
-          }
-        });
-    queued.forEach(placementRequest -> submitLocally(core, placementRequest));
-    loop.execute(this::applyLocalDecisions);
-    scheduleCheck();
+    placedRequests()
+        .forEach(run -> core.restoreRunning(requestId(run.getAsk().getId()), run, nowMillis));
+    crashReports.replay(core, openRequests.keySet(), nowMillis);
     return core;
   }
 
--- a/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
@@ -1158,4 +1158,62 @@
 
     assertThat(fullStatuses()).isEqualTo(1);
   }
+
+  /** Tells the scheduler of a crash under a request, which ends with it. */
+  private void crashUnderRequest() {
+    publishView("control-1", 3, 1, "i-1", "i-2");
+    RecordingListener request =
+        new RecordingListener(
+            PlacementRequest.newBuilder()
+                .setId(7)
+                .setService("plain")
+                .setFingerprint(0xbadL)
+                .setTargetLeftMillis(500)
+                .setDeadlineLeftMillis(3_000)
+                .build());
+    requestPlacement(request);
+    link.handle(
+        "control-1",
+        currentOrders().addPlacements(Placement.newBuilder().setId(7).setBackend("i-1")).build());
+    link.reportCrash("i-1");
+    link.reportEnd(7, DispatchOutcome.DISPATCH_OUTCOME_CONNECTION_LOST, 0);
+  }
+
+  private List<String> crashesToldTo(String scheduler, long newTerm) {
+    publishView(scheduler, newTerm, 1, "i-1", "i-2");
+    return lastStatus().getCrashSuspectsList().stream()
+        .filter(suspect -> suspect.getFingerprint() == 0xbadL)
+        .flatMap(suspect -> suspect.getCrashesList().stream())
+        .map(BackendCrash::getBackend)
+        .toList();
+  }
+
+  /** Guards against one more crash under a request whose crash was told to a lost leader. */
+  @Test
+  void a_crash_that_was_told_to_a_scheduler_lost_since_is_told_to_the_next() {
+    crashUnderRequest();
+
+    link.disconnected("control-1");
+
+    assertThat(crashesToldTo("control-2", 4)).containsExactly("i-1");
+  }
+
+  @Test
+  void a_crash_that_was_told_to_a_scheduler_replaced_since_is_told_to_the_next() {
+    crashUnderRequest();
+
+    assertThat(crashesToldTo("control-2", 4)).containsExactly("i-1");
+  }
+
+  /** Guards against a verdict of the scheduler that is undone when the scheduler changes later. */
+  @Test
+  void a_crash_that_the_scheduler_has_had_time_to_count_is_not_told_again() {
+    crashUnderRequest();
+    for (int i = 0; i < 11; i++) {
+      time.advance(200);
+      publishView("control-1", 3, 1, "i-1", "i-2");
+    }
+
+    assertThat(crashesToldTo("control-2", 4)).isEmpty();
+  }
 }
