Count a crash that is told again at its own time, and only to another scheduler

A gateway that told its next scheduler of recent crashes counted them as of that moment. Crashes with one cause then counted one by one, so that what ran on three servers of a lost rack could be blocked for the whole fleet, and a request that had been served since became a suspect again. It also counted them when the same scheduler asked for the full status.

A crash is now counted at the time of its report, with what ran there placed before any crash of the same cause; a crash from before the latest sound run of a suspect shows nothing; and a gateway counts crashes only for a scheduler other than the one that it told. Three tests of SchedulerLinkTest guard against each.

--- a/src/main/java/org/curranthaven/internal/dispatch/CrashEvidence.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/CrashEvidence.java
@@ -34,7 +34,7 @@
    * Time within which crashes count as one, unless a request with the suspect was placed in
    * between: a rack or data centre that is lost takes several backend servers with one cause.
    */
-  static final long SAME_CAUSE_MILLIS = 100;
+  public static final long SAME_CAUSE_MILLIS = 100;
 
   /** How long a suspect stays blocked the first time; doubles with each further time. */
   static final long FIRST_BLOCK_MILLIS = 600_000;
--- a/src/main/java/org/curranthaven/internal/dispatch/SuspectHistory.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/SuspectHistory.java
@@ -82,9 +82,13 @@
 
   /**
    * Records a crash under a request that was placed at the given time. Crashes at the same time
-   * have one cause, unless the request came after the first.
+   * have one cause, unless the request came after the first. A crash from before the latest sound
+   * run, of which this host hears late, shows nothing.
    */
   void recordCrash(String backend, long placedAtMillis, long crashedAtMillis) {
+    if (crashedAtMillis <= servedAtMillis) {
+      return;
+    }
     boolean sameCause =
         crashMillis.values().stream()
             .anyMatch(
--- a/src/main/java/org/curranthaven/internal/relay/RecentCrashReports.java
+++ b/src/main/java/org/curranthaven/internal/relay/RecentCrashReports.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import org.curranthaven.internal.dispatch.CrashEvidence;
 import org.curranthaven.internal.dispatch.DispatchCore;
 import org.curranthaven.internal.dispatch.RequestId;
 import org.curranthaven.internal.transport.wire.DispatchOutcome;
@@ -41,25 +42,27 @@
   }
 
   /**
-   * Has a core count the crashes, as if it had placed what ran there. A crash that is known from
-   * the scheduler counts once.
+   * Has a core count the crashes at the time at which each was reported, as if it had placed what
+   * ran there. A crash that is known from the scheduler counts once; so do crashes in quick
+   * succession, since it is not known that a request was placed between them.
    *
    * @param running ids of the requests that the core knows to run
    */
-  void replay(DispatchCore core, Set<Long> running, long nowMillis) {
-    expire(nowMillis);
+  void replay(DispatchCore core, Set<Long> running) {
     for (Report report : reports) {
+      long crashedAtMillis = report.reportedAtMillis();
+      long placedAtMillis = crashedAtMillis - CrashEvidence.SAME_CAUSE_MILLIS;
       List<RunningDispatch> ended =
           report.runs().stream().filter(run -> !running.contains(run.getAsk().getId())).toList();
-      ended.forEach(run -> core.restoreRunning(idOf(run), run, nowMillis));
-      core.backendCrashed(report.backend(), nowMillis);
+      ended.forEach(run -> core.restoreRunning(idOf(run), run, placedAtMillis));
+      core.backendCrashed(report.backend(), crashedAtMillis);
       ended.forEach(
           run ->
               core.requestEnded(
                   idOf(run),
                   DispatchOutcome.DISPATCH_OUTCOME_CONNECTION_LOST,
                   run.getOutputTokens(),
-                  nowMillis));
+                  crashedAtMillis));
     }
   }
 
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -275,7 +275,7 @@
     boolean updated = applyBackendUpdate(view);
     knowledge.capacities().merge(view.getCapacitiesList(), backends::get, clock.nowMillis());
     if (schedulerChanged || reconnected || isFullStatusDue(view)) {
-      followScheduler();
+      followScheduler(schedulerChanged);
     } else if (updated || !view.getCatalog().isEmpty() || view.hasEvacuation()) {
       sendStatus(false);
     }
@@ -324,13 +324,13 @@
     }
   }
 
-  private void followScheduler() {
+  private void followScheduler(boolean schedulerChanged) {
     Logger.info(
         "following scheduler {} in term {} with {} open requests",
         scheduler,
         term,
         openRequests.size());
-    if (localDispatch == null && !crashReports.isEmpty(clock.nowMillis())) {
+    if (schedulerChanged && localDispatch == null && !crashReports.isEmpty(clock.nowMillis())) {
       // The scheduler before may not have read of these crashes; the core records who is suspect.
       newLocalDispatch(clock.nowMillis());
     }
@@ -925,7 +925,7 @@
     backends.withColdTimes(nowMillis).forEach(record -> core.updateBackend(record, nowMillis));
     placedRequests()
         .forEach(run -> core.restoreRunning(requestId(run.getAsk().getId()), run, nowMillis));
-    crashReports.replay(core, openRequests.keySet(), nowMillis);
+    crashReports.replay(core, openRequests.keySet());
     return core;
   }
 
--- a/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
@@ -1216,4 +1216,71 @@
 
     assertThat(crashesToldTo("control-2", 4)).isEmpty();
   }
+
+  /** Guards against a suspect that counts as such again although it was served since. */
+  @Test
+  void a_crash_before_a_sound_run_of_the_request_is_not_told_to_the_next_scheduler() {
+    crashUnderRequest();
+    time.advance(200);
+    SuspectRecord served =
+        SuspectRecord.newBuilder()
+            .setService("plain")
+            .setFingerprint(0xbadL)
+            .setHadOutput(true)
+            .setOutputAgeMillis(100)
+            .build();
+    link.handle(
+        "control-1",
+        SchedulerView.newBuilder()
+            .setTerm(3)
+            .setVersion(1)
+            .setGateways(3)
+            .addCrashSuspects(served)
+            .build());
+    time.advance(200);
+
+    assertThat(crashesToldTo("control-2", 4)).isEmpty();
+  }
+
+  /** Guards against a verdict of a living scheduler that a gateway takes back. */
+  @Test
+  void a_crash_is_not_counted_again_when_the_same_scheduler_asks_for_the_full_status() {
+    crashUnderRequest();
+    time.advance(1_000);
+
+    link.handle(
+        "control-1",
+        SchedulerView.newBuilder()
+            .setTerm(3)
+            .setVersion(1)
+            .setGateways(3)
+            .setFullStatusRequested(true)
+            .build());
+
+    assertThat(lastStatus().getCrashSuspectsList()).isEmpty();
+  }
+
+  /** Guards against the loss of a rack that makes a suspect of what ran on each of its servers. */
+  @Test
+  void crashes_with_one_cause_count_once_when_they_are_told_to_the_next_scheduler() {
+    publishView("control-1", 3, 1, "i-1", "i-2", "i-3");
+    List<String> servers = List.of("i-1", "i-2", "i-3");
+    for (int number = 0; number < servers.size(); number++) {
+      requestPlacement(requestWithFingerprint(number));
+      link.handle(
+          "control-1",
+          currentOrders()
+              .addPlacements(
+                  Placement.newBuilder().setId(number).setBackend(servers.get(number)))
+              .build());
+    }
+    time.advance(300);
+    for (int number = 0; number < servers.size(); number++) {
+      link.reportCrash(servers.get(number));
+      link.reportEnd(number, DispatchOutcome.DISPATCH_OUTCOME_CONNECTION_LOST, 0);
+      time.advance(10);
+    }
+
+    assertThat(crashesToldTo("control-2", 4)).hasSize(1);
+  }
 }
