Answer every accepted request before a planned stop ends the process

Callers of a gateway in a planned stop lost requests without a response, among them requests that must not be sent twice. The time left was compared with the longest time that a request may take only when the request arrived. A request accepted in the first 2.5 s, or before the stop, waited for a backend server as long as it liked, was sent to one seconds later, and was cut off when the process ended; so was one that ran until then.

While the gateway drains, a request that has not run is held to the same rule as one that arrives: once load balancers know of the stop, it is rejected at once with 503 (not run, Retry-After, Connection: close) unless its deadline is before the end of the process. It is then sent to no backend server. At the end of the drain, 300 ms before the process must be gone, the requests that still run get 502, which promises nothing, and responses that have started are broken off; the process waits up to 100 ms for these last responses to be sent. The decision whether a request may have run is that of AttemptHistory.

The descriptions of results move from RoutedRequest to AttemptResult, and the open requests of a gateway to a class of their own.

--- a/src/main/java/org/curranthaven/internal/cli/ServeRoutedCommand.java
+++ b/src/main/java/org/curranthaven/internal/cli/ServeRoutedCommand.java
@@ -85,7 +85,7 @@
     int openRequests = gateway.drain();
     if (openRequests > 0) {
       Logger.warn(
-          "gateway {}: {} requests were still open after the drain and are cut off",
+          "gateway {}: the drain ended {} requests that had no complete response",
           settings.name(),
           openRequests);
     }
--- a/src/main/java/org/curranthaven/internal/relay/AttemptResult.java
+++ b/src/main/java/org/curranthaven/internal/relay/AttemptResult.java
@@ -2,6 +2,9 @@
 
 /** The result of one attempt at a backend server. */
 sealed interface AttemptResult {
+  /** Returns what happened, for log lines and error messages. */
+  String description();
+
   /**
    * No byte of the request was sent.
    *
@@ -13,16 +16,31 @@
     Unreachable(String reason) {
       this(reason, true);
     }
+
+    @Override
+    public String description() {
+      return reason;
+    }
   }
 
   /** The backend server stated that the request did not run, or that it is not the expected one. */
-  record NotRun(ResponseHead head) implements AttemptResult {}
+  record NotRun(ResponseHead head) implements AttemptResult {
+    @Override
+    public String description() {
+      return "the backend server rejected the request before it ran, with status " + head.status();
+    }
+  }
 
   /** The response was complete. */
   record Completed(CompleteResponse response) implements AttemptResult {
     ResponseHead head() {
       return response.head();
     }
+
+    @Override
+    public String description() {
+      return "the backend server responded with status " + head().status();
+    }
   }
 
   /**
@@ -35,5 +53,10 @@
     Interrupted(String reason) {
       this(reason, false);
     }
+
+    @Override
+    public String description() {
+      return reason;
+    }
   }
 }
--- a/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
@@ -64,7 +64,6 @@
   /** Time after a connection was opened, or a response sent, in which a request usually follows. */
   private static final long MIN_IDLE_MILLIS = 150;
 
-  private static final long DRAINING_RETRY_AFTER_MILLIS = 50;
   private static final long NOT_INITIALIZED_RETRY_AFTER_MILLIS = 1_000;
 
   /**
@@ -343,7 +342,7 @@
           Failure.retryLater(
               ResultCode.HOST_DRAINING,
               "this host is shutting down; retry on a new connection",
-              DRAINING_RETRY_AFTER_MILLIS));
+              DrainRules.RETRY_AFTER_MILLIS));
       return;
     }
     ServiceSpec service = catalog.service(route.serviceFor(drawFor(request, route)));
@@ -529,6 +528,11 @@
     }
   }
 
+  /** Returns whether the connection closes once its last response has been sent. */
+  boolean isClosing() {
+    return closing;
+  }
+
   private void close() {
     closing = true;
     if (channelContext != null) {
--- a/src/main/java/org/curranthaven/internal/relay/DrainRules.java
+++ b/src/main/java/org/curranthaven/internal/relay/DrainRules.java
@@ -11,6 +11,9 @@
    */
   static final long BALANCER_DETECTION_MILLIS = 2_500;
 
+  /** Time after which a request that a draining gateway rejects is sent again, to another host. */
+  static final long RETRY_AFTER_MILLIS = 50;
+
   /** Time that must remain between the latest end of a request and the end of the process. */
   private static final long MARGIN_MILLIS = 200;
 
--- a/src/main/java/org/curranthaven/internal/relay/Gateway.java
+++ b/src/main/java/org/curranthaven/internal/relay/Gateway.java
@@ -4,10 +4,8 @@
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
-import java.util.Set;
 import java.util.SortedMap;
 import java.util.SplittableRandom;
 import java.util.concurrent.ExecutionException;
@@ -53,6 +51,11 @@
 
   private static final long DRAIN_POLL_MILLIS = 50;
 
+  /** Longest time for which the last responses of a drain are sent; part of the exit margin. */
+  private static final long LAST_RESPONSES_MILLIS = 100;
+
+  private static final long LAST_RESPONSES_POLL_MILLIS = 5;
+
   /**
    * Bits of a placement id below the start time of the process: no decision for an earlier lifetime
    * names a request of this one.
@@ -75,13 +78,12 @@
   private final RandomGenerator random;
   private final HostRecord self;
   private final @Nullable RoutedMetrics metrics;
-  private final Set<RoutedRequest> openRequests = new HashSet<>();
+  private final OpenRequests openRequests = new OpenRequests();
   private final DeferredActions awaitingInitialization;
   private Catalog catalog = Catalog.empty();
   private volatile long drainStartMillis;
   private volatile long drainEndMillis;
   private volatile boolean draining;
-  private volatile int openRequestCount;
   private long placementCounter;
 
   /** Creates a gateway, which {@link #start} starts. */
@@ -123,7 +125,7 @@
     this.endConfirmation = new EndConfirmation(loop, protocol, pool, crashProbe);
     this.server = new RelayServer(group, this);
     this.warmUp =
-        new RequestPathWarmUp(group, loop, clock, protocol, random, () -> !openRequests.isEmpty());
+        new RequestPathWarmUp(group, loop, clock, protocol, random, () -> openRequests.count() > 0);
   }
 
   /** Starts to listen for callers and to look for a scheduler. */
@@ -145,7 +147,7 @@
     if (statusMetrics == null || address == null) {
       return;
     }
-    statusMetrics.gauge("curranthaven_open_calls", () -> openRequestCount);
+    statusMetrics.gauge("curranthaven_open_calls", openRequests::count);
     statusMetrics.gauge("curranthaven_peer_bytes_sent", network::bytesSent);
     registerLinkCounters(statusMetrics);
     try {
@@ -183,9 +185,9 @@
 
   /**
    * Drains the gateway: reports it as not ready to load balancers, and waits until the open
-   * requests have finished or the drain time has nearly expired.
+   * requests have finished or the drain time has nearly expired. Then it ends those that are left.
    *
-   * @return the number of requests that are still open
+   * @return the number of requests that were ended without the whole response of a backend server
    */
   public int drain() throws InterruptedException {
     long startMillis = clock.nowMillis();
@@ -196,7 +198,7 @@
     Logger.info(
         "gateway {} drains {} open requests for at most {} ms",
         settings.name(),
-        openRequestCount,
+        openRequests.count(),
         endMillis - startMillis);
     boolean idleConnectionsClosed = false;
     while (clock.nowMillis() < endMillis) {
@@ -205,12 +207,28 @@
       if (lateConnectionsOver && !idleConnectionsClosed) {
         idleConnectionsClosed = true;
         loop.execute(server::closeIdleConnections);
-      } else if (lateConnectionsOver && openRequestCount == 0 && isClosedToCallers()) {
+      } else if (lateConnectionsOver && openRequests.count() == 0 && isClosedToCallers()) {
         break;
       }
+      loop.execute(openRequests::rejectUnacceptable);
       Thread.sleep(DRAIN_POLL_MILLIS);
     }
-    return openRequestCount;
+    return stopOpenRequests();
+  }
+
+  /** Ends the open requests, and gives their last responses some time to reach the callers. */
+  private int stopOpenRequests() throws InterruptedException {
+    try {
+      int stopped = loop.submit(openRequests::stopAll).get();
+      long flushEndMillis = clock.nowMillis() + LAST_RESPONSES_MILLIS;
+      while (clock.nowMillis() < flushEndMillis && loop.submit(server::isSending).get()) {
+        Thread.sleep(LAST_RESPONSES_POLL_MILLIS);
+      }
+      return stopped;
+    } catch (ExecutionException e) {
+      Logger.error(e, "gateway {} could not end its open requests", settings.name());
+      return openRequests.count();
+    }
   }
 
   /**
@@ -219,7 +237,7 @@
    */
   private boolean isClosedToCallers() throws InterruptedException {
     try {
-      return loop.submit(() -> openRequests.isEmpty() && server.closeToCallers()).get();
+      return loop.submit(() -> openRequests.count() == 0 && server.closeToCallers()).get();
     } catch (ExecutionException e) {
       Logger.error(e, "gateway {} could not be closed to callers", settings.name());
       return false;
@@ -393,13 +411,11 @@
   @Override
   public void requestOpened(RoutedRequest request) {
     openRequests.add(request);
-    openRequestCount = openRequests.size();
   }
 
   @Override
   public void requestClosed(RoutedRequest request) {
     openRequests.remove(request);
-    openRequestCount = openRequests.size();
   }
 
   @Override
@@ -469,7 +485,7 @@
                 draining,
                 link.scheduler(),
                 catalog.revision(),
-                openRequestCount,
+                openRequests.count(),
                 pool.connectionsOpened(),
                 link.backendNames(),
                 link.blockedPromptParts(),
--- a/src/main/java/org/curranthaven/internal/relay/RelayServer.java
+++ b/src/main/java/org/curranthaven/internal/relay/RelayServer.java
@@ -121,6 +121,11 @@
     return connections.isEmpty();
   }
 
+  /** Returns whether the last response on any connection has not been sent whole. */
+  boolean isSending() {
+    return connections.stream().anyMatch(CallerConnection::isClosing);
+  }
+
   /** Closes the connections on which no request is being processed or received. */
   void closeIdleConnections() {
     List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
--- a/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
@@ -501,9 +501,14 @@
           lastFailedResponse = completed;
         }
         excludedBackends.add(backend);
-        requestPlacement(history.nextIsRepeat());
+        if (isUnacceptable()) {
+          fail(ResultCode.HOST_DRAINING, result.description(), DrainRules.RETRY_AFTER_MILLIS);
+        } else {
+          requestPlacement(history.nextIsRepeat());
+        }
       }
-      case RetryDecision.Fail failure -> fail(failure.code(), describe(result), RETRY_AFTER_MILLIS);
+      case RetryDecision.Fail failure ->
+          fail(failure.code(), result.description(), RETRY_AFTER_MILLIS);
     }
   }
 
@@ -540,25 +545,13 @@
           route.name(),
           history.attempts(),
           backend,
-          describe(result),
+          result.description(),
           decision.getClass().getSimpleName(),
           Long.toHexString(fingerprint),
           request.parts().stream().map(PromptPart::getId).toList());
     }
   }
 
-  private static String describe(AttemptResult result) {
-    return switch (result) {
-      case AttemptResult.Unreachable unreachable -> unreachable.reason();
-      case AttemptResult.Interrupted interrupted -> interrupted.reason();
-      case AttemptResult.NotRun notRun ->
-          "the backend server rejected the request before it ran, with status "
-              + notRun.head().status();
-      case AttemptResult.Completed completed ->
-          "the backend server responded with status " + completed.head().status();
-    };
-  }
-
   private void deliver(AttemptResult.Completed completed) {
     if (!streamStarted) {
       recordReply();
@@ -570,7 +563,7 @@
       finish();
       caller.endStream(completed.response());
     } else {
-      fail(ResultCode.BACKEND_FAILED, "the stream ended incomplete: " + describe(completed), 0);
+      fail(ResultCode.BACKEND_FAILED, "the stream ended incomplete: " + completed.description(), 0);
     }
   }
 
@@ -710,6 +703,12 @@
         mayHaveRun ? 0 : retryAfterMillis);
   }
 
+  /** Returns whether the request has not run and a draining gateway would not accept it now. */
+  boolean isUnacceptable() {
+    return !history.mayHaveRun()
+        && !context.mayAccept(deadlineAtMillis - context.clock().nowMillis());
+  }
+
   @Override
   public void onFinishedAtSource(Attempt source, AttemptResult.Completed result) {
     confirmEnd(source, result);
