Answer the requests read behind another one before a planned stop closes their connection

A draining gateway closes each connection after the response in progress. If the caller had sent further requests on it by then, they had been read and got no response. Now the connection closes after the response to the last request that has been read, and only that response says Connection: close. A response that has said so already still ends its connection.

Found by reading.

--- a/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
@@ -449,7 +449,9 @@
   }
 
   private boolean mayKeepOpen() {
-    return keepAlive && !closing && !context.isDraining();
+    // Requests that were read already get their responses, also while the gateway is draining.
+    boolean lastOfDrain = context.isDraining() && pipelinedRequests.isEmpty();
+    return keepAlive && !closing && !lastOfDrain;
   }
 
   /** Starts to forward a stream. */
--- a/src/test/java/org/curranthaven/internal/relay/CallerConnectionTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/CallerConnectionTest.java
@@ -30,6 +30,7 @@
   private final ManualTime time = new ManualTime();
   private final DeferredActions deferredActions = new DeferredActions(time.loop());
   private boolean initialized;
+  private boolean draining;
   private long deadlineMillis = LONG_DEADLINE_MILLIS;
   private final EmbeddedChannel caller = new EmbeddedChannel(new CallerConnection(context()));
 
@@ -46,7 +47,7 @@
                   case "catalog" -> Catalog.empty();
                   case "protocol" -> protocol();
                   case "isInitialized" -> initialized;
-                  case "isDraining" -> false;
+                  case "isDraining" -> draining;
                   case "whenInitialized" -> {
                     deferredActions.defer((Runnable) arguments[0], (long) arguments[1]);
                     yield null;
@@ -154,6 +155,27 @@
     assertThat(status()).isEqualTo(503);
   }
 
+  /**
+   * Guards against requests that were read and lost when a draining gateway closes a connection.
+   */
+  @Test
+  void requests_read_before_the_close_of_a_planned_stop_get_their_responses() {
+    send();
+    send();
+    send();
+    draining = true;
+
+    initialize();
+
+    for (int number = 1; number <= 3; number++) {
+      FullHttpResponse response = caller.readOutbound();
+      assertThat(response.status().code()).isEqualTo(404);
+      assertThat(response.headers().contains(HttpHeaderNames.CONNECTION, "close", true))
+          .isEqualTo(number == 3);
+    }
+    assertThat(caller.isOpen()).isFalse();
+  }
+
   @Test
   void a_caller_that_has_disconnected_gets_no_response() {
     send();
