--- a/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
@@ -729,6 +729,11 @@
     }
   }
 
+  /** Returns whether the connection closes once its last response has been sent. */
+  boolean isClosing() {
+    return closing;
+  }
+
   private void close() {
     closing = true;
     if (channelContext != null) {
--- a/src/main/java/org/curranthaven/internal/relay/Gateway.java
+++ b/src/main/java/org/curranthaven/internal/relay/Gateway.java
@@ -223,7 +223,7 @@
     try {
       int stopped = loop.submit(openRequests::stopAll).get();
       long flushEndMillis = clock.nowMillis() + LAST_RESPONSES_MILLIS;
-      while (stopped > 0 && clock.nowMillis() < flushEndMillis && !isClosedToCallers()) {
+      while (clock.nowMillis() < flushEndMillis && loop.submit(server::isSending).get()) {
         Thread.sleep(LAST_RESPONSES_POLL_MILLIS);
       }
       return stopped;
--- a/src/test/java/org/curranthaven/platform/PlannedStopTest.java
+++ b/src/test/java/org/curranthaven/platform/PlannedStopTest.java
@@ -7,6 +7,7 @@
 import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
@@ -139,7 +140,10 @@
       assertThat(responses.size()).isGreaterThan(received.size());
       for (Map.Entry<String, Future<String>> response : responses.entrySet()) {
         long leftMillis = Math.max(1, endMillis - System.currentTimeMillis());
-        String text = response.getValue().get(leftMillis, TimeUnit.MILLISECONDS);
+        assertThat(response.getValue())
+            .as(response.getKey())
+            .succeedsWithin(Duration.ofMillis(leftMillis));
+        String text = response.getValue().get();
         int expected = received.contains(response.getKey()) ? 502 : 503;
         assertThat(text).as(response.getKey()).startsWith("HTTP/1.1 " + expected);
         assertThat(text.toLowerCase(Locale.ROOT)).contains("\r\nconnection: close\r\n");
