Large responses share the bound on bodies; a large body is hashed while it is received

What callers saw: short requests beside bodies of 4 MB were late (5 of 66 and 43 of 137 that had no answer at their timeout of 800 ms had none 500 ms later), and responses of 4 MB to slow readers were held outside any bound, once in the heap and once more, as a whole, outside it.

Cause: the fingerprint of a request was computed over its whole body at once. For 4 MB that takes 60 to 450 ms on the event loop with the runtime's flags (a trial at a load average of 35). A complete response was handed to the connection as a whole.

The fingerprint is computed as the body arrives. A response of more than 64 KiB has its memory reserved in BodyMemory before more of it is read; without room its server is not read until there is, at the longest until the request's deadline. It keeps the memory until the caller has taken it, in pieces of 64 KiB. A caller that takes nothing for the idle timeout is closed.

LargeBodiesTest with 30 slow readers of 4 MB beside 20 uploads, ResponseWatchTest and the tests of the neighbours pass (load average up to 57). EndlessResponseTest shows that a status line and a chunk extension without end were bounded before.

--- a/src/main/java/org/curranthaven/internal/relay/Attempt.java
+++ b/src/main/java/org/curranthaven/internal/relay/Attempt.java
@@ -1,8 +1,8 @@
 package org.curranthaven.internal.relay;
 
+import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import java.io.ByteArrayOutputStream;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import org.curranthaven.internal.transport.wire.BackendRecord;
@@ -21,12 +21,12 @@
 
   private final BackendRecord backend;
   private final Listener listener;
-  private final ResponseBuffers buffers;
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final ResponseMemory memory;
   private final EventSplitter splitter = new EventSplitter();
   private @Nullable BackendConnection connection;
   private @Nullable ResponseHead head;
   private @Nullable HttpResponse response;
+  private @Nullable IncomingBody body;
   private boolean streaming;
   private boolean cancelled;
   private boolean sent;
@@ -49,9 +49,9 @@
     void onEnded(Attempt attempt, AttemptResult result);
   }
 
-  Attempt(BackendRecord backend, ResponseBuffers buffers, Listener listener) {
+  Attempt(BackendRecord backend, ResponseMemory memory, Listener listener) {
     this.backend = backend;
-    this.buffers = buffers;
+    this.memory = memory;
     this.listener = listener;
   }
 
@@ -144,7 +144,7 @@
   void cancel() {
     cancelled = true;
     markEnded();
-    buffers.update(this, 0);
+    releaseBody();
     if (connection != null) {
       connection.cancel();
     }
@@ -167,14 +167,30 @@
 
   void setReading(boolean reading) {
     if (connection != null && !ended) {
-      connection.setReading(reading);
+      connection.setReading(reading && !isWaitingForMemory());
     }
   }
 
+  private boolean isWaitingForMemory() {
+    return body != null && body.isWaiting();
+  }
+
+  /** Gives back the memory of a response that is not delivered. */
+  private void releaseBody() {
+    memory.update(this, 0);
+    if (body != null && body.reservation() != null) {
+      memory.release(body.reservation());
+    }
+    body = null;
+  }
+
   private void end(AttemptResult result) {
     if (!ended) {
       markEnded();
-      buffers.update(this, 0);
+      memory.update(this, 0);
+      if (!(result instanceof AttemptResult.Completed)) {
+        releaseBody();
+      }
       if (connection != null) {
         connection.setReading(true);
       }
@@ -199,6 +215,7 @@
       return;
     }
     streaming = responseHead.isSuccess() && responseHead.eventStream();
+    body = new IncomingBody(newResponse, MAX_BUFFERED_BODY_BYTES);
   }
 
   @Override
@@ -210,11 +227,38 @@
     }
     if (streaming) {
       addToStream(streamResponse, bytes);
-    } else if (body.size() + bytes.length > MAX_BUFFERED_BODY_BYTES) {
+    } else if (body != null) {
+      addToBody(body, bytes);
+    }
+  }
+
+  private void addToBody(IncomingBody received, byte[] bytes) {
+    if (received.isTooLarge(bytes.length)) {
       abandon("the response exceeds the limit of " + MAX_BUFFERED_BODY_BYTES + " bytes");
-    } else {
-      body.writeBytes(bytes);
-      buffers.update(this, body.size());
+      return;
+    }
+    if (received.needsMemory(bytes.length)) {
+      if (!memory.canEverHold(received.finalBytes())) {
+        abandon(
+            "the response of up to "
+                + received.finalBytes()
+                + " bytes exceeds the memory of this host for bodies");
+        return;
+      }
+      received.setReservation(memory.reserve(received.finalBytes(), this::continueReading));
+    }
+    received.add(Unpooled.wrappedBuffer(bytes));
+    boolean waits = received.isWaiting();
+    if (waits && connection != null) {
+      connection.setReading(false);
+    }
+    memory.update(this, received.reservation() == null || waits ? received.size() : 0);
+  }
+
+  /** Reads on when there is memory for the rest of the response. */
+  private void continueReading() {
+    if (!ended && connection != null) {
+      connection.setReading(true);
     }
   }
 
@@ -229,7 +273,7 @@
     if (splitter.remainderBytes() > MAX_EVENT_BYTES) {
       abandon("an event of the stream exceeds the limit of " + MAX_EVENT_BYTES + " bytes");
     } else {
-      buffers.update(this, splitter.remainderBytes());
+      memory.update(this, splitter.remainderBytes());
     }
   }
 
@@ -264,10 +308,27 @@
       return;
     }
     AttemptResult result =
-        CompleteResponse.ofBody(receivedHead, receivedResponse, body.toByteArray(), ending);
+        CompleteResponse.ofBody(receivedHead, receivedResponse, completeBody(), ending);
     end(result instanceof AttemptResult.Completed ? byStatus(receivedHead, result) : result);
   }
 
+  /** Returns the body, and gives back the memory that was reserved beyond its size. */
+  private byte[] completeBody() {
+    IncomingBody received = body;
+    if (received == null) {
+      return new byte[0];
+    }
+    boolean waited = received.isWaiting();
+    byte[] bytes = received.complete();
+    BodyMemory.Reservation reservation = received.reservation();
+    if (reservation != null && waited) {
+      memory.release(reservation);
+    } else if (reservation != null) {
+      memory.shrink(reservation, bytes.length);
+    }
+    return bytes;
+  }
+
   /** Logs the end of a stream whose framing does not mark the end. */
   private void logUnmarkedEnd(ResponseEnding ending) {
     if (ending instanceof ResponseEnding.ConnectionClosed) {
--- a/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
@@ -91,7 +91,14 @@
   private @Nullable ChannelHandlerContext channelContext;
   private @Nullable HttpRequest incompleteRequest;
   private @Nullable IncomingBody body;
+  private RequestFingerprint.@Nullable Builder fingerprint;
   private BodyMemory.@Nullable Reservation currentBodyMemory;
+  private @Nullable ResponseMemory responseMemory;
+
+  /** Writes the rest of a large response; null if there is none. */
+  private @Nullable BodyWriter responseWriter;
+
+  private boolean keepOpenAfterResponse;
   private @Nullable RoutedRequest currentRequest;
   private boolean keepAlive;
   private boolean headRequest;
@@ -108,11 +115,15 @@
   /**
    * A request with its complete body.
    *
+   * @param fingerprint fingerprint of the request
    * @param bodyMemory memory of the body; null if it has none
    * @param waitedMillis time for which the body waited for its memory
    */
   private record ReceivedRequest(
-      FullHttpRequest request, BodyMemory.@Nullable Reservation bodyMemory, long waitedMillis) {}
+      FullHttpRequest request,
+      long fingerprint,
+      BodyMemory.@Nullable Reservation bodyMemory,
+      long waitedMillis) {}
 
   CallerConnection(RelayContext context) {
     super(HttpObject.class);
@@ -151,7 +162,10 @@
     long nowMillis = context.clock().nowMillis();
     long headerMillis = context.catalog().limits().headerTimeoutMillis();
     long idleMillis = context.catalog().limits().idleTimeoutMillis();
-    if (responding) {
+    boolean unread = responseWriter != null && nowMillis - lastActivityMillis >= idleMillis;
+    if (unread) {
+      close();
+    } else if (responding) {
       scheduleIdleCheck(idleMillis);
     } else if (partialRequestSinceMillis >= 0) {
       long leftMillis = partialRequestSinceMillis + headerMillis + bodyTimeoutMillis() - nowMillis;
@@ -203,6 +217,7 @@
       incompleteRequest = request;
       body = new IncomingBody(request, context.catalog().limits().maxBodyBytes());
       bodyWaitedMillis = 0;
+      fingerprint = new RequestFingerprint.Builder(request.method().name(), request.uri());
       if (!prepareBody(body, 0)) {
         return;
       }
@@ -256,18 +271,21 @@
   private void handleBody(HttpContent content) {
     HttpRequest requestHead = incompleteRequest;
     IncomingBody incoming = body;
-    if (requestHead == null || incoming == null) {
+    RequestFingerprint.Builder builder = fingerprint;
+    if (requestHead == null || incoming == null || builder == null) {
       return;
     }
     if (!prepareBody(incoming, content.content().readableBytes())) {
       return;
     }
+    builder.add(content.content().nioBuffer());
     incoming.add(content.content());
     if (content instanceof LastHttpContent) {
       incompleteRequest = null;
       body = null;
       partialRequestSinceMillis = -1;
-      complete(requestHead, incoming);
+      fingerprint = null;
+      complete(requestHead, builder.build(), incoming);
     }
   }
 
@@ -407,7 +425,7 @@
     }
   }
 
-  private void complete(HttpRequest head, IncomingBody incoming) {
+  private void complete(HttpRequest head, long requestFingerprint, IncomingBody incoming) {
     byte[] bytes = incoming.complete();
     BodyMemory.Reservation reservation = incoming.reservation();
     if (incoming.isWaiting()) {
@@ -429,7 +447,8 @@
             Unpooled.wrappedBuffer(bytes),
             head.headers(),
             EmptyHttpHeaders.INSTANCE);
-    processInOrder(new ReceivedRequest(completeRequest, reservation, bodyWaitedMillis));
+    processInOrder(
+        new ReceivedRequest(completeRequest, requestFingerprint, reservation, bodyWaitedMillis));
   }
 
   private void processInOrder(ReceivedRequest received) {
@@ -460,30 +479,33 @@
     switch (context.protocol().readRequest(request)) {
       case Outcome.Failed<InboundRequest> failed -> fail(failed.failure());
       case Outcome.Success<InboundRequest> success ->
-          routeWhenInitialized(success.value(), received.waitedMillis());
+          routeWhenInitialized(success.value(), received.fingerprint(), received.waitedMillis());
     }
   }
 
   /** Routes a request; one that arrives before the catalog waits for it if its deadline allows. */
-  private void routeWhenInitialized(InboundRequest request, long waitedMillis) {
+  private void routeWhenInitialized(
+      InboundRequest request, long requestFingerprint, long waitedMillis) {
     long nowMillis = context.clock().nowMillis() - waitedMillis;
     boolean mayWait =
         request.deadlineMillis() <= 0 || request.deadlineMillis() >= MIN_DEADLINE_TO_WAIT_MILLIS;
     if (context.isInitialized()) {
-      route(request, nowMillis);
+      route(request, requestFingerprint, nowMillis);
     } else if (mayWait) {
-      context.whenInitialized(() -> routeDeferred(request, nowMillis), INITIALIZATION_WAIT_MILLIS);
+      context.whenInitialized(
+          () -> routeDeferred(request, requestFingerprint, nowMillis), INITIALIZATION_WAIT_MILLIS);
     } else {
       failNotInitialized();
     }
   }
 
-  private void routeDeferred(InboundRequest request, long arrivedAtMillis) {
+  private void routeDeferred(
+      InboundRequest request, long requestFingerprint, long arrivedAtMillis) {
     if (disconnected) {
       return;
     }
     if (context.isInitialized()) {
-      route(request, arrivedAtMillis);
+      route(request, requestFingerprint, arrivedAtMillis);
     } else {
       failNotInitialized();
     }
@@ -497,7 +519,7 @@
             NOT_INITIALIZED_RETRY_AFTER_MILLIS));
   }
 
-  private void route(InboundRequest request, long arrivedAtMillis) {
+  private void route(InboundRequest request, long requestFingerprint, long arrivedAtMillis) {
     Catalog catalog = context.catalog();
     Optional<Route> matchingRoute = catalog.routeFor(request.host(), request.path());
     if (matchingRoute.isEmpty()) {
@@ -542,6 +564,7 @@
             context,
             this,
             request,
+            requestFingerprint,
             route,
             service,
             workspace == null || !catalog.needsKey(route) ? "" : workspace.name(),
@@ -631,7 +654,61 @@
     if (!keepOpen) {
       response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
-    finishResponse(writeAndFlush(response), keepOpen);
+    if (channelContext != null && response.content().readableBytes() > BodyWriter.PIECE_BYTES) {
+      writeInPieces(channelContext, response, keepOpen);
+    } else {
+      finishResponse(writeAndFlush(response), keepOpen);
+    }
+  }
+
+  private void writeInPieces(
+      ChannelHandlerContext openContext, FullHttpResponse response, boolean keepOpen) {
+    currentRequest = null;
+    releaseRequestMemory();
+    openContext
+        .write(
+            new DefaultHttpResponse(
+                response.protocolVersion(), response.status(), response.headers()))
+        .addListener(EventLoops.REPORT_ERROR);
+    responseWriter = new BodyWriter(openContext, response.content());
+    keepOpenAfterResponse = keepOpen;
+    continueResponse();
+  }
+
+  /** Writes as much of a large response as the caller takes. */
+  private void continueResponse() {
+    BodyWriter writer = responseWriter;
+    if (writer == null) {
+      return;
+    }
+    lastActivityMillis = context.clock().nowMillis();
+    ChannelFuture last = writer.resume();
+    if (last != null) {
+      responseWriter = null;
+      finishResponse(last, keepOpenAfterResponse && !closing);
+    }
+  }
+
+  /** Returns the memory of the responses to the present request. */
+  ResponseMemory responseMemory() {
+    ResponseMemory memory = responseMemory;
+    if (memory == null) {
+      memory = new ResponseMemory(context.responseBuffers(), context.bodyMemory());
+      responseMemory = memory;
+    }
+    return memory;
+  }
+
+  private void releaseRequestMemory() {
+    releaseMemory(currentBodyMemory);
+    currentBodyMemory = null;
+  }
+
+  private void releaseResponseMemory() {
+    if (responseMemory != null) {
+      responseMemory.releaseAll();
+      responseMemory = null;
+    }
   }
 
   private boolean mayKeepOpen() {
@@ -685,8 +762,8 @@
   private void finishResponse(@Nullable ChannelFuture written, boolean keepOpen) {
     responding = false;
     currentRequest = null;
-    releaseMemory(currentBodyMemory);
-    currentBodyMemory = null;
+    releaseRequestMemory();
+    releaseResponseMemory();
     lastActivityMillis = context.clock().nowMillis();
     if (!keepOpen) {
       closing = true;
@@ -737,6 +814,7 @@
 
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext handlerContext) {
+    continueResponse();
     if (currentRequest != null) {
       currentRequest.onCallerWritabilityChanged(handlerContext.channel().isWritable());
     }
@@ -751,9 +829,10 @@
     if (openRequest != null) {
       openRequest.onCallerDisconnected();
     }
+    responseWriter = null;
     releaseIncomingBody();
-    releaseMemory(currentBodyMemory);
-    currentBodyMemory = null;
+    releaseRequestMemory();
+    releaseResponseMemory();
     pipelinedRequests.forEach(received -> releaseMemory(received.bodyMemory()));
     pipelinedRequests.clear();
   }
--- a/src/main/java/org/curranthaven/internal/relay/IncomingBody.java
+++ b/src/main/java/org/curranthaven/internal/relay/IncomingBody.java
@@ -1,14 +1,15 @@
 package org.curranthaven.internal.relay;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.Arrays;
 import org.jspecify.annotations.Nullable;
 
 /**
- * The body of one request while it is received, held once. A body that is or becomes large needs
- * memory for all that it may become before more of it is read. Confined to the event loop.
+ * The body of one request or response while it is received, held once. A body that is or becomes
+ * large needs memory for all that it may become before more of it is read. Confined to the event
+ * loop.
  */
 final class IncomingBody {
   /** Bytes with which a body of unstated length begins. */
@@ -20,7 +21,7 @@
   private int size;
   private BodyMemory.@Nullable Reservation reservation;
 
-  IncomingBody(HttpRequest head, int maxBytes) {
+  IncomingBody(HttpMessage head, int maxBytes) {
     this.declaredBytes = HttpUtil.getContentLength(head, -1L);
     this.maxBytes = maxBytes;
   }
@@ -54,6 +55,11 @@
     return reservation != null && !reservation.isGranted();
   }
 
+  /** Returns the bytes received so far. */
+  int size() {
+    return size;
+  }
+
   void add(ByteBuf part) {
     int added = part.readableBytes();
     if (size + added > bytes.length) {
--- a/src/main/java/org/curranthaven/internal/relay/RequestFingerprint.java
+++ b/src/main/java/org/curranthaven/internal/relay/RequestFingerprint.java
@@ -26,10 +26,32 @@
 
   /** Returns the fingerprint of the request with the given path and query; never 0. */
   public static long of(String method, String uri, byte[] body) {
-    MessageDigest digest = newDigest();
-    digest.update((method + " " + uri).getBytes(StandardCharsets.UTF_8));
-    digest.update((byte) '\n');
-    return nonZero(digest.digest(body));
+    Builder builder = new Builder(method, uri);
+    builder.add(ByteBuffer.wrap(body));
+    return builder.build();
+  }
+
+  /**
+   * Computes the fingerprint of a request while its body is received: a large body takes too long
+   * to be hashed at once on the event loop.
+   */
+  static final class Builder {
+    private final MessageDigest digest = newDigest();
+
+    Builder(String method, String uri) {
+      digest.update((method + " " + uri).getBytes(StandardCharsets.UTF_8));
+      digest.update((byte) '\n');
+    }
+
+    /** Adds the next part of the body. */
+    void add(ByteBuffer part) {
+      digest.update(part);
+    }
+
+    /** Returns the fingerprint; never 0. The builder cannot be used afterwards. */
+    long build() {
+      return nonZero(digest.digest());
+    }
   }
 
   /**
--- a/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
@@ -78,6 +78,7 @@
       RelayContext context,
       CallerConnection caller,
       InboundRequest request,
+      long fingerprint,
       Route route,
       ServiceSpec service,
       String workspace,
@@ -98,7 +99,7 @@
     this.progress =
         new RequestProgress(route, tokensPerEvent, request.lastEventId(), arrivedAtMillis);
     this.migration = new MigrationCoordinator(context, request, route, engine, progress, this);
-    this.fingerprint = RequestFingerprint.of(request);
+    this.fingerprint = fingerprint;
     this.deadlineAtMillis = arrivedAtMillis + timeoutMillis;
     long leftMillis = Math.max(0, deadlineAtMillis - context.clock().nowMillis());
     this.deadlineTimer =
@@ -281,7 +282,7 @@
       return;
     }
     BackendRecord backupRecord = context.backend(backup);
-    Attempt newAttempt = new Attempt(target, context.responseBuffers(), this);
+    Attempt newAttempt = new Attempt(target, caller.responseMemory(), this);
     attempt = newAttempt;
     history.recordTransmission(newAttempt::wasSent);
     BackendRequest backendRequest =
--- a/src/test/java/org/curranthaven/internal/relay/AttemptTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/AttemptTest.java
@@ -66,7 +66,8 @@
             result.complete(newResult);
           }
         };
-    return new Attempt(backend, new ResponseBuffers(), listener);
+    return new Attempt(
+        backend, new ResponseMemory(new ResponseBuffers(), new BodyMemory(1024 * 1024)), listener);
   }
 
   @Test
--- a/src/test/java/org/curranthaven/internal/relay/TransmissionTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/TransmissionTest.java
@@ -72,7 +72,11 @@
             result.complete(newResult);
           }
         };
-    Attempt attempt = new Attempt(backend, new ResponseBuffers(), listener);
+    Attempt attempt =
+        new Attempt(
+            backend,
+            new ResponseMemory(new ResponseBuffers(), new BodyMemory(1024 * 1024)),
+            listener);
     loop.execute(() -> attempt.start(pool, request, id, Long.MAX_VALUE, () -> true));
     return result;
   }
--- a/src/test/java/org/curranthaven/internal/settings/RoutedSettingsTest.java
+++ b/src/test/java/org/curranthaven/internal/settings/RoutedSettingsTest.java
@@ -57,6 +57,16 @@
     assertThat(messageOf(RoutedSettings.of(faulty))).contains("protocolFeatures");
   }
 
+  @Test
+  void the_bound_on_bodies_is_optional_and_checked() {
+    String stated = GATEWAY.replace("1200", "1200, \"bodyMemoryBytes\": 1000000");
+    String faulty = GATEWAY.replace("1200", "1200, \"bodyMemoryBytes\": -1");
+
+    assertThat(valid(stated).bodyMemoryBytes()).isEqualTo(1_000_000);
+    assertThat(valid(GATEWAY).bodyMemoryBytes()).isZero();
+    assertThat(messageOf(RoutedSettings.of(faulty))).contains("bodyMemoryBytes");
+  }
+
   @Test
   void each_entry_reaches_the_settings() {
     RoutedSettings settings = valid(GATEWAY);
--- a/src/test/java/org/curranthaven/platform/EndlessResponseTest.java
+++ b/src/test/java/org/curranthaven/platform/EndlessResponseTest.java
@@ -95,6 +95,38 @@
     assertThat(bytesSent.get()).isLessThan(SOCKET_BYTES);
   }
 
+  @Test
+  void a_status_line_that_never_ends_is_no_response() throws Exception {
+    String response =
+        sendTo(
+            "/holds/1",
+            (request, connection) -> {
+              FakeBackend.write(connection, "HTTP/1.1 200 X");
+              writeWithoutEnd(connection, KILOBYTE);
+            });
+
+    assertThat(status(response)).isEqualTo(502);
+    assertThat(bytesSent.get()).isLessThan(SOCKET_BYTES);
+  }
+
+  @Test
+  void a_chunk_extension_that_never_ends_does_not_make_a_response_complete() throws Exception {
+    String response =
+        sendTo(
+            "/holds/1",
+            (request, connection) -> {
+              FakeBackend.write(
+                  connection,
+                  FakeBackend.streamResponseHead(request).replace("text/event-stream", "text/plain")
+                      + FakeBackend.chunk("page")
+                      + "4;");
+              writeWithoutEnd(connection, KILOBYTE);
+            });
+
+    assertThat(status(response)).isEqualTo(502);
+    assertThat(bytesSent.get()).isLessThan(SOCKET_BYTES);
+  }
+
   @Test
   void interim_responses_that_never_end_are_no_response() throws Exception {
     String response =
--- a/src/test/java/org/curranthaven/platform/LargeBodiesTest.java
+++ b/src/test/java/org/curranthaven/platform/LargeBodiesTest.java
@@ -36,15 +36,18 @@
   private static final int LARGE_TIMEOUT_MILLIS = 20_000;
   private static final int LARGE_IN_PROGRESS = 8;
   private static final long SERVER_WAIT_MILLIS = 3_000;
+  private static final int READ_PAUSE_MILLIS = 50;
   private static final long JOIN_MILLIS = 60_000;
 
   private static final String CATALOG =
       """
       {"version":1,"routes":[
         {"name":"reads","host":"site.example","pathPrefix":"/reads/","kind":"idempotent",
-         "timeoutMs":%d,"targetLatencyMs":400,"priority":1,"service":"plain","attempts":2},
+         "timeoutMs":%1$d,"targetLatencyMs":400,"priority":1,"service":"plain","attempts":2},
+        {"name":"holds","host":"site.example","pathPrefix":"/holds/","kind":"non_idempotent",
+         "timeoutMs":%2$d,"targetLatencyMs":4000,"priority":1,"service":"plain","attempts":1},
         {"name":"orders","host":"site.example","pathPrefix":"/orders/","kind":"non_idempotent",
-         "timeoutMs":%d,"targetLatencyMs":4000,"priority":1,"service":"plain","attempts":1}],
+         "timeoutMs":%2$d,"targetLatencyMs":4000,"priority":1,"service":"plain","attempts":1}],
        "services":[{"name":"plain","healthPath":"/health","maxConns":100}],
        "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
          "idleTimeoutMs":15000},
@@ -72,7 +75,12 @@
       }
       largeRunning.decrementAndGet();
     }
-    FakeBackend.write(connection, FakeBackend.response(request, 200, "" + request.body().length()));
+    FakeBackend.write(connection, FakeBackend.response(request, 200, responseBody(request)));
+  }
+
+  private static String responseBody(FakeBackend.ReceivedRequest request) {
+    boolean largeResponse = request.line().contains("/holds/");
+    return largeResponse ? "x".repeat(BODY_BYTES) : "" + request.body().length();
   }
 
   private static String head(String method, String path, String id, int deadlineMillis, int bytes) {
@@ -140,10 +148,38 @@
     }
   }
 
+  /** Reads a large response slowly; it is whole, or its status tells that there is none. */
+  private void readSlowly(String address, String id) {
+    try (Socket socket = FleetProcesses.connect(address)) {
+      socket.setSoTimeout(LARGE_TIMEOUT_MILLIS + ANSWER_MARGIN_MILLIS);
+      FakeBackend.write(socket, head("POST", "/holds/" + id, id, LARGE_TIMEOUT_MILLIS, 0));
+      InputStream in = socket.getInputStream();
+      int status = RoutedFleetFixture.status(RawHttp.readLine(in));
+      int length = Integer.parseInt(RawHttp.readHeaders(in).getOrDefault("content-length", ""));
+      int received = 0;
+      while (received < length) {
+        int count = in.readNBytes(Math.min(PIECE_BYTES, length - received)).length;
+        if (count == 0) {
+          break;
+        }
+        received += count;
+        Thread.sleep(READ_PAUSE_MILLIS);
+      }
+      largeStatuses.put(id, status);
+      if (received != length || (status == 200 && length != BODY_BYTES)) {
+        failures.add("response " + id + ": " + received + " of " + length + " bytes");
+      } else if (status == 503 && run.contains(id)) {
+        failures.add("response " + id + ": its request was run and is told that it was not");
+      }
+    } catch (IOException | InterruptedException | NumberFormatException e) {
+      failures.add("response " + id + ": " + e);
+    }
+  }
+
   @ParameterizedTest
-  @CsvSource({"20, 0", "64, 0", "64, 100"})
-  void large_bodies_of_many_callers_leave_no_request_without_an_answer(int callers, int pauseMillis)
-      throws Exception {
+  @CsvSource({"20, 0, 0", "64, 0, 0", "64, 100, 0", "20, 0, 30"})
+  void large_bodies_of_many_callers_leave_no_request_without_an_answer(
+      int callers, int pauseMillis, int slowReaders) throws Exception {
     FleetProcesses.Shape shape = new FleetProcesses.Shape(1, 100, List.of("here"), false);
     try (FleetProcesses fleet = new FleetProcesses(folder, shape);
         FakeBackend backend = new FakeBackend(this::serve)) {
@@ -169,6 +205,10 @@
         String id = "l-" + caller;
         largeCallers.add(Thread.ofPlatform().start(() -> sendLarge(address, id, pauseMillis)));
       }
+      for (int reader = 0; reader < slowReaders; reader++) {
+        String id = "r-" + reader;
+        largeCallers.add(Thread.ofPlatform().start(() -> readSlowly(address, id)));
+      }
       for (Thread caller : largeCallers) {
         caller.join(JOIN_MILLIS);
       }
@@ -179,7 +219,7 @@
 
       assertThat(fleet.isGatewayRunning(1)).isTrue();
       assertThat(failures).isEmpty();
-      assertThat(largeStatuses).hasSize(callers);
+      assertThat(largeStatuses).hasSize(callers + slowReaders);
       assertThat(largeStatuses.values()).contains(200);
       assertThat(shortAnswered.get()).isPositive();
       assertThat(mostLargeRunning.get()).isGreaterThanOrEqualTo(LARGE_IN_PROGRESS);
