A host refuses messages beyond a limit, and addresses that are none

What could happen: a host that announced a message of up to 2 GB made another keep all that followed, until its heap was full; an address of a discovered host that cannot be parsed ended the thread that dials, and with it the process. Found by reading.

A message between hosts has at most 16 MiB, as much as its writer may buffer; a longer one closes the connection before anything of it is kept. An address is checked where it is learnt.

--- a/src/main/java/org/curranthaven/internal/transport/PeerNetwork.java
+++ b/src/main/java/org/curranthaven/internal/transport/PeerNetwork.java
@@ -12,7 +12,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
-import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import java.util.Collection;
@@ -31,6 +30,7 @@
 import org.curranthaven.internal.transport.wire.Envelope;
 import org.curranthaven.internal.transport.wire.HostRecord;
 import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
 
 /**
  * The connections of one host to the other hosts. Each pair of hosts keeps one connection; a
@@ -60,6 +60,9 @@
   private static final WriteBufferWaterMark WRITE_BUFFER =
       new WriteBufferWaterMark(4 * 1024 * 1024, 16 * 1024 * 1024);
 
+  /** Largest message of another host; as much as the writer of a message may buffer. */
+  static final int MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
+
   /** Timeout for closing the listening socket; shorter than the supervisor's own timeout. */
   private static final long STOP_TIMEOUT_MILLIS = 2_000;
 
@@ -119,13 +122,29 @@
     this.configuredAddresses = Set.copyOf(contacts);
   }
 
-  /** Adds or renews the address of a discovered host; it expires unless it is renewed. */
+  /**
+   * Adds or renews the address of a discovered host; it expires unless it is renewed. One that is
+   * not an address is ignored: the thread that dials would end.
+   */
   public void addDiscoveredAddress(String peerAddress) {
+    if (!isAddress(peerAddress)) {
+      return;
+    }
     if (discoveredAtMillis.put(peerAddress, Clock.system().nowMillis()) == null) {
       newAddressSignal.release();
     }
   }
 
+  private static boolean isAddress(String peerAddress) {
+    try {
+      Addresses.parse(peerAddress);
+      return true;
+    } catch (IllegalArgumentException e) {
+      Logger.warn("address of a host ignored: {}", e.getMessage());
+      return false;
+    }
+  }
+
   /** Returns the name of this host. */
   public String selfName() {
     return sender().name();
@@ -318,7 +337,7 @@
         channel
             .pipeline()
             .addLast(new ReadTimeoutHandler(READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS))
-            .addLast(new ProtobufVarint32FrameDecoder())
+            .addLast(new LimitedFrameDecoder(MAX_MESSAGE_BYTES))
             .addLast(new ProtobufDecoder(Envelope.getDefaultInstance()))
             .addLast(new ProtobufVarint32LengthFieldPrepender())
             .addLast(new ProtobufEncoder())
--- a/src/test/java/org/curranthaven/internal/transport/PeerNetworkTest.java
+++ b/src/test/java/org/curranthaven/internal/transport/PeerNetworkTest.java
@@ -17,6 +17,9 @@
 class PeerNetworkTest {
   private static final long TIMEOUT_MILLIS = 60_000;
 
+  /** Longer than a network takes to dial an address and to close its listening socket. */
+  private static final long END_MILLIS = 4_000;
+
   /** Within this time, a network that does not wait for its listening socket to close has ended. */
   private static final long UNBLOCKED_STOP_MILLIS = 500;
 
@@ -61,6 +64,22 @@
     return new PeerNetwork(address, List.of(otherAddress), () -> self, listener);
   }
 
+  /** Guards against a discovered address that ends the thread that dials, and with it the host. */
+  @Test
+  void an_address_that_cannot_be_parsed_does_not_end_the_network()
+      throws IOException, InterruptedException {
+    List<String> addresses = LocalFleet.freeAddresses(2);
+    PeerNetwork network = network("one", addresses.get(0), addresses.get(1), new NoOpListener());
+    Thread running = network.start();
+
+    network.addDiscoveredAddress("nowhere");
+    running.join(END_MILLIS);
+
+    assertThat(running.isAlive()).isTrue();
+    running.interrupt();
+    running.join(TIMEOUT_MILLIS);
+  }
+
   @Test
   @Tag("known-red")
   void a_network_that_has_ended_has_released_its_address()
