Log what becomes of requests to engines by the length of their prompts

Callers with the longest prompts of a kind were served a third as often as all. Neither logs nor the emulator told whether such requests are rejected on arrival, expire in the queue or are broken off.

The scheduler logs, each 10 s and for each service, priority and power of two of prompt tokens, how many requests were placed at once, after waiting or late, rejected on arrival (because of their own prompt, or of the queue), rejected after waiting, gone from the queue, and broken off. Gateways in local fallback do the same. The emulator's figures have the causes by tenth of size.

DispatchCore.drainReports returns all lines to be logged; "retry refused" and "memory reserve" of a gateway in local fallback now follow "in local fallback:". What queued requests wait apart for moved out of DispatchCore into HeldRequests, unchanged.

--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -11,6 +11,7 @@
 import java.util.stream.Stream;
 import org.curranthaven.internal.catalog.Catalog;
 import org.curranthaven.internal.catalog.EngineCapabilities;
+import org.curranthaven.internal.dispatch.SizeOutcomes.Result;
 import org.curranthaven.internal.transport.wire.BackendRecord;
 import org.curranthaven.internal.transport.wire.DispatchOutcome;
 import org.curranthaven.internal.transport.wire.LearntCapacity;
@@ -63,6 +64,7 @@
   private final PlacementCost placementCost;
   private final Admission admission;
   private final OverloadGauge overloadGauge = new OverloadGauge();
+  private final SizeOutcomes sizeOutcomes = new SizeOutcomes();
   private final BackupPlanner backupPlanner;
   private final MigrationPlanner migrationPlanner;
   private final CrashEvidence crashEvidence;
@@ -70,6 +72,7 @@
   private final RequestRateLimits rateLimits;
   private final StreamOrigins streamOrigins;
   private final VersionBinding versions;
+  private final HeldRequests heldRequests;
   private List<DispatchDecision> decisions = new ArrayList<>();
 
   /** Whether the requests of a gateway are being replaced. */
@@ -157,6 +160,8 @@
     this.backendCrashes = new BackendCrashes(backends, crashEvidence);
     this.streamOrigins = knowledge.streamOrigins();
     this.versions = new VersionBinding(backends, streamOrigins);
+    this.heldRequests =
+        new HeldRequests(backends, versions, backendCrashes, capacityRules, forecast);
   }
 
   private boolean isEnabled(Mechanism mechanism) {
@@ -191,6 +196,15 @@
     return retries.drainRefusals();
   }
 
+  /** Returns and clears the lines to be logged since the last invocation. */
+  public List<String> drainReports(long nowMillis) {
+    List<String> lines = new ArrayList<>();
+    drainReserveChanges().forEach(change -> lines.add("memory reserve: " + change));
+    drainRetryRefusals().forEach(refusal -> lines.add("retry refused: " + refusal));
+    lines.addAll(sizeOutcomes.drain(nowMillis));
+    return lines;
+  }
+
   /** Returns the memory reserves as they were reported last, for the state dump. */
   public List<String> memoryReserves() {
     return admission.reported().stream().map(ReserveChange::toString).sorted().toList();
@@ -456,12 +470,14 @@
         serviceQueue.isEmpty()
             || request.getPriority() < serviceQueue.first().request().getPriority()
             || admission.ranksBefore(request, serviceQueue.first())
-            || isHeldApart(serviceQueue.first(), nowMillis);
+            || heldRequests.waitsApart(serviceQueue.first(), nowMillis);
     PlacementResult result =
         ranksFirst
             ? place(requestId, request, request.getTargetLeftMillis(), nowMillis)
             : PlacementResult.NO_CAPACITY;
-    if (result != PlacementResult.PLACED) {
+    if (result == PlacementResult.PLACED) {
+      sizeOutcomes.record(request, Result.PLACED_AT_ONCE);
+    } else {
       queueOrReject(requestId, request, result, nowMillis);
     }
   }
@@ -499,6 +515,10 @@
                 : targetLeftMillis > expectedMillis);
     if (!inTime || queue.isFull() || !isEnabled(Mechanism.QUEUE)) {
       if (!hasBackend || !placeLate(requestId, request, nowMillis)) {
+        boolean promptTooLong = firstReplyMillis > targetLeftMillis;
+        sizeOutcomes.record(
+            request,
+            promptTooLong ? Result.REJECTED_PROMPT_TOO_LONG : Result.REJECTED_BEFORE_WAITING);
         rejectForCapacity(requestId, request, hasBackend, expectedMillis, nowMillis);
       }
       return;
@@ -569,7 +589,9 @@
    */
   public void requestEnded(
       RequestId requestId, DispatchOutcome outcome, int outputTokens, long nowMillis) {
-    if (queue.remove(requestId) != null) {
+    QueuedRequest queued = queue.remove(requestId);
+    if (queued != null) {
+      sizeOutcomes.record(queued.request(), Result.LEFT_QUEUE);
       retries.requestEnded(requestId);
       return;
     }
@@ -603,6 +625,7 @@
       return;
     }
     admission.recordEnd(running, nowMillis);
+    sizeOutcomes.recordEnd(running.request, outcome);
     if (outputTokens > 0) {
       versions.recordOutput(running, backend, nowMillis);
     }
@@ -703,6 +726,7 @@
     for (QueuedRequest queued : queue.expired(nowMillis)) {
       queue.remove(queued.id());
       if (!placeLate(queued.id(), queued.request(), nowMillis)) {
+        sizeOutcomes.record(queued.request(), Result.REJECTED_AFTER_WAITING);
         double expectedMillis =
             expectedQueueMillis(queued.request(), PlacementResult.NO_CAPACITY, nowMillis);
         rejectForCapacity(
@@ -731,8 +755,9 @@
       PlacementResult result =
           place(queued.id(), queued.request(), queued.dueAtMillis() - nowMillis, nowMillis);
       if (result == PlacementResult.PLACED) {
-        queue.remove(queued.id());
-      } else if (result == PlacementResult.NO_CAPACITY && !isHeldApart(queued, nowMillis)) {
+        removePlaced(queued);
+      } else if (result == PlacementResult.NO_CAPACITY
+          && !heldRequests.waitsApart(queued, nowMillis)) {
         // Requests behind it would take the capacity that a large request waits for.
         return;
       }
@@ -740,6 +765,11 @@
     }
   }
 
+  private void removePlaced(QueuedRequest queued) {
+    sizeOutcomes.record(queued.request(), Result.PLACED_AFTER_WAITING);
+    queue.remove(queued.id());
+  }
+
   /**
    * Places queued requests of the workspaces that use the least memory while the service is
    * overloaded.
@@ -752,49 +782,14 @@
       PlacementResult result =
           place(queued.id(), queued.request(), queued.dueAtMillis() - nowMillis, nowMillis);
       if (result != PlacementResult.PLACED) {
-        return result == PlacementResult.LATE || isHeldApart(queued, nowMillis);
+        return result == PlacementResult.LATE || heldRequests.waitsApart(queued, nowMillis);
       }
-      queue.remove(queued.id());
+      removePlaced(queued);
       queued = admission.firstByUse(queue.of(service), service);
     }
     return true;
   }
 
-  /** Returns whether the request waits for something that keeps no request behind it waiting. */
-  private boolean isHeldApart(QueuedRequest queued, long nowMillis) {
-    return versions.waitsApart(queued.request())
-        || RegionBinding.waitsApart(backends, queued.request())
-        || backendCrashes.isHeld(queued.id(), queued.request(), nowMillis)
-        || isHeldByRest(queued, nowMillis)
-        || isRetryHeldByLimit(queued.id(), queued.request(), nowMillis);
-  }
-
-  /** Returns whether all backend servers rest for the request's gateway, but not for others. */
-  private boolean isHeldByRest(QueuedRequest queued, long nowMillis) {
-    return backends.restLeftMillis(queued.id(), queued.request(), nowMillis).isPresent()
-        && !hasCandidates(queued.id(), queued.request(), nowMillis);
-  }
-
-  /**
-   * Returns whether the backend servers that are left to a retry have capacity but for their stated
-   * limits. Others may then be placed before it, on backend servers that it must not use.
-   */
-  private boolean isRetryHeldByLimit(
-      RequestId requestId, PlacementRequest request, long nowMillis) {
-    if (request.getExcludedCount() == 0) {
-      return false;
-    }
-    EngineCapabilities engine = backends.engineOf(request.getService());
-    double requestTokens = forecast.neededMemoryTokens(request);
-    return backends
-        .usableFor(requestId, request, nowMillis)
-        .anyMatch(
-            backend ->
-                capacityRules.isHeldByLimit(backend, nowMillis)
-                    && capacityRules.hasRoom(
-                        backend, engine, requestTokens, CapacityRules.MEMORY_SHARE, nowMillis));
-  }
-
   /** Outcome of trying to place a request. */
   private enum PlacementResult {
     PLACED,
@@ -873,6 +868,7 @@
     List<BackendState> candidates = withCapacity(running, memoryShare, nowMillis);
     BackendState chosen = cheapest(candidates.stream(), request, nowMillis);
     if (chosen != null) {
+      sizeOutcomes.record(request, Result.PLACED_LATE);
       commitPlacement(running, chosen, nowMillis);
     }
     return chosen != null;
--- a/src/main/java/org/curranthaven/internal/emulator/Figures.java
+++ b/src/main/java/org/curranthaven/internal/emulator/Figures.java
@@ -1,6 +1,7 @@
 package org.curranthaven.internal.emulator;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
@@ -11,12 +12,18 @@
   /** Length of a window of arrivals. */
   private static final long WINDOW_MILLIS = 2_000;
 
+  private static final int TENTHS = 10;
+
   private final Map<String, Total> totalsByKind = new TreeMap<>();
   private final Map<Long, Total> totalsByWindow = new TreeMap<>();
   private final Map<String, Map<Cause, Double>> worthLostByKind = new TreeMap<>();
   private final Map<String, Map<Cause, Integer>> countsByKind = new TreeMap<>();
+  private final Map<String, List<SizedOutcome>> outcomesByKind = new TreeMap<>();
   private long preemptions;
 
+  /** Memory that a generation fills and what became of it. */
+  private record SizedOutcome(int tokens, Cause cause) {}
+
   /** Worth owed and earned. */
   private static final class Total {
     double owed;
@@ -37,6 +44,9 @@
     countsByKind
         .computeIfAbsent(arrival.kind().name(), name -> new EnumMap<>(Cause.class))
         .merge(cause, 1, Integer::sum);
+    outcomesByKind
+        .computeIfAbsent(arrival.kind().name(), name -> new ArrayList<>())
+        .add(new SizedOutcome(arrival.promptTokens() + arrival.outputTokens(), cause));
   }
 
   private static void add(Total total, Arrival arrival, double earned) {
@@ -101,4 +111,22 @@
   public Map<Cause, Integer> counts(String kind) {
     return new EnumMap<>(countsByKind.getOrDefault(kind, new EnumMap<>(Cause.class)));
   }
+
+  /**
+   * Returns a kind's requests by cause in each tenth by the memory that they fill, the smallest
+   * first.
+   */
+  public List<Map<Cause, Integer>> countsByTenth(String kind) {
+    List<SizedOutcome> bySize = new ArrayList<>(outcomesByKind.getOrDefault(kind, List.of()));
+    bySize.sort(Comparator.comparingInt(SizedOutcome::tokens));
+    List<Map<Cause, Integer>> counts = new ArrayList<>();
+    for (int i = 0; i < TENTHS; i++) {
+      Map<Cause, Integer> ofTenth = new EnumMap<>(Cause.class);
+      bySize
+          .subList(i * bySize.size() / TENTHS, (i + 1) * bySize.size() / TENTHS)
+          .forEach(outcome -> ofTenth.merge(outcome.cause(), 1, Integer::sum));
+      counts.add(ofTenth);
+    }
+    return counts;
+  }
 }
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -845,11 +845,8 @@
       submitOverdue(localDispatch);
       localDispatch.tick(clock.nowMillis());
       localDispatch
-          .drainReserveChanges()
-          .forEach(change -> Logger.info("memory reserve in local fallback: {}", change));
-      localDispatch
-          .drainRetryRefusals()
-          .forEach(refusal -> Logger.info("retry refused in local fallback: {}", refusal));
+          .drainReports(clock.nowMillis())
+          .forEach(line -> Logger.info("in local fallback: {}", line));
       applyLocalDecisions();
     }
     reportProgress();
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -276,8 +276,7 @@
     }
     publishColdServers();
     core.tick(nowMillis);
-    core.drainReserveChanges().forEach(change -> Logger.info("memory reserve: {}", change));
-    core.drainRetryRefusals().forEach(refusal -> Logger.info("retry refused: {}", refusal));
+    core.drainReports(nowMillis).forEach(Logger::info);
     sendDecisions();
     completeAcknowledged();
   }
