Place long prompts that an engine can process in time

Cause: a request counts as late if its forecast first reply, the time for the prompts times a margin of 1.8, exceeds its target. For the longest prompts the margin on their own prompt alone exceeds it on any engine, however idle; and late requests are not placed while a service is overloaded. They neither waited nor were overtaken nor broken off.

The margin is now lowered, down to 1, where a request's own prompt would take more than 0.8 of its target with it, so that a request that can be in time competes like others. Of shorter prompts nothing changes.

--- a/src/main/java/org/curranthaven/internal/dispatch/QueueTimeForecast.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/QueueTimeForecast.java
@@ -23,6 +23,12 @@
    */
   private static final double FIRST_REPLY_MARGIN = 1.8;
 
+  /**
+   * Share of a request's target that its own prompt may take with this margin. The margin of a
+   * larger prompt is less: it would otherwise count as late wherever it runs and however soon.
+   */
+  private static final double MAX_MARGIN_TARGET_SHARE = 0.8;
+
   /**
    * Safety factor on the learnt time of plain requests on fully used servers. Without it, requests
    * near their due time are placed, end late, and take the capacity of others.
@@ -149,8 +155,14 @@
    * @param promptTokens prompt tokens to process until then, including the request's own
    */
   long firstReplyMillis(PlacementRequest request, int promptTokens) {
-    return (long)
-        (promptTokens * speeds.millisPerPromptToken(request.getService()) * FIRST_REPLY_MARGIN);
+    double millisPerToken = speeds.millisPerPromptToken(request.getService());
+    return (long) (promptTokens * millisPerToken * firstReplyMargin(request, millisPerToken));
+  }
+
+  private static double firstReplyMargin(PlacementRequest request, double millisPerToken) {
+    double ownMillis = Math.max(1, request.getPromptTokens() * millisPerToken);
+    double affordable = MAX_MARGIN_TARGET_SHARE * request.getTargetLeftMillis() / ownMillis;
+    return Math.clamp(affordable, 1, FIRST_REPLY_MARGIN);
   }
 
   /** Returns the same for an engine whose speed may be known. */
