A connection ends with the first byte that comes while no request waits

Only a whole head was noticed as belonging to no request.

Now any byte that the decoder gets while no request waits closes the connection, also a part of a head and also in the read in which a response ended, before another request is sent over it. BackendConnectionTest.a_part_of_a_late_copy_is_no_part_of_the_response_to_the_next_request cuts a copy at each byte; it failed at all cuts inside the head before and holds now.

--- a/src/main/java/org/curranthaven/internal/relay/BackendConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/BackendConnection.java
@@ -1,5 +1,6 @@
 package org.curranthaven.internal.relay;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
@@ -16,6 +17,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.List;
 import org.curranthaven.internal.supervision.FatalErrors;
 import org.curranthaven.internal.transport.EventLoops;
 import org.jspecify.annotations.Nullable;
@@ -77,6 +79,17 @@
 
   /** Decodes responses; the response to a HEAD request has no body, whatever its headers say. */
   private final class ResponseDecoder extends HttpResponseDecoder {
+    @Override
+    protected void decode(ChannelHandlerContext handlerContext, ByteBuf in, List<Object> out)
+        throws Exception {
+      // A part of a head would make one head with the response to the next request.
+      boolean stray = listener == null && !unusable;
+      super.decode(handlerContext, in, out);
+      if (stray) {
+        closeAfterStrayBytes(out.isEmpty());
+      }
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
       return headRequest || super.isContentAlwaysEmpty(message);
@@ -268,6 +281,14 @@
     listener.onHead(responseHead, response);
   }
 
+  /** Closes the connection after bytes that came while no request waited for a response. */
+  private void closeAfterStrayBytes(boolean partOfHead) {
+    if (partOfHead) {
+      recordStray(StrayResponse.Reason.NO_REQUEST_WAITING, "", 0);
+    }
+    close();
+  }
+
   private void recordStray(StrayResponse.Reason reason, String responseId, int status) {
     long nowMillis = pool.nowMillis();
     pool.strayResponses()
@@ -418,7 +439,9 @@
   public void channelReadComplete(ChannelHandlerContext handlerContext) {
     if (releasePending) {
       releasePending = false;
-      pool.release(this);
+      if (!unusable) {
+        pool.release(this);
+      }
     }
   }
 
--- a/src/test/java/org/curranthaven/internal/relay/BackendConnectionTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/BackendConnectionTest.java
@@ -241,6 +241,28 @@
     assertThat(endings).isEmpty();
   }
 
+  @Test
+  void a_part_of_a_late_copy_is_no_part_of_the_response_to_the_next_request() {
+    String copy = "HTTP/1.1 200 X\r\nAttempt-Id: r\r\n" + LENGTH + "\r\nfour";
+    List<String> open = new ArrayList<>();
+    for (int cut = 1; cut < copy.length(); cut++) {
+      BackendConnectionTest later = new BackendConnectionTest();
+      later.completeFirstRequest();
+      later.receiveText(copy.substring(0, cut));
+      if (later.connection.isOpen()) {
+        open.add(cut + " bytes later");
+      }
+
+      BackendConnectionTest together = new BackendConnectionTest();
+      together.receive(200, LENGTH, "four" + copy.substring(0, cut));
+      assertThat(together.endings).containsExactly(new ResponseEnding.LengthReached());
+      if (together.connection.isOpen()) {
+        open.add(cut + " bytes in the same read");
+      }
+    }
+    assertThat(open).isEmpty();
+  }
+
   @Test
   void a_response_without_length_or_chunks_is_broken_off_when_this_side_closes() {
     receive(200, NEITHER, "four");
