--- a/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
@@ -1270,8 +1270,7 @@
       link.handle(
           "control-1",
           currentOrders()
-              .addPlacements(
-                  Placement.newBuilder().setId(number).setBackend(servers.get(number)))
+              .addPlacements(Placement.newBuilder().setId(number).setBackend(servers.get(number)))
               .build());
     }
     time.advance(300);
