No connection to a server is used again for a time after a late copy

A request that may repeat was sent again into the next copy.

Only a later request on the same connection can meet a copy. After a response, or a part of one, that may be a copy no connection to that server is used again for 1 s, then for 2, 4, 8 and 16 s if such bytes come again soon after a pause (ReusePauses). What is accepted as a response, what may repeat and what counts as not run do not change. A head that ends with its connection was cut off and begins no pause.

--- a/src/main/java/org/curranthaven/internal/relay/BackendConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/BackendConnection.java
@@ -134,6 +134,11 @@
     return isOpen() && !unusable && listener == null && withinIdleLimit;
   }
 
+  /** Returns whether a late response to an earlier request may come. */
+  boolean hasCarriedRequests() {
+    return carriedRequests.size() > 0;
+  }
+
   /** Returns whether no late response can be taken for the one to this request. */
   boolean mayCarry(String requestId) {
     return carriedRequests.mayAdd(requestId);
@@ -291,16 +296,17 @@
 
   private void recordStray(StrayResponse.Reason reason, String responseId, int status) {
     long nowMillis = pool.nowMillis();
-    pool.strayResponses()
-        .record(
-            new StrayResponse(
-                reason,
-                address,
-                listener == null ? "" : expectedRequestId,
-                responseId,
-                status,
-                carriedRequests.millisSinceAnswer(responseId, nowMillis)),
-            nowMillis);
+    // A head that ends with its connection was cut off, and shows no late copy.
+    boolean maybeLateCopy = !inputEnded && carriedRequests.size() > (listener == null ? 0 : 1);
+    pool.recordStray(
+        new StrayResponse(
+            reason,
+            address,
+            listener == null ? "" : expectedRequestId,
+            responseId,
+            status,
+            carriedRequests.millisSinceAnswer(responseId, nowMillis)),
+        maybeLateCopy);
   }
 
   private void skipResponse() {
--- a/src/main/java/org/curranthaven/internal/relay/BackendPool.java
+++ b/src/main/java/org/curranthaven/internal/relay/BackendPool.java
@@ -44,6 +44,7 @@
   private final WireProtocol protocol;
   private final Map<String, ArrayDeque<BackendConnection>> idleConnections = new HashMap<>();
   private final StrayResponseLog strayResponses;
+  private final ReusePauses reusePauses = new ReusePauses();
   private long connectionsOpened;
 
   /** Creates a pool that counts no responses. */
@@ -58,8 +59,17 @@
     this.strayResponses = strayResponses;
   }
 
-  StrayResponseLog strayResponses() {
-    return strayResponses;
+  /**
+   * Records a response that is not accepted.
+   *
+   * @param maybeLateCopy whether it may belong to an earlier request on its connection
+   */
+  void recordStray(StrayResponse response, boolean maybeLateCopy) {
+    long nowMillis = clock.nowMillis();
+    strayResponses.record(response, nowMillis);
+    if (maybeLateCopy) {
+      reusePauses.recordStray(response.address(), nowMillis);
+    }
   }
 
   WireProtocol protocol() {
@@ -98,7 +108,9 @@
       return null;
     }
     for (BackendConnection connection : List.copyOf(connections.reversed())) {
-      if (!connection.isUsable(clock.nowMillis(), maxIdleMillis)) {
+      boolean pausedReuse =
+          connection.hasCarriedRequests() && !reusePauses.mayReuse(address, clock.nowMillis());
+      if (pausedReuse || !connection.isUsable(clock.nowMillis(), maxIdleMillis)) {
         connections.remove(connection);
         connection.close();
       } else if (connection.mayCarry(requestId)) {
@@ -212,7 +224,13 @@
     return clock.nowMillis();
   }
 
+  /** Keeps a connection that carries no request, unless none is to be used again. */
   void release(BackendConnection connection) {
+    if (connection.hasCarriedRequests()
+        && !reusePauses.mayReuse(connection.address(), clock.nowMillis())) {
+      connection.close();
+      return;
+    }
     idleConnections
         .computeIfAbsent(connection.address(), address -> new ArrayDeque<>())
         .addLast(connection);
@@ -227,6 +245,7 @@
 
   /** Closes the idle connections to all addresses but the given ones. */
   void retain(Set<String> addresses) {
+    reusePauses.retain(addresses);
     Iterator<Map.Entry<String, ArrayDeque<BackendConnection>>> entries =
         idleConnections.entrySet().iterator();
     while (entries.hasNext()) {
--- a/src/main/java/org/curranthaven/internal/relay/CarriedRequests.java
+++ b/src/main/java/org/curranthaven/internal/relay/CarriedRequests.java
@@ -20,6 +20,11 @@
     answeredAtMillis.put(requestId, NOT_ANSWERED);
   }
 
+  /** Returns the number of requests. */
+  int size() {
+    return answeredAtMillis.size();
+  }
+
   /** Returns whether no request more may be added. */
   boolean isFull() {
     return answeredAtMillis.size() >= MAX_REQUESTS;
--- a/src/test/java/org/curranthaven/internal/relay/BackendConnectionTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/BackendConnectionTest.java
@@ -263,6 +263,34 @@
     assertThat(open).isEmpty();
   }
 
+  /** Sends a request over a new connection of the pool and receives its response. */
+  private BackendConnection completeOnNewConnection(String text) {
+    BackendConnection newConnection = new BackendConnection(pool, "127.0.0.1:1");
+    EmbeddedChannel channel = new EmbeddedChannel(newConnection.handlers());
+    newConnection.send(
+        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
+        "r",
+        new RecordingListener());
+    channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+    return newConnection;
+  }
+
+  @Test
+  void no_connection_is_used_again_for_a_time_after_a_late_copy_came_over_one() {
+    String whole = "HTTP/1.1 200 X\r\nAttempt-Id: r\r\n" + LENGTH + "\r\nfour";
+    BackendConnection before = completeOnNewConnection(whole);
+    assertThat(before.isOpen()).isTrue();
+
+    assertThat(completeOnNewConnection(whole + "HTTP/1.1 2").isOpen()).isFalse();
+
+    assertThat(completeOnNewConnection(whole).isOpen()).isFalse();
+    List<BackendConnection> acquired = new ArrayList<>();
+    time.advance(ReusePauses.FIRST_PAUSE_MILLIS);
+    BackendConnection after = completeOnNewConnection(whole);
+    pool.acquire("127.0.0.1:1", "next", Long.MAX_VALUE, acquired::add);
+    assertThat(acquired).containsExactly(after);
+  }
+
   @Test
   void a_response_without_length_or_chunks_is_broken_off_when_this_side_closes() {
     receive(200, NEITHER, "four");
