--- a/src/test/java/org/curranthaven/internal/relay/ResponseCutShortTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/ResponseCutShortTest.java
@@ -33,6 +33,7 @@
 /** Guards against a response that is cut off at any byte and is taken for a complete one. */
 @Timeout(120)
 class ResponseCutShortTest {
+  private static final long MAX_BODY_BYTES = 1024 * 1024;
   private static final String WHOLE_PATH = "/whole";
   private static final int SOCKET_TIMEOUT_MILLIS = 20_000;
   private static final String PROOF = "Attempt-Id: %s\r\nResponse-Seal: s\r\n";
@@ -178,7 +179,9 @@
             .build();
     DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path);
     request.headers().set("Attempt-Id", id);
-    Attempt attempt = new Attempt(backend, new ResponseBuffers(), listener);
+    ResponseMemory memory =
+        new ResponseMemory(new ResponseBuffers(), new BodyMemory(MAX_BODY_BYTES));
+    Attempt attempt = new Attempt(backend, memory, listener);
     BackendPool currentPool = pool;
     loop.execute(() -> attempt.start(currentPool, request, id, Long.MAX_VALUE, () -> true));
     return result.get(SOCKET_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
