--- a/src/main/java/org/curranthaven/internal/dispatch/QueueTimeForecast.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/QueueTimeForecast.java
@@ -29,6 +29,9 @@
    */
   private static final double MAX_MARGIN_TARGET_SHARE = 0.8;
 
+  /** Lowest such margin; a prompt that takes nearly all of its target on any engine is late. */
+  private static final double MIN_FIRST_REPLY_MARGIN = 1.1;
+
   /**
    * Safety factor on the learnt time of plain requests on fully used servers. Without it, requests
    * near their due time are placed, end late, and take the capacity of others.
@@ -162,7 +165,7 @@
   private static double firstReplyMargin(PlacementRequest request, double millisPerToken) {
     double ownMillis = Math.max(1, request.getPromptTokens() * millisPerToken);
     double affordable = MAX_MARGIN_TARGET_SHARE * request.getTargetLeftMillis() / ownMillis;
-    return Math.clamp(affordable, 1, FIRST_REPLY_MARGIN);
+    return Math.clamp(affordable, MIN_FIRST_REPLY_MARGIN, FIRST_REPLY_MARGIN);
   }
 
   /** Returns the same for an engine whose speed may be known. */
--- a/src/test/java/org/curranthaven/internal/emulator/RequestSizesTest.java
+++ b/src/test/java/org/curranthaven/internal/emulator/RequestSizesTest.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Set;
 import org.curranthaven.api.Outcome;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -91,19 +90,11 @@
   }
 
   @ParameterizedTest
-  @ValueSource(longs = {1, 2, 3, 4})
+  @ValueSource(longs = {1, 2, 3, 4, 5})
   void the_largest_long_streams_are_served_at_least_half_as_often_as_all(long seed) {
     assertLargestAreServed("history", seed);
   }
 
-  /** Listed in KNOWN-RED.txt: the largest tenth is served slightly less than half as often. */
-  @Tag("known-red")
-  @ParameterizedTest
-  @ValueSource(longs = 5)
-  void the_largest_long_streams_are_served_on_further_days(long seed) {
-    assertLargestAreServed("history", seed);
-  }
-
   private static void assertLargestAreServed(String kind, long seed) {
     Deployment deployment = deployment();
     Deployment.Day quiet = deployment.day("quiet");
