--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -83,7 +83,7 @@
   /** Gateways that may place requests locally, and when their connections were lost. */
   private final Map<String, Long> lostGateways = new HashMap<>();
 
-  /** Those that have not found this leader yet place requests locally. */
+  /** Gateways of earlier leaders; one that has not found this leader yet decides by itself. */
   private EarlierGateways earlierGateways = new EarlierGateways(false, 0);
 
   private final PendingAcknowledgements pendingAcknowledgements = new PendingAcknowledgements();
@@ -301,7 +301,7 @@
     connected.forEach(gateway -> sendView(gateway, connected.size()));
   }
 
-  /** Leaves lost gateways their share of the accepted rates, and their runs of suspects. */
+  /** Leaves lost gateways their share of the rates, and waits for what they may still run. */
   private void updateGatewayCounts(long nowMillis) {
     lostGateways.values().removeIf(lostAt -> nowMillis - lostAt > LOST_GATEWAY_SHARE_MILLIS);
     double connected = Math.max(1, gateways.get().size());
