Forget crash reports that have expired before they are counted again

SchedulerLinkTest, a crash that the scheduler has had time to count, followed by the loss of the scheduler: failed before (the crash was told to the next scheduler), holds now. The reports expire where they are counted, whoever asks for it.

--- a/src/main/java/org/curranthaven/internal/relay/RecentCrashReports.java
+++ b/src/main/java/org/curranthaven/internal/relay/RecentCrashReports.java
@@ -48,7 +48,8 @@
    *
    * @param running ids of the requests that the core knows to run
    */
-  void replay(DispatchCore core, Set<Long> running) {
+  void replay(DispatchCore core, Set<Long> running, long nowMillis) {
+    expire(nowMillis);
     for (Report report : reports) {
       long crashedAtMillis = report.reportedAtMillis();
       long placedAtMillis = crashedAtMillis - CrashEvidence.SAME_CAUSE_MILLIS;
--- a/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
+++ b/src/main/java/org/curranthaven/internal/relay/SchedulerLink.java
@@ -922,7 +922,7 @@
     backends.withColdTimes(nowMillis).forEach(record -> core.updateBackend(record, nowMillis));
     placedRequests()
         .forEach(run -> core.restoreRunning(requestId(run.getAsk().getId()), run, nowMillis));
-    crashReports.replay(core, openRequests.keySet());
+    crashReports.replay(core, openRequests.keySet(), nowMillis);
     return core;
   }
 
--- a/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
@@ -1282,4 +1282,18 @@
 
     assertThat(crashesToldTo("control-2", 4)).hasSize(1);
   }
+
+  /** Guards against a gateway without a scheduler that counts a crash of long ago again. */
+  @Test
+  void a_crash_that_the_scheduler_has_had_time_to_count_is_not_counted_without_a_scheduler() {
+    crashUnderRequest();
+    for (int i = 0; i < 11; i++) {
+      time.advance(200);
+      publishView("control-1", 3, 1, "i-1", "i-2");
+    }
+
+    link.disconnected("control-1");
+
+    assertThat(crashesToldTo("control-2", 4)).isEmpty();
+  }
 }
