--- a/src/main/java/org/curranthaven/internal/dispatch/Backends.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/Backends.java
@@ -178,6 +178,11 @@
         : candidates.filter(state -> !isEjected(state.id(), nowMillis));
   }
 
+  /** Returns whether any backend server is usable for the request. */
+  boolean hasUsableFor(RequestId requestId, PlacementRequest request, long nowMillis) {
+    return usableFor(requestId, request, nowMillis).findAny().isPresent();
+  }
+
   /**
    * Returns the candidates that are not ejected, or all if each is: an ejection leaves requests to
    * better peers, and a stream that is bound to a version has no others.
--- a/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/DispatchCore.java
@@ -490,7 +490,7 @@
     }
     long targetLeftMillis =
         Math.min(request.getTargetLeftMillis(), request.getDeadlineLeftMillis());
-    boolean hasBackend = hasCandidates(requestId, request, nowMillis);
+    boolean hasBackend = backends.hasUsableFor(requestId, request, nowMillis);
     OptionalLong restLeftMillis =
         hasBackend ? OptionalLong.empty() : backends.restLeftMillis(requestId, request, nowMillis);
     boolean mayWait = hasBackend || restLeftMillis.isPresent();
@@ -732,7 +732,7 @@
         rejectForCapacity(
             queued.id(),
             queued.request(),
-            hasCandidates(queued.id(), queued.request(), nowMillis),
+            backends.hasUsableFor(queued.id(), queued.request(), nowMillis),
             expectedMillis,
             nowMillis);
       }
@@ -915,10 +915,6 @@
     decisions.add(placementOf(running, chosen));
   }
 
-  private boolean hasCandidates(RequestId requestId, PlacementRequest request, long nowMillis) {
-    return backends.usableFor(requestId, request, nowMillis).findAny().isPresent();
-  }
-
   // ---- rejection --------------------------------------------------------------------------------
 
   private void rejectForCapacity(
--- a/src/main/java/org/curranthaven/internal/dispatch/HeldRequests.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/HeldRequests.java
@@ -36,7 +36,7 @@
   /** Returns whether all backend servers rest for the request's gateway, but not for others. */
   private boolean isHeldByRest(QueuedRequest queued, long nowMillis) {
     return backends.restLeftMillis(queued.id(), queued.request(), nowMillis).isPresent()
-        && backends.usableFor(queued.id(), queued.request(), nowMillis).findAny().isEmpty();
+        && !backends.hasUsableFor(queued.id(), queued.request(), nowMillis);
   }
 
   /**
--- a/src/main/java/org/curranthaven/internal/relay/Attempt.java
+++ b/src/main/java/org/curranthaven/internal/relay/Attempt.java
@@ -187,8 +187,9 @@
   private void end(AttemptResult result) {
     if (!ended) {
       markEnded();
-      memory.update(this, 0);
-      if (!(result instanceof AttemptResult.Completed)) {
+      if (result instanceof AttemptResult.Completed) {
+        memory.update(this, 0);
+      } else {
         releaseBody();
       }
       if (connection != null) {
--- a/src/main/java/org/curranthaven/internal/relay/BackendPool.java
+++ b/src/main/java/org/curranthaven/internal/relay/BackendPool.java
@@ -108,9 +108,7 @@
       return null;
     }
     for (BackendConnection connection : List.copyOf(connections.reversed())) {
-      boolean pausedReuse =
-          connection.hasCarriedRequests() && !reusePauses.mayReuse(address, clock.nowMillis());
-      if (pausedReuse || !connection.isUsable(clock.nowMillis(), maxIdleMillis)) {
+      if (isReusePaused(connection) || !connection.isUsable(clock.nowMillis(), maxIdleMillis)) {
         connections.remove(connection);
         connection.close();
       } else if (connection.mayCarry(requestId)) {
@@ -224,10 +222,14 @@
     return clock.nowMillis();
   }
 
+  private boolean isReusePaused(BackendConnection connection) {
+    return connection.hasCarriedRequests()
+        && !reusePauses.mayReuse(connection.address(), clock.nowMillis());
+  }
+
   /** Keeps a connection that carries no request, unless none is to be used again. */
   void release(BackendConnection connection) {
-    if (connection.hasCarriedRequests()
-        && !reusePauses.mayReuse(connection.address(), clock.nowMillis())) {
+    if (isReusePaused(connection)) {
       connection.close();
       return;
     }
--- a/src/main/java/org/curranthaven/internal/relay/BodyMemory.java
+++ b/src/main/java/org/curranthaven/internal/relay/BodyMemory.java
@@ -78,10 +78,6 @@
    */
   BodyMemory(long maxBytes) {
     this.maxBytes = maxBytes;
-    for (Use use : Use.values()) {
-      waiting.put(use, new ArrayDeque<>());
-      largeBytes.put(use, 0L);
-    }
   }
 
   /** Creates an account with the bound of the settings, or one that follows from the heap. */
--- a/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
@@ -1,5 +1,6 @@
 package org.curranthaven.internal.relay;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -339,15 +340,7 @@
     if (head == null) {
       return 0;
     }
-    FullHttpRequest withoutBody =
-        new DefaultFullHttpRequest(
-            head.protocolVersion(),
-            head.method(),
-            head.uri(),
-            Unpooled.EMPTY_BUFFER,
-            head.headers(),
-            EmptyHttpHeaders.INSTANCE);
-    if (!(context.protocol().readRequest(withoutBody)
+    if (!(context.protocol().readRequest(withBody(head, Unpooled.EMPTY_BUFFER))
         instanceof Outcome.Success<InboundRequest> success)) {
       return 0;
     }
@@ -438,18 +431,21 @@
     } else if (bytes.length > 0) {
       reservation = context.bodyMemory().hold(BodyMemory.Use.REQUEST, bytes.length);
     }
-    FullHttpRequest completeRequest =
-        new DefaultFullHttpRequest(
-            head.protocolVersion(),
-            head.method(),
-            head.uri(),
-            Unpooled.wrappedBuffer(bytes),
-            head.headers(),
-            EmptyHttpHeaders.INSTANCE);
+    FullHttpRequest completeRequest = withBody(head, Unpooled.wrappedBuffer(bytes));
     processInOrder(
         new ReceivedRequest(completeRequest, requestFingerprint, reservation, bodyWaitedMillis));
   }
 
+  private static FullHttpRequest withBody(HttpRequest head, ByteBuf body) {
+    return new DefaultFullHttpRequest(
+        head.protocolVersion(),
+        head.method(),
+        head.uri(),
+        body,
+        head.headers(),
+        EmptyHttpHeaders.INSTANCE);
+  }
+
   private void processInOrder(ReceivedRequest received) {
     if (!responding) {
       process(received);
