Tests: one listener for results of attempts, one registration of plain servers

ResultListener takes the place of four listeners that passed on a result or ignored it, FleetProcesses.registerPlainServer of three equal registrations, and one method of SchedulerLinkTest of a loop that stood twice.

--- a/src/test/java/org/curranthaven/internal/relay/AttemptTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/AttemptTest.java
@@ -10,13 +10,11 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -52,20 +50,7 @@
   private Attempt newAttempt(int port) {
     BackendRecord backend =
         BackendRecord.newBuilder().setId("i-1").setAddress("127.0.0.1:" + port).build();
-    Attempt.Listener listener =
-        new Attempt.Listener() {
-          @Override
-          public void onHead(Attempt attempt, ResponseHead head) {}
-
-          @Override
-          public void onEvents(
-              Attempt attempt, HttpResponse response, List<EventSplitter.Event> events) {}
-
-          @Override
-          public void onEnded(Attempt attempt, AttemptResult newResult) {
-            result.complete(newResult);
-          }
-        };
+    Attempt.Listener listener = new ResultListener(result::complete);
     return new Attempt(
         backend, new ResponseMemory(new ResponseBuffers(), new BodyMemory(1024 * 1024)), listener);
   }
--- a/src/test/java/org/curranthaven/internal/relay/ResponseCutShortTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/ResponseCutShortTest.java
@@ -8,7 +8,6 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -157,21 +156,9 @@
   private AttemptResult send(HttpMethod method, String path) throws Exception {
     String id = "id-" + nextRequestNumber++;
     CompletableFuture<AttemptResult> result = new CompletableFuture<>();
+    // A connection goes back to its pool after its response has ended.
     Attempt.Listener listener =
-        new Attempt.Listener() {
-          @Override
-          public void onHead(Attempt attempt, ResponseHead head) {}
-
-          @Override
-          public void onEvents(
-              Attempt attempt, HttpResponse response, List<EventSplitter.Event> events) {}
-
-          @Override
-          public void onEnded(Attempt attempt, AttemptResult newResult) {
-            // A connection goes back to its pool after its response has ended.
-            loop.execute(() -> result.complete(newResult));
-          }
-        };
+        new ResultListener(newResult -> loop.execute(() -> result.complete(newResult)));
     BackendRecord backend =
         BackendRecord.newBuilder()
             .setId("i-1")
--- a/src/test/java/org/curranthaven/internal/relay/ResponseWatchTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/ResponseWatchTest.java
@@ -3,9 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.HttpResponse;
 import java.lang.reflect.Proxy;
-import java.util.List;
 import org.curranthaven.internal.transport.wire.BackendRecord;
 import org.junit.jupiter.api.Test;
 
@@ -19,19 +17,7 @@
       new Attempt(
           BackendRecord.getDefaultInstance(),
           new ResponseMemory(new ResponseBuffers(), new BodyMemory(1024 * 1024)),
-          new IgnoringListener());
-
-  private static final class IgnoringListener implements Attempt.Listener {
-    @Override
-    public void onHead(Attempt attempt, ResponseHead head) {}
-
-    @Override
-    public void onEvents(
-        Attempt attempt, HttpResponse response, List<EventSplitter.Event> events) {}
-
-    @Override
-    public void onEnded(Attempt attempt, AttemptResult result) {}
-  }
+          new ResultListener(result -> {}));
 
   private ResponseWatch watch() {
     RelayContext context =
--- a/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
@@ -1179,6 +1179,14 @@
     link.reportEnd(7, DispatchOutcome.DISPATCH_OUTCOME_CONNECTION_LOST, 0);
   }
 
+  /** Hears from the scheduler for longer than reports of crashes are kept. */
+  private void giveSchedulerTimeToCount() {
+    for (int i = 0; i < 11; i++) {
+      time.advance(200);
+      publishView("control-1", 3, 1, "i-1", "i-2");
+    }
+  }
+
   private List<String> crashesToldTo(String scheduler, long newTerm) {
     publishView(scheduler, newTerm, 1, "i-1", "i-2");
     return lastStatus().getCrashSuspectsList().stream()
@@ -1209,10 +1217,7 @@
   @Test
   void a_crash_that_the_scheduler_has_had_time_to_count_is_not_told_again() {
     crashUnderRequest();
-    for (int i = 0; i < 11; i++) {
-      time.advance(200);
-      publishView("control-1", 3, 1, "i-1", "i-2");
-    }
+    giveSchedulerTimeToCount();
 
     assertThat(crashesToldTo("control-2", 4)).isEmpty();
   }
@@ -1287,10 +1292,7 @@
   @Test
   void a_crash_that_the_scheduler_has_had_time_to_count_is_not_counted_without_a_scheduler() {
     crashUnderRequest();
-    for (int i = 0; i < 11; i++) {
-      time.advance(200);
-      publishView("control-1", 3, 1, "i-1", "i-2");
-    }
+    giveSchedulerTimeToCount();
 
     link.disconnected("control-1");
 
--- a/src/test/java/org/curranthaven/internal/relay/TransmissionTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/TransmissionTest.java
@@ -11,7 +11,6 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.io.InputStream;
@@ -58,20 +57,7 @@
             .setAddress("127.0.0.1:" + server.getLocalPort())
             .build();
     CompletableFuture<AttemptResult> result = new CompletableFuture<>();
-    Attempt.Listener listener =
-        new Attempt.Listener() {
-          @Override
-          public void onHead(Attempt attempt, ResponseHead head) {}
-
-          @Override
-          public void onEvents(
-              Attempt attempt, HttpResponse response, List<EventSplitter.Event> events) {}
-
-          @Override
-          public void onEnded(Attempt attempt, AttemptResult newResult) {
-            result.complete(newResult);
-          }
-        };
+    Attempt.Listener listener = new ResultListener(result::complete);
     Attempt attempt =
         new Attempt(
             backend,
--- a/src/test/java/org/curranthaven/platform/FleetProcesses.java
+++ b/src/test/java/org/curranthaven/platform/FleetProcesses.java
@@ -130,6 +130,18 @@
     start(GATEWAY + number, gatewayIp(number), settings);
   }
 
+  /** Registers a backend server of the plain service as {@code i-NUMBER}. */
+  void registerPlainServer(int number, FakeBackend server) throws Exception {
+    control(
+        "PUT",
+        "/api/runners/i-" + number,
+        """
+        {"service":"plain","address":"%s","zone":"here","version":"v1","slots":64,
+         "state":"ready","coldLeftMs":0,"seq":1}
+        """
+            .formatted(server.address()));
+  }
+
   /** Returns whether the process of a gateway runs. */
   boolean isGatewayRunning(int number) {
     return Objects.requireNonNull(processes.get(GATEWAY + number)).isAlive();
--- a/src/test/java/org/curranthaven/platform/LargeBodiesTest.java
+++ b/src/test/java/org/curranthaven/platform/LargeBodiesTest.java
@@ -185,14 +185,7 @@
         FakeBackend backend = new FakeBackend(this::serve)) {
       fleet.control("PUT", "/api/config", CATALOG);
       fleet.awaitGateways();
-      fleet.control(
-          "PUT",
-          "/api/runners/i-1",
-          """
-          {"service":"plain","address":"%s","zone":"here","version":"v1","slots":64,
-           "state":"ready","coldLeftMs":0,"seq":1}
-          """
-              .formatted(backend.address()));
+      fleet.registerPlainServer(1, backend);
       String address = fleet.gatewayAddresses().getFirst();
       List<Thread> shortCallers = new ArrayList<>();
       for (int caller = 0; caller < SHORT_CALLERS; caller++) {
--- a/src/test/java/org/curranthaven/platform/RemainingTimeTest.java
+++ b/src/test/java/org/curranthaven/platform/RemainingTimeTest.java
@@ -54,14 +54,7 @@
     for (int number = 1; number <= SERVERS; number++) {
       FakeBackend server = new FakeBackend(this::answerOnlyRepeats);
       servers.add(server);
-      fleet.control(
-          "PUT",
-          "/api/runners/i-" + number,
-          """
-          {"service":"plain","address":"%s","zone":"here","version":"v1","slots":64,
-           "state":"ready","coldLeftMs":0,"seq":1}
-          """
-              .formatted(server.address()));
+      fleet.registerPlainServer(number, server);
     }
   }
 
--- a/src/test/java/org/curranthaven/platform/RetriesOfFlappingGatewaysTest.java
+++ b/src/test/java/org/curranthaven/platform/RetriesOfFlappingGatewaysTest.java
@@ -49,14 +49,7 @@
     for (int number = 1; number <= SERVERS; number++) {
       FakeBackend server = new FakeBackend(this::fail);
       servers.add(server);
-      fleet.control(
-          "PUT",
-          "/api/runners/i-" + number,
-          """
-          {"service":"plain","address":"%s","zone":"here","version":"v1","slots":64,
-           "state":"ready","coldLeftMs":0,"seq":1}
-          """
-              .formatted(server.address()));
+      fleet.registerPlainServer(number, server);
     }
   }
 
