--- a/src/test/java/org/curranthaven/platform/FleetProcesses.java
+++ b/src/test/java/org/curranthaven/platform/FleetProcesses.java
@@ -381,7 +381,7 @@
     return text.toString();
   }
 
-  private static String lastLines(Path log) {
+  static String lastLines(Path log) {
     try {
       List<String> lines = Files.readAllLines(log);
       return String.join("\n", lines.subList(Math.max(0, lines.size() - LOG_LINES), lines.size()));
