--- a/src/main/java/org/curranthaven/internal/clients/ClientConnections.java
+++ b/src/main/java/org/curranthaven/internal/clients/ClientConnections.java
@@ -28,7 +28,7 @@
   private static final double COSTLY_PART = 0.25;
 
   /** Time without a byte after which a large body yields its memory to one that waits. */
-  private static final long STALLED_MILLIS = 1_000;
+  private static final long STALLED_MILLIS = 3_000;
 
   private static final Comparator<Account> LEAST_DONE =
       Comparator.<Account, Standing>comparing(account -> account.standing)
--- a/src/main/java/org/curranthaven/internal/clients/ClientLink.java
+++ b/src/main/java/org/curranthaven/internal/clients/ClientLink.java
@@ -36,6 +36,9 @@
   /** Stops reading a body for which there is no memory, or goes on. */
   default void awaitBodyMemory(boolean waiting) {}
 
+  /** Records that the last response was written, which the client may still have to read. */
+  default void responded() {}
+
   /** Records that the client was refused, so that its connection is the first to be closed. */
   default void refused() {}
 
--- a/src/main/java/org/curranthaven/internal/clients/DecodedClient.java
+++ b/src/main/java/org/curranthaven/internal/clients/DecodedClient.java
@@ -32,6 +32,11 @@
     client.awaitBodyMemory(waiting);
   }
 
+  @Override
+  public void responded() {
+    client.account().idle(client.nowMillis());
+  }
+
   @Override
   public void refused() {
     client.account().refused(client.nowMillis());
--- a/src/main/java/org/curranthaven/internal/clients/HostLimits.java
+++ b/src/main/java/org/curranthaven/internal/clients/HostLimits.java
@@ -27,6 +27,9 @@
   private static final int MAX_RESERVED = 256;
   private static final int MIN_CONNECTIONS = 16;
 
+  /** Connections of callers for which the heap of a gateway has room beside all that they send. */
+  private static final int MAX_CALLERS = 1_200;
+
   public HostLimits {
     if (reserved + callers + readiness + control + 2 * peers + status + backends > descriptors) {
       throw new IllegalArgumentException(
@@ -43,7 +46,7 @@
     int readiness = part(descriptors, 32);
     int status = part(descriptors, 64);
     int left = descriptors - reserved - 2 * peers - readiness - status;
-    int callers = left / 3;
+    int callers = Math.min(MAX_CALLERS, left / 3);
     return new HostLimits(
         descriptors, reserved, callers, readiness, 0, peers, status, left - callers);
   }
--- a/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
@@ -28,15 +28,12 @@
 import java.util.ArrayDeque;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.curranthaven.api.Failure;
 import org.curranthaven.api.Outcome;
 import org.curranthaven.api.ResultCode;
 import org.curranthaven.internal.catalog.Catalog;
 import org.curranthaven.internal.catalog.CatalogWorkspace;
-import org.curranthaven.internal.catalog.HomeRegions;
-import org.curranthaven.internal.catalog.Repeatability;
 import org.curranthaven.internal.catalog.Route;
 import org.curranthaven.internal.catalog.ServiceSpec;
 import org.curranthaven.internal.clients.ClientLink;
@@ -157,17 +154,16 @@
    * Closes a connection on which the caller sends nothing, or only part of a request, for too long.
    */
   private void checkIdle() {
-    if (disconnected || closing) {
+    if (disconnected) {
       return;
     }
     long nowMillis = context.clock().nowMillis();
     long headerMillis = context.catalog().limits().headerTimeoutMillis();
     long idleMillis = context.catalog().limits().idleTimeoutMillis();
-    boolean unread =
-        (responseWriter != null || awaitingReader) && nowMillis - lastActivityMillis >= idleMillis;
-    if (unread) {
+    boolean unread = (closing && !responding) || responseWriter != null || awaitingReader;
+    if (unread && nowMillis - lastActivityMillis >= idleMillis) {
       close();
-    } else if (responding) {
+    } else if (responding || closing) {
       scheduleIdleCheck(idleMillis);
     } else if (partialRequestSinceMillis >= 0) {
       long leftMillis = partialRequestSinceMillis + headerMillis + bodyTimeoutMillis() - nowMillis;
@@ -343,7 +339,7 @@
     return context
         .catalog()
         .routeFor(request.host(), request.path())
-        .map(route -> timeoutMillis(request, route))
+        .map(route -> RequestTerms.timeoutMillis(request, route))
         .orElse(request.deadlineMillis());
   }
 
@@ -529,7 +525,7 @@
               "the route requires the key of a workspace; the request has none or an unknown one"));
       return;
     }
-    long timeoutMillis = timeoutMillis(request, route);
+    long timeoutMillis = RequestTerms.timeoutMillis(request, route);
     if (!context.mayAccept(timeoutMillis)) {
       fail(
           Failure.retryLater(
@@ -538,7 +534,8 @@
               DrainRules.RETRY_AFTER_MILLIS));
       return;
     }
-    ServiceSpec service = catalog.service(route.serviceFor(drawFor(request, route)));
+    double draw = RequestTerms.drawFor(request, route, context::nextRandom);
+    ServiceSpec service = catalog.service(route.serviceFor(draw));
     if (service == null) {
       fail(
           Failure.of(
@@ -562,39 +559,12 @@
             arrivedAtMillis,
             timeoutMillis,
             hasWorkspacePriority && workspace != null ? workspace.priority() : route.priority(),
-            homeRegions(catalog, route, workspace));
+            RequestTerms.homeRegions(catalog, route, workspace));
     currentRequest = routedRequest;
     context.requestOpened(routedRequest);
     routedRequest.start();
   }
 
-  private static long timeoutMillis(InboundRequest request, Route route) {
-    return request.deadlineMillis() > 0
-        ? Math.min(request.deadlineMillis(), route.timeoutMillis())
-        : route.timeoutMillis();
-  }
-
-  private static HomeRegions homeRegions(
-      Catalog catalog, Route route, @Nullable CatalogWorkspace workspace) {
-    return workspace == null || !catalog.needsKey(route)
-        ? route.homeRegions()
-        : route.homeRegions().and(workspace.homeRegions());
-  }
-
-  /**
-   * Returns the number that selects the service of a request. A stream and its continuation have
-   * the same, so that a caller that takes a stream up reaches the service that began it.
-   */
-  private double drawFor(InboundRequest request, Route route) {
-    boolean mayBeTakenUp = route.kind() == Repeatability.STREAM && route.isRepeatable();
-    if (!mayBeTakenUp || !route.hasSeveralServices()) {
-      return context.nextRandom();
-    }
-    String firstRequestId =
-        request.resumedRequestId().isEmpty() ? request.id() : request.resumedRequestId();
-    return new SplittableRandom(RequestFingerprint.ofStream("", firstRequestId)).nextDouble();
-  }
-
   // ---- responses --------------------------------------------------------------------------------
 
   /** Forwards the response of a backend server, unchanged except for hop-by-hop headers. */
@@ -760,6 +730,9 @@
     lastActivityMillis = context.clock().nowMillis();
     if (!keepOpen) {
       closing = true;
+      if (!dropping) {
+        client.responded();
+      }
       closeAfter(written);
       return;
     }
@@ -785,6 +758,10 @@
       partialRequestSinceMillis = client.hasUndecoded() ? context.clock().nowMillis() : -1;
     }
     client.proceed();
+    if (!responding && incompleteRequest == null && !client.hasUndecoded()) {
+      // Only an empty line followed.
+      partialRequestSinceMillis = -1;
+    }
   }
 
   private void closeAfter(@Nullable ChannelFuture written) {
--- a/src/test/java/org/curranthaven/internal/relay/CallerConnectionTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/CallerConnectionTest.java
@@ -3,6 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -13,6 +16,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
 import java.lang.reflect.Proxy;
 import java.util.List;
 import org.curranthaven.api.Outcome;
@@ -178,6 +182,29 @@
     assertThat(caller.isOpen()).isFalse();
   }
 
+  /** Guards against a connection that is kept for as long as its caller leaves it unread. */
+  @Test
+  void a_connection_whose_last_response_is_not_taken_is_closed_after_the_idle_timeout() {
+    EmbeddedChannel unreading =
+        new EmbeddedChannel(
+            new ChannelOutboundHandlerAdapter() {
+              @Override
+              public void write(
+                  ChannelHandlerContext handlerContext, Object message, ChannelPromise promise) {
+                ReferenceCountUtil.release(message);
+              }
+            },
+            new CallerConnection(context(), ClientLink.UNBOUNDED));
+    initialized = true;
+    draining = true;
+    unreading.writeInbound(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x/"));
+    assertThat(unreading.isOpen()).isTrue();
+
+    time.advance(2 * Catalog.empty().limits().idleTimeoutMillis());
+
+    assertThat(unreading.isOpen()).isFalse();
+  }
+
   @Test
   void a_caller_that_has_disconnected_gets_no_response() {
     send();
