--- a/src/main/java/org/curranthaven/internal/clients/ClientChannel.java
+++ b/src/main/java/org/curranthaven/internal/clients/ClientChannel.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.TimeUnit;
 import org.curranthaven.internal.supervision.Clock;
 import org.curranthaven.internal.supervision.FatalErrors;
+import org.curranthaven.internal.supervision.LineLimit;
+import org.tinylog.Logger;
 
 /**
  * First handler of a client's connection: opens and closes its account, and decides when the
@@ -29,6 +31,8 @@
 
   private final ClientConnections connections;
   private final ReadTurns turns;
+  private final LineLimit lines;
+  private final Door door;
   private final Clock clock;
   private final Channel channel;
   private final ClientConnections.Account account;
@@ -45,13 +49,24 @@
     BEHIND
   }
 
-  /** What the connections of a host share. */
-  public record Shared(ClientConnections connections, ReadTurns turns, Clock clock) {}
+  /** What the connections of a host share; lines bounds what is logged about them. */
+  public record Shared(
+      ClientConnections connections, ReadTurns turns, Clock clock, LineLimit lines) {
+    private static final int LINES_PER_SECOND = 10;
+    private static final long SECOND_MILLIS = 1_000;
+
+    /** Creates the shared parts of a host. */
+    public Shared(ClientConnections connections, ReadTurns turns, Clock clock) {
+      this(connections, turns, clock, new LineLimit(LINES_PER_SECOND, SECOND_MILLIS));
+    }
+  }
 
   /** Opens the account of an accepted connection, which may close it or another one. */
   public ClientChannel(Shared shared, Door door, Channel channel) {
     this.connections = shared.connections();
     this.turns = shared.turns();
+    this.lines = shared.lines();
+    this.door = door;
     this.clock = shared.clock();
     this.channel = channel;
     this.account = connections.open(door, this, nowMillis());
@@ -119,6 +134,15 @@
 
   @Override
   public void close(CloseReason reason) {
+    if (lines.mayWrite(nowMillis())) {
+      Logger.info(
+          "connection of {} at the address of {} closed for others: {}; {} bytes held, {} lines omitted",
+          channel.remoteAddress(),
+          door,
+          reason,
+          connections.heldBytes(),
+          lines.takeOmitted());
+    }
     channel.close();
   }
 }
--- a/src/main/java/org/curranthaven/internal/relay/Gateway.java
+++ b/src/main/java/org/curranthaven/internal/relay/Gateway.java
@@ -85,6 +85,7 @@
   private final EndConfirmation endConfirmation;
   private final ResponseBuffers responseBuffers = new ResponseBuffers();
   private final BodyMemory bodyMemory;
+  private final HostLimits limits;
   private final ClientConnections clients;
   private final RelayServer server;
   private final RequestPathWarmUp warmUp;
@@ -119,7 +120,7 @@
             .setPeerAddress(settings.peerAddress())
             .setIncarnation(incarnation)
             .build();
-    HostLimits limits = HostLimits.gateway(settings.descriptorLimit());
+    this.limits = HostLimits.gateway(settings.descriptorLimit());
     this.network =
         new PeerNetwork(
             settings.peerAddress(),
@@ -169,7 +170,6 @@
   }
 
   private void startStatusServer() {
-    HostLimits limits = HostLimits.gateway(settings.descriptorLimit());
     String address = settings.statusAddress();
     RoutedMetrics statusMetrics = metrics;
     if (statusMetrics == null || address == null) {
