review: case 10, three crashes block the prompts of all

With equal counts, the part that crashes engines and the first part that sound requests share are both blocked, for ten minutes.

--- a/review/lab-2/SharedPart.java
+++ b/review/lab-2/SharedPart.java
@@ -10,7 +10,7 @@
  */
 final class SharedPart {
   private static final int CONTACT_MILLIS = 3_000;
-  private static final int SOUND_MILLIS = 700;
+  private static final int SOUND_MILLIS = 900;
   private static final int BACK_MILLIS = 3_000;
   private static final int MIN_REQUESTS = 20;
   private static final String BAD_PART = "bad0";
@@ -68,7 +68,7 @@
       Runner.pause(300);
       for (int i = 0; i < 3; i++) {
         badRequest(i);
-        Runner.pause(100);
+        Runner.pause(150);
       }
       Runner.daemon(this::badRequests);
     }
