--- a/review/lab-2/PausedEngine.java
+++ b/review/lab-2/PausedEngine.java
@@ -57,7 +57,7 @@
     InetSocketAddress gateway = fleet.caller(0);
     List<Caller.Stream> streams = new CopyOnWriteArrayList<>();
     for (int i = 0; i < STREAMS; i++) {
-      Runner.daemon(() -> streams.add(request(gateway)));
+      Runner.daemon(() -> streams.add(request(gateway, record)));
       Runner.pause(80);
     }
     Runner.pause(500);
@@ -130,8 +130,9 @@
             other -> other.first() && other.runner().equals(runner) && other.nanos() < nanos);
   }
 
-  private static Caller.Stream request(InetSocketAddress gateway) {
+  private static Caller.Stream request(InetSocketAddress gateway, Record record) {
     String id = Caller.newId("d");
+    record.add(id + " sent");
     String headers =
         "Model: m\r\nToken-Count: 300,520\r\nLength-Hint: 520\r\nPrompt-Prefix: a1:40,"
             + Integer.toHexString(id.hashCode()) + ":260\r\nDeadline-Ms: 39000\r\n";
--- a/review/lab-2/RestartedVersion.java
+++ b/review/lab-2/RestartedVersion.java
@@ -55,7 +55,7 @@
     InetSocketAddress gateway = fleet.caller(0);
     List<Caller.Stream> streams = new CopyOnWriteArrayList<>();
     for (int i = 0; i < STREAMS; i++) {
-      Runner.daemon(() -> streams.add(request(gateway)));
+      Runner.daemon(() -> streams.add(request(gateway, record)));
       Runner.pause(50);
     }
     long endMillis = System.currentTimeMillis() + EVENTS * EVENT_MILLIS + 8_000;
@@ -82,8 +82,9 @@
     return joined > MOST_JOINED ? 1 : 0;
   }
 
-  private static Caller.Stream request(InetSocketAddress gateway) {
+  private static Caller.Stream request(InetSocketAddress gateway, Record record) {
     String id = Caller.newId("s");
+    record.add(id + " sent");
     String headers =
         "Model: m\r\nToken-Count: 300,280\r\nPrompt-Prefix: a1:40,"
             + Integer.toHexString(id.hashCode()) + ":260\r\nDeadline-Ms: 39000\r\n";
--- a/review/lab-2/Runner.java
+++ b/review/lab-2/Runner.java
@@ -39,6 +39,9 @@
   /** Connections that may wait to be accepted. */
   volatile int backlog = 256;
 
+  /** Whether streams have neither a length nor chunks and end with their connection. */
+  volatile boolean unframed;
+
   /** Whether a run goes on after its connection has closed, as it does at some backend servers. */
   volatile boolean keepsRunning;
 
@@ -205,6 +208,8 @@
                 ("HTTP/1.1 200 OK\r\nRunner-Id: " + id + "\r\nContent-Length: 0\r\n\r\n")
                     .getBytes(StandardCharsets.ISO_8859_1));
         call.out().flush();
+      } else if (call.path().equals("/api/report") && !engine) {
+        json(call, 404, "{}");
       } else if (call.path().equals("/api/report")) {
         json(call, 200, "{\"born\":" + bornMillis + ",\"busy\":false,\"queued\":0,\"running\":"
             + runs.size() + "}");
@@ -343,7 +348,8 @@
     try {
       out.write(
           ("HTTP/1.1 200 OK\r\nAttempt-Id: " + run.id + "\r\nResponse-Seal: seal-" + run.id
-                  + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+                  + "\r\nContent-Type: text/event-stream\r\n"
+                  + (runner.unframed ? "" : "Transfer-Encoding: chunked\r\n") + "\r\n")
               .getBytes(StandardCharsets.ISO_8859_1));
       out.flush();
       while (run.made < events) {
@@ -358,9 +364,11 @@
         String event =
             "id: " + run.made + "\ndata: " + runner.id + " " + life.version + "\n\n";
         try {
-          out.write(
-              (Integer.toHexString(event.length()) + "\r\n" + event + "\r\n")
-                  .getBytes(StandardCharsets.ISO_8859_1));
+          String part =
+              runner.unframed
+                  ? event
+                  : Integer.toHexString(event.length()) + "\r\n" + event + "\r\n";
+          out.write(part.getBytes(StandardCharsets.ISO_8859_1));
           out.flush();
         } catch (IOException e) {
           if (!runner.keepsRunning) {
@@ -369,6 +377,10 @@
         }
       }
       runner.record.add(runner.id + " (" + life.version + ") has finished " + run.id);
+      if (runner.unframed) {
+        call.socket().close();
+        return;
+      }
       out.write("0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
       out.flush();
     } finally {
--- a/review/lab-2/Trials.java
+++ b/review/lab-2/Trials.java
@@ -4,8 +4,8 @@
 import java.nio.file.Path;
 
 /**
- * Faults that were seen beside the five cases, each with a trial that needs no disruption. The first
- * argument names the trial, the second one the file of the record; exits with 1 if the fault shows.
+ * Faults that were seen beside the five cases. The first argument names the trial, the second one
+ * the file of the record; exits with 1 if the fault shows.
  */
 final class Trials {
   private final Record record;
@@ -28,6 +28,7 @@
         case "tenant-names" -> trials.tenantNames();
         case "event-ids" -> trials.eventIds();
         case "raw-path" -> trials.rawPath();
+        case "restarted-server" -> trials.restartedServer();
         default -> throw new IllegalArgumentException("no trial " + arguments[0]);
       }
       result = trials.shown ? 1 : trials.ran ? 0 : 2;
@@ -153,6 +154,62 @@
     send("GET", path, "p-1", "");
   }
 
+  /**
+   * A gateway freezes while a plain server crashes in the middle of an answer without length and
+   * starts again under its id: the caller gets the first half as the whole answer.
+   */
+  private void restartedServer() throws Exception {
+    String half = "half of an answer";
+    fleet.configure(
+        Documents.document(
+            1,
+            Documents.route("pages", "/pages/", "non_idempotent", 9_000, 300, "archive", 1, false),
+            Documents.plainService("archive")));
+    Runner server =
+        new Runner(
+            record, fleet.controlAddresses(), "server-1", fleet.address(201) + ":9000", "archive",
+            6, false,
+            call -> {
+              call.out()
+                  .write(
+                      ("HTTP/1.1 200 OK\r\nAttempt-Id: " + call.attemptId()
+                              + "\r\nResponse-Seal: seal\r\n\r\n" + half)
+                          .getBytes(StandardCharsets.ISO_8859_1));
+              call.out().flush();
+              Runner.pause(2_000);
+              call.out().write(half.getBytes(StandardCharsets.ISO_8859_1));
+              call.socket().close();
+            });
+    server.start("v1", 0);
+    Runner.pause(2_500);
+    Http.Response[] response = new Http.Response[1];
+    Thread caller =
+        Runner.daemon(
+            () -> {
+              try {
+                response[0] = send("GET", "/pages/1", "p-1", "");
+              } catch (IOException e) {
+                record.add("no answer: " + e);
+              }
+            });
+    Runner.pause(500);
+    Process gateway = fleet.process(fleet.gatewayHost(0));
+    signal(gateway, "STOP");
+    server.crash();
+    Runner.pause(1_500);
+    server.start("v1", 0);
+    Runner.pause(1_000);
+    signal(gateway, "CONT");
+    caller.join(8_000);
+    ran = response[0] != null;
+    shown = ran && response[0].status() == 200 && response[0].text().equals(half);
+    record.add(ran ? "status " + response[0].status() + ": " + response[0].text() : "no answer");
+  }
+
+  private static void signal(Process process, String name) throws Exception {
+    new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
+  }
+
   private void startPlain(String document, String service, Runner.Handler handler)
       throws Exception {
     fleet.configure(document);
