--- a/review/lab-2/Caller.java
+++ b/review/lab-2/Caller.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Requests of callers, each over a connection of its own. */
@@ -42,17 +43,33 @@
     volatile int status;
     volatile boolean complete;
     final List<Event> events = new ArrayList<>();
+    final InetSocketAddress gateway;
+    private volatile Socket socket;
 
-    Stream(String id) {
+    Stream(String id, InetSocketAddress gateway) {
       this.id = id;
+      this.gateway = gateway;
+    }
+
+    /** Closes the caller's connection in the middle of the stream. */
+    void leave() throws IOException {
+      Socket open = socket;
+      if (open != null) {
+        open.close();
+      }
     }
   }
 
+  /** All streams that were begun. */
+  static final List<Stream> STREAMS = new CopyOnWriteArrayList<>();
+
   /** Sends a request for a stream and reads the response to its end. */
   static Stream stream(
       InetSocketAddress gateway, byte[] request, String id, int timeoutMillis) {
-    Stream stream = new Stream(id);
+    Stream stream = new Stream(id, gateway);
+    STREAMS.add(stream);
     try (Socket socket = new Socket()) {
+      stream.socket = socket;
       socket.setSoTimeout(timeoutMillis);
       socket.connect(gateway, 1_000);
       OutputStream out = socket.getOutputStream();
--- a/review/lab-2/HerdKill.java
+++ b/review/lab-2/HerdKill.java
@@ -1,6 +1,5 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 
@@ -53,24 +52,14 @@
       Runner.pause(30);
     }
     Runner.pause(1_500);
-    List<String> killed = new ArrayList<>(List.of(fleet.gatewayHost(0), fleet.gatewayHost(1)));
-    killed.add(leader(fleet));
-    record.add((trouble ? "killed: " : "killed but the leader: ") + killed);
-    if (!trouble) {
-      killed.remove(2);
-    }
-    for (String host : killed) {
-      fleet.process(host).destroyForcibly();
-    }
-    for (String host : killed) {
-      fleet.process(host).waitFor();
-    }
-    Runner.pause(1_000);
-    for (String host : killed) {
-      if (host.equals(fleet.gatewayHost(0)) || host.equals(fleet.gatewayHost(1))) {
-        fleet.startGateway(host);
-      } else {
-        fleet.startControl(host, false);
+    if (trouble) {
+      kill(fleet, record);
+    } else {
+      record.add("the callers of two gateways leave");
+      for (Caller.Stream stream : Caller.STREAMS) {
+        if (!stream.gateway.equals(fleet.caller(2))) {
+          stream.leave();
+        }
       }
     }
     while (!fleet.isReady(0) || !fleet.isReady(1)) {
@@ -81,6 +70,22 @@
     return takeUp(fleet, record, List.copyOf(streams));
   }
 
+  private static void kill(Fleet fleet, Record record) throws Exception {
+    String leader = leader(fleet);
+    List<String> killed = List.of(fleet.gatewayHost(0), fleet.gatewayHost(1), leader);
+    record.add("killed: " + killed);
+    for (String host : killed) {
+      fleet.process(host).destroyForcibly();
+    }
+    for (String host : killed) {
+      fleet.process(host).waitFor();
+    }
+    Runner.pause(1_000);
+    fleet.startGateway(fleet.gatewayHost(0));
+    fleet.startGateway(fleet.gatewayHost(1));
+    fleet.startControl(leader, false);
+  }
+
   /** Has the broken streams taken up, and as many new ones begun. */
   private static int takeUp(Fleet fleet, Record record, List<Caller.Stream> earlier)
       throws Exception {
