--- a/review/lab-2/FrozenGateway.java
+++ b/review/lab-2/FrozenGateway.java
@@ -10,7 +10,7 @@
 final class FrozenGateway {
   private static final int EVENTS = 80;
   private static final int EVENT_MILLIS = 60;
-  private static final int STREAMS = 12;
+  private static final int STREAMS = 14;
   private static final int REUSE_MILLIS = 2_200;
   private static final int FREEZE_MILLIS = 3_000;
 
@@ -21,9 +21,11 @@
     try (Fleet fleet = new Fleet(record, 3, 2)) {
       result = run(fleet, record, trouble);
       record.write();
-    } catch (Exception e) {
+    } catch (Throwable e) {
+      // Also an Error: a script that could not run must not end with the status of a broken rule.
+      result = 2;
       record.add("could not run: " + e);
-      record.write();
+      record.writeIfPossible();
     }
     System.exit(result);
   }
@@ -35,7 +37,7 @@
             Documents.route("drafts", "/drafts/", "stream", 39_000, 1_800, "model", 1, false) + ","
                 + Documents.route("pages", "/pages/", "idempotent", 1_500, 300, "archive", 2, false),
             Documents.engineService("model") + "," + Documents.plainService("archive")));
-    Runner[] engines = new Runner[6];
+    Runner[] engines = new Runner[7];
     for (int i = 0; i < engines.length; i++) {
       int number = i;
       engines[i] =
--- a/review/lab-2/PausedEngine.java
+++ b/review/lab-2/PausedEngine.java
@@ -28,9 +28,11 @@
     try (Fleet fleet = new Fleet(record, 3, 1)) {
       result = run(fleet, record, trouble);
       record.write();
-    } catch (Exception e) {
+    } catch (Throwable e) {
+      // Also an Error: a script that could not run must not end with the status of a broken rule.
+      result = 2;
       record.add("could not run: " + e);
-      record.write();
+      record.writeIfPossible();
     }
     System.exit(result);
   }
--- a/review/lab-2/Record.java
+++ b/review/lab-2/Record.java
@@ -23,6 +23,14 @@
     lines.add(String.format(Locale.ROOT, "%7.3f %s", seconds(), line));
   }
 
+  void writeIfPossible() {
+    try {
+      write();
+    } catch (IOException e) {
+      System.err.println("the record cannot be written: " + e);
+    }
+  }
+
   synchronized void write() throws IOException {
     Files.write(file, lines);
   }
--- a/review/lab-2/Trials.java
+++ b/review/lab-2/Trials.java
@@ -33,9 +33,11 @@
       }
       result = trials.shown ? 1 : trials.ran ? 0 : 2;
       record.write();
-    } catch (Exception e) {
+    } catch (Throwable e) {
+      // Also an Error: a script that could not run must not end with the status of a broken rule.
+      result = 2;
       record.add("could not run: " + e);
-      record.write();
+      record.writeIfPossible();
     }
     System.exit(result);
   }
