Record the origins of streams in the replicated log

Cause: which version began a stream was known to the gateway that forwarded it and to the leader alone. The next leader rebuilds its state from the gateways that live, and rejects what it does not know ("its origin is unknown, and several versions may have begun it"), since a guess would join two versions.

Why this works: the leader gathers the streams that have had output and proposes them as one command at a tick, one command at a time; the next leader reads them with the rest of the replicated state before it decides on anything. Nothing is written while one version of a service has served, as the list of versions in the log tells the origin then.

Without a scheduler a stream of unknown origin waits for the next one where versions differ too, since that one may know it. Three tests of SchedulerLinkTest asked for a rejection at once, or for good: they now ask that the stream is placed nowhere and rejected when its wait is over, and that one which names no stream is rejected for good; a test that it goes on at the next scheduler is added.

--- a/src/main/java/org/curranthaven/internal/catalog/Catalog.java
+++ b/src/main/java/org/curranthaven/internal/catalog/Catalog.java
@@ -24,6 +24,7 @@
   private final boolean keysRequired;
   private final Map<String, List<Route>> routesByHost = new HashMap<>();
   private final Map<String, ServiceSpec> services = new HashMap<>();
+  private final Set<String> servicesOnSharedRoutes = new HashSet<>();
   private final Map<String, CatalogWorkspace> workspaceByKey;
 
   /**
@@ -57,6 +58,9 @@
                 + "; change or remove one of them");
       }
       routesByHost.computeIfAbsent(route.host(), host -> new java.util.ArrayList<>()).add(route);
+      if (route.hasSeveralServices()) {
+        route.services().forEach(target -> servicesOnSharedRoutes.add(target.service()));
+      }
     }
     Comparator<Route> longestFirst =
         Comparator.comparingInt((Route route) -> route.pathPrefix().length()).reversed();
@@ -112,6 +116,11 @@
     return services.get(name);
   }
 
+  /** Returns the services that share a route with another one. */
+  public Set<String> servicesOnSharedRoutes() {
+    return Set.copyOf(servicesOnSharedRoutes);
+  }
+
   /** Returns whether a request on the route needs an API key. */
   public boolean needsKey(Route route) {
     return keysRequired && !route.anonymous();
--- a/src/main/java/org/curranthaven/internal/configuration/FleetCommand.java
+++ b/src/main/java/org/curranthaven/internal/configuration/FleetCommand.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
 import org.curranthaven.internal.catalog.ServiceVersion;
+import org.curranthaven.internal.catalog.StreamOriginState;
 import org.curranthaven.internal.placement.PlacementCommand;
 import org.jspecify.annotations.Nullable;
 
@@ -18,6 +19,7 @@
   @JsonSubTypes.Type(
       value = FleetCommand.RemoveServedVersions.class,
       name = "removeServedVersions"),
+  @JsonSubTypes.Type(value = FleetCommand.RecordStreamOrigins.class, name = "recordStreamOrigins"),
   @JsonSubTypes.Type(value = FleetCommand.Evacuate.class, name = "evacuate"),
   @JsonSubTypes.Type(value = FleetCommand.EndEvacuation.class, name = "endEvacuation"),
   @JsonSubTypes.Type(value = FleetCommand.ReadEvacuation.class, name = "readEvacuation"),
@@ -44,6 +46,19 @@
     }
   }
 
+  /**
+   * Records which software versions began streams.
+   *
+   * @param startsGeneration whether a generation starts first, so that streams are forgotten which
+   *     were recorded neither in the present one nor with this command
+   */
+  record RecordStreamOrigins(List<StreamOriginState.Group> origins, boolean startsGeneration)
+      implements FleetCommand {
+    public RecordStreamOrigins {
+      origins = List.copyOf(origins);
+    }
+  }
+
   /** An order about the evacuation of a data centre. */
   sealed interface EvacuationOrder extends FleetCommand {
     /** Returns the data centre that the order is about. */
--- a/src/main/java/org/curranthaven/internal/configuration/FleetState.java
+++ b/src/main/java/org/curranthaven/internal/configuration/FleetState.java
@@ -5,6 +5,7 @@
 import org.curranthaven.internal.catalog.CatalogState;
 import org.curranthaven.internal.catalog.EvacuationState;
 import org.curranthaven.internal.catalog.ServedVersions;
+import org.curranthaven.internal.catalog.StreamOriginState;
 import org.curranthaven.internal.consensus.StateMachine;
 import org.curranthaven.internal.placement.PlacementState;
 import org.curranthaven.internal.settings.Json;
@@ -12,7 +13,8 @@
 
 /**
  * Replicated state of group 0: the configuration, the placement lease, the catalog, the software
- * versions that have served and the evacuated data centres. Not thread-safe.
+ * versions that have served, the evacuated data centres and the origins of streams. Not
+ * thread-safe.
  */
 public final class FleetState implements StateMachine {
   private final ConfigurationState configuration = new ConfigurationState();
@@ -20,13 +22,15 @@
   private final CatalogState catalog = new CatalogState();
   private final ServedVersions servedVersions = new ServedVersions();
   private final EvacuationState evacuation = new EvacuationState();
+  private final StreamOriginState streamOrigins = new StreamOriginState();
 
   private record Snapshot(
       ConfigurationState.Snapshot configuration,
       PlacementState.Snapshot placement,
       CatalogState.@Nullable Snapshot catalog,
       ServedVersions.@Nullable Snapshot servedVersions,
-      EvacuationState.@Nullable Snapshot evacuation) {}
+      EvacuationState.@Nullable Snapshot evacuation,
+      StreamOriginState.@Nullable Snapshot streamOrigins) {}
 
   /** Returns the latest committed configuration. */
   public Configuration current() {
@@ -53,6 +57,11 @@
     return evacuation;
   }
 
+  /** Returns the origins of streams that may be taken up. */
+  public StreamOriginState streamOrigins() {
+    return streamOrigins;
+  }
+
   /** Returns the state of the placement lease. */
   public PlacementState placement() {
     return placement;
@@ -70,6 +79,7 @@
           case FleetCommand.AddServedVersion add -> servedVersions.add(add.version());
           case FleetCommand.RemoveServedVersions remove ->
               servedVersions.removeAll(remove.versions());
+          case FleetCommand.RecordStreamOrigins record -> recordOrigins(record);
           case FleetCommand.Evacuate order ->
               evacuation.evacuate(order.dataCentre(), order.revision());
           case FleetCommand.EndEvacuation end ->
@@ -80,6 +90,13 @@
     return Json.write(result);
   }
 
+  private int recordOrigins(FleetCommand.RecordStreamOrigins command) {
+    if (command.startsGeneration()) {
+      streamOrigins.startGeneration();
+    }
+    return streamOrigins.record(command.origins());
+  }
+
   @Override
   public ByteString snapshot() {
     return Json.write(
@@ -88,7 +105,8 @@
             placement.snapshot(),
             catalog.snapshot(),
             servedVersions.snapshot(),
-            evacuation.snapshot()));
+            evacuation.snapshot(),
+            streamOrigins.snapshot()));
   }
 
   @Override
@@ -105,5 +123,8 @@
     if (snapshot.evacuation() != null) {
       evacuation.restore(snapshot.evacuation());
     }
+    if (snapshot.streamOrigins() != null) {
+      streamOrigins.restore(snapshot.streamOrigins());
+    }
   }
 }
--- a/src/main/java/org/curranthaven/internal/dispatch/SharedKnowledge.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/SharedKnowledge.java
@@ -53,13 +53,10 @@
 
   /** Returns the empty knowledge of a gateway, which shares stated limits with others. */
   public static SharedKnowledge ofGateway(RandomGenerator random, GatewayRetries retries) {
-    StreamOrigins streamOrigins = new StreamOrigins();
-    // A gateway cannot tell which versions serve at present, however recent its last message.
-    streamOrigins.setComplete(false);
     return new SharedKnowledge(
         new CrashEvidence(),
         RequestRateLimits.ofGateway(random),
-        streamOrigins,
+        StreamOrigins.ofGateway(),
         new RestTimes(),
         new ServerCapacities(),
         retries);
--- a/src/main/java/org/curranthaven/internal/dispatch/StreamOrigins.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/StreamOrigins.java
@@ -1,14 +1,18 @@
 package org.curranthaven.internal.dispatch;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.Stream;
 import org.curranthaven.internal.catalog.ServiceVersion;
+import org.curranthaven.internal.catalog.StreamOriginState;
 import org.curranthaven.internal.transport.wire.PlacementRequest;
 import org.curranthaven.internal.transport.wire.ServedVersion;
 import org.curranthaven.internal.transport.wire.StreamOrigin;
@@ -40,11 +44,32 @@
   /** When each version was last seen to serve, by service. */
   private final Map<String, Map<String, Long>> servedMillis = new HashMap<>();
 
+  /** Streams that this host has to put into the replicated log; null if it never leads. */
+  private final @Nullable UnrecordedStreams unrecorded;
+
   /** Whether no version can have begun streams that is not known here. */
-  private boolean complete = true;
+  private boolean complete;
 
   private record Origin(ServiceVersion at, long outputAtMillis) {}
 
+  /** Creates the empty knowledge of a host that places the requests of all gateways. */
+  public StreamOrigins() {
+    this(true, new UnrecordedStreams());
+  }
+
+  private StreamOrigins(boolean complete, @Nullable UnrecordedStreams unrecorded) {
+    this.complete = complete;
+    this.unrecorded = unrecorded;
+  }
+
+  /**
+   * Returns the empty knowledge of a gateway, which cannot tell which versions serve at present,
+   * however recent its last message.
+   */
+  static StreamOrigins ofGateway() {
+    return new StreamOrigins(false, null);
+  }
+
   /**
    * Sets whether the known versions are complete. Only the leader can tell, while its lease holds:
    * any other host may be out of touch with those that register, for a time that it cannot know.
@@ -69,17 +94,25 @@
 
   private void record(long stream, ServiceVersion at, long outputAtMillis) {
     Origin known = origins.remove(stream);
-    origins.put(stream, new Origin(known == null ? at : known.at(), outputAtMillis));
+    Origin origin = new Origin(known == null ? at : known.at(), outputAtMillis);
+    origins.put(stream, origin);
+    if (unrecorded != null) {
+      unrecorded.add(origin.at().service(), stream);
+    }
   }
 
   private void discardOld(long nowMillis) {
-    Iterator<Origin> oldestFirst = origins.values().iterator();
+    Iterator<Map.Entry<Long, Origin>> oldestFirst = origins.entrySet().iterator();
     while (oldestFirst.hasNext()) {
-      boolean old = nowMillis - oldestFirst.next().outputAtMillis() > RETENTION_MILLIS;
+      Map.Entry<Long, Origin> oldest = oldestFirst.next();
+      boolean old = nowMillis - oldest.getValue().outputAtMillis() > RETENTION_MILLIS;
       if (!old && origins.size() <= MAX_STREAMS) {
         return;
       }
       oldestFirst.remove();
+      if (unrecorded != null) {
+        unrecorded.remove(oldest.getValue().at().service(), oldest.getKey());
+      }
     }
   }
 
@@ -115,6 +148,12 @@
    * or several. Others may have served too.
    */
   public @Nullable String onlyKnownVersion(String service, long nowMillis) {
+    Set<String> recent = recentVersions(service, nowMillis);
+    boolean oneKnown = recent.size() == 1 && !recent.contains("");
+    return oneKnown ? recent.iterator().next() : null;
+  }
+
+  private Set<String> recentVersions(String service, long nowMillis) {
     Map<String, Long> served = servedMillis.getOrDefault(service, Map.of());
     Set<String> recent = new TreeSet<>();
     served.forEach(
@@ -123,21 +162,86 @@
             recent.add(version);
           }
         });
-    boolean oneKnown = recent.size() == 1 && !recent.contains("");
-    return oneKnown ? recent.iterator().next() : null;
+    return recent;
   }
 
   /**
    * Returns whether a leader may know the version of a resumed stream that this host does not know:
-   * it can tell whether the only known version is the only one.
+   * it has the origins that are in the replicated log, and can tell whether the only known version
+   * is the only one.
    */
   public boolean mayBeKnownToLeader(PlacementRequest request, long nowMillis) {
+    boolean onlyVersionDecides = request.getResumedStream() == 0;
     return !complete
         && request.getResumes()
         && !request.getVersionBound()
-        && !request.getSeveralServices()
         && originOf(request.getResumedStream()) == null
-        && onlyKnownVersion(request.getService(), nowMillis) != null;
+        && (!onlyVersionDecides
+            || (!request.getSeveralServices()
+                && onlyKnownVersion(request.getService(), nowMillis) != null));
+  }
+
+  // ---- replicated log ---------------------------------------------------------------------------
+
+  /**
+   * Takes origins that are not in the replicated log yet, and counts them as recorded. Streams of a
+   * service at which one version has served are left: its only version follows from the versions
+   * that are in the log.
+   *
+   * @param severalServices services that share a route, so that an origin has to name the service
+   */
+  public List<StreamOriginState.Group> takeUnrecorded(
+      Set<String> severalServices, int maxStreams, long nowMillis) {
+    if (unrecorded == null) {
+      return List.of();
+    }
+    Map<ServiceVersion, List<Long>> taken = new LinkedHashMap<>();
+    int left = maxStreams;
+    for (String service : unrecorded.services()) {
+      if (severalServices.contains(service) || recentVersions(service, nowMillis).size() > 1) {
+        List<Long> streams = unrecorded.take(service, left);
+        streams.forEach(
+            stream ->
+                taken
+                    .computeIfAbsent(
+                        Objects.requireNonNull(originOf(stream)), key -> new ArrayList<>())
+                    .add(stream));
+        left -= streams.size();
+      }
+    }
+    return taken.entrySet().stream()
+        .map(entry -> new StreamOriginState.Group(entry.getKey(), entry.getValue()))
+        .toList();
+  }
+
+  /** Has origins recorded again whose recording failed. */
+  public void restoreUnrecorded(List<StreamOriginState.Group> failed) {
+    if (unrecorded == null) {
+      return;
+    }
+    for (StreamOriginState.Group group : failed) {
+      unrecorded.restore(
+          group.at().service(), group.streams().stream().filter(origins::containsKey).toList());
+    }
+  }
+
+  /** Has each stream recorded again that has further output. */
+  public void startGeneration() {
+    if (unrecorded != null) {
+      unrecorded.startGeneration();
+    }
+  }
+
+  /** Adds the origins that earlier leaders have recorded; their latest output counts as now. */
+  public void restoreRecorded(StreamOriginState.Snapshot recorded, long nowMillis) {
+    if (unrecorded != null) {
+      // Those of the previous generation are recorded again, since the next one forgets them.
+      recorded.present().forEach(group -> unrecorded.markRecorded(group.streams()));
+    }
+    Stream.of(recorded.previous(), recorded.present())
+        .flatMap(List::stream)
+        .forEach(group -> group.streams().forEach(stream -> record(stream, group.at(), nowMillis)));
+    discardOld(nowMillis);
   }
 
   // ---- exchange between hosts -------------------------------------------------------------------
--- a/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
@@ -16,6 +16,7 @@
 import org.curranthaven.internal.catalog.Catalog;
 import org.curranthaven.internal.catalog.EvacuationState;
 import org.curranthaven.internal.catalog.ServiceVersion;
+import org.curranthaven.internal.catalog.StreamOriginState;
 import org.curranthaven.internal.clients.ClientChannel;
 import org.curranthaven.internal.clients.ClientConnections;
 import org.curranthaven.internal.clients.HostLimits;
@@ -253,9 +254,12 @@
       List<ServiceVersion> versions = state == null ? List.of() : state.servedVersions().all();
       EvacuationState.Snapshot evacuation =
           state == null ? EvacuationState.Snapshot.EMPTY : state.evacuation().snapshot();
+      StreamOriginState.Snapshot streamOrigins =
+          state == null ? StreamOriginState.Snapshot.EMPTY : state.streamOrigins().snapshot();
       eventLoop.execute(
           () -> {
             scheduler.setEvacuation(evacuation);
+            scheduler.setStreamOrigins(streamOrigins);
             scheduler.setTerm(term, versions);
           });
     }
@@ -272,7 +276,7 @@
     }
   }
 
-  /** Replicates software versions in group 0. */
+  /** Replicates software versions and origins of streams in group 0. */
   private final class ReplicatedVersionLog implements VersionLog {
     @Override
     public void add(ServiceVersion version, Consumer<Boolean> callback) {
@@ -289,6 +293,15 @@
           Json.write(new FleetCommand.RemoveServedVersions(List.copyOf(versions))),
           reply -> {});
     }
+
+    @Override
+    public void recordOrigins(
+        FleetCommand.RecordStreamOrigins origins, Consumer<Boolean> callback) {
+      consensus.propose(
+          CONTROL_GROUP_ID,
+          Json.write(origins),
+          reply -> eventLoop.execute(() -> callback.accept(isApplied(reply))));
+    }
   }
 
   private void addDataCentre(String dataCentre, Consumer<Boolean> callback) {
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -20,9 +19,9 @@
 import org.curranthaven.internal.catalog.Catalog;
 import org.curranthaven.internal.catalog.EvacuationState;
 import org.curranthaven.internal.catalog.ServiceVersion;
+import org.curranthaven.internal.catalog.StreamOriginState;
 import org.curranthaven.internal.dispatch.BackendRegistry;
 import org.curranthaven.internal.dispatch.DispatchCore;
-import org.curranthaven.internal.dispatch.DispatchDecision;
 import org.curranthaven.internal.dispatch.DispatchFeatures;
 import org.curranthaven.internal.dispatch.RequestId;
 import org.curranthaven.internal.dispatch.RetryLimits;
@@ -38,11 +37,8 @@
 import org.curranthaven.internal.transport.wire.Envelope;
 import org.curranthaven.internal.transport.wire.GatewayStatus;
 import org.curranthaven.internal.transport.wire.HostRecord;
-import org.curranthaven.internal.transport.wire.MigrationOrder;
-import org.curranthaven.internal.transport.wire.Placement;
 import org.curranthaven.internal.transport.wire.PlacementRequest;
 import org.curranthaven.internal.transport.wire.RateLimitList;
-import org.curranthaven.internal.transport.wire.Rejection;
 import org.curranthaven.internal.transport.wire.RunningDispatch;
 import org.curranthaven.internal.transport.wire.SchedulerView;
 import org.tinylog.Logger;
@@ -76,6 +72,7 @@
   private final Supplier<Collection<HostRecord>> gateways;
   private final BiConsumer<String, Envelope.Builder> sender;
   private final VersionGate versionGate;
+  private final StreamOriginLog originLog;
   private final EvacuationOrders evacuation;
   private final DispatchFeatures features;
   private final Map<String, GatewayView> gatewayViews = new HashMap<>();
@@ -109,7 +106,7 @@
    *     learns of its lost leadership only some time after it runs again
    * @param gateways supplies the connected gateways
    * @param sender sends a message to the host with the given name, best effort
-   * @param versionLog replicates the software versions that backend servers serve with
+   * @param versionLog replicates the software versions that serve, and those that began streams
    * @param dataCentreLog replicates the data centres that backend servers register from
    * @param features functions of the dispatch core that the deployment asks for
    */
@@ -135,6 +132,7 @@
     this.gateways = gateways;
     this.sender = sender;
     this.versionGate = new VersionGate(versionLog);
+    this.originLog = new StreamOriginLog(versionLog);
     this.evacuation = new EvacuationOrders(dataCentreLog);
     this.core = newCore();
   }
@@ -165,6 +163,13 @@
     versionGate.reset(servedVersions, clock.nowMillis());
   }
 
+  /**
+   * Takes over the origins of streams that earlier leaders have committed, before this one leads.
+   */
+  void setStreamOrigins(StreamOriginState.Snapshot committed) {
+    originLog.setCommitted(committed);
+  }
+
   private void startScheduling(Collection<ServiceVersion> servedVersions) {
     Logger.info(
         "started scheduling in term {}, rebuilding state for at most {} ms",
@@ -177,6 +182,7 @@
     servedVersions.forEach(
         served ->
             knowledge.streamOrigins().recordServing(served.service(), served.version(), nowMillis));
+    originLog.start(knowledge.streamOrigins(), nowMillis);
     core = newCore();
     core.setCatalog(catalog);
     core.setEvacuated(evacuation.dataCentres(), nowMillis);
@@ -273,6 +279,7 @@
     }
     publishColdServers();
     core.tick(nowMillis);
+    originLog.write(catalog.servicesOnSharedRoutes(), nowMillis);
     core.drainReports(nowMillis).forEach(Logger::info);
     sendDecisions();
     completeAcknowledged();
@@ -639,42 +646,13 @@
 
   private void sendDecisions() {
     core.drainVersionDecisions().forEach(line -> Logger.info("{}", line));
-    Map<String, DispatchOrders.Builder> ordersByGateway = new LinkedHashMap<>();
-    for (DispatchDecision decision : core.drainDecisions()) {
-      DispatchOrders.Builder orders =
-          ordersByGateway.computeIfAbsent(decision.requestId().gateway(), this::newOrders);
-      switch (decision) {
-        case DispatchDecision.Place placement ->
-            orders.addPlacements(
-                Placement.newBuilder()
-                    .setId(placement.requestId().id())
-                    .setBackend(placement.backend())
-                    .setUrgency(placement.urgency())
-                    .setBackup(placement.backup())
-                    .setOnReserve(retries.isOnReserve(placement.requestId())));
-        case DispatchDecision.Reject rejection ->
-            orders.addRefusals(
-                Rejection.newBuilder()
-                    .setId(rejection.requestId().id())
-                    .setRetryAfterMillis(rejection.retryAfterMillis())
-                    .setReason(rejection.reason().name()));
-        case DispatchDecision.Stop stop ->
-            orders.addStops(
-                Rejection.newBuilder()
-                    .setId(stop.requestId().id())
-                    .setRetryAfterMillis(stop.retryAfterMillis())
-                    .setReason(stop.reason().name()));
-        case DispatchDecision.Migrate migration ->
-            orders.addMoves(
-                MigrationOrder.newBuilder()
-                    .setId(migration.requestId().id())
-                    .setTarget(migration.target())
-                    .setBackup(migration.backup()));
-      }
-    }
-    ordersByGateway.forEach(
-        (gateway, orders) ->
-            sender.accept(gateway, Envelope.newBuilder().setDispatchOrders(orders)));
+    GatewayOrders orders = new GatewayOrders(this::newOrders, retries::isOnReserve);
+    core.drainDecisions().forEach(orders::add);
+    orders
+        .byGateway()
+        .forEach(
+            (gateway, message) ->
+                sender.accept(gateway, Envelope.newBuilder().setDispatchOrders(message)));
   }
 
   // ---- backend servers --------------------------------------------------------------------------
--- a/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/SchedulerLinkTest.java
@@ -782,16 +782,38 @@
   }
 
   @Test
-  void in_local_fallback_a_stream_of_another_gateway_is_rejected_where_versions_differ() {
+  void in_local_fallback_a_stream_of_another_gateway_is_placed_nowhere_where_versions_differ() {
     publishVersions(Map.of("i-1", "v1", "i-2", "v2"));
     loseScheduler(100);
 
     RecordingListener resumption = resumption(8, STREAM);
     requestPlacement(resumption);
+    time.advance(5_000);
 
+    assertThat(resumption.backend()).isEmpty();
     assertThat(resumption.rejectionReason).isEqualTo("STREAM_ORIGIN_UNKNOWN");
   }
 
+  /** Guards against streams that are lost though the next scheduler knows what began them. */
+  @Test
+  void in_local_fallback_a_stream_of_another_gateway_waits_for_a_scheduler_that_may_know_it() {
+    publishVersions(Map.of("i-1", "v1", "i-2", "v2"));
+    loseScheduler(100);
+    RecordingListener resumption = resumption(8, STREAM);
+    requestPlacement(resumption);
+    time.advance(200);
+    sent.clear();
+
+    link.handle("control-2", SchedulerView.newBuilder().setTerm(4).setGateways(1).build());
+
+    assertThat(resumption.rejectionReason).isEmpty();
+    assertThat(sent)
+        .filteredOn(Envelope::hasDispatchRequests)
+        .flatExtracting(message -> message.getDispatchRequests().getAsksList())
+        .extracting(PlacementRequest::getId)
+        .containsExactly(8L);
+  }
+
   /** Guards against a guess from what little a gateway knows that has just started. */
   @Test
   void a_gateway_without_a_complete_list_of_servers_does_not_guess_the_version_of_a_stream() {
@@ -800,7 +822,9 @@
 
     RecordingListener resumption = resumption(8, STREAM);
     requestPlacement(resumption);
+    time.advance(5_000);
 
+    assertThat(resumption.backend()).isEmpty();
     assertThat(resumption.rejectionReason).isEqualTo("STREAM_ORIGIN_UNKNOWN");
   }
 
@@ -868,7 +892,7 @@
   void a_stream_that_no_scheduler_will_let_go_on_is_rejected_for_good() {
     publishVersions(Map.of("i-1", "v1", "i-2", "v2"));
     loseScheduler(10_000);
-    RecordingListener resumption = resumption(8, STREAM);
+    RecordingListener resumption = resumption(8, 0);
     requestPlacement(resumption);
 
     assertThat(resumption.rejectionReason).isEqualTo("STREAM_ORIGIN_UNKNOWN");
--- a/src/test/java/org/curranthaven/internal/scheduler/EvacuationHandlerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/EvacuationHandlerTest.java
@@ -63,6 +63,12 @@
 
     @Override
     public void remove(Collection<ServiceVersion> versions) {}
+
+    @Override
+    public void recordOrigins(
+        FleetCommand.RecordStreamOrigins origins, Consumer<Boolean> callback) {
+      callback.accept(true);
+    }
   }
 
   private Scheduler newScheduler() {
--- a/src/test/java/org/curranthaven/internal/scheduler/RetriesPastBudgetTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/RetriesPastBudgetTest.java
@@ -14,6 +14,7 @@
 import org.curranthaven.internal.catalog.Catalog;
 import org.curranthaven.internal.catalog.RequestLimits;
 import org.curranthaven.internal.catalog.ServiceVersion;
+import org.curranthaven.internal.configuration.FleetCommand;
 import org.curranthaven.internal.dispatch.DispatchFeatures;
 import org.curranthaven.internal.dispatch.RetryLimits;
 import org.curranthaven.internal.relay.ManualTime;
@@ -159,6 +160,12 @@
 
       @Override
       public void remove(java.util.Collection<ServiceVersion> versions) {}
+
+      @Override
+      public void recordOrigins(
+          FleetCommand.RecordStreamOrigins origins, Consumer<Boolean> callback) {
+        callback.accept(true);
+      }
     }
 
     private void startLeading() {
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -17,6 +17,7 @@
 import org.curranthaven.internal.catalog.ServiceSpec;
 import org.curranthaven.internal.catalog.ServiceVersion;
 import org.curranthaven.internal.catalog.ServiceWeight;
+import org.curranthaven.internal.configuration.FleetCommand;
 import org.curranthaven.internal.dispatch.DispatchFeatures;
 import org.curranthaven.internal.dispatch.RetryLimits;
 import org.curranthaven.internal.relay.ManualTime;
@@ -90,6 +91,12 @@
     public void remove(Collection<ServiceVersion> versions) {
       removed.addAll(versions);
     }
+
+    @Override
+    public void recordOrigins(
+        FleetCommand.RecordStreamOrigins origins, Consumer<Boolean> callback) {
+      callback.accept(true);
+    }
   }
 
   private List<HostRecord> connectedGateways() {
--- a/src/test/java/org/curranthaven/platform/FleetProcesses.java
+++ b/src/test/java/org/curranthaven/platform/FleetProcesses.java
@@ -13,13 +13,16 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.curranthaven.internal.cli.Main;
 import org.curranthaven.internal.standin.LocalFleet;
@@ -274,6 +277,30 @@
     startAll(false);
   }
 
+  /** Kills some gateways and the leader at once, and starts them again after a time. */
+  void killAndRestartWithLeader(List<Integer> gateways, long pauseMillis) throws Exception {
+    int leader = leader();
+    Set<String> names = new HashSet<>(Set.of(CONTROL + leader));
+    gateways.forEach(number -> names.add(GATEWAY + number));
+    kill(names::contains);
+    Thread.sleep(pauseMillis);
+    for (int number : gateways) {
+      startGateway(number);
+    }
+    startControl(leader, false);
+  }
+
+  /** Returns the number of the control host that schedules now, as its log tells. */
+  private int leader() throws Exception {
+    for (int number = 1; number <= HOSTS_OF_A_ROLE; number++) {
+      String log = Files.readString(folder.resolve(CONTROL + number + ".log"));
+      if (log.lastIndexOf("started scheduling") > log.lastIndexOf("stopped scheduling")) {
+        return number;
+      }
+    }
+    throw new IllegalStateException("no control host schedules");
+  }
+
   /** Suspends all control hosts, or lets them go on. */
   void suspendControls(boolean suspended) throws Exception {
     for (int number = 1; number <= HOSTS_OF_A_ROLE; number++) {
@@ -282,9 +309,13 @@
   }
 
   private void kill(String prefix) throws InterruptedException {
+    kill(name -> name.startsWith(prefix));
+  }
+
+  private void kill(Predicate<String> isKilled) throws InterruptedException {
     List<Process> killed =
         processes.entrySet().stream()
-            .filter(entry -> entry.getKey().startsWith(prefix))
+            .filter(entry -> isKilled.test(entry.getKey()))
             .map(Map.Entry::getValue)
             .toList();
     killed.forEach(Process::destroyForcibly);
--- a/src/test/java/org/curranthaven/platform/RestartedFleetTest.java
+++ b/src/test/java/org/curranthaven/platform/RestartedFleetTest.java
@@ -32,6 +32,9 @@
   /** Streams of one test; the property raises their number for a long run by hand. */
   private static final int STREAMS = Integer.getInteger("restartedFleetStreams", 30);
 
+  /** Time that the latest streams have run when their hosts are killed. */
+  private static final long BEFORE_KILL_MILLIS = 1_000;
+
   @TempDir private Path folder;
 
   private final Map<String, Set<String>> versionsByStream = new ConcurrentHashMap<>();
@@ -166,6 +169,50 @@
     assertThat(completed).isGreaterThanOrEqualTo(STREAMS / 2);
   }
 
+  /** Guards against origins of streams that only the killed gateways and the leader knew. */
+  @Test
+  void streams_go_on_at_their_version_after_two_gateways_and_the_leader_were_killed()
+      throws Exception {
+    FakeBackend first = startServer("v1");
+    FakeBackend second = startServer("v2");
+    register("i-1", first, "v1", 1);
+    register("i-2", second, "v2", 1);
+    List<Socket> connections = beginStreams();
+    Thread.sleep(BEFORE_KILL_MILLIS);
+
+    fleet.killAndRestartWithLeader(List.of(1, 2), 500);
+    close(connections);
+    register("i-1", first, "v1", 2);
+    register("i-2", second, "v2", 2);
+    fleet.awaitGateways();
+    long completed = takeUpStreams();
+
+    assertThat(streamsOfTwoVersions()).isZero();
+    assertThat(completed).isGreaterThanOrEqualTo(STREAMS / 2);
+  }
+
+  /** Guards against origins of streams that no running process has kept. */
+  @Test
+  void streams_go_on_at_their_version_after_all_hosts_were_killed_where_two_versions_serve()
+      throws Exception {
+    FakeBackend first = startServer("v1");
+    FakeBackend second = startServer("v2");
+    register("i-1", first, "v1", 1);
+    register("i-2", second, "v2", 1);
+    List<Socket> connections = beginStreams();
+    Thread.sleep(BEFORE_KILL_MILLIS);
+
+    fleet.killAndRestartAll();
+    close(connections);
+    register("i-1", first, "v1", 2);
+    register("i-2", second, "v2", 2);
+    fleet.awaitGateways();
+    long completed = takeUpStreams();
+
+    assertThat(streamsOfTwoVersions()).isZero();
+    assertThat(completed).isGreaterThanOrEqualTo(STREAMS / 2);
+  }
+
   @Test
   void no_stream_goes_on_at_another_version_after_all_hosts_were_killed_and_its_own_has_left()
       throws Exception {
