--- a/src/main/java/org/curranthaven/internal/relay/WireProtocol.java
+++ b/src/main/java/org/curranthaven/internal/relay/WireProtocol.java
@@ -36,6 +36,12 @@
   /** Decodes the status and headers of a backend server's response. */
   ResponseHead readResponseHead(HttpResponse response);
 
+  /**
+   * Returns whether a header with this name can make {@link #readResponseHead} return the id of a
+   * request, a seal, or that the request did not run.
+   */
+  boolean mayIdentifyResponse(String headerName);
+
   /**
    * Encodes a request to the source to copy the state of a running request to the target.
    *
--- a/src/main/java/org/curranthaven/platform/PlatformProtocol.java
+++ b/src/main/java/org/curranthaven/platform/PlatformProtocol.java
@@ -53,6 +53,13 @@
     return BackendTranslation.responseHead(response);
   }
 
+  @Override
+  public boolean mayIdentifyResponse(String headerName) {
+    return headerName.equalsIgnoreCase(Headers.REQUEST_ID)
+        || headerName.equalsIgnoreCase(Headers.RESPONSE_SEAL)
+        || headerName.equalsIgnoreCase(Headers.NOT_RUN);
+  }
+
   @Override
   public FullHttpRequest transferRequest(
       InboundRequest request, BackendRecord source, BackendRecord target, boolean finalCopy) {
--- a/src/test/java/org/curranthaven/internal/relay/EmbeddedResponseDetectorTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/EmbeddedResponseDetectorTest.java
@@ -2,8 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.handler.codec.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Objects;
 import org.curranthaven.platform.PlatformProtocol;
 import org.junit.jupiter.api.Test;
 
@@ -119,4 +121,51 @@
 
     assertThat(detector.endsInsideHead(true)).isFalse();
   }
+
+  /** Counts the heads that it decodes. */
+  private static final class CountingProtocol extends PlatformProtocol {
+    private int decodedHeads;
+
+    @Override
+    public ResponseHead readResponseHead(HttpResponse response) {
+      decodedHeads++;
+      return super.readResponseHead(response);
+    }
+  }
+
+  /** Guards against a body that stops the gateway: work that grows faster than the bytes. */
+  @Test
+  void a_body_that_quotes_status_lines_has_no_head_decoded() {
+    for (String line : List.of("17: HTTP/1.1 200 OK\n", "HTTP/1.1 200 OK\n", "a:HTTP/1.1 200\n")) {
+      CountingProtocol protocol = new CountingProtocol();
+      EmbeddedResponseDetector counted = new EmbeddedResponseDetector(protocol, false);
+
+      counted.add(line.repeat(400).getBytes(StandardCharsets.US_ASCII));
+
+      assertThat(protocol.decodedHeads).as(line).isZero();
+    }
+  }
+
+  /** Guards against lines that name no request and are decoded again for each status line. */
+  @Test
+  void a_line_of_a_body_is_decoded_once_at_most() {
+    CountingProtocol protocol = new CountingProtocol();
+    EmbeddedResponseDetector counted = new EmbeddedResponseDetector(protocol, false);
+    String content = "Attempt-Id:\nX: HTTP/1.1 200 OK\n".repeat(400);
+
+    for (byte octet : content.getBytes(StandardCharsets.US_ASCII)) {
+      assertThat(counted.add(new byte[] {octet})).isFalse();
+    }
+
+    assertThat(protocol.decodedHeads).isLessThanOrEqualTo(400);
+  }
+
+  @Test
+  void a_copy_behind_many_quoted_status_lines_is_found_with_its_status() {
+    add("17: HTTP/1.1 200 OK\n".repeat(2_000));
+
+    assertThat(add(COPY)).isTrue();
+    assertThat(Objects.requireNonNull(detector.found()).requestId()).isEqualTo("a");
+    assertThat(Objects.requireNonNull(detector.found()).status()).isEqualTo(503);
+  }
 }
