Leave an unfinished event where it is when more of it arrives

Cause: EventSplitter moved all bytes after the last complete event to the start of its buffer with each part that arrived, also where they were there already.

Why this works: bytes are moved only behind a complete event, and these are at most those of the part that has just arrived.

--- a/src/main/java/org/curranthaven/internal/relay/EventSplitter.java
+++ b/src/main/java/org/curranthaven/internal/relay/EventSplitter.java
@@ -18,6 +18,9 @@
   private int scannedLength;
   private int eventCount;
 
+  /** Bytes that were moved within the buffer. */
+  private long movedBytes;
+
   /**
    * A complete event.
    *
@@ -57,11 +60,24 @@
     }
     eventCount += events.size();
     length -= start;
-    System.arraycopy(buffer, start, buffer, 0, length);
+    moveRemainder(start);
     scannedLength = length;
     return events;
   }
 
+  /** Moves the bytes after the last complete event to the start of the buffer. */
+  private void moveRemainder(int start) {
+    if (start > 0) {
+      System.arraycopy(buffer, start, buffer, 0, length);
+      movedBytes += length;
+    }
+  }
+
+  /** Returns the number of bytes that were moved within the buffer. */
+  long movedBytes() {
+    return movedBytes;
+  }
+
   /** Returns the number of bytes after the last complete event. */
   int remainderBytes() {
     return length;
--- a/src/test/java/org/curranthaven/internal/relay/EventSplitterTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/EventSplitterTest.java
@@ -45,6 +45,19 @@
     assertThat(splitter.remainder()).isEqualTo(bytes("id: 2\ndat"));
   }
 
+  /** Guards against an unfinished event that is moved again with each part that arrives. */
+  @Test
+  void an_event_that_arrives_in_small_parts_is_not_moved_with_each_of_them() {
+    int eventBytes = 64 * 1024;
+    splitter.add(bytes("id: 1\n\ndata: "));
+    for (int i = 0; i < eventBytes; i++) {
+      splitter.add(new byte[] {'x'});
+    }
+    assertThat(splitter.add(bytes("\n\n"))).hasSize(1);
+
+    assertThat(splitter.movedBytes()).isLessThanOrEqualTo(eventBytes);
+  }
+
   @Test
   void only_blank_lines_and_whole_comments_may_follow_the_last_event() {
     assertThat(unfinishedAfterEvent("")).isFalse();
