Block suspects that explain the same crashes in one pass

Cause: for each suspect that became blocked, CrashEvidence went through all known suspects, and compared each with all that became blocked.

Evidence: the new test blocks 400 parts together and counts the suspects that are examined: 160,000 before, 800 are allowed. It passes now.

Why this works: the crashes that the blocked ones explain are gathered first, and taken from the others in one pass, with a set of the blocked ones. The result is the same, since a blocked suspect was never one of the others.

--- a/src/main/java/org/curranthaven/internal/dispatch/CrashEvidence.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/CrashEvidence.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -55,6 +56,9 @@
   private boolean knowsAllRuns = true;
   private long version;
 
+  /** Suspects that were examined because others became blocked. */
+  private long examinedSuspects;
+
   /**
    * Returns a number that increases when a crash is recorded, or a suspect is blocked or cleared.
    */
@@ -150,7 +154,7 @@
     int fewestRequests = narrowest.stream().mapToInt(SuspectHistory::requests).min().orElse(0);
     List<SuspectHistory> blocked =
         narrowest.stream().filter(history -> history.requests() == fewestRequests).toList();
-    blocked.forEach(history -> block(history, blocked, nowMillis));
+    block(blocked, nowMillis);
     return true;
   }
 
@@ -158,12 +162,25 @@
     return Objects.requireNonNull(histories.get(suspect));
   }
 
-  private void block(SuspectHistory history, List<SuspectHistory> blocked, long nowMillis) {
-    Set<String> explainedBackends = history.crashedBackends();
-    history.block(nowMillis);
-    histories.values().stream()
-        .filter(other -> !blocked.contains(other))
-        .forEach(other -> other.removeCrashes(explainedBackends));
+  /** Blocks suspects; the crashes that they explain no longer count against the others. */
+  private void block(List<SuspectHistory> blocked, long nowMillis) {
+    Set<String> explainedBackends = new HashSet<>();
+    Set<SuspectHistory> blockedOnes = new HashSet<>(blocked);
+    for (SuspectHistory history : blocked) {
+      explainedBackends.addAll(history.crashedBackends());
+      history.block(nowMillis);
+    }
+    for (SuspectHistory other : histories.values()) {
+      examinedSuspects++;
+      if (!blockedOnes.contains(other)) {
+        other.removeCrashes(explainedBackends);
+      }
+    }
+  }
+
+  /** Returns the number of suspects that were examined because others became blocked. */
+  long examinedSuspects() {
+    return examinedSuspects;
   }
 
   /** Counts a request that is to be placed. */
--- a/src/test/java/org/curranthaven/internal/dispatch/CrashEvidenceTest.java
+++ b/src/test/java/org/curranthaven/internal/dispatch/CrashEvidenceTest.java
@@ -54,6 +54,23 @@
     assertThat(evidence.blockedParts(nowMillis)).containsExactly("bad");
   }
 
+  /** Guards against a leader that stands still over a prompt of many parts. */
+  @Test
+  void the_work_for_parts_that_become_blocked_together_grows_as_their_number() {
+    int parts = 400;
+    String[] names = new String[parts];
+    Arrays.setAll(names, i -> "part-" + i);
+
+    crash("i-1", names);
+    crash("i-2", names);
+    long examinedBefore = evidence.examinedSuspects();
+    assertThat(crash("i-3", names)).isTrue();
+
+    assertThat(isBlocked("part-0")).isTrue();
+    assertThat(isBlocked("part-399")).isTrue();
+    assertThat(evidence.examinedSuspects() - examinedBefore).isLessThanOrEqualTo(2L * parts);
+  }
+
   @Test
   void the_last_part_of_a_prompt_is_never_blocked() {
     assertThat(CrashSuspect.partsOf(request("a", "b", "own")))
