Read each backend server's connection once in a round of the event loop

The work for each byte is bounded now; this bounds how many bytes one connection has decoded before all others have their turn.

Cause: a connection to a backend server was read up to 16 times in a row, with a buffer that grows to 64 KiB.

--- a/src/main/java/org/curranthaven/internal/relay/BackendPool.java
+++ b/src/main/java/org/curranthaven/internal/relay/BackendPool.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.curranthaven.internal.clients.ClientChannel;
 import org.curranthaven.internal.settings.Addresses;
 import org.curranthaven.internal.supervision.Clock;
 import org.curranthaven.internal.transport.EventLoops;
@@ -208,6 +209,7 @@
             // The end of the input is then told from a close by this side or after a failed write.
             .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, ClientChannel.readSizes())
             .handler(
                 new ReportingInitializer() {
                   @Override
