Take a status outside 100 to 599 for no answer

Cause: the decoder reads any number as a status, and BackendConnection took each below 200 for an interim answer and handed on each other one. The searches for a head inside a body or another head knew statuses from 100 to 599 alone.

The place of trailers was sound before.

Why this works: StatusCodes checks the text of the status line, three digits from 100 to 599, before anything else reads the response; what it refuses is malformed, and so fails the attempt at once. 101 is refused too: no request asks for another protocol, and what follows it would have been waited for. Heads inside others are looked for with any number in the place of the status.

--- a/src/main/java/org/curranthaven/internal/gateway/ServiceClient.java
+++ b/src/main/java/org/curranthaven/internal/gateway/ServiceClient.java
@@ -11,6 +11,7 @@
 import java.net.http.HttpTimeoutException;
 import java.time.Duration;
 import java.util.concurrent.Executors;
+import org.curranthaven.internal.relay.StatusCodes;
 import org.curranthaven.internal.transport.wire.StoredResponse;
 
 /** HTTP client for plain services. Thread-safe; blocking. */
@@ -91,6 +92,10 @@
   }
 
   private static AttemptResult toResult(HttpResponse<byte[]> response) {
+    if (!StatusCodes.isValid(response.statusCode())) {
+      return new AttemptResult.OutcomeUnknown(
+          "the service answered with " + response.statusCode() + ", which is no status");
+    }
     boolean overloaded =
         response.statusCode() == STATUS_TOO_MANY_REQUESTS
             || response.statusCode() == STATUS_UNAVAILABLE;
--- a/src/main/java/org/curranthaven/internal/relay/BackendConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/BackendConnection.java
@@ -92,6 +92,13 @@
       }
     }
 
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) {
+      // What this throws makes the response malformed.
+      StatusCodes.check(initialLine[1]);
+      return super.createMessage(initialLine);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
       return headRequest || super.isContentAlwaysEmpty(message);
--- a/src/main/java/org/curranthaven/internal/relay/ResponseFraming.java
+++ b/src/main/java/org/curranthaven/internal/relay/ResponseFraming.java
@@ -10,8 +10,12 @@
 
 /** Decides whether the head of a response can be read in one way only. */
 final class ResponseFraming {
-  /** Where a head was cut off and another follows, a line of the first holds this. */
-  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5]\\d\\d(\\s|$)");
+  /**
+   * Where a head was cut off and another follows, a line of the first holds this; the status of the
+   * other may be none.
+   */
+  private static final Pattern STATUS_LINE =
+      Pattern.compile("HTTP/1\\.[01] [+-]?\\d[0-9a-fA-FxX]*(\\s|$)");
 
   private ResponseFraming() {}
 
--- a/src/test/java/org/curranthaven/internal/relay/BackendConnectionTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/BackendConnectionTest.java
@@ -437,4 +437,106 @@
     }
     assertThat(cutsWithForeignStatus).isEmpty();
   }
+
+  private static final List<String> NO_STATUSES =
+      List.of(
+          "000",
+          "000 X",
+          "000 OK",
+          "099",
+          "00",
+          "-200",
+          "600",
+          "999",
+          "2000",
+          "+200",
+          "0200",
+          "0x200",
+          "20",
+          "101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade");
+
+  /** Guards against an answer that is none: it must neither be handed on nor waited behind. */
+  @Test
+  void a_response_whose_status_is_none_is_broken_off_at_once() {
+    for (String status : NO_STATUSES) {
+      for (String framing : List.of(LENGTH, CHUNKS, NEITHER)) {
+        BackendConnectionTest fresh = new BackendConnectionTest();
+        fresh.sendRequest();
+        fresh.receiveText("HTTP/1.1 " + status + "\r\nAttempt-Id: r\r\n" + framing + "\r\nfour");
+
+        assertThat(fresh.statuses).as(status).isEmpty();
+        assertThat(fresh.content.toString()).as(status).isEmpty();
+        fresh.assertBrokenOff();
+        assertThat(fresh.connection.isOpen()).as(status).isFalse();
+      }
+    }
+  }
+
+  @Test
+  void statuses_from_100_to_599_are_read() {
+    for (int status : List.of(200, 299, 304, 404, 499, 500, 599)) {
+      for (String interim : List.of("", "100", "102 Processing", "103", "199")) {
+        BackendConnectionTest fresh = new BackendConnectionTest();
+        fresh.sendRequest();
+        if (!interim.isEmpty()) {
+          fresh.receiveText("HTTP/1.1 " + interim + "\r\nLink: x\r\n\r\n");
+        }
+        fresh.receiveHead(status, LENGTH, status == 304 ? "" : "four");
+
+        assertThat(fresh.statuses).as(interim).containsExactly(status);
+        assertThat(fresh.endings).containsExactly(new ResponseEnding.LengthReached());
+      }
+    }
+  }
+
+  /** Guards against a copy of an answer that is none, inside another response. */
+  @Test
+  void a_copy_of_a_response_whose_status_is_none_is_no_part_of_a_body() {
+    for (String status : NO_STATUSES) {
+      String copy = "HTTP/1.1 " + status + "\r\nAttempt-Id: z\r\nContent-Length: 0\r\n\r\n";
+      BackendConnectionTest fresh = new BackendConnectionTest();
+      fresh.receive(200, "Content-Length: 4000\r\n", "four" + copy);
+
+      assertThat(fresh.content.toString()).as(status).doesNotContain("HTTP");
+      fresh.assertBrokenOff();
+    }
+  }
+
+  /** Guards against a head that was cut off and takes in the one of an answer that is none. */
+  @Test
+  void a_head_that_holds_the_status_line_of_an_answer_that_is_none_is_broken_off() {
+    for (String status : NO_STATUSES) {
+      for (String cutLine : List.of("X-Load: 1", "X-Load: ")) {
+        BackendConnectionTest fresh = new BackendConnectionTest();
+        fresh.sendRequest();
+        fresh.receiveText(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: r\r\n"
+                + cutLine
+                + "HTTP/1.1 "
+                + status
+                + "\r\n"
+                + LENGTH
+                + "\r\nfour");
+
+        assertThat(fresh.statuses).as(status).isEmpty();
+        fresh.assertBrokenOff();
+      }
+    }
+  }
+
+  /** Guards against a request that is sent behind what stands in the place of trailers. */
+  @Test
+  void a_connection_whose_trailers_hold_a_status_line_is_not_used_again() {
+    for (String status : List.of("000 X", "200 OK", "999", "-200")) {
+      BackendConnectionTest fresh = new BackendConnectionTest();
+      fresh.receive(
+          200,
+          CHUNKS,
+          "4\r\nfour\r\n0\r\nHTTP/1.1 " + status + "\r\nAttempt-Id: z\r\n" + LENGTH + "\r\n");
+
+      assertThat(fresh.content.toString()).as(status).isEqualTo("four");
+      assertThat(fresh.endings).as(status).hasSize(1);
+      assertThat(fresh.connection.isOpen()).as(status).isFalse();
+    }
+  }
 }
