--- a/src/main/java/org/curranthaven/internal/consensus/GroupStorage.java
+++ b/src/main/java/org/curranthaven/internal/consensus/GroupStorage.java
@@ -12,6 +12,7 @@
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.stream.Stream;
 import org.curranthaven.internal.transport.wire.HardState;
 import org.curranthaven.internal.transport.wire.LogEntry;
@@ -60,6 +61,7 @@
    * @throws IOException if the folder cannot be read or written
    */
   public static GroupStorage open(Path folder) throws IOException {
+    boolean isNew = !Files.exists(folder);
     Files.createDirectories(folder);
     SnapshotFile snapshot = readSnapshot(folder.resolve(SNAPSHOT_NAME));
     List<Path> segments = segments(folder);
@@ -69,8 +71,26 @@
       RecordFiles.readSegment(segments.get(i), last, replay::add);
     }
     long lastNumber = segments.isEmpty() ? 1 : segmentNumberOf(segments.getLast());
+    StoredState state = replay.state(folder);
     FileChannel channel = openSegment(folder, lastNumber);
-    return new GroupStorage(folder, replay.state(folder), lastNumber, channel);
+    GroupStorage storage = new GroupStorage(folder, state, lastNumber, channel);
+    try {
+      storage.completeOpening(isNew, replay.isLogReplaced());
+    } catch (IOException e) {
+      channel.close();
+      throw e;
+    }
+    return storage;
+  }
+
+  private void completeOpening(boolean isNew, boolean logReplaced) throws IOException {
+    if (isNew) {
+      RecordFiles.syncFolder(folder);
+      RecordFiles.syncFolder(Objects.requireNonNull(folder.toAbsolutePath().getParent()));
+    }
+    if (logReplaced) {
+      discardEarlierEntries();
+    }
   }
 
   /** Returns the state read when the folder was opened. */
@@ -158,14 +178,19 @@
     RecordFiles.syncFolder(folder);
     startSegment();
     if (replacesLog) {
-      // On replay, discards the entries of older segments that are not deleted below.
-      addToBatch(LogRecord.newBuilder().setTruncateFrom(0).build());
-      flush();
-      segment.force(false);
+      // Older segments may stay that are not deleted below.
+      discardEarlierEntries();
     }
     deleteCoveredSegments(snapshot.getLastIndex());
   }
 
+  /** Has the next replay discard all entries so far. */
+  private void discardEarlierEntries() throws IOException {
+    addToBatch(LogRecord.newBuilder().setTruncateFrom(0).build());
+    flush();
+    segment.force(false);
+  }
+
   private void startSegment() throws IOException {
     FileChannel next = openSegment(folder, segmentNumber + 1);
     segment.close();
@@ -237,25 +262,27 @@
     }
   }
 
-  /** Rebuilds the state of a replica by replaying its log records in order. */
+  /**
+   * Rebuilds the state of a replica by replaying its log records in order. A snapshot that replaced
+   * a log with other entries may have been stored without the record that discards these, where the
+   * disk was full or the process ended in between; the term of its last entry then tells.
+   */
   private static final class LogReplay {
     private final SnapshotFile snapshot;
     private final List<LogEntry> entries = new ArrayList<>();
     private long term;
     private String votedFor = "";
 
+    /** Whether the entries that follow come after another entry than the last of the snapshot. */
+    private boolean logReplaced;
+
     LogReplay(SnapshotFile snapshot) {
       this.snapshot = snapshot;
     }
 
     void add(LogRecord record) {
       switch (record.getBodyCase()) {
-        case ENTRY -> {
-          truncateFrom(record.getEntry().getIndex());
-          if (record.getEntry().getIndex() > snapshot.getLastIndex()) {
-            entries.add(record.getEntry());
-          }
-        }
+        case ENTRY -> addEntry(record.getEntry());
         case HARD_STATE -> {
           term = record.getHardState().getTerm();
           votedFor = record.getHardState().getVotedFor();
@@ -265,7 +292,22 @@
       }
     }
 
+    private void addEntry(LogEntry entry) {
+      truncateFrom(entry.getIndex());
+      if (entry.getIndex() == snapshot.getLastIndex()) {
+        logReplaced = entry.getTerm() != snapshot.getLastTerm();
+      }
+      if (entry.getIndex() > snapshot.getLastIndex() && !logReplaced) {
+        entries.add(entry);
+      }
+    }
+
+    boolean isLogReplaced() {
+      return logReplaced;
+    }
+
     private void truncateFrom(long index) {
+      logReplaced = logReplaced && index > snapshot.getLastIndex();
       while (!entries.isEmpty() && entries.getLast().getIndex() >= index) {
         entries.removeLast();
       }
--- a/src/test/java/org/curranthaven/internal/consensus/GroupStorageTest.java
+++ b/src/test/java/org/curranthaven/internal/consensus/GroupStorageTest.java
@@ -146,6 +146,28 @@
     assertThat(state.term()).isEqualTo(7);
   }
 
+  /** Guards against entries that come back after a leader's snapshot has replaced the log. */
+  @Test
+  void entries_that_a_snapshot_replaced_stay_removed_if_the_disk_was_full_after_it()
+      throws IOException {
+    writeEntries(1, 20);
+    Path nextSegment = folder.resolve("log-000000000002");
+    SnapshotFile snapshot = SnapshotFile.newBuilder().setLastIndex(10).setLastTerm(2).build();
+    try (GroupStorage storage = GroupStorage.open(folder)) {
+      Files.createDirectory(nextSegment);
+      assertThatThrownBy(() -> storage.persist(new RaftDecision.SaveSnapshot(snapshot, true)))
+          .isInstanceOf(IOException.class);
+    } finally {
+      Files.delete(nextSegment);
+    }
+
+    assertThat(readState().snapshot().getLastIndex()).isEqualTo(10);
+    assertThat(readState().entries()).isEmpty();
+    assertThat(readState().term()).isEqualTo(7);
+    writeEntries(11, 12);
+    assertThat(readState().entries()).hasSize(2);
+  }
+
   @Test
   void truncated_entries_stay_removed_after_a_restart() throws IOException {
     writeEntries(1, 20);
