Create the consensus groups whole or not at all, and try again

Cause: the folder of a group was created before its first entry could be written. It stayed with an empty log, was opened a second later as a group without voters, and the host counted as formed, so that nobody created the groups again. The same holds for groups behind the one that failed, and after a kill midway.

Why this works: a file marks the data folder until all groups are synced. While it exists the groups are discarded, at a failure and at the next start; none of them has been opened or voted in by then. The attempt is repeated each second. A group in which nothing was ever stored counts as none at a start. The identity of a folder is written whole, and a folder that cannot be opened gives up its lock.

--- a/src/main/java/org/curranthaven/internal/consensus/ConsensusLoop.java
+++ b/src/main/java/org/curranthaven/internal/consensus/ConsensusLoop.java
@@ -66,6 +66,7 @@
   private volatile String storageFailure = "";
   private long nextTickMillis;
   private long nextVoterCheckMillis;
+  private long nextBootstrapMillis = Long.MIN_VALUE;
   private long syncs;
 
   /**
@@ -239,7 +240,7 @@
     replicas.values().forEach(replica -> replica.handle(new RaftEvent.Tick(), nowMillis));
     if (nowMillis >= nextVoterCheckMillis) {
       nextVoterCheckMillis = nowMillis + VOTER_CHECK_INTERVAL_MILLIS;
-      if (replicas.isEmpty() && reopenAtMillis.isEmpty()) {
+      if (replicas.isEmpty() && reopenAtMillis.isEmpty() && nowMillis >= nextBootstrapMillis) {
         bootstrapIfAllowed(nowMillis);
       }
       replicas.values().forEach(replica -> proposeVoterChange(replica, nowMillis));
@@ -356,14 +357,19 @@
       replicas.put(
           groupId, new Replica(groupId, core, stateMachineFactory.apply(groupId), storage));
       reopenAtMillis.remove(groupId);
-      if (reopenAtMillis.isEmpty()) {
-        storageFailure = "";
-      }
+      recordStorageWorks();
     } catch (IOException e) {
       recordStorageFailure(groupId, e, nowMillis);
     }
   }
 
+  private void recordStorageWorks() {
+    if (reopenAtMillis.isEmpty() && !storageFailure.isEmpty()) {
+      Logger.info("storage works again, after: {}", storageFailure);
+      storageFailure = "";
+    }
+  }
+
   private void reopenFailedGroups(long nowMillis) {
     for (Map.Entry<Integer, Long> entry : Map.copyOf(reopenAtMillis).entrySet()) {
       if (nowMillis >= entry.getValue()) {
@@ -392,9 +398,13 @@
   }
 
   private void recordStorageFailure(int groupId, IOException cause, long nowMillis) {
+    recordStorageFailure("group " + groupId, cause);
+    reopenAtMillis.put(groupId, nowMillis + REOPEN_DELAY_MILLIS);
+  }
+
+  private void recordStorageFailure(String what, IOException cause) {
     String reason =
-        "group "
-            + groupId
+        what
             + ": storage failed: "
             + cause.getMessage()
             + "; retrying every "
@@ -404,7 +414,6 @@
       Logger.error("{}", reason);
     }
     storageFailure = reason;
-    reopenAtMillis.put(groupId, nowMillis + REOPEN_DELAY_MILLIS);
   }
 
   private void bootstrapIfAllowed(long nowMillis) {
@@ -417,16 +426,14 @@
         bootstrapContacts,
         groupCount);
     VoterSet initialVoters = VoterSet.newBuilder().addVoters(voter(self.get())).build();
+    try {
+      GroupCreation.create(folder, groupCount, initialVoters);
+    } catch (IOException e) {
+      nextBootstrapMillis = nowMillis + REOPEN_DELAY_MILLIS;
+      recordStorageFailure("the groups cannot be created", e);
+      return;
+    }
     for (int groupId = 0; groupId < groupCount; groupId++) {
-      try (GroupStorage storage = GroupStorage.open(folder.groupFolder(groupId))) {
-        storage.persist(
-            new RaftDecision.AppendEntries(List.of(StoredState.bootstrapEntry(initialVoters))));
-        storage.persist(new RaftDecision.SaveHardState(1, ""));
-        storage.sync();
-      } catch (IOException e) {
-        recordStorageFailure(groupId, e, nowMillis);
-        return;
-      }
       open(groupId);
     }
   }
--- a/src/main/java/org/curranthaven/internal/consensus/DataFolder.java
+++ b/src/main/java/org/curranthaven/internal/consensus/DataFolder.java
@@ -29,6 +29,9 @@
   private static final String IDENTITY_NAME = "identity";
   private static final String GROUP_PREFIX = "group-";
 
+  /** File that exists while the groups of a new system are created. */
+  private static final String UNFINISHED_NAME = "unfinished";
+
   private final Path path;
   private final String identity;
   private final FileChannel lockChannel;
@@ -49,7 +52,7 @@
       FileChannel channel =
           FileChannel.open(
               path.resolve(LOCK_NAME), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-      Outcome<DataFolder> opened = open(path, channel);
+      Outcome<DataFolder> opened = openOrClose(path, channel);
       if (opened instanceof Outcome.Failed<DataFolder>) {
         channel.close();
       }
@@ -65,6 +68,17 @@
     }
   }
 
+  /** Opens the folder, and gives up its lock if that fails. */
+  private static Outcome<DataFolder> openOrClose(Path path, FileChannel channel)
+      throws IOException {
+    try {
+      return open(path, channel);
+    } catch (IOException e) {
+      channel.close();
+      throw e;
+    }
+  }
+
   private static Outcome<DataFolder> open(Path path, FileChannel channel) throws IOException {
     if (tryLock(channel) == null) {
       return Outcome.failed(
@@ -74,6 +88,10 @@
               + " is used by another process; stop that process or configure another data folder");
     }
     DataFolder folder = new DataFolder(path, readOrCreateIdentity(path), channel);
+    if (Files.exists(path.resolve(UNFINISHED_NAME))) {
+      folder.discardGroups();
+    }
+    folder.removeBlankGroups();
     try {
       for (int groupId : folder.groupIds()) {
         GroupStorage.open(folder.groupFolder(groupId)).close();
@@ -100,8 +118,15 @@
     String identity = UUID.randomUUID().toString();
     Path temporary = path.resolve(IDENTITY_NAME + ".tmp");
     try (FileChannel channel =
-        FileChannel.open(temporary, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
-      channel.write(ByteBuffer.wrap(identity.getBytes(StandardCharsets.UTF_8)));
+        FileChannel.open(
+            temporary,
+            StandardOpenOption.CREATE,
+            StandardOpenOption.WRITE,
+            StandardOpenOption.TRUNCATE_EXISTING)) {
+      ByteBuffer bytes = ByteBuffer.wrap(identity.getBytes(StandardCharsets.UTF_8));
+      while (bytes.hasRemaining()) {
+        channel.write(bytes);
+      }
       channel.force(true);
     }
     Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE);
@@ -131,6 +156,64 @@
     }
   }
 
+  // ---- creation of the groups -------------------------------------------------------------------
+
+  /** Starts to create groups: until they are committed, they are discarded at the next start. */
+  void beginGroups() throws IOException {
+    discardGroups();
+    Files.createFile(path.resolve(UNFINISHED_NAME));
+    RecordFiles.syncFolder(path);
+  }
+
+  /** Makes the created groups durable, all at once. */
+  void commitGroups() throws IOException {
+    RecordFiles.syncFolder(path);
+    Files.delete(path.resolve(UNFINISHED_NAME));
+    RecordFiles.syncFolder(path);
+  }
+
+  /** Removes groups that were not committed; nothing has been read from them or voted in them. */
+  void discardGroups() throws IOException {
+    for (int groupId : groupIds()) {
+      deleteGroup(groupId);
+    }
+    RecordFiles.syncFolder(path);
+    Files.deleteIfExists(path.resolve(UNFINISHED_NAME));
+    RecordFiles.syncFolder(path);
+  }
+
+  /** Removes groups in which nothing was ever stored, as a full disk or a kill may leave them. */
+  private void removeBlankGroups() throws IOException {
+    for (int groupId : groupIds()) {
+      if (isBlank(groupFolder(groupId))) {
+        deleteGroup(groupId);
+      }
+    }
+  }
+
+  private static boolean isBlank(Path folder) throws IOException {
+    for (Path file : filesIn(folder)) {
+      if (Files.size(file) > 0) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private void deleteGroup(int groupId) throws IOException {
+    Path folder = groupFolder(groupId);
+    for (Path file : filesIn(folder)) {
+      Files.delete(file);
+    }
+    Files.delete(folder);
+  }
+
+  private static List<Path> filesIn(Path folder) throws IOException {
+    try (Stream<Path> files = Files.list(folder)) {
+      return files.toList();
+    }
+  }
+
   @Override
   public void close() throws IOException {
     lockChannel.close();
--- a/src/test/java/org/curranthaven/platform/FleetProcesses.java
+++ b/src/test/java/org/curranthaven/platform/FleetProcesses.java
@@ -236,6 +236,34 @@
     return shape.dataCentres().get(number % shape.dataCentres().size());
   }
 
+  /**
+   * Fills the disk of a control host, as its process sees it: no file grows beyond a size. Its log
+   * is cut off as well.
+   */
+  void fillDisk(int control, long bytes) throws Exception {
+    limitFileSize(control, Long.toString(bytes));
+  }
+
+  /** Makes room on the disk of a control host again. */
+  void clearDisk(int control) throws Exception {
+    limitFileSize(control, "unlimited");
+  }
+
+  private void limitFileSize(int control, String bytes) throws Exception {
+    long pid = Objects.requireNonNull(processes.get(CONTROL + control)).pid();
+    run("prlimit", "--pid", Long.toString(pid), "--fsize=" + bytes + ":");
+  }
+
+  /** Returns whether the process of a control host runs. */
+  boolean isControlRunning(int number) {
+    return Objects.requireNonNull(processes.get(CONTROL + number)).isAlive();
+  }
+
+  /** Returns the data folder of a control host. */
+  Path dataFolder(int control) {
+    return folder.resolve(CONTROL + control);
+  }
+
   /** Suspends the gateway with the given number until {@link #resumeGateway}. */
   void suspendGateway(int number) throws Exception {
     sendSignal(GATEWAY + number, "STOP");
@@ -256,13 +284,17 @@
 
   private void sendSignal(String name, String signal) throws Exception {
     long pid = Objects.requireNonNull(processes.get(name)).pid();
-    Process kill = new ProcessBuilder("kill", "-" + signal, Long.toString(pid)).start();
-    if (!kill.waitFor(STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
-      throw new IllegalStateException("kill -" + signal + " of " + name + " did not end");
+    run("kill", "-" + signal, Long.toString(pid));
+  }
+
+  private static void run(String... command) throws Exception {
+    Process process = new ProcessBuilder(command).start();
+    if (!process.waitFor(STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
+      throw new IllegalStateException(String.join(" ", command) + " did not end");
     }
-    if (kill.exitValue() != 0) {
+    if (process.exitValue() != 0) {
       throw new IllegalStateException(
-          "kill -" + signal + " of " + name + " ended with " + kill.exitValue());
+          String.join(" ", command) + " ended with " + process.exitValue());
     }
   }
 
