Have a control host wait for a data folder that cannot be written

What callers saw: a control host whose disk is full when the system starts for the first time, before it has an identity, ended (5009).

Cause: the data folder was opened once. Only the first start of a system may create the consensus groups, so that a later start of the host with the lowest address does not make up for it, unless its supervisor calls that the first start too.

Evidence: FullDiskTest: the process had ended after 4 s. Now it runs, and changes are accepted once there is room.

--- a/src/main/java/org/curranthaven/internal/cli/ServeRoutedCommand.java
+++ b/src/main/java/org/curranthaven/internal/cli/ServeRoutedCommand.java
@@ -95,7 +95,8 @@
   private static int serveControl(
       RoutedSettings settings, WireProtocol protocol, CountDownLatch stop)
       throws InterruptedException {
-    switch (DataFolder.open(Path.of(String.valueOf(settings.dataFolder())))) {
+    Path folder = Path.of(String.valueOf(settings.dataFolder()));
+    switch (DataFolderWait.open(folder, stop)) {
       case Outcome.Failed<DataFolder> failed -> {
         return Main.reportFailure(failed.failure());
       }
--- a/src/test/java/org/curranthaven/platform/FullDiskTest.java
+++ b/src/test/java/org/curranthaven/platform/FullDiskTest.java
@@ -52,6 +52,19 @@
     fleet.awaitGateways();
   }
 
+  @Test
+  void changes_are_accepted_after_the_disk_was_full_at_the_first_start() throws Exception {
+    fleet.fillDisk(FIRST_HOST, 0);
+    Thread.sleep(FULL_MILLIS);
+    assertThat(fleet.dataFolder(FIRST_HOST).resolve("identity")).doesNotExist();
+    assertThat(fleet.isControlRunning(FIRST_HOST)).isTrue();
+
+    fleet.clearDisk(FIRST_HOST);
+
+    putCatalog(1);
+    fleet.awaitGateways();
+  }
+
   @Test
   void changes_are_accepted_after_the_disks_were_full_in_turn() throws Exception {
     putCatalog(1);
