Record what may crash backend servers in the replicated log

Cause: suspects and blocked requests were known to the leader and to the gateways, and to no disk.

Why this works: the leader records the list of suspects when it has changed, at most twice a second and one record at a time, and the next leader merges it before it decides. The times in it are ages when it was recorded; the wall clock tells how long ago that was, and a clock that is behind makes a block last longer, not shorter.

VersionLog, which had come to hold more than versions, is SchedulerLog now; what control hosts commit for the scheduler goes through one method.

--- a/src/main/java/org/curranthaven/internal/configuration/FleetCommand.java
+++ b/src/main/java/org/curranthaven/internal/configuration/FleetCommand.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
+import org.curranthaven.internal.catalog.CrashSuspectState;
 import org.curranthaven.internal.catalog.ServiceVersion;
 import org.curranthaven.internal.catalog.StreamOriginState;
 import org.curranthaven.internal.placement.PlacementCommand;
@@ -20,6 +21,7 @@
       value = FleetCommand.RemoveServedVersions.class,
       name = "removeServedVersions"),
   @JsonSubTypes.Type(value = FleetCommand.RecordStreamOrigins.class, name = "recordStreamOrigins"),
+  @JsonSubTypes.Type(value = FleetCommand.RecordCrashSuspects.class, name = "recordCrashSuspects"),
   @JsonSubTypes.Type(value = FleetCommand.Evacuate.class, name = "evacuate"),
   @JsonSubTypes.Type(value = FleetCommand.EndEvacuation.class, name = "endEvacuation"),
   @JsonSubTypes.Type(value = FleetCommand.ReadEvacuation.class, name = "readEvacuation"),
@@ -59,6 +61,9 @@
     }
   }
 
+  /** Replaces what may crash backend servers. */
+  record RecordCrashSuspects(CrashSuspectState.Snapshot suspects) implements FleetCommand {}
+
   /** An order about the evacuation of a data centre. */
   sealed interface EvacuationOrder extends FleetCommand {
     /** Returns the data centre that the order is about. */
--- a/src/main/java/org/curranthaven/internal/configuration/FleetState.java
+++ b/src/main/java/org/curranthaven/internal/configuration/FleetState.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.ByteString;
 import org.curranthaven.api.Configuration;
 import org.curranthaven.internal.catalog.CatalogState;
+import org.curranthaven.internal.catalog.CrashSuspectState;
 import org.curranthaven.internal.catalog.EvacuationState;
 import org.curranthaven.internal.catalog.ServedVersions;
 import org.curranthaven.internal.catalog.StreamOriginState;
@@ -13,8 +14,8 @@
 
 /**
  * Replicated state of group 0: the configuration, the placement lease, the catalog, the software
- * versions that have served, the evacuated data centres and the origins of streams. Not
- * thread-safe.
+ * versions that have served, the evacuated data centres, the origins of streams and what may crash
+ * backend servers. Not thread-safe.
  */
 public final class FleetState implements StateMachine {
   private final ConfigurationState configuration = new ConfigurationState();
@@ -23,6 +24,7 @@
   private final ServedVersions servedVersions = new ServedVersions();
   private final EvacuationState evacuation = new EvacuationState();
   private final StreamOriginState streamOrigins = new StreamOriginState();
+  private final CrashSuspectState crashSuspects = new CrashSuspectState();
 
   private record Snapshot(
       ConfigurationState.Snapshot configuration,
@@ -30,7 +32,8 @@
       CatalogState.@Nullable Snapshot catalog,
       ServedVersions.@Nullable Snapshot servedVersions,
       EvacuationState.@Nullable Snapshot evacuation,
-      StreamOriginState.@Nullable Snapshot streamOrigins) {}
+      StreamOriginState.@Nullable Snapshot streamOrigins,
+      CrashSuspectState.@Nullable Snapshot crashSuspects) {}
 
   /** Returns the latest committed configuration. */
   public Configuration current() {
@@ -62,6 +65,11 @@
     return streamOrigins;
   }
 
+  /** Returns what may crash backend servers. */
+  public CrashSuspectState crashSuspects() {
+    return crashSuspects;
+  }
+
   /** Returns the state of the placement lease. */
   public PlacementState placement() {
     return placement;
@@ -80,6 +88,7 @@
           case FleetCommand.RemoveServedVersions remove ->
               servedVersions.removeAll(remove.versions());
           case FleetCommand.RecordStreamOrigins record -> recordOrigins(record);
+          case FleetCommand.RecordCrashSuspects record -> crashSuspects.replace(record.suspects());
           case FleetCommand.Evacuate order ->
               evacuation.evacuate(order.dataCentre(), order.revision());
           case FleetCommand.EndEvacuation end ->
@@ -106,7 +115,8 @@
             catalog.snapshot(),
             servedVersions.snapshot(),
             evacuation.snapshot(),
-            streamOrigins.snapshot()));
+            streamOrigins.snapshot(),
+            crashSuspects.snapshot()));
   }
 
   @Override
@@ -126,5 +136,8 @@
     if (snapshot.streamOrigins() != null) {
       streamOrigins.restore(snapshot.streamOrigins());
     }
+    if (snapshot.crashSuspects() != null) {
+      crashSuspects.restore(snapshot.crashSuspects());
+    }
   }
 }
--- a/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
@@ -14,6 +14,7 @@
 import java.util.random.RandomGenerator;
 import org.curranthaven.api.Outcome;
 import org.curranthaven.internal.catalog.Catalog;
+import org.curranthaven.internal.catalog.CrashSuspectState;
 import org.curranthaven.internal.catalog.EvacuationState;
 import org.curranthaven.internal.catalog.ServiceVersion;
 import org.curranthaven.internal.catalog.StreamOriginState;
@@ -142,7 +143,7 @@
             () -> leadership.hasLease(clock.nowMillis()),
             this::connectedGateways,
             network::send,
-            new ReplicatedVersionLog(),
+            new ReplicatedSchedulerLog(),
             this::addDataCentre,
             protocol.features(settings.protocolFeatures()));
     this.evacuationHandler =
@@ -256,10 +257,12 @@
           state == null ? EvacuationState.Snapshot.EMPTY : state.evacuation().snapshot();
       StreamOriginState.Snapshot streamOrigins =
           state == null ? StreamOriginState.Snapshot.EMPTY : state.streamOrigins().snapshot();
+      CrashSuspectState.Snapshot suspects =
+          state == null ? CrashSuspectState.Snapshot.EMPTY : state.crashSuspects().snapshot();
       eventLoop.execute(
           () -> {
             scheduler.setEvacuation(evacuation);
-            scheduler.setStreamOrigins(streamOrigins);
+            scheduler.setCommitted(streamOrigins, suspects);
             scheduler.setTerm(term, versions);
           });
     }
@@ -276,38 +279,40 @@
     }
   }
 
-  /** Replicates software versions and origins of streams in group 0. */
-  private final class ReplicatedVersionLog implements VersionLog {
+  /** Replicates what the next scheduler has to know in group 0. */
+  private final class ReplicatedSchedulerLog implements SchedulerLog {
     @Override
     public void add(ServiceVersion version, Consumer<Boolean> callback) {
-      consensus.propose(
-          CONTROL_GROUP_ID,
-          Json.write(new FleetCommand.AddServedVersion(version)),
-          reply -> eventLoop.execute(() -> callback.accept(isApplied(reply))));
+      commit(new FleetCommand.AddServedVersion(version), callback);
     }
 
     @Override
     public void remove(Collection<ServiceVersion> versions) {
-      consensus.propose(
-          CONTROL_GROUP_ID,
-          Json.write(new FleetCommand.RemoveServedVersions(List.copyOf(versions))),
-          reply -> {});
+      commit(new FleetCommand.RemoveServedVersions(List.copyOf(versions)), accepted -> {});
     }
 
     @Override
     public void recordOrigins(
         FleetCommand.RecordStreamOrigins origins, Consumer<Boolean> callback) {
-      consensus.propose(
-          CONTROL_GROUP_ID,
-          Json.write(origins),
-          reply -> eventLoop.execute(() -> callback.accept(isApplied(reply))));
+      commit(origins, callback);
+    }
+
+    @Override
+    public void recordCrashSuspects(
+        CrashSuspectState.Snapshot suspects, Consumer<Boolean> callback) {
+      commit(new FleetCommand.RecordCrashSuspects(suspects), callback);
     }
   }
 
   private void addDataCentre(String dataCentre, Consumer<Boolean> callback) {
+    commit(new FleetCommand.AddDataCentre(dataCentre), callback);
+  }
+
+  /** Commits a command; the callback runs on the event loop, with whether it is applied. */
+  private void commit(FleetCommand command, Consumer<Boolean> callback) {
     consensus.propose(
         CONTROL_GROUP_ID,
-        Json.write(new FleetCommand.AddDataCentre(dataCentre)),
+        Json.write(command),
         reply -> eventLoop.execute(() -> callback.accept(isApplied(reply))));
   }
 
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -17,6 +17,7 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.curranthaven.internal.catalog.Catalog;
+import org.curranthaven.internal.catalog.CrashSuspectState;
 import org.curranthaven.internal.catalog.EvacuationState;
 import org.curranthaven.internal.catalog.ServiceVersion;
 import org.curranthaven.internal.catalog.StreamOriginState;
@@ -73,6 +74,7 @@
   private final BiConsumer<String, Envelope.Builder> sender;
   private final VersionGate versionGate;
   private final StreamOriginLog originLog;
+  private final CrashSuspectLog suspectLog;
   private final EvacuationOrders evacuation;
   private final DispatchFeatures features;
   private final Map<String, GatewayView> gatewayViews = new HashMap<>();
@@ -106,7 +108,7 @@
    *     learns of its lost leadership only some time after it runs again
    * @param gateways supplies the connected gateways
    * @param sender sends a message to the host with the given name, best effort
-   * @param versionLog replicates the software versions that serve, and those that began streams
+   * @param log replicates what the next scheduler has to know
    * @param dataCentreLog replicates the data centres that backend servers register from
    * @param features functions of the dispatch core that the deployment asks for
    */
@@ -119,7 +121,7 @@
       BooleanSupplier hasLease,
       Supplier<Collection<HostRecord>> gateways,
       BiConsumer<String, Envelope.Builder> sender,
-      VersionLog versionLog,
+      SchedulerLog log,
       DataCentreLog dataCentreLog,
       DispatchFeatures features) {
     this.features = features;
@@ -131,8 +133,9 @@
     this.hasLease = hasLease;
     this.gateways = gateways;
     this.sender = sender;
-    this.versionGate = new VersionGate(versionLog);
-    this.originLog = new StreamOriginLog(versionLog);
+    this.versionGate = new VersionGate(log);
+    this.originLog = new StreamOriginLog(log);
+    this.suspectLog = new CrashSuspectLog(log);
     this.evacuation = new EvacuationOrders(dataCentreLog);
     this.core = newCore();
   }
@@ -163,11 +166,10 @@
     versionGate.reset(servedVersions, clock.nowMillis());
   }
 
-  /**
-   * Takes over the origins of streams that earlier leaders have committed, before this one leads.
-   */
-  void setStreamOrigins(StreamOriginState.Snapshot committed) {
-    originLog.setCommitted(committed);
+  /** Takes over what earlier leaders have committed, before this one leads. */
+  void setCommitted(StreamOriginState.Snapshot origins, CrashSuspectState.Snapshot suspects) {
+    originLog.setCommitted(origins);
+    suspectLog.setCommitted(suspects);
   }
 
   private void startScheduling(Collection<ServiceVersion> servedVersions) {
@@ -183,6 +185,7 @@
         served ->
             knowledge.streamOrigins().recordServing(served.service(), served.version(), nowMillis));
     originLog.start(knowledge.streamOrigins(), nowMillis);
+    suspectLog.start(knowledge.crashes(), nowMillis, clock.epochMillis());
     core = newCore();
     core.setCatalog(catalog);
     core.setEvacuated(evacuation.dataCentres(), nowMillis);
@@ -280,6 +283,7 @@
     publishColdServers();
     core.tick(nowMillis);
     originLog.write(catalog.servicesOnSharedRoutes(), nowMillis);
+    suspectLog.write(nowMillis, clock.epochMillis());
     core.drainReports(nowMillis).forEach(Logger::info);
     sendDecisions();
     completeAcknowledged();
--- a/src/main/java/org/curranthaven/internal/scheduler/StreamOriginLog.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/StreamOriginLog.java
@@ -19,7 +19,7 @@
   /** Generations of origins that the log holds. */
   private static final int GENERATIONS = 2;
 
-  private final VersionLog log;
+  private final SchedulerLog log;
   private StreamOriginState.Snapshot committed = StreamOriginState.Snapshot.EMPTY;
   private StreamOrigins origins = new StreamOrigins();
 
@@ -33,7 +33,7 @@
 
   private long generationStartedMillis;
 
-  StreamOriginLog(VersionLog log) {
+  StreamOriginLog(SchedulerLog log) {
     this.log = log;
   }
 
--- a/src/main/java/org/curranthaven/internal/scheduler/VersionGate.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/VersionGate.java
@@ -18,14 +18,14 @@
  * Confined to the event loop.
  */
 final class VersionGate {
-  private final VersionLog log;
+  private final SchedulerLog log;
   private final Set<ServiceVersion> committed = new HashSet<>();
   private final Map<ServiceVersion, List<Consumer<Boolean>>> awaiting = new HashMap<>();
 
   /** When a backend server of each committed version was last known, or this host began to lead. */
   private final Map<ServiceVersion, Long> servedAtMillis = new HashMap<>();
 
-  VersionGate(VersionLog log) {
+  VersionGate(SchedulerLog log) {
     this.log = log;
   }
 
--- a/src/test/java/org/curranthaven/internal/scheduler/EvacuationHandlerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/EvacuationHandlerTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import org.curranthaven.internal.catalog.CrashSuspectState;
 import org.curranthaven.internal.catalog.EvacuationState;
 import org.curranthaven.internal.catalog.ServiceVersion;
 import org.curranthaven.internal.configuration.FleetCommand;
@@ -55,7 +56,7 @@
   private EvacuationHandler handler = newHandler();
 
   /** Log of software versions that commits each at once. */
-  private static final class CommittingVersionLog implements VersionLog {
+  private static final class CommittingSchedulerLog implements SchedulerLog {
     @Override
     public void add(ServiceVersion version, Consumer<Boolean> callback) {
       callback.accept(true);
@@ -64,6 +65,12 @@
     @Override
     public void remove(Collection<ServiceVersion> versions) {}
 
+    @Override
+    public void recordCrashSuspects(
+        CrashSuspectState.Snapshot suspects, Consumer<Boolean> callback) {
+      callback.accept(true);
+    }
+
     @Override
     public void recordOrigins(
         FleetCommand.RecordStreamOrigins origins, Consumer<Boolean> callback) {
@@ -81,7 +88,7 @@
         () -> hasLease,
         () -> gateways,
         (name, message) -> sent.add(Map.entry(name, message.build())),
-        new CommittingVersionLog(),
+        new CommittingSchedulerLog(),
         this::addDataCentre,
         DispatchFeatures.none());
   }
--- a/src/test/java/org/curranthaven/internal/scheduler/RetriesPastBudgetTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/RetriesPastBudgetTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.curranthaven.internal.catalog.Catalog;
+import org.curranthaven.internal.catalog.CrashSuspectState;
 import org.curranthaven.internal.catalog.RequestLimits;
 import org.curranthaven.internal.catalog.ServiceVersion;
 import org.curranthaven.internal.configuration.FleetCommand;
@@ -152,7 +153,7 @@
           DispatchFeatures.none());
     }
 
-    private static final class CommittingLog implements VersionLog {
+    private static final class CommittingLog implements SchedulerLog {
       @Override
       public void add(ServiceVersion version, Consumer<Boolean> callback) {
         callback.accept(true);
@@ -161,6 +162,12 @@
       @Override
       public void remove(java.util.Collection<ServiceVersion> versions) {}
 
+      @Override
+      public void recordCrashSuspects(
+          CrashSuspectState.Snapshot suspects, Consumer<Boolean> callback) {
+        callback.accept(true);
+      }
+
       @Override
       public void recordOrigins(
           FleetCommand.RecordStreamOrigins origins, Consumer<Boolean> callback) {
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import org.curranthaven.internal.catalog.Catalog;
 import org.curranthaven.internal.catalog.ColdStart;
+import org.curranthaven.internal.catalog.CrashSuspectState;
 import org.curranthaven.internal.catalog.Repeatability;
 import org.curranthaven.internal.catalog.RequestLimits;
 import org.curranthaven.internal.catalog.Route;
@@ -51,7 +52,7 @@
   private final ManualTime time = new ManualTime();
   private final List<Map.Entry<String, Envelope>> sent = new ArrayList<>();
   private final List<HostRecord> gateways = new ArrayList<>(List.of(host("g1"), host("g2")));
-  private final RecordedVersionLog versionLog = new RecordedVersionLog();
+  private final RecordedSchedulerLog versionLog = new RecordedSchedulerLog();
   private boolean hasLease = true;
   private int sendFailures;
   private final Scheduler scheduler =
@@ -71,7 +72,7 @@
   private int gatewayReads;
 
   /** Log that commits versions at once, or when told. */
-  private static final class RecordedVersionLog implements VersionLog {
+  private static final class RecordedSchedulerLog implements SchedulerLog {
     private final List<ServiceVersion> added = new ArrayList<>();
     private final List<ServiceVersion> removed = new ArrayList<>();
     private final List<Consumer<Boolean>> uncommitted = new ArrayList<>();
@@ -92,6 +93,12 @@
       removed.addAll(versions);
     }
 
+    @Override
+    public void recordCrashSuspects(
+        CrashSuspectState.Snapshot suspects, Consumer<Boolean> callback) {
+      callback.accept(true);
+    }
+
     @Override
     public void recordOrigins(
         FleetCommand.RecordStreamOrigins origins, Consumer<Boolean> callback) {
