Tell from the versions that serve now which origins need a record

Found by reading the change again: whether a service has several versions was told from when each of them was last seen, which is renewed where something asks for it. The leader asks now, at each heartbeat, before it writes. The new test of SchedulerTest, two versions that have registered again without a change for 200 s, passed before too, since views that are sent again renew the times; it holds the condition.

A stream's origin in the log is called BegunAt, as consensus groups are groups too, and a catalog computes once which services share a route.

--- a/src/main/java/org/curranthaven/internal/catalog/Catalog.java
+++ b/src/main/java/org/curranthaven/internal/catalog/Catalog.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -24,7 +25,7 @@
   private final boolean keysRequired;
   private final Map<String, List<Route>> routesByHost = new HashMap<>();
   private final Map<String, ServiceSpec> services = new HashMap<>();
-  private final Set<String> servicesOnSharedRoutes = new HashSet<>();
+  private final Set<String> servicesOnSharedRoutes;
   private final Map<String, CatalogWorkspace> workspaceByKey;
 
   /**
@@ -58,13 +59,16 @@
                 + "; change or remove one of them");
       }
       routesByHost.computeIfAbsent(route.host(), host -> new java.util.ArrayList<>()).add(route);
-      if (route.hasSeveralServices()) {
-        route.services().forEach(target -> servicesOnSharedRoutes.add(target.service()));
-      }
     }
     Comparator<Route> longestFirst =
         Comparator.comparingInt((Route route) -> route.pathPrefix().length()).reversed();
     routesByHost.values().forEach(list -> list.sort(longestFirst));
+    this.servicesOnSharedRoutes =
+        routes.stream()
+            .filter(Route::hasSeveralServices)
+            .flatMap(route -> route.services().stream())
+            .map(ServiceWeight::service)
+            .collect(Collectors.toUnmodifiableSet());
   }
 
   private void checkServices(Route route) {
@@ -118,7 +122,7 @@
 
   /** Returns the services that share a route with another one. */
   public Set<String> servicesOnSharedRoutes() {
-    return Set.copyOf(servicesOnSharedRoutes);
+    return servicesOnSharedRoutes;
   }
 
   /** Returns whether a request on the route needs an API key. */
--- a/src/main/java/org/curranthaven/internal/catalog/StreamOriginState.java
+++ b/src/main/java/org/curranthaven/internal/catalog/StreamOriginState.java
@@ -24,14 +24,14 @@
    *
    * @param streams ids of the streams, as in placement requests
    */
-  public record Group(ServiceVersion at, List<Long> streams) {
-    public Group {
+  public record BegunAt(ServiceVersion at, List<Long> streams) {
+    public BegunAt {
       streams = List.copyOf(streams);
     }
   }
 
   /** Snapshot of the state. */
-  public record Snapshot(List<Group> present, List<Group> previous) {
+  public record Snapshot(List<BegunAt> present, List<BegunAt> previous) {
     /** State before the first stream. */
     public static final Snapshot EMPTY = new Snapshot(List.of(), List.of());
 
@@ -56,14 +56,14 @@
    * Records streams in the present generation; returns how many it holds. A stream keeps the origin
    * that was recorded first.
    */
-  public int record(List<Group> groups) {
-    for (Group group : groups) {
-      for (long stream : group.streams()) {
+  public int record(List<BegunAt> origins) {
+    for (BegunAt origin : origins) {
+      for (long stream : origin.streams()) {
         if (present.size() >= MAX_STREAMS) {
           startGeneration();
         }
         ServiceVersion known = previous.get(stream);
-        present.putIfAbsent(stream, known == null ? group.at() : known);
+        present.putIfAbsent(stream, known == null ? origin.at() : known);
       }
     }
     return present.size();
@@ -80,7 +80,7 @@
     previous = byStream(snapshot.previous());
   }
 
-  private static List<Group> grouped(Map<Long, ServiceVersion> origins) {
+  private static List<BegunAt> grouped(Map<Long, ServiceVersion> origins) {
     Map<ServiceVersion, List<Long>> streams =
         origins.entrySet().stream()
             .collect(
@@ -89,13 +89,14 @@
                     TreeMap::new,
                     Collectors.mapping(Map.Entry::getKey, Collectors.toList())));
     return streams.entrySet().stream()
-        .map(entry -> new Group(entry.getKey(), entry.getValue()))
+        .map(entry -> new BegunAt(entry.getKey(), entry.getValue()))
         .toList();
   }
 
-  private static Map<Long, ServiceVersion> byStream(List<Group> groups) {
-    Map<Long, ServiceVersion> origins = new HashMap<>();
-    groups.forEach(group -> group.streams().forEach(stream -> origins.put(stream, group.at())));
-    return origins;
+  private static Map<Long, ServiceVersion> byStream(List<BegunAt> origins) {
+    Map<Long, ServiceVersion> byStream = new HashMap<>();
+    origins.forEach(
+        origin -> origin.streams().forEach(stream -> byStream.put(stream, origin.at())));
+    return byStream;
   }
 }
--- a/src/main/java/org/curranthaven/internal/configuration/FleetCommand.java
+++ b/src/main/java/org/curranthaven/internal/configuration/FleetCommand.java
@@ -54,7 +54,7 @@
    * @param startsGeneration whether a generation starts first, so that streams are forgotten which
    *     were recorded neither in the present one nor with this command
    */
-  record RecordStreamOrigins(List<StreamOriginState.Group> origins, boolean startsGeneration)
+  record RecordStreamOrigins(List<StreamOriginState.BegunAt> origins, boolean startsGeneration)
       implements FleetCommand {
     public RecordStreamOrigins {
       origins = List.copyOf(origins);
--- a/src/main/java/org/curranthaven/internal/dispatch/StreamOrigins.java
+++ b/src/main/java/org/curranthaven/internal/dispatch/StreamOrigins.java
@@ -148,12 +148,6 @@
    * or several. Others may have served too.
    */
   public @Nullable String onlyKnownVersion(String service, long nowMillis) {
-    Set<String> recent = recentVersions(service, nowMillis);
-    boolean oneKnown = recent.size() == 1 && !recent.contains("");
-    return oneKnown ? recent.iterator().next() : null;
-  }
-
-  private Set<String> recentVersions(String service, long nowMillis) {
     Map<String, Long> served = servedMillis.getOrDefault(service, Map.of());
     Set<String> recent = new TreeSet<>();
     served.forEach(
@@ -162,7 +156,8 @@
             recent.add(version);
           }
         });
-    return recent;
+    boolean oneKnown = recent.size() == 1 && !recent.contains("");
+    return oneKnown ? recent.iterator().next() : null;
   }
 
   /**
@@ -184,44 +179,37 @@
   // ---- replicated log ---------------------------------------------------------------------------
 
   /**
-   * Takes origins that are not in the replicated log yet, and counts them as recorded. Streams of a
-   * service at which one version has served are left: its only version follows from the versions
-   * that are in the log.
+   * Takes origins that are not in the replicated log yet, and counts them as recorded.
    *
-   * @param severalServices services that share a route, so that an origin has to name the service
+   * @param services services at which they began; the others need no record
    */
-  public List<StreamOriginState.Group> takeUnrecorded(
-      Set<String> severalServices, int maxStreams, long nowMillis) {
+  public List<StreamOriginState.BegunAt> takeUnrecorded(Set<String> services, int maxStreams) {
     if (unrecorded == null) {
       return List.of();
     }
     Map<ServiceVersion, List<Long>> taken = new LinkedHashMap<>();
     int left = maxStreams;
     for (String service : unrecorded.services()) {
-      if (severalServices.contains(service) || recentVersions(service, nowMillis).size() > 1) {
-        List<Long> streams = unrecorded.take(service, left);
-        streams.forEach(
-            stream ->
-                taken
-                    .computeIfAbsent(
-                        Objects.requireNonNull(originOf(stream)), key -> new ArrayList<>())
-                    .add(stream));
-        left -= streams.size();
+      List<Long> streams = services.contains(service) ? unrecorded.take(service, left) : List.of();
+      for (long stream : streams) {
+        ServiceVersion at = Objects.requireNonNull(originOf(stream));
+        taken.computeIfAbsent(at, key -> new ArrayList<>()).add(stream);
       }
+      left -= streams.size();
     }
     return taken.entrySet().stream()
-        .map(entry -> new StreamOriginState.Group(entry.getKey(), entry.getValue()))
+        .map(entry -> new StreamOriginState.BegunAt(entry.getKey(), entry.getValue()))
         .toList();
   }
 
   /** Has origins recorded again whose recording failed. */
-  public void restoreUnrecorded(List<StreamOriginState.Group> failed) {
+  public void restoreUnrecorded(List<StreamOriginState.BegunAt> failed) {
     if (unrecorded == null) {
       return;
     }
-    for (StreamOriginState.Group group : failed) {
+    for (StreamOriginState.BegunAt origin : failed) {
       unrecorded.restore(
-          group.at().service(), group.streams().stream().filter(origins::containsKey).toList());
+          origin.at().service(), origin.streams().stream().filter(origins::containsKey).toList());
     }
   }
 
@@ -236,11 +224,12 @@
   public void restoreRecorded(StreamOriginState.Snapshot recorded, long nowMillis) {
     if (unrecorded != null) {
       // Those of the previous generation are recorded again, since the next one forgets them.
-      recorded.present().forEach(group -> unrecorded.markRecorded(group.streams()));
+      recorded.present().forEach(origin -> unrecorded.markRecorded(origin.streams()));
     }
     Stream.of(recorded.previous(), recorded.present())
         .flatMap(List::stream)
-        .forEach(group -> group.streams().forEach(stream -> record(stream, group.at(), nowMillis)));
+        .forEach(
+            origin -> origin.streams().forEach(stream -> record(stream, origin.at(), nowMillis)));
     discardOld(nowMillis);
   }
 
--- a/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/Scheduler.java
@@ -279,11 +279,11 @@
       heartbeat(nowMillis);
       removeUnresponsiveBackends(nowMillis);
       versionGate.removeOutdated(registeredVersions(), nowMillis);
+      originLog.write(core.servedVersions(nowMillis), catalog.servicesOnSharedRoutes(), nowMillis);
+      suspectLog.write(nowMillis, clock.epochMillis());
     }
     publishColdServers();
     core.tick(nowMillis);
-    originLog.write(catalog.servicesOnSharedRoutes(), nowMillis);
-    suspectLog.write(nowMillis, clock.epochMillis());
     core.drainReports(nowMillis).forEach(Logger::info);
     sendDecisions();
     completeAcknowledged();
--- a/src/main/java/org/curranthaven/internal/scheduler/StreamOriginLog.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/StreamOriginLog.java
@@ -1,10 +1,13 @@
 package org.curranthaven.internal.scheduler;
 
+import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import org.curranthaven.internal.catalog.StreamOriginState;
 import org.curranthaven.internal.configuration.FleetCommand;
 import org.curranthaven.internal.dispatch.StreamOrigins;
+import org.curranthaven.internal.transport.wire.ServedVersion;
 import org.tinylog.Logger;
 
 /**
@@ -54,11 +57,13 @@
   }
 
   /**
-   * Records the origins that are not in the log yet, unless a command is on its way.
+   * Records the origins that are not in the log yet, unless a command is on its way. Where one
+   * version of a service has served lately, the versions in the log tell its origin.
    *
-   * @param severalServices services that share a route
+   * @param servedVersions versions that have served lately
+   * @param sharedServices services that share a route, so that an origin has to name the service
    */
-  void write(Set<String> severalServices, long nowMillis) {
+  void write(Collection<ServedVersion> servedVersions, Set<String> sharedServices, long nowMillis) {
     if (awaitingCommit) {
       return;
     }
@@ -70,8 +75,8 @@
       generationStartedMillis = nowMillis;
       origins.startGeneration();
     }
-    List<StreamOriginState.Group> taken =
-        origins.takeUnrecorded(severalServices, MAX_STREAMS, nowMillis);
+    List<StreamOriginState.BegunAt> taken =
+        origins.takeUnrecorded(ambiguous(servedVersions, sharedServices), MAX_STREAMS);
     if (!taken.isEmpty()) {
       generationsToForget = GENERATIONS;
     }
@@ -80,6 +85,19 @@
     }
   }
 
+  /** Returns the services of which an unknown stream may have begun at several versions. */
+  private static Set<String> ambiguous(
+      Collection<ServedVersion> servedVersions, Set<String> sharedServices) {
+    Set<String> served = new HashSet<>();
+    Set<String> ambiguous = new HashSet<>(sharedServices);
+    for (ServedVersion version : servedVersions) {
+      if (!served.add(version.getService())) {
+        ambiguous.add(version.getService());
+      }
+    }
+    return ambiguous;
+  }
+
   private void propose(FleetCommand.RecordStreamOrigins command) {
     awaitingCommit = true;
     long startOfCommand = starts;
@@ -95,7 +113,7 @@
     if (!accepted) {
       Logger.warn(
           "origins of {} streams could not be recorded; they are recorded again",
-          command.origins().stream().mapToInt(group -> group.streams().size()).sum());
+          command.origins().stream().mapToInt(origin -> origin.streams().size()).sum());
       origins.restoreUnrecorded(command.origins());
     }
   }
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -18,6 +18,7 @@
 import org.curranthaven.internal.catalog.ServiceSpec;
 import org.curranthaven.internal.catalog.ServiceVersion;
 import org.curranthaven.internal.catalog.ServiceWeight;
+import org.curranthaven.internal.catalog.StreamOriginState;
 import org.curranthaven.internal.configuration.FleetCommand;
 import org.curranthaven.internal.dispatch.DispatchFeatures;
 import org.curranthaven.internal.dispatch.RetryLimits;
@@ -28,6 +29,7 @@
 import org.curranthaven.internal.transport.wire.DispatchEnd;
 import org.curranthaven.internal.transport.wire.DispatchOrders;
 import org.curranthaven.internal.transport.wire.DispatchOutcome;
+import org.curranthaven.internal.transport.wire.DispatchProgress;
 import org.curranthaven.internal.transport.wire.DispatchRequests;
 import org.curranthaven.internal.transport.wire.Envelope;
 import org.curranthaven.internal.transport.wire.GatewayStatus;
@@ -76,6 +78,7 @@
     private final List<ServiceVersion> added = new ArrayList<>();
     private final List<ServiceVersion> removed = new ArrayList<>();
     private final List<Consumer<Boolean>> uncommitted = new ArrayList<>();
+    private final List<StreamOriginState.BegunAt> origins = new ArrayList<>();
     private boolean commitsAtOnce = true;
 
     @Override
@@ -101,7 +104,8 @@
 
     @Override
     public void recordOrigins(
-        FleetCommand.RecordStreamOrigins origins, Consumer<Boolean> callback) {
+        FleetCommand.RecordStreamOrigins command, Consumer<Boolean> callback) {
+      origins.addAll(command.origins());
       callback.accept(true);
     }
   }
@@ -1024,6 +1028,34 @@
     assertThat(viewsTo("g1")).allMatch(view -> view.getBackendsCount() == 0);
   }
 
+  /** Guards against servers that count as gone since they register again without a change. */
+  @Test
+  void a_stream_is_recorded_while_two_versions_serve_that_have_registered_long_ago() {
+    startLeading();
+    for (int sequence = 1; sequence <= 40; sequence++) {
+      for (String version : List.of("v1", "v2")) {
+        scheduler.register(
+            backend("i-" + version, version).toBuilder().setSequence(sequence).build(),
+            new RecordedResult()::accept);
+      }
+      time.advance(5_000);
+    }
+    PlacementRequest request = placementRequest(1).toBuilder().setStream(77).build();
+    scheduler.handleRequests(
+        host("g1"), DispatchRequests.newBuilder().setTerm(5).addAsks(request).build());
+    scheduler.handleRequests(
+        host("g1"),
+        DispatchRequests.newBuilder()
+            .setTerm(5)
+            .addProgress(DispatchProgress.newBuilder().setId(1).setOutputTokens(4))
+            .build());
+    time.advance(2 * ONE_HEARTBEAT_MILLIS);
+
+    assertThat(versionLog.origins)
+        .flatExtracting(StreamOriginState.BegunAt::streams)
+        .containsExactly(77L);
+  }
+
   /** Guards against versions that stay in the log, so that no unknown stream goes on any more. */
   @Test
   void a_version_is_removed_once_none_of_its_streams_can_be_taken_up() {
--- a/src/test/java/org/curranthaven/internal/scheduler/StreamOriginLogTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/StreamOriginLogTest.java
@@ -72,7 +72,7 @@
   }
 
   private void write() {
-    log.write(Set.of(), nowMillis);
+    log.write(origins.exportServed(nowMillis), Set.of(), nowMillis);
   }
 
   /** Has another host lead, which knows only what a replica has stored. */
@@ -127,7 +127,7 @@
     serve("v1");
     output(1, "v1");
 
-    log.write(Set.of(SERVICE), nowMillis);
+    log.write(origins.exportServed(nowMillis), Set.of(SERVICE), nowMillis);
 
     assertThat(groupLog.commands).hasSize(1);
   }
