--- a/src/test/java/org/curranthaven/platform/OddStatusTest.java
+++ b/src/test/java/org/curranthaven/platform/OddStatusTest.java
@@ -15,7 +15,7 @@
   private static final List<String> STATUSES =
       List.of("000", "000 X", "099", "00", "-200", "600 X", "999", "2000", "+200 OK", "0x200");
 
-  /** Few enough for the retry budget. */
+  /** Few enough for the retry budget, and for no more than one server to be ejected. */
   private static final List<String> RETRIED_STATUSES = List.of("000", "600 X", "2000", "+200 OK");
 
   private volatile String status = "";
@@ -45,9 +45,11 @@
   void a_request_that_may_repeat_is_answered_by_the_next_attempt() throws Exception {
     AtomicInteger requests = new AtomicInteger();
     try (FakeBackend first = server(false, requests);
-        FakeBackend second = server(false, requests)) {
+        FakeBackend second = server(false, requests);
+        FakeBackend third = server(false, requests)) {
       register("r1", first, "ready", 1);
       register("r2", second, "ready", 1);
+      register("r3", third, "ready", 1);
       for (String next : RETRIED_STATUSES) {
         status = next;
         requests.set(0);
