--- a/src/test/java/org/curranthaven/platform/FleetProcesses.java
+++ b/src/test/java/org/curranthaven/platform/FleetProcesses.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.curranthaven.internal.cli.Main;
 import org.curranthaven.internal.standin.LocalFleet;
@@ -259,6 +260,11 @@
     return Objects.requireNonNull(processes.get(CONTROL + number)).isAlive();
   }
 
+  /** Returns how many control hosts run. */
+  long runningControls() {
+    return IntStream.rangeClosed(1, HOSTS_OF_A_ROLE).filter(this::isControlRunning).count();
+  }
+
   /** Returns the data folder of a control host. */
   Path dataFolder(int control) {
     return folder.resolve(CONTROL + control);
@@ -396,6 +402,18 @@
     }
   }
 
+  /** Sends a control request to one host, whatever becomes of it. */
+  void offer(int number, String method, String path, String body) throws InterruptedException {
+    controlStatus(controlAddress(number), method, path, body);
+  }
+
+  /** Returns the addresses at which control hosts accept other hosts. */
+  List<String> controlPeerAddresses() {
+    return IntStream.rangeClosed(1, HOSTS_OF_A_ROLE)
+        .mapToObj(number -> controlIp(number) + ":" + peerPort)
+        .toList();
+  }
+
   /** Waits until every gateway knows the catalog. */
   void awaitGateways() throws Exception {
     for (String address : gatewayAddresses) {
@@ -431,7 +449,7 @@
   }
 
   /** Returns whether each host runs, and the last lines of its log. */
-  private String describeHosts() {
+  String describeHosts() {
     StringBuilder text = new StringBuilder();
     processes.forEach(
         (name, process) ->
