Bound the control responses that clients have not read

What operators would see: a control host ends (status 70) when clients ask for a large configuration and do not read it.

Cause: each response is copied into memory outside the heap when it is written, and the responses of all connections together had no bound; the connections' own accounts count what clients send alone.

Why it works: unread responses stay below an eighth of the heap's size together; beyond that a client is told 503 and to send the request again.

--- a/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
@@ -78,6 +78,9 @@
   /** Part of the heap that control requests may take, decoded documents not counted. */
   static final double CONTROL_MEMORY_PART = 0.25;
 
+  /** Part of the heap, and so of the memory outside it, that unread control responses may take. */
+  private static final double CONTROL_RESPONSE_MEMORY_PART = 0.125;
+
   private final RoutedSettings settings;
   private final Clock clock;
   private final WireProtocol protocol;
@@ -161,7 +164,8 @@
             eventLoopGroup,
             new ClientChannel.Shared(clients, new ReadTurns(eventLoop), clock),
             protocol,
-            this::handleControlRequest);
+            this::handleControlRequest,
+            (long) (Runtime.getRuntime().maxMemory() * CONTROL_RESPONSE_MEMORY_PART));
   }
 
   /** Opens the peer and control addresses, joins consensus and connects to the other hosts. */
--- a/src/main/java/org/curranthaven/internal/scheduler/ControlServer.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/ControlServer.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
@@ -39,6 +40,7 @@
 import org.curranthaven.internal.supervision.FatalErrors;
 import org.curranthaven.internal.transport.EventLoops;
 import org.curranthaven.internal.transport.ReportingInitializer;
+import org.curranthaven.internal.transport.UnwrittenBytes;
 import org.jspecify.annotations.Nullable;
 
 /** HTTP server for control requests from backend servers and operators. */
@@ -52,12 +54,20 @@
   private final ClientChannel.Shared clients;
   private final WireProtocol protocol;
   private final BiConsumer<ControlRequest, Consumer<ControlResponse>> handler;
+  private final UnwrittenBytes unwritten;
 
+  /**
+   * Creates a server that does not listen yet.
+   *
+   * @param maxUnwrittenBytes bound on the responses that clients have not read
+   */
   ControlServer(
       EventLoopGroup group,
       ClientChannel.Shared clients,
       WireProtocol protocol,
-      BiConsumer<ControlRequest, Consumer<ControlResponse>> handler) {
+      BiConsumer<ControlRequest, Consumer<ControlResponse>> handler,
+      long maxUnwrittenBytes) {
+    this.unwritten = new UnwrittenBytes(maxUnwrittenBytes);
     this.eventLoopGroup = group;
     this.clients = clients;
     this.protocol = protocol;
@@ -203,7 +213,18 @@
       proceedIfWritable(context);
     }
 
-    private static void write(
+    /** Writes a response, or a rejection if clients have not read too much of others. */
+    private void write(ChannelHandlerContext context, ControlResponse response, boolean keepAlive) {
+      int bytes = response.body().length;
+      if (unwritten.reserve(bytes)) {
+        writeReserved(context, response, keepAlive)
+            .addListener(written -> unwritten.release(bytes));
+      } else {
+        writeReserved(context, memoryInUse(), keepAlive);
+      }
+    }
+
+    private static ChannelFuture writeReserved(
         ChannelHandlerContext context, ControlResponse response, boolean keepAlive) {
       FullHttpResponse httpResponse =
           new DefaultFullHttpResponse(
@@ -220,15 +241,12 @@
                 HttpHeaderNames.LOCATION,
                 "http://" + NetUtil.toSocketAddressString(address) + response.location());
       }
-      if (keepAlive) {
-        context.writeAndFlush(httpResponse).addListener(EventLoops.REPORT_ERROR);
-      } else {
+      if (!keepAlive) {
         httpResponse.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        context
-            .writeAndFlush(httpResponse)
-            .addListener(EventLoops.REPORT_ERROR)
-            .addListener(ChannelFutureListener.CLOSE);
       }
+      ChannelFuture written =
+          context.writeAndFlush(httpResponse).addListener(EventLoops.REPORT_ERROR);
+      return keepAlive ? written : written.addListener(ChannelFutureListener.CLOSE);
     }
 
     @Override
--- a/src/test/java/org/curranthaven/platform/LargeConfigurationTest.java
+++ b/src/test/java/org/curranthaven/platform/LargeConfigurationTest.java
@@ -2,7 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.net.Socket;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -32,6 +34,11 @@
   private static final int CHANGES = 6;
   private static final long CHANGE_INTERVAL_MILLIS = 330;
 
+  /** Clients whose unread responses together exceed the memory of a control host. */
+  private static final int READERS = 120;
+
+  private static final long READ_INTERVAL_MILLIS = 25;
+
   @TempDir private Path folder;
 
   private FleetProcesses fleet;
@@ -103,6 +110,31 @@
     }
   }
 
+  @Test
+  void control_hosts_run_on_while_clients_do_not_read_a_large_configuration() throws Exception {
+    putCatalog(catalog(2, ROUTES, "-".repeat(LARGEST)));
+    List<Socket> sockets = new ArrayList<>();
+    try {
+      for (int reader = 0; reader < READERS; reader++) {
+        assertAllRun();
+        Socket socket =
+            FleetProcesses.connect(
+                fleet.controlAddress(1 + reader % FleetProcesses.HOSTS_OF_A_ROLE));
+        sockets.add(socket);
+        FakeBackend.write(socket, "GET /api/config HTTP/1.1\r\nHost: control\r\n\r\n");
+        Thread.sleep(READ_INTERVAL_MILLIS);
+      }
+      assertAllRun();
+    } finally {
+      for (Socket socket : sockets) {
+        socket.close();
+      }
+    }
+
+    putCatalog(catalog(3, 1, ""));
+    assertAllRun();
+  }
+
   private void offer(String catalog) {
     Thread.ofVirtual().start(() -> offerUninterrupted(catalog));
   }
