Read no further while enough is received behind a request

What operators would see: a control host ends (status 70) while some clients send requests without reading the responses.

Cause: RequestDecoder stops reading a connection when 16 KiB are received behind the request in progress. When that was answered, it decoded the next request, which stopped the reading again, and then went on reading all the same: the bytes behind grew by a read with each response, to 0.5 and 1 MiB for each of 100 connections (class histogram: some 100 buffers beyond the pooled sizes).

Why it works: reading goes on before the next request is decoded, so that the decoder's decision to stop stands.

--- a/src/main/java/org/curranthaven/internal/clients/RequestDecoder.java
+++ b/src/main/java/org/curranthaven/internal/clients/RequestDecoder.java
@@ -88,6 +88,8 @@
     bodyBytes = 0;
     client.account().idle(client.nowMillis());
     client.account().hold(0);
+    // Before the next request is decoded, which may find that enough is behind it.
+    client.pause(ClientChannel.Pause.BEHIND, false);
     ChannelHandlerContext handlerContext = context;
     if (!decoding && handlerContext != null && hasUndecoded()) {
       try {
@@ -96,7 +98,6 @@
         handlerContext.fireExceptionCaught(e);
       }
     }
-    client.pause(ClientChannel.Pause.BEHIND, false);
   }
 
   /**
--- a/src/test/java/org/curranthaven/internal/clients/RequestDecoderTest.java
+++ b/src/test/java/org/curranthaven/internal/clients/RequestDecoderTest.java
@@ -139,6 +139,25 @@
     assertThat(refusal()).isInstanceOf(TooLongFrameException.class);
   }
 
+  /** Guards against requests that gather without bound behind those that are answered. */
+  @Test
+  void a_connection_is_not_read_on_while_much_is_left_behind_the_next_request() {
+    receive("GET /a HTTP/1.1\r\n\r\n".repeat(2_000));
+    assertThat(wholeRequests()).isEqualTo(1);
+    assertThat(channel.config().isAutoRead()).isFalse();
+
+    client.proceed();
+
+    assertThat(wholeRequests()).isEqualTo(1);
+    assertThat(channel.config().isAutoRead()).isFalse();
+    for (int request = 2; request < 2_000; request++) {
+      client.proceed();
+      assertThat(wholeRequests()).isEqualTo(1);
+    }
+    assertThat(channel.config().isAutoRead()).isTrue();
+    assertThat(client.hasUndecoded()).isFalse();
+  }
+
   @Test
   void a_head_counts_with_its_lines_until_its_response_is_sent() {
     receive("GET /a HTTP/1.1\r\n" + "a:b\r\n".repeat(100));
