--- a/src/main/java/org/curranthaven/internal/relay/BackendPool.java
+++ b/src/main/java/org/curranthaven/internal/relay/BackendPool.java
@@ -41,6 +41,9 @@
   /** Connections that one probe opens at most. */
   private static final int PROBE_CONNECTIONS = 3;
 
+  /** Address at which nobody listens. */
+  private static final String NO_LISTENER = "127.0.0.1:1";
+
   private final EventLoop loop;
   private final Clock clock;
   private final WireProtocol protocol;
@@ -50,6 +53,7 @@
   private long connectionsOpened;
   private int maxConnections = Integer.MAX_VALUE;
   private int openConnections;
+  private boolean partitioned;
 
   /** Creates a pool that counts no responses. */
   BackendPool(EventLoop loop, Clock clock, WireProtocol protocol) {
@@ -85,6 +89,12 @@
     maxConnections = newMaxConnections;
   }
 
+  /** Closes all idle connections and refuses new ones, or ends this; for failure tests. */
+  void setPartitioned(boolean isPartitioned) {
+    partitioned = isPartitioned;
+    retain(Set.of());
+  }
+
   /** Returns the number of connection attempts so far. */
   long connectionsOpened() {
     return connectionsOpened;
@@ -217,7 +227,7 @@
                     channel.pipeline().addLast(connection.handlers());
                   }
                 })
-            .connect(Addresses.parse(address));
+            .connect(Addresses.parse(partitioned ? NO_LISTENER : address));
     connected.channel().closeFuture().addListener(EventLoops.guard(closed -> openConnections--));
     return connected;
   }
--- a/src/main/java/org/curranthaven/internal/relay/Gateway.java
+++ b/src/main/java/org/curranthaven/internal/relay/Gateway.java
@@ -540,6 +540,11 @@
     network.setBlockedHosts(hosts);
   }
 
+  /** Refuses connections to all backend servers, as a network partition may; for failure tests. */
+  public void setPartitionedFromBackends(boolean partitioned) {
+    loop.execute(() -> pool.setPartitioned(partitioned));
+  }
+
   private List<String> connectedHosts() {
     return network.connectedHosts().stream().map(HostRecord::getName).sorted().toList();
   }
