Have another gateway serve what a partitioned one cannot

Cause: a gateway had no way to a backend server but its own connections; when all of its attempts failed before a byte was sent, it rejected the request.

Evidence: the gateways' log lines in the incident name each attempt, "no connection", and the rejection. PartitionedGatewayTest.requests_at_a_partitioned_gateway_are_served_once_each failed on the commit before (503 for each request) and passes now.

Why it works: what no backend server has received goes to another gateway, which serves it as a caller's request, with its own limits and retries. It answers 421, before it runs the request, if it reaches none either; a request that was sent without an answer is not sent again. Via keeps requests from going round; home regions are kept.

DecodedFieldsTest has one exception less, since headers are now read outside the decoding package. RouteChoice and CallerFailures were split from CallerConnection, which is shorter than before.

--- a/src/main/java/org/curranthaven/internal/relay/AttemptHistory.java
+++ b/src/main/java/org/curranthaven/internal/relay/AttemptHistory.java
@@ -22,6 +22,7 @@
   private int attempts;
   private int executions;
   private boolean received;
+  private int unreachable;
 
   /** Whether the latest attempt has been sent; null if it has a result or cannot be sent. */
   private @Nullable BooleanSupplier latest;
@@ -54,7 +55,7 @@
       case AttemptResult.Completed ignored -> recordExecution();
       case AttemptResult.Interrupted ignored -> recordExecution();
       case AttemptResult.NotRun ignored -> received = true;
-      case AttemptResult.Unreachable ignored -> {}
+      case AttemptResult.Unreachable failed -> unreachable += failed.backendFailed() ? 1 : 0;
     }
   }
 
@@ -83,6 +84,11 @@
         : code;
   }
 
+  /** Returns whether connections failed, and no backend server received the request. */
+  boolean reachedNoBackend() {
+    return unreachable > 0 && !received && !mayHaveRun();
+  }
+
   /** Returns the number of attempts. */
   int attempts() {
     return attempts;
--- a/src/main/java/org/curranthaven/internal/relay/BackendPool.java
+++ b/src/main/java/org/curranthaven/internal/relay/BackendPool.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -54,6 +55,7 @@
   private int maxConnections = Integer.MAX_VALUE;
   private int openConnections;
   private boolean partitioned;
+  private final BackendReach reach = new BackendReach();
 
   /** Creates a pool that counts no responses. */
   BackendPool(EventLoop loop, Clock clock, WireProtocol protocol) {
@@ -228,10 +230,24 @@
                   }
                 })
             .connect(Addresses.parse(partitioned ? NO_LISTENER : address));
+    connected.addListener(EventLoops.guard(future -> recordReach(future, address)));
     connected.channel().closeFuture().addListener(EventLoops.guard(closed -> openConnections--));
     return connected;
   }
 
+  /** Returns whether any backend server is reached, as the connections of this pool show. */
+  BackendReach reach() {
+    return reach;
+  }
+
+  private void recordReach(Future<? super Void> connected, String address) {
+    if (connected.isSuccess()) {
+      reach.recordReached();
+    } else {
+      reach.recordFailure(address);
+    }
+  }
+
   private void closeLongestIdle() {
     idleConnections.values().stream()
         .flatMap(ArrayDeque::stream)
--- a/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
+++ b/src/main/java/org/curranthaven/internal/relay/CallerConnection.java
@@ -21,21 +21,18 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.ArrayDeque;
 import java.util.Locale;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.curranthaven.api.Failure;
 import org.curranthaven.api.Outcome;
 import org.curranthaven.api.ResultCode;
-import org.curranthaven.internal.catalog.Catalog;
-import org.curranthaven.internal.catalog.CatalogWorkspace;
-import org.curranthaven.internal.catalog.Route;
-import org.curranthaven.internal.catalog.ServiceSpec;
+import org.curranthaven.internal.catalog.HomeRegions;
 import org.curranthaven.internal.clients.ClientLink;
 import org.curranthaven.internal.clients.MemoryInUseException;
 import org.curranthaven.internal.gateway.ErrorBodies;
@@ -61,8 +58,6 @@
   /** Time after a connection was opened, or a response sent, in which a request usually follows. */
   private static final long MIN_IDLE_MILLIS = 150;
 
-  private static final long NOT_INITIALIZED_RETRY_AFTER_MILLIS = 1_000;
-
   /**
    * Longest time for which a request waits for the catalog, which a host receives soon after its
    * start.
@@ -75,9 +70,6 @@
    */
   private static final long MIN_DEADLINE_TO_WAIT_MILLIS = 5 * INITIALIZATION_WAIT_MILLIS;
 
-  /** Time after which a large body that found no room may find some. */
-  private static final long BODY_RETRY_AFTER_MILLIS = 1_000;
-
   private final RelayContext context;
   private final ClientLink client;
   private final ArrayDeque<ReceivedRequest> pipelinedRequests = new ArrayDeque<>();
@@ -92,7 +84,7 @@
   private @Nullable BodyWriter responseWriter;
 
   private boolean keepOpenAfterResponse;
-  private @Nullable RoutedRequest currentRequest;
+  private @Nullable CallerRequest currentRequest;
   private boolean keepAlive;
   private boolean headRequest;
   private boolean responding;
@@ -230,7 +222,7 @@
       return;
     }
     if (cause instanceof MemoryInUseException) {
-      rejectIncomplete(memoryInUse());
+      rejectIncomplete(CallerFailures.memoryInUse());
       return;
     }
     boolean tooLong = cause instanceof TooLongFrameException;
@@ -266,7 +258,7 @@
     builder.add(content.content().nioBuffer());
     incoming.add(content.content());
     if (!client.holdBody(incoming.unreservedBytes())) {
-      rejectIncomplete(memoryInUse());
+      rejectIncomplete(CallerFailures.memoryInUse());
       return;
     }
     if (content instanceof LastHttpContent) {
@@ -365,13 +357,7 @@
         || !context.bodyMemory().giveUp(reservation, nowMillis)) {
       return;
     }
-    rejectIncomplete(
-        Failure.retryLater(
-            ResultCode.SHED,
-            "the request was rejected before it ran: its body of up to "
-                + incoming.finalBytes()
-                + " bytes found no room among the bodies that this host holds; retry later",
-            BODY_RETRY_AFTER_MILLIS));
+    rejectIncomplete(CallerFailures.noRoomForBody(incoming.finalBytes()));
   }
 
   /** Rejects a request whose body has not been read, and closes the connection. */
@@ -453,7 +439,7 @@
     headRequest = request.method().equals(HttpMethod.HEAD);
     boolean admitted = client.admit();
     if (!admitted || (currentBodyMemory != null && !currentBodyMemory.isGranted())) {
-      fail(memoryInUse());
+      fail(CallerFailures.memoryInUse());
       return;
     }
     switch (context.protocol().readRequest(request)) {
@@ -463,13 +449,6 @@
     }
   }
 
-  private static Failure memoryInUse() {
-    return Failure.retryLater(
-        ResultCode.SHED,
-        "the request was rejected before it ran: all memory for requests is in use; retry later",
-        BODY_RETRY_AFTER_MILLIS);
-  }
-
   /** Routes a request; one that arrives before the catalog waits for it if its deadline allows. */
   private void routeWhenInitialized(
       InboundRequest request, long requestFingerprint, long waitedMillis) {
@@ -482,7 +461,7 @@
       context.whenInitialized(
           () -> routeDeferred(request, requestFingerprint, nowMillis), INITIALIZATION_WAIT_MILLIS);
     } else {
-      failNotInitialized();
+      fail(CallerFailures.notInitialized());
     }
   }
 
@@ -494,77 +473,71 @@
     if (context.isInitialized()) {
       route(request, requestFingerprint, arrivedAtMillis);
     } else {
-      failNotInitialized();
+      fail(CallerFailures.notInitialized());
     }
   }
 
-  private void failNotInitialized() {
-    fail(
-        Failure.retryLater(
-            ResultCode.HOST_NOT_FRESH,
-            "this host has not received the catalog yet; retry later or at another host",
-            NOT_INITIALIZED_RETRY_AFTER_MILLIS));
-  }
-
   private void route(InboundRequest request, long requestFingerprint, long arrivedAtMillis) {
-    Catalog catalog = context.catalog();
-    Optional<Route> matchingRoute = catalog.routeFor(request.host(), request.path());
-    if (matchingRoute.isEmpty()) {
-      fail(
-          Failure.of(
-              ResultCode.UNKNOWN_PATH,
-              "no route matches host " + request.host() + " and path " + request.path()));
+    if (context.forwarding().isMisdirected(request)) {
+      failMisdirected();
       return;
     }
-    Route route = matchingRoute.get();
-    CatalogWorkspace workspace = catalog.workspaceOf(request.key());
-    if (catalog.needsKey(route) && workspace == null) {
-      fail(
-          Failure.of(
-              ResultCode.BAD_KEY,
-              "the route requires the key of a workspace; the request has none or an unknown one"));
-      return;
+    switch (RouteChoice.of(context.catalog(), request, context::nextRandom)) {
+      case Outcome.Failed<RouteChoice> failed -> fail(failed.failure());
+      case Outcome.Success<RouteChoice> success ->
+          start(request, success.value(), requestFingerprint, arrivedAtMillis);
     }
-    long timeoutMillis = RequestTerms.timeoutMillis(request, route);
-    if (!context.mayAccept(timeoutMillis)) {
-      fail(
-          Failure.retryLater(
-              ResultCode.HOST_DRAINING,
-              "this host is shutting down; retry on a new connection",
-              DrainRules.RETRY_AFTER_MILLIS));
+  }
+
+  private void start(
+      InboundRequest request, RouteChoice choice, long requestFingerprint, long arrivedAtMillis) {
+    if (!context.mayAccept(choice.timeoutMillis())) {
+      fail(CallerFailures.draining());
       return;
     }
-    double draw = RequestTerms.drawFor(request, route, context::nextRandom);
-    ServiceSpec service = catalog.service(route.serviceFor(draw));
-    if (service == null) {
-      fail(
-          Failure.of(
-              ResultCode.INTERNAL,
-              "route "
-                  + route.name()
-                  + " names a service that is not in the catalog; correct the catalog"));
+    long deadlineAtMillis = arrivedAtMillis + choice.timeoutMillis();
+    ForwardedRequest forwarded =
+        context
+            .forwarding()
+            .forNewRequest(context, this, request, choice.homeRegions(), deadlineAtMillis);
+    if (forwarded != null) {
+      currentRequest = forwarded;
+      forwarded.start();
       return;
     }
-    boolean hasWorkspacePriority =
-        workspace != null && workspace.priority() >= 0 && catalog.needsKey(route);
     RoutedRequest routedRequest =
-        new RoutedRequest(
-            context,
-            this,
-            request,
-            requestFingerprint,
-            route,
-            service,
-            workspace == null || !catalog.needsKey(route) ? "" : workspace.name(),
-            arrivedAtMillis,
-            timeoutMillis,
-            hasWorkspacePriority && workspace != null ? workspace.priority() : route.priority(),
-            RequestTerms.homeRegions(catalog, route, workspace));
+        new RoutedRequest(context, this, request, choice, requestFingerprint, arrivedAtMillis);
     currentRequest = routedRequest;
     context.requestOpened(routedRequest);
     routedRequest.start();
   }
 
+  /**
+   * Has another gateway serve the present request, for which no backend server was reached. Returns
+   * false if it has to be rejected here.
+   */
+  boolean forward(InboundRequest request, HomeRegions homeRegions, long deadlineAtMillis) {
+    if (request.isForwarded()) {
+      failMisdirected();
+      return true;
+    }
+    ForwardedRequest forwarded =
+        context
+            .forwarding()
+            .forUnservedRequest(context, this, request, homeRegions, deadlineAtMillis);
+    if (forwarded == null) {
+      return false;
+    }
+    currentRequest = forwarded;
+    forwarded.start();
+    return true;
+  }
+
+  /** Tells another gateway that its request was not run and that this one reaches no server. */
+  private void failMisdirected() {
+    respond(HttpResponseStatus.MISDIRECTED_REQUEST, CallerFailures.misdirected(), false);
+  }
+
   // ---- responses --------------------------------------------------------------------------------
 
   /** Forwards the response of a backend server, unchanged except for hop-by-hop headers. */
@@ -708,6 +681,28 @@
     finishResponse(writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), mayKeepOpen());
   }
 
+  /** Passes on bytes of the response that another gateway has encoded. */
+  void writeForwarded(ByteBuf bytes) {
+    ChannelHandlerContext open = channelContext;
+    if (open == null) {
+      bytes.release();
+      return;
+    }
+    lastActivityMillis = context.clock().nowMillis();
+    pastEncoder(open).writeAndFlush(bytes).addListener(EventLoops.REPORT_ERROR);
+  }
+
+  /** Ends a response that another gateway has encoded, and closes the connection as it states. */
+  void endForwarded() {
+    ChannelHandlerContext open = channelContext;
+    finishResponse(
+        open == null ? null : pastEncoder(open).writeAndFlush(Unpooled.EMPTY_BUFFER), false);
+  }
+
+  private static ChannelHandlerContext pastEncoder(ChannelHandlerContext open) {
+    return open.pipeline().context(HttpResponseEncoder.class);
+  }
+
   /**
    * Closes the connection before the end of a stream, so that the caller can detect that the stream
    * is incomplete.
@@ -820,7 +815,7 @@
   public void channelInactive(ChannelHandlerContext handlerContext) {
     disconnected = true;
     closing = true;
-    RoutedRequest openRequest = currentRequest;
+    CallerRequest openRequest = currentRequest;
     currentRequest = null;
     if (openRequest != null) {
       openRequest.onCallerDisconnected();
--- a/src/main/java/org/curranthaven/internal/relay/Gateway.java
+++ b/src/main/java/org/curranthaven/internal/relay/Gateway.java
@@ -34,6 +34,7 @@
 import org.curranthaven.internal.transport.wire.BackendRecord;
 import org.curranthaven.internal.transport.wire.Envelope;
 import org.curranthaven.internal.transport.wire.HostRecord;
+import org.curranthaven.internal.transport.wire.KnownHosts;
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
 
@@ -81,6 +82,8 @@
   private final PeerNetwork network;
   private final SchedulerLink link;
   private final BackendPool pool;
+  private final OtherGateways otherGateways;
+  private final RequestForwarding forwarding;
   private final CrashProbe crashProbe;
   private final EndConfirmation endConfirmation;
   private final ResponseBuffers responseBuffers = new ResponseBuffers();
@@ -118,6 +121,7 @@
             .setName(settings.name())
             .setDataCentre(settings.dataCentre())
             .setPeerAddress(settings.peerAddress())
+            .setHttpAddress(String.valueOf(settings.callerAddress()))
             .setIncarnation(incarnation)
             .build();
     this.limits = HostLimits.gateway(settings.descriptorLimit());
@@ -143,6 +147,8 @@
     this.awaitingInitialization = new DeferredActions(loop);
     this.pool = new BackendPool(loop, clock, protocol, new StrayResponseLog(this::countStray));
     pool.limitConnections(limits.backends());
+    this.otherGateways = new OtherGateways(self.getHttpAddress());
+    this.forwarding = new RequestForwarding(pool.reach(), otherGateways);
     this.crashProbe = new CrashProbe(pool, link);
     this.endConfirmation = new EndConfirmation(loop, protocol, pool, crashProbe);
     this.clients =
@@ -327,12 +333,16 @@
     switch (message.getPayloadCase()) {
       case SCHEDULER_VIEW -> link.handle(from.getName(), message.getSchedulerView());
       case DISPATCH_ORDERS -> link.handle(from.getName(), message.getDispatchOrders());
-      case KNOWN_HOSTS ->
-          message.getKnownHosts().getControlAddressesList().forEach(network::addDiscoveredAddress);
+      case KNOWN_HOSTS -> learnHosts(message.getKnownHosts());
       default -> {}
     }
   }
 
+  private void learnHosts(KnownHosts known) {
+    known.getControlAddressesList().forEach(network::addDiscoveredAddress);
+    loop.execute(() -> otherGateways.learn(known.getGatewaysList(), clock.nowMillis()));
+  }
+
   @Override
   public void connected(HostRecord host) {
     Logger.info("connected to host {}", host.getName());
@@ -371,6 +381,11 @@
     return link;
   }
 
+  @Override
+  public RequestForwarding forwarding() {
+    return forwarding;
+  }
+
   @Override
   public CrashProbe crashProbe() {
     return crashProbe;
--- a/src/main/java/org/curranthaven/internal/relay/InboundRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/InboundRequest.java
@@ -1,5 +1,6 @@
 package org.curranthaven.internal.relay;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.util.List;
@@ -41,4 +42,12 @@
     String lastEventId,
     String resumedRequestId,
     HttpHeaders headers,
-    byte[] body) {}
+    byte[] body) {
+  /** Names the gateways of this system in {@code Via}, as RFC 9110 has it against loops. */
+  public static final String FORWARDED_BY = "1.1 curranthaven-gateway";
+
+  /** Returns whether another gateway sent the request, which then goes to no third one. */
+  boolean isForwarded() {
+    return headers.containsValue(HttpHeaderNames.VIA, FORWARDED_BY, true);
+  }
+}
--- a/src/main/java/org/curranthaven/internal/relay/RelayContext.java
+++ b/src/main/java/org/curranthaven/internal/relay/RelayContext.java
@@ -21,6 +21,8 @@
 
   RequestPlacer placer();
 
+  RequestForwarding forwarding();
+
   CrashProbe crashProbe();
 
   EndConfirmation endConfirmation();
--- a/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
@@ -29,7 +29,10 @@
  * loop.
  */
 final class RoutedRequest
-    implements RequestPlacer.PlacementListener, Attempt.Listener, MigrationCoordinator.Owner {
+    implements CallerRequest,
+        RequestPlacer.PlacementListener,
+        Attempt.Listener,
+        MigrationCoordinator.Owner {
   /** Time to the deadline below which no further attempt is made. */
   private static final long MIN_ATTEMPT_MILLIS = 5;
 
@@ -78,29 +81,24 @@
       RelayContext context,
       CallerConnection caller,
       InboundRequest request,
+      RouteChoice choice,
       long fingerprint,
-      Route route,
-      ServiceSpec service,
-      String workspace,
-      long arrivedAtMillis,
-      long timeoutMillis,
-      int priority,
-      HomeRegions homeRegions) {
+      long arrivedAtMillis) {
     this.context = context;
     this.caller = caller;
     this.request = request;
-    this.route = route;
-    this.service = service;
-    this.workspace = workspace;
-    this.priority = priority;
-    this.homeRegions = homeRegions;
+    this.route = choice.route();
+    this.service = choice.service();
+    this.workspace = choice.workspace();
+    this.priority = choice.priority();
+    this.homeRegions = choice.homeRegions();
     EngineCapabilities engine = service.engine();
     int tokensPerEvent = engine == null ? DEFAULT_TOKENS_PER_EVENT : engine.tokensPerEvent();
     this.progress =
         new RequestProgress(route, tokensPerEvent, request.lastEventId(), arrivedAtMillis);
     this.migration = new MigrationCoordinator(context, request, route, engine, progress, this);
     this.fingerprint = fingerprint;
-    this.deadlineAtMillis = arrivedAtMillis + timeoutMillis;
+    this.deadlineAtMillis = arrivedAtMillis + choice.timeoutMillis();
     long leftMillis = Math.max(0, deadlineAtMillis - context.clock().nowMillis());
     this.deadlineTimer =
         context.loop().schedule(this::onDeadline, leftMillis, TimeUnit.MILLISECONDS);
@@ -397,6 +395,7 @@
 
   @Override
   public void onHead(Attempt source, ResponseHead head) {
+    context.forwarding().reach().recordReached();
     if (head.isFromExpectedBackend()) {
       context.endConfirmation().recordResponse(source.backend().getId(), source.startedAtMillis());
       context
@@ -439,11 +438,8 @@
     }
   }
 
-  /**
-   * Pauses or resumes reading from the backend server as the caller's connection becomes unwritable
-   * or writable.
-   */
-  void onCallerWritabilityChanged(boolean writable) {
+  @Override
+  public void onCallerWritabilityChanged(boolean writable) {
     if (attempt != null) {
       attempt.setReading(writable);
     }
@@ -571,6 +567,9 @@
   private void fail(ResultCode intended, String message, long retryAfterMillis) {
     ResultCode code = history.withoutFalsePromise(intended);
     finish();
+    if (history.reachedNoBackend() && caller.forward(request, homeRegions, deadlineAtMillis)) {
+      return;
+    }
     context.recordFailure(route, code);
     Logger.info(
         "request {} on route {} failed with {} after {} attempts and {} ms: {}",
@@ -601,8 +600,8 @@
         mayHaveRun ? 0 : RETRY_AFTER_MILLIS);
   }
 
-  /** Cancels the request when the caller has disconnected. */
-  void onCallerDisconnected() {
+  @Override
+  public void onCallerDisconnected() {
     if (!finished) {
       cancelAttempt();
       finish();
--- a/src/main/java/org/curranthaven/internal/relay/WarmUpContext.java
+++ b/src/main/java/org/curranthaven/internal/relay/WarmUpContext.java
@@ -51,6 +51,8 @@
   private final EndConfirmation endConfirmation;
   private final ResponseBuffers responseBuffers = new ResponseBuffers();
   private final BodyMemory bodyMemory = BodyMemory.of(0, Runtime.getRuntime().maxMemory());
+  private final RequestForwarding forwarding =
+      new RequestForwarding(new BackendReach(), new OtherGateways(""));
   private final Catalog catalog = createCatalog();
   private long placementCounter = 1;
   private long statusNumber;
@@ -197,6 +199,11 @@
     return link;
   }
 
+  @Override
+  public RequestForwarding forwarding() {
+    return forwarding;
+  }
+
   @Override
   public CrashProbe crashProbe() {
     return crashProbe;
--- a/src/main/java/org/curranthaven/internal/relay/WireProtocol.java
+++ b/src/main/java/org/curranthaven/internal/relay/WireProtocol.java
@@ -68,6 +68,12 @@
   /** Returns the reference to transferred state for {@link BackendRequest#stateReference}. */
   String stateReference(BackendRecord source, String handle);
 
+  /**
+   * Encodes a caller's request for another gateway, with the time that is left, on a connection of
+   * its own.
+   */
+  FullHttpRequest gatewayRequest(InboundRequest request, long leftMillis);
+
   /** Encodes a request as a caller sends it, for warming up. */
   FullHttpRequest callerRequest(InboundRequest request);
 
--- a/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
+++ b/src/main/java/org/curranthaven/internal/scheduler/ControlHost.java
@@ -5,7 +5,9 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -44,6 +46,7 @@
 import org.curranthaven.internal.transport.wire.CommandStatus;
 import org.curranthaven.internal.transport.wire.Envelope;
 import org.curranthaven.internal.transport.wire.HostRecord;
+import org.curranthaven.internal.transport.wire.KnownGateway;
 import org.curranthaven.internal.transport.wire.KnownHosts;
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
@@ -70,6 +73,9 @@
    */
   private static final long KNOWN_HOSTS_INTERVAL_MILLIS = 5_000;
 
+  /** Gateways that each gateway is told of at a time, so that these messages stay small. */
+  private static final int MAX_GATEWAYS_NAMED = 8;
+
   /** Time that a draining host leaves for the transfer of its leadership. */
   private static final long LEADERSHIP_TRANSFER_DELAY_MILLIS = 400;
 
@@ -247,12 +253,29 @@
   private void sendControlHosts(Collection<HostRecord> hosts) {
     KnownHosts.Builder known = KnownHosts.newBuilder().addControlAddresses(settings.peerAddress());
     connectedControlHosts().forEach(control -> known.addControlAddresses(control.getPeerAddress()));
+    known.addAllGateways(someGateways());
     KnownHosts knownHosts = known.build();
     for (HostRecord host : hosts) {
       network.send(host.getName(), Envelope.newBuilder().setKnownHosts(knownHosts));
     }
   }
 
+  /** Returns a few gateways, others each time. */
+  private List<KnownGateway> someGateways() {
+    List<HostRecord> connected = new ArrayList<>(connectedGateways());
+    Collections.shuffle(connected);
+    return connected.stream()
+        .filter(gateway -> !gateway.getHttpAddress().isEmpty())
+        .limit(MAX_GATEWAYS_NAMED)
+        .map(
+            gateway ->
+                KnownGateway.newBuilder()
+                    .setCallerAddress(gateway.getHttpAddress())
+                    .setDataCentre(gateway.getDataCentre())
+                    .build())
+        .toList();
+  }
+
   /** Passes leadership and catalog changes from the consensus thread to the event loop. */
   private final class LeadershipListener implements LeadershipTracker.Listener {
     @Override
--- a/src/main/java/org/curranthaven/platform/PlatformProtocol.java
+++ b/src/main/java/org/curranthaven/platform/PlatformProtocol.java
@@ -91,6 +91,11 @@
     return source.getAddress() + "/" + handle;
   }
 
+  @Override
+  public FullHttpRequest gatewayRequest(InboundRequest request, long leftMillis) {
+    return RequestTranslation.writeForGateway(request, leftMillis);
+  }
+
   @Override
   public FullHttpRequest callerRequest(InboundRequest request) {
     return RequestTranslation.write(request);
--- a/src/main/java/org/curranthaven/platform/RequestTranslation.java
+++ b/src/main/java/org/curranthaven/platform/RequestTranslation.java
@@ -7,7 +7,9 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.ArrayList;
 import java.util.List;
@@ -88,6 +90,38 @@
     return request;
   }
 
+  /** Encodes what {@link #read} has decoded for another gateway, with the key and all headers. */
+  static FullHttpRequest writeForGateway(InboundRequest inbound, long leftMillis) {
+    FullHttpRequest request =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            inbound.method(),
+            inbound.uri(),
+            Unpooled.wrappedBuffer(inbound.body()));
+    HttpHeaders headers = request.headers();
+    headers
+        .set(inbound.headers())
+        .remove(HttpHeaderNames.EXPECT)
+        .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        .add(HttpHeaderNames.VIA, InboundRequest.FORWARDED_BY)
+        .set(Headers.DEADLINE, leftMillis);
+    if (inbound.body().length > 0 || !inbound.method().equals(HttpMethod.GET)) {
+      headers.set(HttpHeaderNames.CONTENT_LENGTH, inbound.body().length);
+    }
+    setUnlessEmpty(headers, Headers.WORKSPACE_KEY, inbound.key());
+    setUnlessEmpty(headers, Headers.RESUMED_REQUEST_ID, inbound.resumedRequestId());
+    if (inbound.hintedOutputTokens() > 0) {
+      headers.set(Headers.OUTPUT_LENGTH_HINT, inbound.hintedOutputTokens());
+    }
+    return request;
+  }
+
+  private static void setUnlessEmpty(HttpHeaders headers, String name, String value) {
+    if (!value.isEmpty()) {
+      headers.set(name, value);
+    }
+  }
+
   /** Returns the id if it is stated, and not with several values; else an empty string. */
   private static String resumedRequestId(List<String> values) {
     return values.stream().map(String::strip).distinct().count() == 1
--- a/src/test/java/org/curranthaven/DecodedFieldsTest.java
+++ b/src/test/java/org/curranthaven/DecodedFieldsTest.java
@@ -52,11 +52,7 @@
 
   /** Components that nothing outside reads, and why. */
   private static final Map<String, String> EXCEPTIONS =
-      Map.of(
-          "InboundRequest.headers",
-          "passed on to the backend server by the decoding package itself",
-          "ServiceSpec.maxConnections",
-          "not kept yet, see KNOWN-RED.txt");
+      Map.of("ServiceSpec.maxConnections", "not kept yet, see KNOWN-RED.txt");
 
   /** Methods of a record that read its components without deciding by them. */
   private static final Set<String> GENERATED_METHODS = Set.of("equals", "hashCode", "toString");
