Forward a request after its first failed connection during a partition

The begin and end of a partition are logged. What a result tells the scheduler moved from RoutedRequest to AttemptResult.

--- a/src/main/java/org/curranthaven/internal/relay/AttemptResult.java
+++ b/src/main/java/org/curranthaven/internal/relay/AttemptResult.java
@@ -1,10 +1,37 @@
 package org.curranthaven.internal.relay;
 
+import org.curranthaven.internal.transport.wire.DispatchOutcome;
+
 /** The result of one attempt at a backend server. */
 sealed interface AttemptResult {
+  /** Lowest status with which a backend server reports its own failure. */
+  int MIN_SERVER_ERROR_STATUS = 500;
+
   /** Returns what happened, for log lines and error messages. */
   String description();
 
+  /** Returns what the scheduler is told of it. */
+  default DispatchOutcome outcome() {
+    return switch (this) {
+      case Unreachable unreachable ->
+          unreachable.backendFailed()
+              ? DispatchOutcome.DISPATCH_OUTCOME_UNREACHABLE
+              : DispatchOutcome.DISPATCH_OUTCOME_CANCELLED;
+      case NotRun notRun ->
+          notRun.head().misdirected()
+              ? DispatchOutcome.DISPATCH_OUTCOME_UNREACHABLE
+              : DispatchOutcome.DISPATCH_OUTCOME_REJECTED;
+      case Interrupted interrupted ->
+          interrupted.connectionLost()
+              ? DispatchOutcome.DISPATCH_OUTCOME_CONNECTION_LOST
+              : DispatchOutcome.DISPATCH_OUTCOME_FAILED;
+      case Completed completed ->
+          completed.head().status() >= MIN_SERVER_ERROR_STATUS
+              ? DispatchOutcome.DISPATCH_OUTCOME_FAILED
+              : DispatchOutcome.DISPATCH_OUTCOME_ANSWERED;
+    };
+  }
+
   /**
    * No byte of the request was sent.
    *
--- a/src/main/java/org/curranthaven/internal/relay/BackendPool.java
+++ b/src/main/java/org/curranthaven/internal/relay/BackendPool.java
@@ -22,6 +22,7 @@
 import org.curranthaven.internal.transport.EventLoops;
 import org.curranthaven.internal.transport.ReportingInitializer;
 import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
 
 /** Pool of idle connections to backend servers. Confined to the event loop. */
 final class BackendPool {
@@ -242,10 +243,22 @@
 
   private void recordReach(Future<? super Void> connected, String address) {
     if (connected.isSuccess()) {
-      reach.recordReached();
-    } else {
-      reach.recordFailure(address);
+      recordReached();
+      return;
+    }
+    boolean before = reach.isPartitioned();
+    reach.recordFailure(address);
+    if (!before && reach.isPartitioned()) {
+      Logger.warn("no backend server is reached: {} failed last; other gateways serve", address);
+    }
+  }
+
+  /** Records that a backend server accepted a connection or sent a response. */
+  void recordReached() {
+    if (reach.isPartitioned()) {
+      Logger.info("backend servers are reached again");
     }
+    reach.recordReached();
   }
 
   private void closeLongestIdle() {
--- a/src/main/java/org/curranthaven/internal/relay/ForwardedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/ForwardedRequest.java
@@ -69,7 +69,7 @@
     this.caller = caller;
     this.request = request;
     this.deadlineAtMillis = deadlineAtMillis;
-    this.gateways = new ArrayDeque<>(List.copyOf(gateways).subList(0, countOf(gateways)));
+    this.gateways = new ArrayDeque<>(gateways.stream().limit(MAX_GATEWAYS).toList());
     this.deadlineTimer =
         context
             .loop()
@@ -77,10 +77,6 @@
                 this::onDeadline, leftMillis() + DEADLINE_MARGIN_MILLIS, TimeUnit.MILLISECONDS);
   }
 
-  private static int countOf(Collection<String> gateways) {
-    return Math.min(MAX_GATEWAYS, gateways.size());
-  }
-
   private long leftMillis() {
     return Math.max(1, deadlineAtMillis - context.clock().nowMillis());
   }
--- a/src/main/java/org/curranthaven/internal/relay/RetryRules.java
+++ b/src/main/java/org/curranthaven/internal/relay/RetryRules.java
@@ -12,7 +12,6 @@
   /** Limit on the attempts of one request, also if none of the backend servers ran it. */
   static final int MAX_ATTEMPTS = 4;
 
-  private static final int MIN_SERVER_ERROR_STATUS = 500;
   private static final int GATEWAY_TIMEOUT = 504;
 
   private RetryRules() {}
@@ -67,7 +66,8 @@
   private static boolean isRetryableFailure(
       AttemptResult.Completed completed, Route route, boolean streamStarted) {
     int status = completed.head().status();
-    boolean serverError = status >= MIN_SERVER_ERROR_STATUS && status != GATEWAY_TIMEOUT;
+    boolean serverError =
+        status >= AttemptResult.MIN_SERVER_ERROR_STATUS && status != GATEWAY_TIMEOUT;
     return serverError && (!streamStarted || route.kind() == Repeatability.STREAM);
   }
 }
--- a/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
+++ b/src/main/java/org/curranthaven/internal/relay/RoutedRequest.java
@@ -395,7 +395,7 @@
 
   @Override
   public void onHead(Attempt source, ResponseHead head) {
-    context.forwarding().reach().recordReached();
+    context.pool().recordReached();
     if (head.isFromExpectedBackend()) {
       context.endConfirmation().recordResponse(source.backend().getId(), source.startedAtMillis());
       context
@@ -498,6 +498,9 @@
           lastFailedResponse = completed;
         }
         excludedBackends.add(backend);
+        if (context.forwarding().reach().isPartitioned() && forwarded()) {
+          return;
+        }
         if (isUnacceptable()) {
           fail(ResultCode.HOST_DRAINING, result.description(), DrainRules.RETRY_AFTER_MILLIS);
         } else {
@@ -509,31 +512,22 @@
     }
   }
 
+  /** Has another gateway serve the request if no backend server was reached for it. */
+  private boolean forwarded() {
+    boolean isForwarded =
+        history.reachedNoBackend() && caller.forward(request, homeRegions, deadlineAtMillis);
+    if (isForwarded) {
+      finish();
+    }
+    return isForwarded;
+  }
+
   private void reportEnd(AttemptResult result, RetryDecision decision) {
     if (!placed) {
       return;
     }
     placed = false;
-    DispatchOutcome outcome =
-        switch (result) {
-          case AttemptResult.Unreachable unreachable ->
-              unreachable.backendFailed()
-                  ? DispatchOutcome.DISPATCH_OUTCOME_UNREACHABLE
-                  : DispatchOutcome.DISPATCH_OUTCOME_CANCELLED;
-          case AttemptResult.NotRun notRun ->
-              notRun.head().misdirected()
-                  ? DispatchOutcome.DISPATCH_OUTCOME_UNREACHABLE
-                  : DispatchOutcome.DISPATCH_OUTCOME_REJECTED;
-          case AttemptResult.Interrupted interrupted ->
-              interrupted.connectionLost()
-                  ? DispatchOutcome.DISPATCH_OUTCOME_CONNECTION_LOST
-                  : DispatchOutcome.DISPATCH_OUTCOME_FAILED;
-          case AttemptResult.Completed completed ->
-              completed.head().status() >= 500
-                  ? DispatchOutcome.DISPATCH_OUTCOME_FAILED
-                  : DispatchOutcome.DISPATCH_OUTCOME_ANSWERED;
-        };
-    context.placer().reportEnd(placementId, outcome, outputTokens());
+    context.placer().reportEnd(placementId, result.outcome(), outputTokens());
     if (!(result instanceof AttemptResult.Completed) || decision instanceof RetryDecision.Retry) {
       Logger.info(
           "request {} on route {}: attempt {} at backend server {} ended: {}; next step: {};"
@@ -566,10 +560,10 @@
 
   private void fail(ResultCode intended, String message, long retryAfterMillis) {
     ResultCode code = history.withoutFalsePromise(intended);
-    finish();
-    if (history.reachedNoBackend() && caller.forward(request, homeRegions, deadlineAtMillis)) {
+    if (forwarded()) {
       return;
     }
+    finish();
     context.recordFailure(route, code);
     Logger.info(
         "request {} on route {} failed with {} after {} attempts and {} ms: {}",
