--- a/src/main/java/org/curranthaven/internal/transport/PeerNetwork.java
+++ b/src/main/java/org/curranthaven/internal/transport/PeerNetwork.java
@@ -32,6 +32,7 @@
 import org.curranthaven.internal.settings.Addresses;
 import org.curranthaven.internal.supervision.Child;
 import org.curranthaven.internal.supervision.Clock;
+import org.curranthaven.internal.supervision.LineLimit;
 import org.curranthaven.internal.supervision.ProcessLimits;
 import org.curranthaven.internal.transport.wire.Envelope;
 import org.curranthaven.internal.transport.wire.HostRecord;
@@ -79,6 +80,8 @@
   /** Part of the heap, and so of the memory outside it, that unwritten large messages may take. */
   private static final double UNWRITTEN_MEMORY_PART = 0.25;
 
+  private static final long DROPPED_LINE_INTERVAL_MILLIS = 1_000;
+
   /** Timeout for closing the listening socket; shorter than the supervisor's own timeout. */
   private static final long STOP_TIMEOUT_MILLIS = 2_000;
 
@@ -102,6 +105,7 @@
   private volatile @Nullable Sender sender;
   private final UnwrittenBytes unwritten =
       new UnwrittenBytes((long) (Runtime.getRuntime().maxMemory() * UNWRITTEN_MEMORY_PART));
+  private final LineLimit droppedLines = new LineLimit(1, DROPPED_LINE_INTERVAL_MILLIS);
   private final LongAdder bytesSent = new LongAdder();
   private final LongAdder messagesSent = new LongAdder();
 
@@ -215,12 +219,25 @@
     if (bytes < LARGE_MESSAGE_BYTES) {
       connection.write(envelope);
     } else if (!connection.writeLarge(envelope, unwritten)) {
+      logDropped(host, bytes, Clock.system().nowMillis());
       return false;
     }
     recordSent(bytes);
     return true;
   }
 
+  private synchronized void logDropped(String host, int bytes, long nowMillis) {
+    if (droppedLines.mayWrite(nowMillis)) {
+      Logger.warn(
+          "message of {} bytes to host {} dropped: {} bytes of large messages are unwritten;"
+              + " {} dropped since the start",
+          bytes,
+          host,
+          unwritten.reservedBytes(),
+          unwritten.refusals());
+    }
+  }
+
   private void recordSent(long bytes) {
     messagesSent.increment();
     bytesSent.add(bytes);
