--- a/src/test/java/org/curranthaven/internal/relay/CallerConnectionTest.java
+++ b/src/test/java/org/curranthaven/internal/relay/CallerConnectionTest.java
@@ -41,6 +41,9 @@
       new EmbeddedChannel(new CallerConnection(context(), ClientLink.UNBOUNDED));
 
   /** Returns a context with an empty catalog, with which every routed request gets status 404. */
+  private final RequestForwarding forwarding =
+      new RequestForwarding(new BackendReach(), new OtherGateways("own"));
+
   private RelayContext context() {
     return (RelayContext)
         Proxy.newProxyInstance(
@@ -54,6 +57,7 @@
                   case "protocol" -> protocol();
                   case "isInitialized" -> initialized;
                   case "isDraining" -> draining;
+                  case "forwarding" -> forwarding;
                   case "whenInitialized" -> {
                     deferredActions.defer((Runnable) arguments[0], (long) arguments[1]);
                     yield null;
