Freeze the time of the test of costly reads

The turn of a connection comes a millisecond later, in real time on the test's event loop, which runs due timers after each read: where that millisecond passed before, reading was on again. A trial with 3 ms of sleep behind the decoder fails the test each time as it was, and passes with the time frozen. The test now also asks that the turn comes after that millisecond.

--- a/src/test/java/org/curranthaven/internal/clients/RequestDecoderTest.java
+++ b/src/test/java/org/curranthaven/internal/clients/RequestDecoderTest.java
@@ -13,6 +13,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.curranthaven.internal.supervision.Clock;
 import org.jspecify.annotations.Nullable;
@@ -215,10 +216,15 @@
 
   @Test
   void a_costly_read_waits_for_its_turn() {
+    channel.freezeTime();
     receive("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
     receive("1\r\nx\r\n".repeat(600));
-
     assertThat(channel.config().isAutoRead()).isFalse();
+
+    channel.advanceTimeBy(1, TimeUnit.MILLISECONDS);
+    channel.runScheduledPendingTasks();
+
+    assertThat(channel.config().isAutoRead()).isTrue();
   }
 
   @Test
