--- a/src/test/java/org/curranthaven/internal/scheduler/CrashSuspectLogTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/CrashSuspectLogTest.java
@@ -3,11 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.function.Consumer;
 import org.curranthaven.internal.catalog.CrashSuspectState;
-import org.curranthaven.internal.catalog.ServiceVersion;
 import org.curranthaven.internal.configuration.FleetCommand;
 import org.curranthaven.internal.configuration.FleetState;
 import org.curranthaven.internal.dispatch.CrashEvidence;
@@ -30,22 +28,12 @@
   private long epochMillis = EPOCH_MILLIS;
 
   /** Applies records to a replica, at once or when told. */
-  private static final class GroupLog implements SchedulerLog {
+  private static final class GroupLog extends CommittingSchedulerLog {
     private final FleetState state = new FleetState();
     private final List<Consumer<Boolean>> uncommitted = new ArrayList<>();
     private boolean commitsAtOnce = true;
     private int records;
 
-    @Override
-    public void add(ServiceVersion version, Consumer<Boolean> callback) {}
-
-    @Override
-    public void remove(Collection<ServiceVersion> versions) {}
-
-    @Override
-    public void recordOrigins(
-        FleetCommand.RecordStreamOrigins origins, Consumer<Boolean> callback) {}
-
     @Override
     public void recordCrashSuspects(
         CrashSuspectState.Snapshot suspects, Consumer<Boolean> callback) {
--- a/src/test/java/org/curranthaven/internal/scheduler/EvacuationHandlerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/EvacuationHandlerTest.java
@@ -4,14 +4,11 @@
 
 import com.google.protobuf.ByteString;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
-import org.curranthaven.internal.catalog.CrashSuspectState;
 import org.curranthaven.internal.catalog.EvacuationState;
-import org.curranthaven.internal.catalog.ServiceVersion;
 import org.curranthaven.internal.configuration.FleetCommand;
 import org.curranthaven.internal.configuration.FleetState;
 import org.curranthaven.internal.dispatch.DispatchFeatures;
@@ -55,29 +52,6 @@
   private Scheduler scheduler = newScheduler();
   private EvacuationHandler handler = newHandler();
 
-  /** Log of software versions that commits each at once. */
-  private static final class CommittingSchedulerLog implements SchedulerLog {
-    @Override
-    public void add(ServiceVersion version, Consumer<Boolean> callback) {
-      callback.accept(true);
-    }
-
-    @Override
-    public void remove(Collection<ServiceVersion> versions) {}
-
-    @Override
-    public void recordCrashSuspects(
-        CrashSuspectState.Snapshot suspects, Consumer<Boolean> callback) {
-      callback.accept(true);
-    }
-
-    @Override
-    public void recordOrigins(
-        FleetCommand.RecordStreamOrigins origins, Consumer<Boolean> callback) {
-      callback.accept(true);
-    }
-  }
-
   private Scheduler newScheduler() {
     return new Scheduler(
         time.loop(),
--- a/src/test/java/org/curranthaven/internal/scheduler/RetriesPastBudgetTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/RetriesPastBudgetTest.java
@@ -10,12 +10,8 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.curranthaven.internal.catalog.Catalog;
-import org.curranthaven.internal.catalog.CrashSuspectState;
 import org.curranthaven.internal.catalog.RequestLimits;
-import org.curranthaven.internal.catalog.ServiceVersion;
-import org.curranthaven.internal.configuration.FleetCommand;
 import org.curranthaven.internal.dispatch.DispatchFeatures;
 import org.curranthaven.internal.dispatch.RetryLimits;
 import org.curranthaven.internal.relay.ManualTime;
@@ -148,33 +144,11 @@
           () -> true,
           () -> connected.stream().map(this::host).toList(),
           (gateway, message) -> deliver(leader, gateway, message.build()),
-          new CommittingLog(),
+          new CommittingSchedulerLog(),
           (dataCentre, callback) -> callback.accept(true),
           DispatchFeatures.none());
     }
 
-    private static final class CommittingLog implements SchedulerLog {
-      @Override
-      public void add(ServiceVersion version, Consumer<Boolean> callback) {
-        callback.accept(true);
-      }
-
-      @Override
-      public void remove(java.util.Collection<ServiceVersion> versions) {}
-
-      @Override
-      public void recordCrashSuspects(
-          CrashSuspectState.Snapshot suspects, Consumer<Boolean> callback) {
-        callback.accept(true);
-      }
-
-      @Override
-      public void recordOrigins(
-          FleetCommand.RecordStreamOrigins origins, Consumer<Boolean> callback) {
-        callback.accept(true);
-      }
-    }
-
     private void startLeading() {
       leading = true;
       scheduler.setTerm(term, List.of());
--- a/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/SchedulerTest.java
@@ -11,7 +11,6 @@
 import java.util.function.Consumer;
 import org.curranthaven.internal.catalog.Catalog;
 import org.curranthaven.internal.catalog.ColdStart;
-import org.curranthaven.internal.catalog.CrashSuspectState;
 import org.curranthaven.internal.catalog.Repeatability;
 import org.curranthaven.internal.catalog.RequestLimits;
 import org.curranthaven.internal.catalog.Route;
@@ -74,7 +73,7 @@
   private int gatewayReads;
 
   /** Log that commits versions at once, or when told. */
-  private static final class RecordedSchedulerLog implements SchedulerLog {
+  private static final class RecordedSchedulerLog extends CommittingSchedulerLog {
     private final List<ServiceVersion> added = new ArrayList<>();
     private final List<ServiceVersion> removed = new ArrayList<>();
     private final List<Consumer<Boolean>> uncommitted = new ArrayList<>();
@@ -96,12 +95,6 @@
       removed.addAll(versions);
     }
 
-    @Override
-    public void recordCrashSuspects(
-        CrashSuspectState.Snapshot suspects, Consumer<Boolean> callback) {
-      callback.accept(true);
-    }
-
     @Override
     public void recordOrigins(
         FleetCommand.RecordStreamOrigins command, Consumer<Boolean> callback) {
--- a/src/test/java/org/curranthaven/internal/scheduler/StreamOriginLogTest.java
+++ b/src/test/java/org/curranthaven/internal/scheduler/StreamOriginLogTest.java
@@ -4,11 +4,9 @@
 
 import com.google.protobuf.ByteString;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.curranthaven.internal.catalog.CrashSuspectState;
 import org.curranthaven.internal.catalog.ServiceVersion;
 import org.curranthaven.internal.configuration.FleetCommand;
 import org.curranthaven.internal.configuration.FleetState;
@@ -28,24 +26,12 @@
   private long nowMillis = 10_000;
 
   /** Applies commands to a replica, at once or when told. */
-  private static final class GroupLog implements SchedulerLog {
+  private static final class GroupLog extends CommittingSchedulerLog {
     private final FleetState state = new FleetState();
     private final List<FleetCommand.RecordStreamOrigins> commands = new ArrayList<>();
     private final List<Consumer<Boolean>> uncommitted = new ArrayList<>();
     private boolean commitsAtOnce = true;
 
-    @Override
-    public void add(ServiceVersion version, Consumer<Boolean> callback) {}
-
-    @Override
-    public void remove(Collection<ServiceVersion> versions) {}
-
-    @Override
-    public void recordCrashSuspects(
-        CrashSuspectState.Snapshot suspects, Consumer<Boolean> callback) {
-      callback.accept(true);
-    }
-
     @Override
     public void recordOrigins(
         FleetCommand.RecordStreamOrigins command, Consumer<Boolean> callback) {
--- a/src/test/java/org/curranthaven/internal/transport/PeerConnectionTest.java
+++ b/src/test/java/org/curranthaven/internal/transport/PeerConnectionTest.java
@@ -10,20 +10,10 @@
 import org.junit.jupiter.api.Test;
 
 class PeerConnectionTest {
-  private static final class NoOpListener implements PeerListener {
-    @Override
-    public void received(HostRecord from, Envelope message) {}
-
-    @Override
-    public void connected(HostRecord host) {}
-
-    @Override
-    public void disconnected(HostRecord host) {}
-  }
-
   private static EmbeddedChannel connect() {
     HostRecord self = HostRecord.newBuilder().setName("host-1").build();
-    PeerNetwork network = new PeerNetwork("127.0.0.1:1", List.of(), () -> self, new NoOpListener());
+    PeerNetwork network =
+        new PeerNetwork("127.0.0.1:1", List.of(), () -> self, new NoOpPeerListener());
     return new EmbeddedChannel(new PeerConnection(network, "", null));
   }
 
--- a/src/test/java/org/curranthaven/internal/transport/PeerNetworkTest.java
+++ b/src/test/java/org/curranthaven/internal/transport/PeerNetworkTest.java
@@ -47,17 +47,6 @@
     public void disconnected(HostRecord host) {}
   }
 
-  private static final class NoOpListener implements PeerListener {
-    @Override
-    public void received(HostRecord from, Envelope message) {}
-
-    @Override
-    public void connected(HostRecord host) {}
-
-    @Override
-    public void disconnected(HostRecord host) {}
-  }
-
   private static PeerNetwork network(
       String name, String address, String otherAddress, PeerListener listener) {
     HostRecord self = HostRecord.newBuilder().setName(name).setPeerAddress(address).build();
@@ -69,7 +58,8 @@
   void an_address_that_cannot_be_parsed_does_not_end_the_network()
       throws IOException, InterruptedException {
     List<String> addresses = LocalFleet.freeAddresses(2);
-    PeerNetwork network = network("one", addresses.get(0), addresses.get(1), new NoOpListener());
+    PeerNetwork network =
+        network("one", addresses.get(0), addresses.get(1), new NoOpPeerListener());
     Thread running = network.start();
 
     network.addDiscoveredAddress("nowhere");
@@ -87,7 +77,8 @@
     List<String> addresses = LocalFleet.freeAddresses(2);
     BlockingListener listener = new BlockingListener();
     Thread running = network("one", addresses.get(0), addresses.get(1), listener).start();
-    Thread other = network("two", addresses.get(1), addresses.get(0), new NoOpListener()).start();
+    Thread other =
+        network("two", addresses.get(1), addresses.get(0), new NoOpPeerListener()).start();
     assertThat(listener.connected.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
 
     running.interrupt();
--- a/src/test/java/org/curranthaven/internal/transport/SharedMessageTest.java
+++ b/src/test/java/org/curranthaven/internal/transport/SharedMessageTest.java
@@ -50,7 +50,8 @@
 
     SlowConnection() {
       HostRecord self = HostRecord.newBuilder().setName("control-1").build();
-      PeerNetwork network = new PeerNetwork("127.0.0.1:1", List.of(), () -> self, new NoEvents());
+      PeerNetwork network =
+          new PeerNetwork("127.0.0.1:1", List.of(), () -> self, new NoOpPeerListener());
       connection = new PeerConnection(network, "", null);
       EmbeddedChannel channel =
           new EmbeddedChannel(this, new ProtobufVarint32LengthFieldPrepender(), connection);
@@ -78,17 +79,6 @@
     }
   }
 
-  private static final class NoEvents implements PeerListener {
-    @Override
-    public void received(HostRecord from, Envelope message) {}
-
-    @Override
-    public void connected(HostRecord host) {}
-
-    @Override
-    public void disconnected(HostRecord host) {}
-  }
-
   private boolean send(SlowConnection to, SharedMessage shared) {
     return to.connection.write(HEARTBEAT, shared, unwritten, () -> written++);
   }
