--- a/review/lab-3/EarlyAck.java
+++ b/review/lab-3/EarlyAck.java
@@ -34,7 +34,7 @@
       }
       fleet.startGateway(1);
       long from = Record.now();
-      if (!fleet.order("PUT", "/api/config", RawTarget.MANIFEST, 40_000)) {
+      if (!fleet.order("PUT", "/api/config", Manifests.FIRST, 40_000)) {
         // A system that waits for its machines loses nothing.
         record.add("the manifest is not acknowledged while machines are missing: held");
         System.exit(trouble.equals("0") ? 2 : 0);
@@ -73,7 +73,7 @@
         Http.Message answer = Http.call(address, "GET", "/api/config", "", 2_000);
         seen = answer.status() + "";
         if (answer.status() == 200) {
-          boolean same = answer.body().equals(RawTarget.MANIFEST);
+          boolean same = answer.body().equals(Manifests.FIRST);
           record.add("operator reads at " + address + ": 200, the manifest sent: " + same);
           return same;
         }
--- a/review/lab-3/FirstStart.java
+++ b/review/lab-3/FirstStart.java
@@ -12,14 +12,6 @@
   /** Time that the operator and the test wait; many times recoveryS, 12 s, and ackMs, 4 s. */
   private static final long WAIT_MILLIS = 75_000;
 
-  private static final String MANIFEST =
-      "{\"version\":1,\"routes\":[{\"name\":\"page\",\"host\":\"site.example\",\"pathPrefix\":\"/page/\","
-          + "\"kind\":\"idempotent\",\"timeoutMs\":3000,\"targetLatencyMs\":386,\"priority\":2,"
-          + "\"service\":\"app\",\"attempts\":2}],\"services\":[{\"name\":\"app\",\"healthPath\":"
-          + "\"/health\",\"maxConns\":100,\"protocol\":\"h1\",\"tls\":false}],\"limits\":{"
-          + "\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,"
-          + "\"idleTimeoutMs\":15000}}";
-
   public static void main(String[] arguments) throws Exception {
     Path repository = Path.of(arguments[0]);
     Path folder = Path.of(arguments[1]);
@@ -42,7 +34,7 @@
         fleet.startControl(1, bootstrapAgain);
       }
       long from = Record.now();
-      boolean accepted = fleet.order("PUT", "/api/config", MANIFEST, WAIT_MILLIS);
+      boolean accepted = fleet.order("PUT", "/api/config", Manifests.FIRST, WAIT_MILLIS);
       boolean ready = fleet.awaitReady(2, accepted ? 20_000 : 1);
       record.add(
           "the first manifest is " + (accepted ? "acknowledged" : "not acknowledged") + " "
--- a/review/lab-3/Fleet.java
+++ b/review/lab-3/Fleet.java
@@ -63,11 +63,6 @@
     }
   }
 
-  /** Returns an address on the fleet's network for a stand-in. */
-  String standInAddress(int number) throws IOException {
-    return network + (200 + number) + ":" + freePorts(1).get(0);
-  }
-
   String controlAddress(int number) {
     return network + number + ":" + controlPort;
   }
@@ -122,7 +117,7 @@
     String settings =
         "{\"name\":\"" + name + "\",\"dataCentre\":\"here-a\",\"peerAddress\":\"" + ip + ":"
             + peerPort + "\"," + roleSettings + "\"contacts\":[" + seeds
-            + "],\"toleratedLosses\":2,\"drainSeconds\":8,\"retryRatio\":0.2,\"retrySlack\":54,"
+            + "],\"toleratedLosses\":2,\"drainSeconds\":8,\"retryRatio\":0.2,\"retrySlack\":56,"
             + "\"retryWindowSeconds\":10,\"regions\":{\"here-a\":\"here\"},\"maxDescriptors\":4096,"
             + "\"registrationMillis\":1200,\"protocolFeatures\":[\"base\",\"drain\",\"config\","
             + "\"cost\",\"retry\",\"recover\",\"engine\",\"stream\",\"tenants\"]}\n";
@@ -185,10 +180,6 @@
     return last.replaceAll("^.*\"message\":\"([^\"]*)\".*$", "$1");
   }
 
-  Process process(String name) {
-    return processes.get(name);
-  }
-
   boolean isRunning(String name) {
     return processes.get(name).isAlive();
   }
@@ -199,13 +190,6 @@
     processes.get(name).waitFor(10, TimeUnit.SECONDS);
   }
 
-  void signal(String name, String signal) throws IOException, InterruptedException {
-    record.add("platform sends SIG" + signal + " to " + name);
-    new ProcessBuilder("kill", "-" + signal, Long.toString(processes.get(name).pid()))
-        .start()
-        .waitFor(5, TimeUnit.SECONDS);
-  }
-
   /** Sends an order to one control host after the other until one accepts it; returns whether. */
   boolean order(String method, String path, String body, long forMillis)
       throws InterruptedException {
