--- a/review/lab-3/Fleet.java
+++ b/review/lab-3/Fleet.java
@@ -32,6 +32,7 @@
   private final int readyPort;
   private final Map<String, Process> processes = new LinkedHashMap<>();
   private final Map<Integer, Integer> ownEnds = new TreeMap<>();
+  private boolean closed;
 
   Fleet(Path repository, Path folder, Record record) throws IOException {
     this.repository = repository;
@@ -150,7 +151,7 @@
    * does; returns how often this happened so far, by machine.
    */
   synchronized Map<Integer, Integer> restartEnded() throws IOException, InterruptedException {
-    for (int number = 1; number <= CONTROLS; number++) {
+    for (int number = 1; number <= CONTROLS && !closed; number++) {
       Process process = processes.get("core-" + number);
       if (process != null && !process.isAlive()) {
         ownEnds.merge(number, 1, Integer::sum);
@@ -225,7 +226,8 @@
   }
 
   @Override
-  public void close() {
+  public synchronized void close() {
+    closed = true;
     processes.values().forEach(Process::destroyForcibly);
     for (Process process : processes.values()) {
       try {
