--- a/review/lab-3/EarlyAck.java
+++ b/review/lab-3/EarlyAck.java
@@ -1,8 +1,6 @@
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.stream.Stream;
 
 /**
  * Two of the five core machines are down while the system starts for the first time. The first
@@ -50,7 +48,7 @@
           }
         }
         for (int number = 1; number <= 2; number++) {
-          empty(folder.resolve("data-core-" + number));
+          Disk.empty(folder.resolve("data-core-" + number));
           record.add("core-" + number + " has lost its disk");
         }
         Thread.sleep(RESTART_MILLIS);
@@ -85,14 +83,4 @@
     }
     return false;
   }
-
-  private static void empty(Path folder) throws IOException {
-    try (Stream<Path> files = Files.walk(folder)) {
-      for (Path file : files.sorted((a, b) -> b.compareTo(a)).toList()) {
-        if (!file.equals(folder)) {
-          Files.delete(file);
-        }
-      }
-    }
-  }
 }
