--- a/review/lab-3/EarlyAck.java
+++ b/review/lab-3/EarlyAck.java
@@ -71,7 +71,7 @@
         Http.Message answer = Http.call(address, "GET", "/api/config", "", 2_000);
         seen = answer.status() + "";
         if (answer.status() == 200) {
-          boolean same = answer.body().equals(Manifests.FIRST);
+          boolean same = Manifests.isFirst(answer.body());
           record.add("operator reads at " + address + ": 200, the manifest sent: " + same);
           return same;
         }
--- a/review/lab-3/FirstOrder.java
+++ b/review/lab-3/FirstOrder.java
@@ -147,7 +147,7 @@
             Http.call(fleet.controlAddress(number), "GET", "/api/config", "", 2_000);
         seen = answer.status() + "";
         if (answer.status() == 200) {
-          boolean same = answer.body().equals(Manifests.FIRST);
+          boolean same = Manifests.isFirst(answer.body());
           record.add("operator reads at core-" + number + ": 200, the manifest sent: " + same);
           return same;
         }
--- a/review/lab-3/GluedManifest.java
+++ b/review/lab-3/GluedManifest.java
@@ -51,7 +51,7 @@
       record.add("client asks for a path that only version 2 has: " + probe.status() + " " + probe.body());
       boolean acknowledged = answer.status() / 100 == 2;
       boolean inForce = probe.status() != 404;
-      boolean readBack = read.status() == 200 && !read.body().equals(first);
+      boolean readBack = read.status() == 200 && Manifests.version(read.body()) != 1;
       if (trouble) {
         exit = acknowledged || inForce || readBack ? 1 : 0;
         record.add(
@@ -60,7 +60,7 @@
                 : "BROKEN: a manifest that cannot be read in full is acknowledged: " + acknowledged
                     + ", in force: " + inForce + ", read back: " + readBack);
       } else {
-        exit = acknowledged && inForce && read.body().equals(second) ? 0 : 1;
+        exit = acknowledged && inForce && Manifests.version(read.body()) == 2 && read.body().contains("/added/") ? 0 : 1;
         record.add(exit == 0 ? "held" : "BROKEN: a valid manifest is not in force");
       }
     }
--- a/review/lab-3/ManyOrders.java
+++ b/review/lab-3/ManyOrders.java
@@ -146,8 +146,7 @@
         Http.Message answer = Http.call(address, "GET", "/api/config", "", 3_000);
         seen = "" + answer.status();
         if (answer.status() == 200) {
-          String start = answer.body().substring(0, Math.min(40, answer.body().length()));
-          int version = Integer.parseInt(start.replaceAll("^\\{\"version\":(\\d+).*$", "$1"));
+          int version = Manifests.version(answer.body());
           record.add("operator reads at " + address + ": 200, version " + version);
           return version >= atLeast;
         }
